Lay out the workspace, shared records and the design

Sets up seven packages with pinned dependencies, lint and test targets, the one table of result codes, the timer service, typed records and messages, and the interfaces between the decision cores and what drives them.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(sort $(wildcard packages/*))
+STAMP := $(VENV)/.installed
+SEEDS ?= 1 2 3
+
+.PHONY: all install test lint format demo measure slopes clean
+
+all: lint test
+
+$(STAMP): constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet -c constraints.txt setuptools
+	$(BIN)/pip install --quiet -c constraints.txt -r requirements.txt
+	$(BIN)/pip install --quiet --no-build-isolation -c constraints.txt $(foreach p,$(PACKAGES),-e ./$(p))
+	touch $(STAMP)
+
+install: $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python scripts/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet packages scripts
+	$(BIN)/ruff check --quiet packages scripts
+	$(BIN)/mypy packages/*/src scripts
+
+format: $(STAMP)
+	$(BIN)/black --quiet packages scripts
+	$(BIN)/ruff check --quiet --fix packages scripts
+
+demo: $(STAMP)
+	$(BIN)/python scripts/demo.py
+
+measure: $(STAMP)
+	$(BIN)/python -m jacinthreel_bench measure --seeds "$(SEEDS)"
+
+slopes: $(STAMP)
+	$(BIN)/python -m jacinthreel_bench slopes
+
+clean:
+	rm -rf build $(VENV)
--- /dev/null
+++ b/packages/bench/src/jacinthreel_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measurement and capacity experiments."""
--- /dev/null
+++ b/packages/cli/src/jacinthreel_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The jacinthreel operator command line."""
--- /dev/null
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -0,0 +1,126 @@
+"""Messages on the streams between the project's own processes.
+
+A frame is a four-byte big-endian length and a msgpack body that holds an `Envelope`.  The first
+frame of each side is a `Hello`.  `kind` names the class of the body in `MESSAGES_BY_KIND`.  A call
+has a non-zero `call_id` and gets exactly one `StreamReply` with the same id; a notice has id 0.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from jacinthreel_common._codes import ResultCode
+from jacinthreel_common._config import Config
+from jacinthreel_common._jobs import JobSpec
+
+STREAM_VERSION: Final = 1
+MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """The outermost layer of a frame; `version` is `STREAM_VERSION`."""
+
+    version: int
+    kind: str
+    call_id: int
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Who opened the connection; `role` is router or scheduler."""
+
+    host_id: str
+    role: str
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamReply:
+    """The answer to a call; `body` is plain data that depends on the call."""
+
+    code: ResultCode
+    detail: str = ""
+    retry_after_ms: int | None = None
+    body: Any = None
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Asks a shard's owner to accept a job."""
+
+    spec: JobSpec
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJob:
+    """Asks a shard's owner to cancel a job."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ListJobs:
+    """Asks for the records of jobs; `job_id` narrows to one, empty strings mean all."""
+
+    job_id: str = ""
+    workspace: str = ""
+    state: str = ""
+    limit: int = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ShardStatus:
+    """Asks a shard's owner for the summary that `jacinthreel status` prints."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPush:
+    """Announces a configuration; the receiver applies it only if the version is higher.
+
+    `row_version` is the version of the configuration row in the table service.
+    """
+
+    config: Config
+    row_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPull:
+    """Asks a peer for the configuration it has; the reply's body is a `ConfigPush` or None."""
+
+
+@dataclass(frozen=True, slots=True)
+class InFlight:
+    """How many requests the sender has in flight at each executor."""
+
+    by_executor: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerNotice:
+    """Announces who owns a shard; the higher epoch wins."""
+
+    shard: str
+    epoch: int
+    address: str
+    port: int
+
+
+MESSAGES_BY_KIND: Final[dict[str, type]] = {
+    kind.__name__: kind
+    for kind in (
+        Hello,
+        StreamReply,
+        SubmitJob,
+        CancelJob,
+        ListJobs,
+        ShardStatus,
+        ConfigPush,
+        ConfigPull,
+        InFlight,
+        OwnerNotice,
+    )
+}
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The jacinthreeld processes: router and scheduler roles."""
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Job scheduling decisions: gangs, guarantees, placement, recovery."""
--- /dev/null
+++ b/packages/requests/src/jacinthreel_requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request routing decisions: choice, queueing, retries, ejection."""
--- /dev/null
+++ b/packages/standins/src/jacinthreel_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, the workers and the executors."""
