--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_context.py
@@ -0,0 +1,39 @@
+"""What the parts of a router share; assembled once when the process starts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from jacinthreel_daemon._ports import (
+    Clock,
+    ConfigView,
+    HostView,
+    OwnerView,
+    PeerStreams,
+    TableStore,
+    Telemetry,
+)
+
+DecisionLog = Callable[[str, dict[str, Any]], None]
+"""Writes one structured log line: the decision's name and its fields."""
+
+
+@dataclass(slots=True)
+class RouterContext:
+    """The ports of a router process and who it is."""
+
+    host_id: str
+    zone: str
+    region: str
+    clock: Clock
+    store: TableStore
+    config: ConfigView
+    hosts: HostView
+    streams: PeerStreams
+    owner: OwnerView
+    telemetry: Telemetry
+    log_decision: DecisionLog
+    rng: random.Random
