--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/ruff check --quiet --fix packages scripts
 
 demo: $(STAMP)
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python scripts/demo.py $(if $(KEEP),--keep)
 
 measure: $(STAMP)
 	$(BIN)/python -m jacinthreel_bench measure --seeds "$(SEEDS)"
