--- a/packages/standins/src/jacinthreel_standins/__init__.py
+++ b/packages/standins/src/jacinthreel_standins/__init__.py
@@ -1,5 +1,13 @@
 """Small stand-ins for the platform, the workers and the executors."""
 
+from jacinthreel_standins._executor_model import (
+    ANSWER_CONTENT_TYPE,
+    ExecutorModel,
+    ExecutorRefusal,
+    ExecutorRun,
+    expected_answer,
+    parse_run_ms,
+)
 from jacinthreel_standins._table_model import TableModel
 from jacinthreel_standins._worker_model import (
     TaskBehaviour,
@@ -8,4 +16,16 @@
     parse_behaviour,
 )
 
-__all__ = ["TableModel", "TaskBehaviour", "TaskStart", "WorkerModel", "parse_behaviour"]
+__all__ = [
+    "ANSWER_CONTENT_TYPE",
+    "ExecutorModel",
+    "ExecutorRefusal",
+    "ExecutorRun",
+    "TableModel",
+    "TaskBehaviour",
+    "TaskStart",
+    "WorkerModel",
+    "expected_answer",
+    "parse_behaviour",
+    "parse_run_ms",
+]
