Serve the stand-ins over HTTP with faults and logs for checks

One process serves the table service, object store and host list; one process serves the workers of a zone and one its executors, each on a port of its own. Faults are set field by field with POST /v1/faults. A lost reply is cut after the effect and a lost request before it, so that both sides of an unknown outcome can be tested.

--- /dev/null
+++ b/packages/standins/src/jacinthreel_standins/_worker_server.py
@@ -0,0 +1,105 @@
+"""Stand-in workers: several `WorkerModel`s in one process, each on a port of its own.
+
+Paths on each port: `POST /v1/commands`, `POST /v1/faults`, `GET /v1/log` (starts and tasks, for
+checks), `GET /healthz`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from tornado.web import Application
+
+from jacinthreel_common import CommandBatch, TaskState
+from jacinthreel_standins._faults import WorkerFaults, set_faults
+from jacinthreel_standins._serving import HealthHandler, JsonHandler, log_no_access, now_ms
+from jacinthreel_standins._worker_model import TaskStart, WorkerModel
+
+
+@dataclass(slots=True)
+class ServedWorker:
+    """A worker model and its faults."""
+
+    model: WorkerModel
+    faults: WorkerFaults = field(default_factory=WorkerFaults)
+
+
+@dataclass(frozen=True, slots=True)
+class TaskLine:
+    """A task on a worker, for checks."""
+
+    job_id: str
+    attempt: int
+    task_index: int
+    state: TaskState
+    run_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerLog:
+    """What a worker did; times are monotonic milliseconds of the machine."""
+
+    worker_id: str
+    now_ms: int
+    starts: list[TaskStart]
+    tasks: list[TaskLine]
+
+
+class _WorkerHandler(JsonHandler):
+    worker: ServedWorker
+
+    def initialize(self, worker: ServedWorker) -> None:
+        self.worker = worker
+
+
+class _CommandsHandler(_WorkerHandler):
+    async def post(self) -> None:
+        faults = self.worker.faults
+        if faults.unreachable:
+            self.cut_connection()
+            return
+        batch = self.read_body(CommandBatch)
+        if faults.delay_ms:
+            await asyncio.sleep(faults.delay_ms / 1000)
+        answer = self.worker.model.handle(batch, now_ms())
+        if faults.lose_replies > 0:
+            faults.lose_replies -= 1
+            self.cut_connection()
+            return
+        self.reply(answer)
+
+
+class _FaultsHandler(_WorkerHandler):
+    def post(self) -> None:
+        worker = self.worker
+        set_faults(worker.faults, self)
+        worker.model.fails_everything = worker.faults.fails_everything
+        if worker.faults.restart:
+            worker.faults.restart = False
+            worker.model.restart()
+
+
+class _LogHandler(_WorkerHandler):
+    def get(self) -> None:
+        model, at_ms = self.worker.model, now_ms()
+        model.advance(at_ms)
+        tasks = [
+            TaskLine(*key, state=task.state, run_s=round(task.run_s, 3))
+            for key, task in model.tasks_by_key.items()
+        ]
+        self.reply(WorkerLog(model.worker_id, at_ms, model.starts, tasks))
+
+
+def make_worker(worker: ServedWorker) -> Application:
+    """The application that serves one worker."""
+    shared = {"worker": worker}
+    return Application(
+        [
+            (r"/healthz", HealthHandler),
+            (r"/v1/commands", _CommandsHandler, shared),
+            (r"/v1/faults", _FaultsHandler, shared),
+            (r"/v1/log", _LogHandler, shared),
+        ],
+        log_function=log_no_access,
+    )
--- /dev/null
+++ b/packages/standins/tests/test_servers.py
@@ -0,0 +1,160 @@
+"""The stand-in servers over HTTP: conditional writes, faults, at-most-once logs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application
+
+from jacinthreel_common import Host, HostKind
+from jacinthreel_standins._executor_server import ServedExecutor, make_executor
+from jacinthreel_standins._platform_server import Platform, make_platform
+from jacinthreel_standins._worker_model import WorkerModel
+from jacinthreel_standins._worker_server import ServedWorker, make_worker
+
+Fetch = Callable[..., Awaitable[HTTPResponse]]
+INSERT = {
+    "write_id": "w1",
+    "conditions": [{"key": "a", "version": 0}],
+    "writes": [{"key": "a", "value": 1}],
+}
+
+
+def run(application: Application, scenario: Callable[[Fetch], Awaitable[None]]) -> None:
+    """Runs a scenario against a served application."""
+
+    async def serve() -> None:
+        socket, port = bind_unused_port()
+        server = HTTPServer(application)
+        server.add_sockets([socket])
+
+        async def fetch(path: str, body: Any = None, **headers: str) -> HTTPResponse:
+            sent = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+            method = "GET" if body is None else "POST"
+            url = f"http://127.0.0.1:{port}{path}"
+            try:
+                return await AsyncHTTPClient().fetch(
+                    url, method=method, body=sent, headers=headers, raise_error=False
+                )
+            except HTTPClientError as error:
+                return HTTPResponse(HTTPRequest(url), error.code)
+
+        await scenario(fetch)
+        server.stop()
+
+    asyncio.run(serve())
+
+
+def make_store() -> Application:
+    platform = Platform()
+    platform.set_hosts([Host("w1", HostKind.WORKER, "127.0.0.1", 1, "a", "r")], at_ms=0)
+    return make_platform(platform)
+
+
+def test_a_second_insert_conflicts() -> None:
+    async def scenario(fetch: Fetch) -> None:
+        assert (await fetch("/v1/transact", INSERT)).code == 200
+        second = await fetch("/v1/transact", INSERT)
+        assert second.code == 409
+        assert json.loads(second.body) == {"committed": False, "versions": {"a": 1}}
+
+    run(make_store(), scenario)
+
+
+@pytest.mark.parametrize(
+    ("faults", "status", "applied"),
+    [
+        ({"down": True}, 503, False),
+        ({"refuse": 1}, 503, False),
+        ({"lose_requests": 1}, 599, False),
+        ({"lose_replies": 1}, 599, True),
+        ({"lose_replies": 1, "only_prefix": "b"}, 200, True),
+    ],
+)
+def test_store_faults(faults: dict[str, Any], status: int, applied: bool) -> None:
+    async def scenario(fetch: Fetch) -> None:
+        assert (await fetch("/v1/faults", faults)).code == 200
+        assert (await fetch("/v1/transact", INSERT)).code == status
+        rows = json.loads((await fetch("/v1/rows?prefix=a")).body)["rows"]
+        assert bool(rows) == applied
+
+    run(make_store(), scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "code"),
+    [
+        ("/v1/transact", b"{", 1001),
+        ("/v1/transact", {**INSERT, "extra": 1}, 1002),
+        ("/v1/faults", {"down": 3}, 1003),
+        ("/v1/faults", {"delay_ms": -1}, 1004),
+        ("/v1/hosts/w9/state", {"state": "leaving"}, 1009),
+    ],
+)
+def test_bad_input_is_numbered(path: str, body: Any, code: int) -> None:
+    async def scenario(fetch: Fetch) -> None:
+        answer = await fetch(path, body)
+        assert json.loads(answer.body)["code"] == code
+        assert (await fetch("/healthz")).code == 200
+
+    run(make_store(), scenario)
+
+
+def test_the_host_list_lags() -> None:
+    async def scenario(fetch: Fetch) -> None:
+        await fetch("/v1/faults", {"host_list_lag_ms": 60_000})
+        await fetch("/v1/hosts/w1/state", {"state": "leaving"})
+        assert json.loads((await fetch("/v1/hosts")).body)["hosts"][0]["state"] == "live"
+        await fetch("/v1/faults", {"host_list_lag_ms": 0})
+        assert json.loads((await fetch("/v1/hosts")).body)["hosts"][0]["state"] == "leaving"
+        assert json.loads((await fetch("/v1/hosts?revision=2")).body)["hosts"] == []
+
+    run(make_store(), scenario)
+
+
+def test_an_executor_runs_what_fits_and_refuses_the_rest() -> None:
+    executor = ServedExecutor("e1", 1, 5.0, random.Random(1))
+
+    async def scenario(fetch: Fetch) -> None:
+        first = asyncio.ensure_future(
+            fetch("/v1/execute", b"work_ms=300", **{"X-Request-Id": "one"})
+        )
+        while not executor.runs:
+            await asyncio.sleep(0.005)
+        second = await fetch("/v1/execute", b"other", **{"X-Request-Id": "two"})
+        assert (second.code, second.headers["X-Not-Run"]) == (503, "true")
+        assert json.loads((await first).body)["request_id"] == "one"
+        await fetch("/v1/faults", {"lose_replies": 1})
+        assert (await fetch("/v1/execute", b"work_ms=0", **{"X-Request-Id": "three"})).code == 599
+        log = json.loads((await fetch("/v1/log")).body)
+        assert [entry["request_id"] for entry in log["runs"]] == ["one", "three"]
+        assert log["refused"] == 1
+
+    run(make_executor(executor), scenario)
+
+
+def test_a_lost_worker_reply_was_carried_out() -> None:
+    worker = ServedWorker(WorkerModel("w1", 8, 130, 500))
+    task = {"job_id": "j", "attempt": 1, "task_index": 0}
+    commands = [{"kind": "reserve", **task}, {"kind": "start", **task}]
+    batch = {"shard": "r", "epoch": 1, "lease_ms": 60_000, "seen_version": 0, "commands": commands}
+
+    async def scenario(fetch: Fetch) -> None:
+        await fetch("/v1/faults", {"lose_replies": 1})
+        assert (await fetch("/v1/commands", batch)).code == 599
+        again = json.loads((await fetch("/v1/commands", batch)).body)
+        assert again["results"] == [6007, 0]
+        log = json.loads((await fetch("/v1/log")).body)
+        assert len(log["starts"]) == 1
+        await fetch("/v1/faults", {"unreachable": True})
+        assert (await fetch("/v1/commands", batch)).code == 599
+
+    run(make_worker(worker), scenario)
