--- a/packages/standins/src/jacinthreel_standins/__main__.py
+++ b/packages/standins/src/jacinthreel_standins/__main__.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import random
 from pathlib import Path
 
 import cyclopts
 
 from jacinthreel_common import Host, HostKind, decode_json
+from jacinthreel_standins._executor_model import ExecutorModel
 from jacinthreel_standins._executor_server import ServedExecutor, make_executor
 from jacinthreel_standins._platform_server import Platform, make_platform
 from jacinthreel_standins._serving import check_address, listen, now_ms, serve_until_stopped
@@ -69,7 +69,7 @@
 
 
 @app.command
-def executors(*, hosts: Path, zone: str, service_ms: float = 20.0, seed: int = 1) -> None:
+def executors(*, hosts: Path, zone: str, speed: float = 1.0) -> None:
     """Serves the executors that the list has in one zone, each at its address and port.
 
     Parameters
@@ -78,17 +78,14 @@
         The JSON file with the list of hosts.
     zone
         The availability zone to serve.
-    service_ms
-        The mean service time of a request, in milliseconds.
-    seed
-        The seed of the service times.
+    speed
+        What divides the run times that the requests name.
     """
     listed = _select(_read_hosts(hosts), HostKind.EXECUTOR, zone)
 
     async def serve() -> None:
         for host in listed:
-            rng = random.Random(f"{seed} {host.host_id}")
-            executor = ServedExecutor(host.host_id, host.slots, service_ms, rng)
+            executor = ServedExecutor(ExecutorModel(host.host_id, host.slots, speed))
             listen(make_executor(executor), check_address(host.address), host.port)
         await serve_until_stopped()
 
--- a/packages/standins/src/jacinthreel_standins/_faults.py
+++ b/packages/standins/src/jacinthreel_standins/_faults.py
@@ -7,7 +7,9 @@
 
 import dataclasses
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
+
+import msgspec
 
 from jacinthreel_common import Fault, ResultCode, convert, to_plain
 from jacinthreel_standins._serving import AbortError, JsonHandler
@@ -55,14 +57,14 @@
 
     `unreachable` cuts connections before a request runs; `lose_replies` counts the next requests
     that run but whose connection is cut; `fail_runs` those that run and are answered 500.
-    `service_factor` multiplies the service times.
+    `speed` divides the run times.
     """
 
     unreachable: bool = False
     leaving: bool = False
     lose_replies: int = 0
     fail_runs: int = 0
-    service_factor: float = 1.0
+    speed: Annotated[float, msgspec.Meta(gt=0.0)] = 1.0
 
 
 def set_faults(faults: Any, handler: JsonHandler) -> None:
--- a/packages/standins/tests/test_servers.py
+++ b/packages/standins/tests/test_servers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 from tornado.web import Application
 
 from jacinthreel_common import Host, HostKind
+from jacinthreel_standins import ExecutorModel, expected_answer
 from jacinthreel_standins._executor_server import ServedExecutor, make_executor
 from jacinthreel_standins._platform_server import Platform, make_platform
 from jacinthreel_standins._worker_model import WorkerModel
@@ -121,19 +121,17 @@
 
 
 def test_an_executor_runs_what_fits_and_refuses_the_rest() -> None:
-    executor = ServedExecutor("e1", 1, 5.0, random.Random(1))
+    executor = ServedExecutor(ExecutorModel("e1", slots=1))
 
     async def scenario(fetch: Fetch) -> None:
-        first = asyncio.ensure_future(
-            fetch("/v1/execute", b"work_ms=300", **{"X-Request-Id": "one"})
-        )
-        while not executor.runs:
+        first = asyncio.ensure_future(fetch("/v1/execute", b"run=300", **{"X-Request-Id": "one"}))
+        while not executor.model.runs:
             await asyncio.sleep(0.005)
         second = await fetch("/v1/execute", b"other", **{"X-Request-Id": "two"})
         assert (second.code, second.headers["X-Not-Run"]) == (503, "true")
-        assert json.loads((await first).body)["request_id"] == "one"
+        assert (await first).body == expected_answer("one", "", b"run=300")
         await fetch("/v1/faults", {"lose_replies": 1})
-        assert (await fetch("/v1/execute", b"work_ms=0", **{"X-Request-Id": "three"})).code == 599
+        assert (await fetch("/v1/execute", b"run=0", **{"X-Request-Id": "three"})).code == 599
         log = json.loads((await fetch("/v1/log")).body)
         assert [entry["request_id"] for entry in log["runs"]] == ["one", "three"]
         assert log["refused"] == 1
