Add messages for the status of processes and of a shard

A router asks every process what configuration it has in force (ProcessStatus) and the shard's owner for its summary (ShardStatusReply). The bodies of job calls are stated.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -49,21 +49,24 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Asks a shard's owner to accept a job."""
+    """Asks a shard's owner to accept a job; the reply's body is its `JobRecord`."""
 
     spec: JobSpec
 
 
 @dataclass(frozen=True, slots=True)
 class CancelJob:
-    """Asks a shard's owner to cancel a job."""
+    """Asks a shard's owner to cancel a job; the reply's body is its `JobRecord`."""
 
     job_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class ListJobs:
-    """Asks for the records of jobs; `job_id` narrows to one, empty strings mean all."""
+    """Asks for the records of jobs; `job_id` narrows to one, empty strings mean all.
+
+    The reply's body is a list of `JobRecord`.
+    """
 
     job_id: str = ""
     workspace: str = ""
@@ -73,7 +76,67 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardStatus:
-    """Asks a shard's owner for the summary that `jacinthreel status` prints."""
+    """Asks a shard's owner for its summary; the reply's body is a `ShardStatusReply`."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerStatus:
+    """A worker as the shard's owner sees it; `tasks` counts those that may occupy it."""
+
+    worker_id: str
+    zone: str
+    rack: str
+    health: str
+    accelerators: int
+    free_accelerators: int
+    tasks: int
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceStatus:
+    """A workspace in accelerators: `borrowed` is the part of `used` beyond the guarantee."""
+
+    workspace: str
+    guaranteed: int
+    used: int
+    borrowed: int
+    queued_jobs: int
+    active_jobs: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShardStatusReply:
+    """What a shard's owner knows; `longest_wait_s` is the age of the oldest queued job."""
+
+    shard: str
+    epoch: int
+    host_id: str
+    config_version: int
+    workers: list[WorkerStatus] = field(default_factory=list)
+    workspaces: list[WorkspaceStatus] = field(default_factory=list)
+    jobs_by_state: dict[str, int] = field(default_factory=dict)
+    longest_wait_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStatus:
+    """Asks any process what it has in force; the reply's body is a `ProcessStatusReply`."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStatusReply:
+    """What a process has in force; `epoch` is not 0 where it owns the shard.
+
+    `config_version` is 0 where the process has not seen a configuration.
+    """
+
+    host_id: str
+    role: str
+    zone: str
+    config_version: int
+    preset: str = ""
+    epoch: int = 0
+    draining: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +181,7 @@
         CancelJob,
         ListJobs,
         ShardStatus,
+        ProcessStatus,
         ConfigPush,
         ConfigPull,
         InFlight,
