--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_request_api.py
@@ -0,0 +1,307 @@
+"""The callers' HTTP interface, and the driver of a router's request core.
+
+`POST /v1/requests/WORKSPACE` takes a payload and answers with the executor's whole answer, or with
+a numbered code.  `X-Outcome` is `answered`, `not-run` (this sending certainly did not run and
+never will) or `unknown`.
+
+`RequestService` feeds the core with events and carries out its effects: attempts through
+`ExecutorClient`, claims through `ClaimStore`, answers through one future for each call.  A future
+is made for one call, resolved once and then forgotten, so that a late answer finds nobody.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import re
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+from tornado.httputil import HTTPHeaders
+
+from jacinthreel_common import (
+    DEADLINE_HEADER,
+    REQUEST_ID_HEADER,
+    Fault,
+    Host,
+    InFlight,
+    ResultCode,
+)
+from jacinthreel_daemon._context import RouterContext
+from jacinthreel_daemon._executor_client import ExecutorClient
+from jacinthreel_daemon._http_server import JsonHandler, Route, write_fault
+from jacinthreel_daemon._ports import AppliedConfig
+from jacinthreel_daemon._request_claims import ClaimStore
+from jacinthreel_requests import (
+    Answer,
+    Answered,
+    CallerGone,
+    ConfigApplied,
+    Dispatch,
+    DrainStarted,
+    Effect,
+    Event,
+    HostsListed,
+    LogDecision,
+    NotRun,
+    Outcome,
+    PeerInFlight,
+    ReadRow,
+    RequestArrived,
+    RequestRouter,
+    Tick,
+    Unknown,
+    WriteRow,
+)
+
+MAX_PAYLOAD_BYTES: Final = 1024 * 1024
+DEFAULT_DEADLINE_MS: Final = 30_000
+MAX_DEADLINE_MS: Final = 600_000
+REQUEST_ID_PATTERN: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}")
+IDEMPOTENT_HEADER: Final = "X-Idempotent"
+OUTCOME_HEADER: Final = "X-Outcome"
+RESULT_CODE_HEADER: Final = "X-Result-Code"
+REPLAYED_HEADER: Final = "X-Replayed"
+DRAIN_POLL_S: Final = 0.02
+CLAIMS_DRAIN_MS: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHeaders:
+    """What a caller says of its request.  `request_id` is None where it gave none."""
+
+    deadline_ms: int
+    idempotent: bool
+    request_id: str | None
+
+
+def parse_headers(headers: HTTPHeaders) -> Result[RequestHeaders, Fault]:
+    """Reads a caller's headers.  Errors: WRONG_TYPE, OUT_OF_RANGE."""
+    deadline = headers.get(DEADLINE_HEADER, str(DEFAULT_DEADLINE_MS))
+    if not (deadline.isascii() and deadline.isdigit()):
+        return Failure(Fault(ResultCode.WRONG_TYPE, f"{DEADLINE_HEADER} is not a whole number"))
+    if len(deadline) > 9 or not 1 <= int(deadline) <= MAX_DEADLINE_MS:
+        detail = f"{DEADLINE_HEADER} is not between 1 and {MAX_DEADLINE_MS}"
+        return Failure(Fault(ResultCode.OUT_OF_RANGE, detail))
+    idempotent = headers.get(IDEMPOTENT_HEADER, "false").lower()
+    if idempotent not in ("true", "false"):
+        return Failure(Fault(ResultCode.WRONG_TYPE, f"{IDEMPOTENT_HEADER} is not true or false"))
+    request_id = headers.get(REQUEST_ID_HEADER)
+    if request_id is not None and not REQUEST_ID_PATTERN.fullmatch(request_id):
+        detail = f"{REQUEST_ID_HEADER} does not match {REQUEST_ID_PATTERN.pattern}"
+        return Failure(Fault(ResultCode.OUT_OF_RANGE, detail))
+    return Success(RequestHeaders(int(deadline), idempotent == "true", request_id))
+
+
+class RequestService:
+    """Routes the requests of one router process."""
+
+    def __init__(self, context: RouterContext, client: ExecutorClient | None = None) -> None:
+        self._context = context
+        self._client = client or ExecutorClient()
+        boot_id = f"{context.rng.getrandbits(64):016x}"
+        self._boot_id = boot_id
+        self.core = RequestRouter(context.host_id, context.zone, boot_id, context.rng)
+        self._claims = ClaimStore(context.store, self.feed)
+        self._next_call = 1
+        self._bodies_by_call: dict[int, bytes] = {}
+        self._waiters_by_call: dict[int, asyncio.Future[Outcome]] = {}
+        self._attempt_tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        context.config.subscribe(self._on_config)
+        context.hosts.subscribe(self._on_hosts)
+        applied = context.config.current()
+        now_ms = context.clock.now_ms()
+        if applied is not None:
+            self.core.handle(ConfigApplied(applied.config), now_ms)
+        self.core.handle(HostsListed(list(context.hosts.by_id().values())), now_ms)
+
+    def routes(self) -> list[Route]:
+        """The routes to mount on the router's HTTP server."""
+        return [(r"/v1/requests/([^/]+)", RequestHandler, {"service": self})]
+
+    def on_in_flight(self, host_id: str, notice: InFlight) -> None:
+        """Takes another router's notice of its requests in flight."""
+        self.feed(PeerInFlight(host_id, notice.by_executor))
+
+    def in_flight_by_executor(self) -> dict[str, int]:
+        """Requests in flight at each executor, for notices to the others."""
+        return self.core.in_flight_by_executor()
+
+    def tick(self, now_ms: int) -> None:
+        """Lets time-outs, health checks and retries take effect."""
+        self.feed(Tick(self._context.clock.unix_ms()))
+
+    async def drain(self) -> None:
+        """Refuses new requests and returns once every request taken has its answer."""
+        self.feed(DrainStarted())
+        while self._waiters_by_call:
+            await asyncio.sleep(DRAIN_POLL_S)
+        limit_ms = self._context.clock.now_ms() + CLAIMS_DRAIN_MS
+        while not self.core.idle() and self._context.clock.now_ms() < limit_ms:
+            await asyncio.sleep(DRAIN_POLL_S)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def begin(
+        self, workspace: str, headers: RequestHeaders, body: bytes
+    ) -> tuple[int, asyncio.Future[Outcome]]:
+        """Takes a request; the future resolves with its final outcome."""
+        call_id = self._next_call
+        self._next_call += 1
+        request_id = headers.request_id or f"{self._context.host_id}-{self._boot_id}-{call_id}"
+        waiter: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        self._waiters_by_call[call_id] = waiter
+        self._bodies_by_call[call_id] = body
+        self.feed(
+            RequestArrived(
+                call_id,
+                workspace,
+                request_id,
+                headers.idempotent,
+                claimed=headers.request_id is not None and not headers.idempotent,
+                deadline_ms=self._context.clock.now_ms() + headers.deadline_ms,
+                body_hash=hashlib.sha256(body).hexdigest(),
+                unix_ms=self._context.clock.unix_ms(),
+            )
+        )
+        return call_id, waiter
+
+    def caller_gone(self, call_id: int) -> None:
+        """Forgets a caller that closed its connection."""
+        if self._waiters_by_call.pop(call_id, None) is None:
+            return
+        self._bodies_by_call.pop(call_id, None)
+        self._context.telemetry.count('requests_total{outcome="gone",code="0"}')
+        self.feed(CallerGone(call_id))
+
+    def now_ms(self) -> int:
+        """Monotonic milliseconds."""
+        return self._context.clock.now_ms()
+
+    def count_outcome(self, outcome: Outcome, started_ms: int) -> None:
+        """Counts a final answer and how long the caller waited for it."""
+        kind = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}[type(outcome)]
+        code = 0 if isinstance(outcome, Answered) else outcome.code.value
+        telemetry = self._context.telemetry
+        telemetry.count(f'requests_total{{outcome="{kind}",code="{code}"}}')
+        telemetry.observe_ms(f'request_ms{{outcome="{kind}"}}', self.now_ms() - started_ms)
+
+    def feed(self, event: Event) -> None:
+        """Passes an event to the core and carries out what it wants done."""
+        for effect in self.core.handle(event, self._context.clock.now_ms()):
+            self._perform(effect)
+        self._context.telemetry.gauge("request_queue", len(self.core.queue))
+        self._arm()
+
+    def _perform(self, effect: Effect) -> None:
+        match effect:
+            case Dispatch():
+                body = self._bodies_by_call[effect.call_id]
+                task = asyncio.get_running_loop().create_task(self._attempt(effect, body))
+                self._attempt_tasks.add(task)
+                task.add_done_callback(self._attempt_tasks.discard)
+            case Answer():
+                self._resolve(effect)
+            case WriteRow():
+                self._claims.write(effect)
+            case ReadRow():
+                self._claims.read(effect)
+            case LogDecision():
+                self._context.log_decision(effect.event, effect.fields)
+
+    async def _attempt(self, dispatch: Dispatch, body: bytes) -> None:
+        started_ms = self._context.clock.now_ms()
+        ended = await self._client.execute(dispatch, body)
+        kind = type(ended.outcome).__name__
+        self._context.telemetry.count(f'request_attempts_total{{outcome="{kind}"}}')
+        took_ms = self._context.clock.now_ms() - started_ms
+        self._context.telemetry.observe_ms("request_attempt_ms", took_ms)
+        self.feed(ended)
+
+    def _resolve(self, answer: Answer) -> None:
+        self._bodies_by_call.pop(answer.call_id, None)
+        waiter = self._waiters_by_call.pop(answer.call_id, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answer.outcome)
+
+    def _arm(self) -> None:
+        """Wakes up when the core next has something to do."""
+        if self._timer is not None:
+            self._timer.cancel()
+        now_ms = self._context.clock.now_ms()
+        delay_ms = self.core.next_due_ms(now_ms) - now_ms
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_ms / 1000, self.tick, 0)
+
+    def _on_config(self, applied: AppliedConfig) -> None:
+        self.feed(ConfigApplied(applied.config))
+
+    def _on_hosts(self, hosts: list[Host]) -> None:
+        self.feed(HostsListed(hosts))
+
+
+class RequestHandler(JsonHandler):
+    """Takes one request of a caller and gives it its final answer."""
+
+    def initialize(self, service: RequestService) -> None:
+        """Receives the service that is shared by all requests."""
+        self._service = service
+        self._call_id: int | None = None
+
+    def set_default_headers(self) -> None:
+        """Replies made before a request is taken say that it did not run."""
+        self.set_header(OUTCOME_HEADER, "not-run")
+
+    async def post(self, workspace: str) -> None:
+        """Serves `POST /v1/requests/WORKSPACE`."""
+        started_ms = self._service.now_ms()
+        body = self.request.body
+        if len(body) > MAX_PAYLOAD_BYTES:
+            detail = f"the payload is larger than {MAX_PAYLOAD_BYTES} bytes"
+            self._refuse(Fault(ResultCode.BODY_TOO_LARGE, detail))
+            return
+        match parse_headers(self.request.headers):
+            case Success(headers):
+                pass
+            case Failure(fault):
+                self._refuse(fault)
+                return
+        self._call_id, waiter = self._service.begin(workspace, headers, body)
+        outcome = await waiter
+        self._service.count_outcome(outcome, started_ms)
+        self._reply(outcome)
+
+    def on_connection_close(self) -> None:
+        """Tells the service that nobody waits for the answer any more."""
+        if self._call_id is not None:
+            self._service.caller_gone(self._call_id)
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Says `unknown` where something unexpected happened after a request was taken."""
+        if status_code >= 500 and self._call_id is not None:
+            self.set_header(OUTCOME_HEADER, "unknown")
+        super().write_error(status_code, **kwargs)
+
+    def _reply(self, outcome: Outcome) -> None:
+        match outcome:
+            case Answered(answer, replayed):
+                self.set_status(answer.status)
+                self.set_header("Content-Type", answer.content_type)
+                self.set_header(OUTCOME_HEADER, "answered")
+                self.set_header(RESULT_CODE_HEADER, str(ResultCode.OK.value))
+                if replayed:
+                    self.set_header(REPLAYED_HEADER, "true")
+                self.finish(answer.body)
+            case NotRun(code, detail, retry_after_ms):
+                self._refuse(Fault(code, detail, retry_after_ms))
+            case Unknown(code, detail, retry_after_ms):
+                self.set_header(OUTCOME_HEADER, "unknown")
+                self.set_header(RESULT_CODE_HEADER, str(code.value))
+                write_fault(self, Fault(code, detail, retry_after_ms))
+
+    def _refuse(self, fault: Fault) -> None:
+        self.set_header(OUTCOME_HEADER, "not-run")
+        self.set_header(RESULT_CODE_HEADER, str(fault.code.value))
+        write_fault(self, fault)
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_request_claims.py
@@ -0,0 +1,124 @@
+"""Carries out the claim writes and reads of a request router on the table service.
+
+Claims go at once, each in a transaction of its own.  Bookkeeping writes wait up to
+`GROUP_DELAY_MS` and go together in one transaction.  A group that does not commit is sent again
+row by row, so that one conflict does not hide what became of the others; each row's write id and
+version condition make that safe.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Final
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import (
+    Condition,
+    ReadQuery,
+    ResultCode,
+    RowWrite,
+    Transaction,
+)
+from jacinthreel_daemon._ports import TableStore
+from jacinthreel_requests import (
+    ReadRow,
+    RowRead,
+    WriteDone,
+    WriteOutcome,
+    WritePriority,
+    WriteRow,
+)
+
+GROUP_DELAY_MS: Final = 20
+MAX_GROUP_ROWS: Final = 50
+
+ClaimListener = Callable[[WriteDone | RowRead], None]
+
+
+class ClaimStore:
+    """Performs `WriteRow` and `ReadRow` effects and reports how they ended."""
+
+    def __init__(self, store: TableStore, listener: ClaimListener) -> None:
+        self._store = store
+        self._listener = listener
+        self._group: list[WriteRow] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def write(self, effect: WriteRow) -> None:
+        """Starts a write, or puts it into the next group."""
+        if effect.priority is not WritePriority.BOOKKEEPING:
+            self._start(effect)
+            return
+        self._group.append(effect)
+        if len(self._group) == 1:
+            asyncio.get_running_loop().call_later(GROUP_DELAY_MS / 1000, self._flush)
+        elif len(self._group) >= MAX_GROUP_ROWS:
+            self._flush()
+
+    def read(self, effect: ReadRow) -> None:
+        """Starts a read."""
+        self._spawn(self._read(effect))
+
+    def _flush(self) -> None:
+        group, self._group = self._group, []
+        if len(group) == 1:
+            self._start(group[0])
+        elif group:
+            self._spawn(self._write_group(group))
+
+    def _start(self, effect: WriteRow) -> None:
+        self._spawn(self._write_one(effect))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write_one(self, effect: WriteRow) -> None:
+        result = await self._store.transact(_transaction([effect]), effect.priority)
+        match result:
+            case Success(reply) if reply.committed:
+                version = reply.versions.get(effect.key, 0)
+                self._listener(WriteDone(effect.write_id, WriteOutcome.COMMITTED, version))
+            case Success():
+                self._listener(WriteDone(effect.write_id, WriteOutcome.CONFLICT))
+            case Failure(fault):
+                unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
+                outcome = WriteOutcome.UNKNOWN if unknown else WriteOutcome.FAILED
+                self._listener(WriteDone(effect.write_id, outcome))
+
+    async def _write_group(self, group: list[WriteRow]) -> None:
+        result = await self._store.transact(_transaction(group), WritePriority.BOOKKEEPING)
+        match result:
+            case Success(reply) if reply.committed:
+                for effect in group:
+                    version = reply.versions.get(effect.key, 0)
+                    self._listener(WriteDone(effect.write_id, WriteOutcome.COMMITTED, version))
+            case Success():
+                for effect in group:
+                    await self._write_one(effect)
+            case Failure(fault):
+                unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
+                outcome = WriteOutcome.UNKNOWN if unknown else WriteOutcome.FAILED
+                for effect in group:
+                    self._listener(WriteDone(effect.write_id, outcome))
+
+    async def _read(self, effect: ReadRow) -> None:
+        result = await self._store.read(ReadQuery(keys=[effect.key]))
+        match result:
+            case Success(reply):
+                row = reply.rows[0] if reply.rows else None
+                self._listener(RowRead(effect.write_id, row))
+            case Failure():
+                self._listener(RowRead(effect.write_id, None, store_out=True))
+
+
+def _transaction(group: list[WriteRow]) -> Transaction:
+    """One transaction for all rows; a group is named after its first row's write."""
+    return Transaction(
+        write_id=group[0].write_id,
+        conditions=[Condition(effect.key, effect.required_version) for effect in group],
+        writes=[RowWrite(effect.key, effect.value) for effect in group],
+    )
