Add the shard core: gangs from submission to release

Row changes are conditional on the epoch row and the job's row, placements also on the configuration row; commands go out in one batch per worker that renews its leases.

Run: one gang of three tasks through submission, placement, start, finish and release against the table and worker models (1 passed).

--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_context.py
@@ -0,0 +1,185 @@
+"""What the systems of a shard share while they handle one event.
+
+`effects` collects what is to be done.  `epoch` is 0 while the process does not own the shard.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from jacinthreel_common import (
+    CommandKind,
+    Host,
+    JobRecord,
+    TaskCommand,
+    TaskState,
+    TimerService,
+    ZoneOutage,
+)
+from jacinthreel_jobs._effects import Effect, LogDecision, StepDown, WritePriority
+from jacinthreel_jobs._gang import Gang
+from jacinthreel_jobs._tables import JobEntry, Tables, TaskKey, WorkerEntry
+
+
+@dataclass(slots=True)
+class RowChange:
+    """A change of one job's row that has been asked for and is not settled.
+
+    `expected_version` is the row's version before the change; 0 inserts it.  A record of None
+    deletes the row.  `config_version` is not 0 where the configuration row must not have changed.
+    `write_ids` holds every write that tried to make the change.  `calls` are the callers to answer.
+    """
+
+    job_id: str
+    record: JobRecord | None
+    expected_version: int
+    priority: WritePriority
+    config_version: int = 0
+    write_ids: list[str] = field(default_factory=list)
+    in_flight: bool = False
+    maybe_applied: bool = False
+    tries: int = 0
+    calls: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class SentBatch:
+    """A batch that waits for its answer.  `renewal_before_ms` undoes an undelivered renewal."""
+
+    batch_id: int
+    sent_ms: int
+    commands: list[TaskCommand]
+    seen_version: int
+    renewal_before_ms: int
+
+
+@dataclass(slots=True)
+class WorkerLink:
+    """The exchange with one worker: at most one batch on its way, commands queued behind it.
+
+    `state_by_key` is what the worker last reported.  While `silent`, no batch leaves, so that the
+    leases there lapse.
+    """
+
+    worker: WorkerEntry
+    outstanding: SentBatch | None = None
+    queue: dict[tuple[TaskKey, CommandKind], TaskCommand] = field(default_factory=dict)
+    state_by_key: dict[TaskKey, TaskState] = field(default_factory=dict)
+    paused_until_ms: int = 0
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class WorkerEvidence:
+    """What speaks for and against a worker.
+
+    `failed_job_ids` are the jobs whose tasks failed there since a task last succeeded there, and
+    that have not failed on another worker.  `confirmed` counts those that later finished
+    elsewhere.
+    """
+
+    failed_job_ids: dict[str, None] = field(default_factory=dict)
+    confirmed: int = 0
+    quarantines: int = 0
+    quarantined_until_ms: int = 0
+    on_probation: bool = False
+    leaving: bool = False
+    listed: bool = True
+
+
+@dataclass(slots=True)
+class ShardContext:
+    """State of a shard's owner beside the tables."""
+
+    tables: Tables
+    rng: random.Random
+    now_ms: int = 0
+    unix_offset_ms: int = 0
+    effects: list[Effect] = field(default_factory=list)
+    timers: TimerService = field(default_factory=TimerService)
+    epoch: int = 0
+    epoch_row_version: int = 0
+    gained_ms: int = 0
+    lease_until_ms: int = 0
+    config_row_version: int = 0
+    gangs_by_id: dict[str, Gang] = field(default_factory=dict)
+    links_by_id: dict[str, WorkerLink] = field(default_factory=dict)
+    due_links: dict[str, WorkerLink] = field(default_factory=dict)
+    evidence_by_id: dict[str, WorkerEvidence] = field(default_factory=dict)
+    changes_by_job_id: dict[str, RowChange] = field(default_factory=dict)
+    unsent_by_priority: dict[WritePriority, dict[str, RowChange]] = field(
+        default_factory=lambda: {priority: {} for priority in WritePriority}
+    )
+    changes_by_write_id: dict[str, list[RowChange]] = field(default_factory=dict)
+    changes_by_read_id: dict[str, RowChange] = field(default_factory=dict)
+    writes_in_flight: dict[WritePriority, int] = field(
+        default_factory=lambda: dict.fromkeys(WritePriority, 0)
+    )
+    cancel_calls_by_id: dict[str, list[int]] = field(default_factory=dict)
+    hosts: list[Host] = field(default_factory=list)
+    outages_by_zone: dict[str, ZoneOutage] = field(default_factory=dict)
+    urgent_ids: set[str] = field(default_factory=set)
+    plan_wanted: bool = False
+    urgent_plan_wanted: bool = False
+    planned_ms: int = 0
+    sequence: int = 0
+
+    @property
+    def owns(self) -> bool:
+        """Whether this process took the shard and has not heard of a newer owner."""
+        return self.epoch > 0
+
+    @property
+    def lease_valid(self) -> bool:
+        """Whether commands that start something may be sent now."""
+        return self.epoch > 0 and self.now_ms < self.lease_until_ms
+
+    @property
+    def unix_ms(self) -> int:
+        """The wall clock, for records only."""
+        return self.now_ms + self.unix_offset_ms
+
+    def next_id(self) -> int:
+        """A number that is not used twice by this process."""
+        self.sequence += 1
+        return self.sequence
+
+    def want_plan(self, _now_ms: int = 0) -> None:
+        """Has the planner asked: at once for urgent jobs, at the next tick for the others."""
+        self.plan_wanted = True
+        self.urgent_plan_wanted = True
+
+    def emit(self, effect: Effect) -> None:
+        """Adds an effect to what the current event leads to."""
+        self.effects.append(effect)
+
+    def log(self, event: str, **fields: Any) -> None:
+        """Logs a decision with the epoch and the configuration version it was made under."""
+        version = self.tables.config.version if self.tables.config else 0
+        self.emit(LogDecision(event, {**fields, "epoch": self.epoch, "config_version": version}))
+
+    def step_down(self, reason: str) -> None:
+        """Stops acting as the owner; the driver confirms with `OwnershipLost`."""
+        if not self.epoch:
+            return
+        self.log("step_down", reason=reason)
+        self.emit(StepDown(reason))
+        self.epoch = 0
+
+    def enqueue_job(self, job: JobEntry) -> None:
+        """Adds a job to the queue."""
+        self.tables.queued_by_id[job.job_id] = job
+        if job.record.spec.urgent:
+            self.urgent_ids.add(job.job_id)
+        self.want_plan()
+
+    def dequeue_job(self, job_id: str) -> None:
+        """Takes a job out of the queue, if it is there."""
+        self.tables.queued_by_id.pop(job_id, None)
+        self.urgent_ids.discard(job_id)
+
+    def zone_closed(self, zone: str) -> bool:
+        """Whether operators took `zone` out of service."""
+        return self.tables.config is not None and zone in self.tables.config.zones_out
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_hosts.py
@@ -0,0 +1,118 @@
+"""Follows the platform's host list: which workers there are, and which are leaving.
+
+The list lags.  A worker that it no longer names is treated as leaving, and dropped only when
+nothing is held there.  A new worker takes tasks once it has answered in this epoch.
+"""
+
+from __future__ import annotations
+
+from jacinthreel_common import Host, HostKind, HostState
+from jacinthreel_jobs._context import ShardContext, WorkerEvidence, WorkerLink
+from jacinthreel_jobs._gang_start import task_resources
+from jacinthreel_jobs._leaving import leave_worker
+from jacinthreel_jobs._limits import HEARTBEAT_MS
+from jacinthreel_jobs._tables import WorkerEntry, WorkerHealth
+from jacinthreel_jobs._worker_health import beat, gangs_on, resting_health, set_health
+from jacinthreel_jobs._worker_links import add_link
+
+
+def shard_workers(hosts: list[Host], shard: str) -> list[Host]:
+    """The workers of the shard's region."""
+    return [host for host in hosts if host.kind is HostKind.WORKER and host.region == shard]
+
+
+def apply_hosts(ctx: ShardContext) -> None:
+    """Brings the workers' table in line with the host list."""
+    if not ctx.owns:
+        return
+    listed = {host.host_id: host for host in shard_workers(ctx.hosts, ctx.tables.shard)}
+    for host in listed.values():
+        worker = ctx.tables.workers_by_id.get(host.host_id)
+        if worker is None:
+            worker = _add_worker(ctx, host)
+        else:
+            _update_worker(ctx, worker, host)
+        _set_leaving(ctx, worker, host.state is HostState.LEAVING)
+    for worker in list(ctx.tables.workers_by_id.values()):
+        if worker.worker_id in listed:
+            continue
+        _set_leaving(ctx, worker, True)
+        if not worker.held:
+            drop_worker(ctx, worker)
+
+
+def drop_worker(ctx: ShardContext, worker: WorkerEntry) -> None:
+    """Forgets a worker on which nothing is held."""
+    worker_id = worker.worker_id
+    ctx.log("worker_dropped", worker_id=worker_id)
+    del ctx.tables.workers_by_id[worker_id]
+    ctx.links_by_id.pop(worker_id, None)
+    ctx.due_links.pop(worker_id, None)
+    ctx.evidence_by_id.pop(worker_id, None)
+    ctx.want_plan()
+
+
+def _add_worker(ctx: ShardContext, host: Host) -> WorkerEntry:
+    worker = WorkerEntry(
+        host.host_id,
+        host.zone,
+        host.rack,
+        host.address,
+        host.port,
+        host.accelerators,
+        host.cores,
+        host.memory_gb,
+        health=WorkerHealth.SUSPECT,
+        free_accelerators=host.accelerators,
+        free_cores=host.cores,
+        free_memory_gb=host.memory_gb,
+        last_reply_ms=ctx.now_ms,
+    )
+    ctx.tables.workers_by_id[host.host_id] = worker
+    ctx.evidence_by_id[host.host_id] = WorkerEvidence()
+    for gang in ctx.gangs_by_id.values():
+        for task in gang.tasks:
+            if task.worker_id == host.host_id:
+                worker.hold(gang.key(task), task_resources(gang.job.record))
+    link = add_link(ctx, worker)
+    _start_heartbeat(ctx, link)
+    return worker
+
+
+def _start_heartbeat(ctx: ShardContext, link: WorkerLink) -> None:
+    """Spreads the workers' heartbeats over the period."""
+
+    def first_beat(now_ms: int) -> None:
+        if ctx.links_by_id.get(link.worker.worker_id) is not link:
+            return
+        beat(ctx, link)
+        ctx.timers.every(HEARTBEAT_MS, lambda _now_ms: beat(ctx, link), now_ms)
+
+    ctx.timers.once(ctx.rng.randrange(1, HEARTBEAT_MS), first_beat, ctx.now_ms)
+
+
+def _update_worker(ctx: ShardContext, worker: WorkerEntry, host: Host) -> None:
+    worker.zone = host.zone
+    worker.rack = host.rack
+    worker.address = host.address
+    worker.port = host.port
+    worker.free_accelerators += host.accelerators - worker.accelerators
+    worker.free_cores += host.cores - worker.cores
+    worker.free_memory_gb += host.memory_gb - worker.memory_gb
+    worker.accelerators = host.accelerators
+    worker.cores = host.cores
+    worker.memory_gb = host.memory_gb
+
+
+def _set_leaving(ctx: ShardContext, worker: WorkerEntry, leaving: bool) -> None:
+    evidence = ctx.evidence_by_id[worker.worker_id]
+    if evidence.leaving is leaving:
+        return
+    evidence.leaving = leaving
+    if worker.health not in (WorkerHealth.SUSPECT, WorkerHealth.LOST):
+        health = resting_health(ctx, worker.worker_id)
+        set_health(ctx, worker, health, "leaving" if leaving else "listed as live again")
+    if not leaving:
+        return
+    for gang in gangs_on(ctx, worker):
+        leave_worker(ctx, gang, worker.worker_id)
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_recovery.py
@@ -0,0 +1,78 @@
+"""Takes a shard over: loads its rows and asks every worker what runs.
+
+Jobs whose row says that tasks may run are taken up as gangs in the phase `recovering`; the
+workers' answers decide whether a gang is adopted whole, or stopped and queued again.  A task on a
+worker that the host list does not name stays held until the longest lease that a former owner may
+have renewed has lapsed.
+"""
+
+from __future__ import annotations
+
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from jacinthreel_common import ENDED_STATES, Fault, JobRecord, JobState, Row, convert
+from jacinthreel_jobs._context import ShardContext
+from jacinthreel_jobs._gang import SETTLED_TASK_PHASES, DownCause, Gang
+from jacinthreel_jobs._gang_down import mark_gone, sync_row, take_down
+from jacinthreel_jobs._gang_start import recover_gang
+from jacinthreel_jobs._planning import Planner
+from jacinthreel_jobs._tables import JobEntry
+from jacinthreel_jobs._worker_health import UNREACHED_LAPSE_MS
+
+
+def read_record(row: Row) -> JobRecord | None:
+    """The record in a row, or None if it can't be read."""
+    result: Result[JobRecord, Fault] = convert(JobRecord, row.value)
+    return result.unwrap() if is_successful(result) else None
+
+
+def load_rows(ctx: ShardContext, planner: Planner, rows: list[Row]) -> None:
+    """Fills the job tables from the rows of the shard."""
+    counts = dict.fromkeys(JobState, 0)
+    for row in rows:
+        record = read_record(row)
+        if record is None:
+            ctx.log("row_unreadable", key=row.key, row_version=row.version)
+            continue
+        counts[record.state] += 1
+        add_job(ctx, planner, record, row.version)
+    ctx.log("recovery", rows=len(rows), **{state.value: n for state, n in counts.items() if n})
+    ctx.timers.once(UNREACHED_LAPSE_MS, lambda _now_ms: _give_up_unlisted(ctx), ctx.now_ms)
+
+
+def add_job(ctx: ShardContext, planner: Planner, record: JobRecord, version: int) -> JobEntry:
+    """Adds a job with the record that is stored, in whatever state it is."""
+    waited_ms = max(0, ctx.unix_ms - record.submitted_unix_ms)
+    job = JobEntry(record, version, submitted_ms=ctx.now_ms - waited_ms)
+    job.expected_run_s = planner.expect_run_s(record.spec)
+    job.reported_checkpoint_s = record.run_s
+    ctx.tables.jobs_by_id[job.job_id] = job
+    if record.state in ENDED_STATES:
+        return job
+    if record.state is JobState.QUEUED:
+        ctx.enqueue_job(job)
+        return job
+    gang = recover_gang(ctx, job)
+    if record.cancel_requested:
+        take_down(ctx, gang, DownCause.CANCELLED)
+    return job
+
+
+def _give_up_unlisted(ctx: ShardContext) -> None:
+    """Tasks on workers that were never listed have lapsed by now."""
+    for gang in list(ctx.gangs_by_id.values()):
+        if not ctx.owns or not _has_unlisted(ctx, gang):
+            continue
+        take_down(ctx, gang, DownCause.WORKER_LOST, "a worker is not listed")
+        for task in gang.tasks:
+            if task.worker_id not in ctx.tables.workers_by_id:
+                mark_gone(ctx, gang, task)
+        sync_row(ctx, gang)
+
+
+def _has_unlisted(ctx: ShardContext, gang: Gang) -> bool:
+    return any(
+        task.worker_id not in ctx.tables.workers_by_id and task.phase not in SETTLED_TASK_PHASES
+        for task in gang.tasks
+    )
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_reports.py
@@ -0,0 +1,200 @@
+"""Applies what workers answer: results of commands first, then the states of tasks.
+
+A reply whose report version moved on lists all tasks of the shard on the worker, so a task that
+is missing from it is not there.  A task that no gang explains is stopped, and released once ended.
+"""
+
+from __future__ import annotations
+
+from jacinthreel_common import (
+    ENDED_TASK_STATES,
+    CommandKind,
+    CommandReply,
+    ResultCode,
+    TaskCommand,
+    TaskReport,
+    TaskState,
+)
+from jacinthreel_jobs._context import ShardContext, WorkerLink
+from jacinthreel_jobs._events import WorkerReplied, WorkerUnreachable
+from jacinthreel_jobs._gang import (
+    SETTLED_TASK_PHASES,
+    DownCause,
+    Gang,
+    GangPhase,
+    GangTask,
+    TaskPhase,
+)
+from jacinthreel_jobs._gang_down import mark_gone, sync_row, take_down
+from jacinthreel_jobs._gang_start import STARTED, task_reserved, task_started
+from jacinthreel_jobs._tables import TaskKey
+from jacinthreel_jobs._worker_health import (
+    batch_lost,
+    job_finished,
+    task_failed_on,
+    task_finished_on,
+    worker_answered,
+)
+from jacinthreel_jobs._worker_links import enqueue, take_outstanding
+
+UNSENT = frozenset({TaskPhase.PLANNED, TaskPhase.RESERVING})
+
+
+def take_unreachable(ctx: ShardContext, event: WorkerUnreachable) -> None:
+    """Handles a batch that got no answer."""
+    sent = take_outstanding(ctx, event.worker_id, event.batch_id)
+    if sent is None:
+        return
+    batch_lost(ctx, ctx.links_by_id[event.worker_id], sent, event.delivered)
+
+
+def take_reply(ctx: ShardContext, event: WorkerReplied) -> list[Gang]:
+    """Handles a worker's answer; returns the recovered gangs that were adopted."""
+    sent = take_outstanding(ctx, event.worker_id, event.batch_id)
+    if sent is None:
+        return []
+    reply = event.reply
+    if reply.code is ResultCode.STALE_EPOCH or reply.epoch > ctx.epoch:
+        ctx.step_down(f"worker {event.worker_id} has seen epoch {reply.epoch}")
+        return []
+    link = ctx.links_by_id[event.worker_id]
+    if reply.code is not ResultCode.OK or len(reply.results) != len(sent.commands):
+        batch_lost(ctx, link, sent, delivered=True)
+        return []
+    worker_answered(ctx, link)
+    for command, result in zip(sent.commands, reply.results, strict=True):
+        _apply_result(ctx, link, command, result)
+    moved_on = reply.version != sent.seen_version
+    if not moved_on and not sent.commands:
+        return []
+    return _apply_reports(ctx, link, reply, moved_on)
+
+
+def _apply_result(
+    ctx: ShardContext, link: WorkerLink, command: TaskCommand, result: ResultCode
+) -> None:
+    gang = ctx.gangs_by_id.get(command.job_id)
+    if gang is None or gang.attempt != command.attempt:
+        return
+    task = gang.tasks[command.task_index]
+    match command.kind:
+        case CommandKind.RESERVE if result is ResultCode.OK:
+            task_reserved(ctx, gang, task)
+        case CommandKind.START if result is ResultCode.OK:
+            task_started(ctx, gang, task)
+        case CommandKind.RESERVE | CommandKind.START:
+            if command.kind is CommandKind.RESERVE and result is not ResultCode.TASK_EXISTS:
+                mark_gone(ctx, gang, task)
+            detail = f"{command.kind.value} at {link.worker.worker_id}: {result.name}"
+            take_down(ctx, gang, DownCause.REFUSED, detail)
+            sync_row(ctx, gang)
+
+
+def _apply_reports(
+    ctx: ShardContext, link: WorkerLink, reply: CommandReply, moved_on: bool
+) -> list[Gang]:
+    worker = link.worker
+    reports_by_key: dict[TaskKey, TaskReport] = {}
+    if moved_on:
+        worker.seen_version = reply.version
+        for report in reply.reports:
+            reports_by_key[(report.job_id, report.attempt, report.task_index)] = report
+        link.state_by_key = {key: report.state for key, report in reports_by_key.items()}
+    touched: dict[str, Gang] = {}
+    for key in list(worker.held):
+        gang = ctx.gangs_by_id.get(key[0])
+        if gang is None or gang.attempt != key[1]:
+            worker.free(key)
+            continue
+        touched[gang.job_id] = gang
+        task = gang.tasks[key[2]]
+        if key not in link.state_by_key:
+            _apply_absence(ctx, gang, task)
+        elif key in reports_by_key:
+            _apply_report(ctx, gang, task, reports_by_key[key])
+    _stop_unexplained(ctx, link)
+    adopted: list[Gang] = []
+    for gang in touched.values():
+        if _judge_gang(ctx, gang):
+            adopted.append(gang)
+    return adopted
+
+
+def _apply_absence(ctx: ShardContext, gang: Gang, task: GangTask) -> None:
+    if gang.phase is GangPhase.DOWN:
+        mark_gone(ctx, gang, task)
+        return
+    if task.phase in UNSENT:
+        return
+    mark_gone(ctx, gang, task)
+    if gang.phase is not GangPhase.RECOVERING:
+        take_down(ctx, gang, DownCause.TASK_LOST, f"worker {task.worker_id} lost a task")
+
+
+def _apply_report(ctx: ShardContext, gang: Gang, task: GangTask, report: TaskReport) -> None:
+    task.run_s = max(task.run_s, report.run_s)
+    task.kept_s = max(task.kept_s, report.checkpoint_s)
+    task.used_memory_gb = report.used_memory_gb
+    job = gang.job
+    job.reported_run_s = max(job.reported_run_s, report.run_s)
+    match report.state:
+        case TaskState.RESERVED:
+            if gang.phase is GangPhase.RECOVERING:
+                task.phase = TaskPhase.RESERVED
+        case TaskState.RUNNING:
+            if task.phase is TaskPhase.UNKNOWN:
+                task.phase = TaskPhase.RUNNING
+        case TaskState.FINISHED:
+            mark_gone(ctx, gang, task, TaskPhase.FINISHED)
+            task_finished_on(ctx, task.worker_id)
+        case TaskState.FAILED:
+            mark_gone(ctx, gang, task)
+            if gang.phase is not GangPhase.DOWN:
+                task_failed_on(ctx, gang, task.worker_id)
+                take_down(ctx, gang, DownCause.TASK_FAILED, report.detail or f"on {task.worker_id}")
+        case TaskState.CHECKPOINTED | TaskState.STOPPED | TaskState.LAPSED:
+            mark_gone(ctx, gang, task)
+            if gang.phase in (GangPhase.RECOVERING, GangPhase.LEAVING):
+                return
+            take_down(ctx, gang, DownCause.TASK_LOST, f"{report.state} on {task.worker_id}")
+
+
+def _judge_gang(ctx: ShardContext, gang: Gang) -> bool:
+    """Draws the conclusion from all of a gang's tasks; True where a recovered one is adopted."""
+    adopted = False
+    if gang.phase is GangPhase.RECOVERING:
+        if any(task.phase is TaskPhase.UNKNOWN for task in gang.tasks):
+            return False
+        if not gang.all_in(STARTED):
+            take_down(ctx, gang, DownCause.RECOVERY, "not all tasks were running")
+        else:
+            gang.phase = GangPhase.RUNNING
+            gang.job.started_ms = ctx.now_ms
+            ctx.log("gang_adopted", job_id=gang.job_id, attempt=gang.attempt)
+            adopted = True
+    if gang.phase is GangPhase.LEAVING and gang.all_in(SETTLED_TASK_PHASES):
+        take_down(ctx, gang, gang.cause or DownCause.PREEMPTED, gang.detail)
+    gang.job.reported_checkpoint_s = min(task.kept_s for task in gang.tasks)
+    if gang.all_in(frozenset({TaskPhase.FINISHED})):
+        job_finished(ctx, gang)
+    sync_row(ctx, gang)
+    return adopted
+
+
+def _stop_unexplained(ctx: ShardContext, link: WorkerLink) -> None:
+    """Stops tasks that no gang explains, and releases them once they have ended."""
+    for key, state in link.state_by_key.items():
+        gang = ctx.gangs_by_id.get(key[0])
+        if gang is not None and gang.attempt == key[1]:
+            continue
+        if state in ENDED_TASK_STATES:
+            enqueue(ctx, CommandKind.RELEASE, link.worker.worker_id, key)
+            continue
+        ctx.log(
+            "stop_unexplained_task",
+            worker_id=link.worker.worker_id,
+            job_id=key[0],
+            attempt=key[1],
+            task_index=key[2],
+        )
+        enqueue(ctx, CommandKind.STOP, link.worker.worker_id, key)
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_rows.py
@@ -0,0 +1,222 @@
+"""Writes the rows of jobs, and finds out what became of each write.
+
+Every change of a job's row goes through here, one at a time for each job, conditional on the
+row's version and on the epoch row.  Changes are grouped into transactions by priority: starts and
+stops leave at once, acceptance and bookkeeping one transaction at a time, so that groups grow
+with the latency of the store.
+
+A write whose outcome is unknown may still take effect later.  Its change is sent again with the
+same condition on the row's version: one of the two can take effect, never both, and whichever
+does stores what was wanted.  A placement is not repeated but fenced: the row is written as queued,
+with the attempt used up.  On a conflict the row is read, and the id of the write that made it
+tells whether it was one of ours; any other write means that another process owns the shard.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from jacinthreel_common import (
+    CONFIG_KEY,
+    Condition,
+    JobState,
+    Row,
+    RowWrite,
+    epoch_key,
+    job_key,
+    to_plain,
+)
+from jacinthreel_jobs._context import RowChange, ShardContext
+from jacinthreel_jobs._effects import ReadRows, Write, WritePriority
+from jacinthreel_jobs._events import RowsRead, WriteDone, WriteOutcome
+from jacinthreel_jobs._limits import GROUP_ROWS, WRITE_RETRY_LIMIT_MS, WRITE_RETRY_MS
+
+
+class ChangeOutcome(StrEnum):
+    """How a change ended.
+
+    `stored`: the row holds the change's record at `version`.  `dropped`: certainly not stored, and
+    given up.  `foreign`: an insert met a row that was there before.  `pending`: its outcome is
+    unknown for now; callers are told so, and the change goes on.
+    """
+
+    STORED = "stored"
+    DROPPED = "dropped"
+    FOREIGN = "foreign"
+    PENDING = "pending"
+
+
+@dataclass(slots=True)
+class SettledChange:
+    """A change and how it ended; `row` is set where the outcome is `foreign`."""
+
+    change: RowChange
+    outcome: ChangeOutcome
+    version: int = 0
+    row: Row | None = None
+    config_conflict: bool = False
+
+
+def request_change(ctx: ShardContext, change: RowChange) -> bool:
+    """Asks for a change; False while another change of the row is on its way.
+
+    A change that has not been sent yet is replaced.
+    """
+    current = ctx.changes_by_job_id.get(change.job_id)
+    if current is not None:
+        if current.in_flight or current.maybe_applied or current.tries:
+            return False
+        ctx.unsent_by_priority[current.priority].pop(change.job_id, None)
+        change.calls = current.calls + change.calls
+    ctx.changes_by_job_id[change.job_id] = change
+    ctx.unsent_by_priority[change.priority][change.job_id] = change
+    return True
+
+
+def flush_writes(ctx: ShardContext) -> None:
+    """Sends the changes that may leave now."""
+    if not ctx.owns:
+        return
+    for priority, unsent in ctx.unsent_by_priority.items():
+        if not unsent:
+            continue
+        if priority is not WritePriority.START_STOP and ctx.writes_in_flight[priority]:
+            continue
+        placements = [change for change in unsent.values() if change.config_version]
+        others = [change for change in unsent.values() if not change.config_version]
+        _send_groups(ctx, priority, placements)
+        if priority is WritePriority.START_STOP:
+            _send_groups(ctx, priority, others)
+        else:
+            _send_groups(ctx, priority, others[:GROUP_ROWS])
+
+
+def _send_groups(ctx: ShardContext, priority: WritePriority, changes: list[RowChange]) -> None:
+    for first in range(0, len(changes), GROUP_ROWS):
+        _send(ctx, priority, changes[first : first + GROUP_ROWS])
+
+
+def _send(ctx: ShardContext, priority: WritePriority, changes: list[RowChange]) -> None:
+    shard = ctx.tables.shard
+    write_id = f"{shard}-{ctx.epoch}-{ctx.next_id()}"
+    conditions = [Condition(epoch_key(shard), ctx.epoch_row_version)]
+    if changes[0].config_version:
+        conditions.append(Condition(CONFIG_KEY, changes[0].config_version))
+    writes: list[RowWrite] = []
+    for change in changes:
+        key = job_key(shard, change.job_id)
+        conditions.append(Condition(key, change.expected_version))
+        writes.append(RowWrite(key, to_plain(change.record) if change.record else None))
+        change.in_flight = True
+        change.tries += 1
+        change.write_ids.append(write_id)
+        ctx.unsent_by_priority[priority].pop(change.job_id, None)
+    ctx.changes_by_write_id[write_id] = changes
+    ctx.writes_in_flight[priority] += 1
+    ctx.emit(Write(write_id, conditions, writes, priority))
+
+
+def take_write_done(ctx: ShardContext, event: WriteDone) -> list[SettledChange]:
+    """Sorts out the changes of a write that ended; unknown write ids are ignored."""
+    changes = ctx.changes_by_write_id.pop(event.write_id, None)
+    if changes is None:
+        return []
+    ctx.writes_in_flight[changes[0].priority] -= 1
+    for change in changes:
+        change.in_flight = False
+    match event.outcome:
+        case WriteOutcome.COMMITTED:
+            return [_stored(ctx, change, event.versions) for change in changes]
+        case WriteOutcome.CONFLICT:
+            return _resolve_conflict(ctx, changes, event.conflicts)
+        case WriteOutcome.FAILED:
+            return [_failed(ctx, change) for change in changes]
+        case WriteOutcome.UNKNOWN:
+            return [_unknown(ctx, change) for change in changes]
+
+
+def take_rows_read(ctx: ShardContext, event: RowsRead) -> list[SettledChange]:
+    """Settles the change whose row was read after a conflict."""
+    change = ctx.changes_by_read_id.pop(event.read_id, None)
+    if change is None:
+        return []
+    change.in_flight = False
+    row = event.rows[0] if event.rows else None
+    deleted = row is None and change.record is None
+    if deleted or (row is not None and row.write_id in change.write_ids):
+        del ctx.changes_by_job_id[change.job_id]
+        return [SettledChange(change, ChangeOutcome.STORED, row.version if row else 0, row)]
+    if row is not None and change.expected_version == 0:
+        del ctx.changes_by_job_id[change.job_id]
+        return [SettledChange(change, ChangeOutcome.FOREIGN, row.version, row)]
+    if row is not None and row.version == change.expected_version:
+        _retry(ctx, change)
+        return []
+    if row is None and change.expected_version == 0:
+        _retry(ctx, change)
+        return []
+    ctx.step_down(f"row of job {change.job_id} was changed by another writer")
+    return []
+
+
+def _stored(ctx: ShardContext, change: RowChange, versions: dict[str, int]) -> SettledChange:
+    del ctx.changes_by_job_id[change.job_id]
+    version = versions.get(job_key(ctx.tables.shard, change.job_id), 0)
+    return SettledChange(change, ChangeOutcome.STORED, version)
+
+
+def _resolve_conflict(
+    ctx: ShardContext, changes: list[RowChange], conflicts: list[str]
+) -> list[SettledChange]:
+    """The rows that conflicted are read; the other changes of the group are sent again."""
+    shard = ctx.tables.shard
+    if epoch_key(shard) in conflicts:
+        ctx.step_down("epoch row changed")
+        return []
+    settled: list[SettledChange] = []
+    for change in changes:
+        key = job_key(shard, change.job_id)
+        if key in conflicts:
+            read_id = f"{shard}-{ctx.epoch}-{ctx.next_id()}"
+            change.in_flight = True
+            ctx.changes_by_read_id[read_id] = change
+            ctx.emit(ReadRows(read_id, [key]))
+            continue
+        if change.config_version:
+            del ctx.changes_by_job_id[change.job_id]
+            settled.append(SettledChange(change, ChangeOutcome.DROPPED, config_conflict=True))
+            continue
+        ctx.unsent_by_priority[change.priority][change.job_id] = change
+    return settled
+
+
+def _failed(ctx: ShardContext, change: RowChange) -> SettledChange:
+    """Gives up what a caller or the next plan repeats; sends everything else again."""
+    droppable = change.config_version or change.calls
+    if droppable and not change.maybe_applied:
+        del ctx.changes_by_job_id[change.job_id]
+        return SettledChange(change, ChangeOutcome.DROPPED)
+    _retry(ctx, change)
+    return SettledChange(change, ChangeOutcome.PENDING)
+
+
+def _unknown(ctx: ShardContext, change: RowChange) -> SettledChange:
+    change.maybe_applied = True
+    if change.config_version and change.record is not None:
+        change.record = replace(change.record, state=JobState.QUEUED, placement=[], borrowed=False)
+        change.config_version = 0
+    _retry(ctx, change)
+    return SettledChange(change, ChangeOutcome.PENDING)
+
+
+def _retry(ctx: ShardContext, change: RowChange) -> None:
+    """Sends a change again after a pause that grows, with jitter."""
+    pause_ms = min(WRITE_RETRY_LIMIT_MS, WRITE_RETRY_MS << min(change.tries, 8))
+    pause_ms = int(pause_ms * ctx.rng.uniform(0.5, 1.0))
+
+    def send_again(_now_ms: int) -> None:
+        if ctx.changes_by_job_id.get(change.job_id) is change and not change.in_flight:
+            ctx.unsent_by_priority[change.priority][change.job_id] = change
+
+    ctx.timers.once(pause_ms, send_again, ctx.now_ms)
--- a/packages/jobs/src/jacinthreel_jobs/_shard.py
+++ b/packages/jobs/src/jacinthreel_jobs/_shard.py
@@ -1,26 +1,211 @@
 """The shard core: the one entry point that drivers, live and measured, call.
 
-Under construction: see `ShardCore.handle`.
+`ShardCore.handle` takes an event and the time, and returns effects.  Phases of each call: timers
+that are due run; the event is applied by the system that it concerns; the planner is asked, if
+anything that it decides on has changed; then the row changes and the commands that may leave are
+sent.
+
+Invariants, each kept by the module named:
+
+- Nothing is placed or started unless the shard's lease is valid (`_gang_start`, `_worker_links`).
+- Every write is conditional on the epoch row, every placement also on the configuration row, and
+  a job has at most one change of its row under way (`_rows`).
+- A gang starts only after all of its reservations, and goes down as a whole (`_gang_start`,
+  `_gang_down`).
+- What a task holds is given back only when the task is known to be gone (`_reports`,
+  `_worker_health`), and a job is queued again only after that holds for all of its tasks.
 """
 
 from __future__ import annotations
 
 import random
+from typing import Any
 
+from jacinthreel_common import JobRecord
+from jacinthreel_jobs._context import ShardContext
 from jacinthreel_jobs._effects import Effect
-from jacinthreel_jobs._events import Event
-from jacinthreel_jobs._planning import Planner
+from jacinthreel_jobs._events import (
+    ConfigApplied,
+    Event,
+    HostsListed,
+    JobCancelled,
+    JobSubmitted,
+    LeaseRenewed,
+    OwnershipGained,
+    OwnershipLost,
+    RowsRead,
+    Tick,
+    WorkerReplied,
+    WorkerUnreachable,
+    WriteDone,
+)
+from jacinthreel_jobs._gang_start import place
+from jacinthreel_jobs._hosts import apply_hosts
+from jacinthreel_jobs._leaving import drain_adopted, drain_closed_zones, preempt
+from jacinthreel_jobs._limits import PLAN_PERIOD_MS, REPLAN_MS, RETENTION_CHECK_MS
+from jacinthreel_jobs._planning import Place, Planner, PlanTrigger, Preempt
+from jacinthreel_jobs._recovery import load_rows
+from jacinthreel_jobs._reports import take_reply, take_unreachable
+from jacinthreel_jobs._rows import flush_writes, take_rows_read, take_write_done
+from jacinthreel_jobs._settlement import prune_ended, settle
+from jacinthreel_jobs._submission import answer_all_on_loss, cancel, submit
 from jacinthreel_jobs._tables import Tables
+from jacinthreel_jobs._view import list_records, shard_status
+from jacinthreel_jobs._worker_links import flush_batches
 
 
 class ShardCore:
     """Decides for one shard; does no I/O and reads no clock."""
 
     def __init__(self, shard: str, planner: Planner, rng: random.Random) -> None:
-        self.tables = Tables(shard)
         self._planner = planner
         self._rng = rng
+        self._ctx = ShardContext(Tables(shard), rng)
+
+    @property
+    def tables(self) -> Tables:
+        """The entities of the shard, for reading."""
+        return self._ctx.tables
+
+    @property
+    def epoch(self) -> int:
+        """The epoch under which this process owns the shard, or 0."""
+        return self._ctx.epoch
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
         """Applies an event and returns what is to be done, in order."""
-        raise NotImplementedError
+        ctx = self._ctx
+        ctx.now_ms = max(ctx.now_ms, now_ms)
+        if ctx.owns:
+            ctx.timers.advance(ctx.now_ms)
+        self._apply(event)
+        ctx = self._ctx
+        if ctx.urgent_plan_wanted and ctx.urgent_ids:
+            self._plan(PlanTrigger.URGENT)
+        flush_writes(ctx)
+        flush_batches(ctx)
+        effects = ctx.effects
+        ctx.effects = []
+        return effects
+
+    def status(self) -> dict[str, Any]:
+        """The summary of the shard as plain data."""
+        return shard_status(self._ctx)
+
+    def list_jobs(
+        self, job_id: str = "", workspace: str = "", state: str = "", limit: int = 1000
+    ) -> list[JobRecord]:
+        """Records of jobs, newest first; empty strings match all."""
+        return list_records(self._ctx, job_id, workspace, state, limit)
+
+    def idle(self) -> bool:
+        """Whether no write is on its way and no caller waits, so that the shard can be released."""
+        ctx = self._ctx
+        return not ctx.changes_by_job_id and not ctx.cancel_calls_by_id
+
+    def _apply(self, event: Event) -> None:
+        ctx = self._ctx
+        match event:
+            case Tick():
+                ctx.unix_offset_ms = event.unix_ms - ctx.now_ms
+                self._tick()
+            case WorkerReplied():
+                for gang in take_reply(ctx, event) if ctx.owns else []:
+                    drain_adopted(ctx, gang)
+            case WorkerUnreachable():
+                if ctx.owns:
+                    take_unreachable(ctx, event)
+            case WriteDone():
+                for settled in take_write_done(ctx, event) if ctx.owns else []:
+                    settle(ctx, self._planner, settled)
+            case RowsRead():
+                for settled in take_rows_read(ctx, event) if ctx.owns else []:
+                    settle(ctx, self._planner, settled)
+            case JobSubmitted():
+                submit(ctx, event)
+            case JobCancelled():
+                cancel(ctx, event)
+            case LeaseRenewed():
+                ctx.lease_until_ms = max(ctx.lease_until_ms, event.lease_until_ms)
+                ctx.want_plan()
+            case ConfigApplied():
+                self._apply_config(event)
+            case HostsListed():
+                ctx.hosts = event.hosts
+                apply_hosts(ctx)
+            case OwnershipGained():
+                self._gain(event)
+            case OwnershipLost():
+                self._lose()
+
+    def _tick(self) -> None:
+        ctx = self._ctx
+        if not ctx.owns or not ctx.tables.queued_by_id:
+            return
+        since_plan_ms = ctx.now_ms - ctx.planned_ms
+        wanted = ctx.plan_wanted and since_plan_ms >= PLAN_PERIOD_MS
+        if wanted or since_plan_ms >= REPLAN_MS:
+            self._plan(PlanTrigger.TICK)
+
+    def _plan(self, trigger: PlanTrigger) -> None:
+        """Asks the planner and carries out what it proposes."""
+        ctx = self._ctx
+        if not ctx.lease_valid or ctx.tables.config is None or not ctx.config_row_version:
+            return
+        ctx.urgent_plan_wanted = False
+        if trigger is PlanTrigger.TICK:
+            ctx.plan_wanted = False
+            ctx.planned_ms = ctx.now_ms
+        for decision in self._planner.plan(ctx.tables, trigger, ctx.now_ms):
+            match decision:
+                case Place():
+                    refusal = place(ctx, decision)
+                case Preempt():
+                    refusal = preempt(ctx, decision)
+            if refusal:
+                kind = type(decision).__name__.lower()
+                ctx.log("decision_refused", kind=kind, job_id=decision.job_id, reason=refusal)
+
+    def _apply_config(self, event: ConfigApplied) -> None:
+        """Applies a configuration by version only, so that none ever reverts."""
+        ctx = self._ctx
+        current = ctx.tables.config
+        if current is not None and event.config.version < current.version:
+            return
+        ctx.tables.config = event.config
+        ctx.config_row_version = event.row_version
+        ctx.want_plan()
+        if ctx.owns:
+            drain_closed_zones(ctx)
+
+    def _gain(self, event: OwnershipGained) -> None:
+        ctx = self._ctx
+        self._reset()
+        fresh = self._ctx
+        fresh.effects = ctx.effects
+        fresh.epoch = event.epoch
+        fresh.epoch_row_version = event.epoch_row_version
+        fresh.lease_until_ms = event.lease_until_ms
+        fresh.gained_ms = fresh.now_ms
+        fresh.unix_offset_ms = event.unix_ms - fresh.now_ms
+        load_rows(fresh, self._planner, event.rows)
+        apply_hosts(fresh)
+        drain_closed_zones(fresh)
+        fresh.timers.every(RETENTION_CHECK_MS, lambda _now_ms: prune_ended(fresh), fresh.now_ms)
+
+    def _lose(self) -> None:
+        answer_all_on_loss(self._ctx)
+        effects = self._ctx.effects
+        self._reset()
+        self._ctx.effects = effects
+
+    def _reset(self) -> None:
+        """Forgets everything but the configuration and the host list."""
+        old = self._ctx
+        fresh = ShardContext(Tables(old.tables.shard, old.tables.config), self._rng)
+        fresh.now_ms = old.now_ms
+        fresh.unix_offset_ms = old.unix_offset_ms
+        fresh.sequence = old.sequence
+        fresh.hosts = old.hosts
+        fresh.config_row_version = old.config_row_version
+        self._ctx = fresh
--- /dev/null
+++ b/packages/jobs/tests/test_shard_smoke.py
@@ -0,0 +1,23 @@
+"""The whole path of a job through one shard core."""
+
+from __future__ import annotations
+
+from jacinthreel_common import JobSpec, JobState, ResultCode
+
+from .shard_cluster import Cluster
+
+
+def test_gang_runs_and_finishes() -> None:
+    cluster = Cluster()
+    cluster.run(2_000)
+    call = cluster.submit(JobSpec("a", "lab", 3, 8, command="run=4"))
+    cluster.run(1_000)
+    assert cluster.replies[call].code is ResultCode.OK
+    assert cluster.state("a") is JobState.RUNNING
+    assert len(cluster.running("a")) == 3
+    cluster.run(6_000)
+    assert cluster.state("a") is JobState.FINISHED
+    assert all(not worker.tasks_by_key for worker in cluster.workers.values())
+    owner = cluster.owner()
+    assert owner is not None and owner.core.idle()
+    assert all(not worker.held for worker in owner.core.tables.workers_by_id.values())
