Serve operators over HTTP and make configuration changes definite

A change is a compare-and-set from the version before plus a history row in one transaction. A lost reply is resolved by sending the same conditional write again and, on a conflict, by the change id of the history row; a repeated change id is found in the history.

Seen red, then restored: - without the conditions, racing operators (property): an accepted change is not in the history; - a conflict after a lost reply taken for a lost race: an accepted change is reported as not accepted while reads fail (property and case); - without the search for the change id: a repeated change is accepted twice.

--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_config_rules.py
@@ -0,0 +1,262 @@
+"""Rules of configuration changes, without I/O.
+
+A change names one item: a workspace, a zone, the preset in force or the settings of a preset.
+`apply_change` checks it against the configuration that it starts from and the listed hosts, and
+makes the next version.  `read_item` tells whether two operators touched the same item.
+
+Invariants: a configuration that is accepted passes `check_config`; the next version is the one
+before plus 1; a change that is already in force makes no version.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    Config,
+    Fault,
+    Host,
+    HostKind,
+    PresetName,
+    PresetSettings,
+    ResultCode,
+    Workspace,
+    ZoneOutage,
+    default_presets,
+)
+from jacinthreel_jobs import check_guarantees
+
+MAX_WORKSPACES: Final = 1_000
+MAX_REASON_CHARS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Initialize:
+    """Accepts the configuration that a new installation starts with."""
+
+
+@dataclass(frozen=True, slots=True)
+class SetWorkspace:
+    """Creates or replaces a workspace."""
+
+    workspace: Workspace
+
+
+@dataclass(frozen=True, slots=True)
+class DeleteWorkspace:
+    """Removes a workspace; the driver has checked that it has no jobs left."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class TakeZoneOut:
+    """Takes an availability zone out of service."""
+
+    zone: str
+    reason: str
+    drain_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class BringZoneIn:
+    """Returns an availability zone to service."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class ActivatePreset:
+    """Puts a preset in force in place of the one that is."""
+
+    name: PresetName
+
+
+@dataclass(frozen=True, slots=True)
+class SetPreset:
+    """Replaces the settings of a preset."""
+
+    name: PresetName
+    settings: PresetSettings
+
+
+Change = (
+    Initialize
+    | SetWorkspace
+    | DeleteWorkspace
+    | TakeZoneOut
+    | BringZoneIn
+    | ActivatePreset
+    | SetPreset
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeRequest:
+    """A change and who asks for it.
+
+    `expected_version` is the version that the operator has seen; None lets the change be made on
+    any version as long as nobody else touches the same item at the same time.
+    """
+
+    change: Change
+    change_id: str
+    author: str = ""
+    expected_version: int | None = None
+
+
+def empty_config() -> Config:
+    """What stands for a configuration before the first one was accepted: version 0."""
+    return Config(version=0, preset=PresetName.ORDINARY, presets=default_presets())
+
+
+def apply_change(
+    config: Config, request: ChangeRequest, hosts: Iterable[Host], unix_ms: int
+) -> Result[Config, Fault]:
+    """Makes the next version, or returns `config` itself where the change is in force already.
+
+    Errors: UNKNOWN_ZONE, UNKNOWN_WORKSPACE, GUARANTEES_DO_NOT_FIT, BAD_CONFIG.
+    """
+    listed = list(hosts)
+    edited = _edit(config, request.change, listed, unix_ms)
+    if isinstance(edited, Failure):
+        return edited
+    changed = edited.unwrap()
+    if changed == config and config.version > 0:
+        return Success(config)
+    following = dataclasses.replace(
+        changed,
+        version=config.version + 1,
+        change_id=request.change_id,
+        author=request.author,
+        summary=summarize(request.change),
+        changed_unix_ms=unix_ms,
+    )
+    if following.workspaces == config.workspaces:
+        return check_config(following)
+    fitting = check_guarantees(following.workspaces.values(), listed)
+    if isinstance(fitting, Failure):
+        return fitting
+    return check_config(following)
+
+
+def check_config(config: Config) -> Result[Config, Fault]:
+    """Checks what spans several fields of a configuration.  Errors: BAD_CONFIG."""
+    for preset in PresetName:
+        if preset not in config.presets:
+            return _bad_config(f"presets.{preset} is missing")
+    for name, workspace in config.workspaces.items():
+        if workspace.name != name:
+            return _bad_config(f"workspaces.{name}.name is {workspace.name!r}")
+        cells = [shape.cell for shape in workspace.guarantee]
+        if len(cells) != len(set(cells)):
+            return _bad_config(f"workspaces.{name}.guarantee names a cell level twice")
+    if len(config.workspaces) > MAX_WORKSPACES:
+        return _bad_config(f"workspaces: more than {MAX_WORKSPACES}")
+    for zone, outage in config.zones_out.items():
+        if outage.zone != zone:
+            return _bad_config(f"zones_out.{zone}.zone is {outage.zone!r}")
+        if len(outage.reason) > MAX_REASON_CHARS:
+            return _bad_config(f"zones_out.{zone}.reason is over {MAX_REASON_CHARS} characters")
+    return Success(config)
+
+
+def read_item(config: Config, change: Change) -> Any:
+    """The part of a configuration that a change is about.
+
+    >>> config = empty_config()
+    >>> read_item(config, ActivatePreset(PresetName.PEAK)).value
+    'ordinary'
+    """
+    match change:
+        case Initialize():
+            return config.version > 0
+        case SetWorkspace(workspace):
+            return config.workspaces.get(workspace.name)
+        case DeleteWorkspace(name):
+            return config.workspaces.get(name)
+        case TakeZoneOut(zone) | BringZoneIn(zone):
+            return config.zones_out.get(zone)
+        case ActivatePreset():
+            return config.preset
+        case SetPreset(name):
+            return config.presets[name]
+
+
+def summarize(change: Change) -> str:
+    """The change in a few words, for the history.
+
+    >>> summarize(TakeZoneOut("kumamoto", "power", 1000))
+    'zone kumamoto out: power'
+    """
+    match change:
+        case Initialize():
+            return "initial configuration"
+        case SetWorkspace(workspace):
+            return f"workspace {workspace.name} set"
+        case DeleteWorkspace(name):
+            return f"workspace {name} deleted"
+        case TakeZoneOut(zone, reason):
+            return f"zone {zone} out: {reason}"
+        case BringZoneIn(zone):
+            return f"zone {zone} in"
+        case ActivatePreset(preset):
+            return f"preset {preset} activated"
+        case SetPreset(preset):
+            return f"preset {preset} changed"
+
+
+def _edit(config: Config, change: Change, hosts: list[Host], unix_ms: int) -> Result[Config, Fault]:
+    match change:
+        case Initialize():
+            return Success(config)
+        case SetWorkspace(workspace):
+            workspaces = {**config.workspaces, workspace.name: workspace}
+            return Success(dataclasses.replace(config, workspaces=workspaces))
+        case DeleteWorkspace(name):
+            if name not in config.workspaces:
+                return _unknown(ResultCode.UNKNOWN_WORKSPACE, "workspace", name)
+            workspaces = {key: w for key, w in config.workspaces.items() if key != name}
+            return Success(dataclasses.replace(config, workspaces=workspaces))
+        case TakeZoneOut():
+            return _take_zone_out(config, change, hosts, unix_ms)
+        case BringZoneIn(zone):
+            if zone not in config.zones_out and zone not in zones_of(hosts):
+                return _unknown(ResultCode.UNKNOWN_ZONE, "zone", zone)
+            zones_out = {key: o for key, o in config.zones_out.items() if key != zone}
+            return Success(dataclasses.replace(config, zones_out=zones_out))
+        case ActivatePreset(preset):
+            return Success(dataclasses.replace(config, preset=preset))
+        case SetPreset(preset, settings):
+            presets = {**config.presets, preset: settings}
+            return Success(dataclasses.replace(config, presets=presets))
+
+
+def _take_zone_out(
+    config: Config, change: TakeZoneOut, hosts: list[Host], unix_ms: int
+) -> Result[Config, Fault]:
+    if change.zone not in zones_of(hosts):
+        return _unknown(ResultCode.UNKNOWN_ZONE, "zone", change.zone)
+    before = config.zones_out.get(change.zone)
+    since_unix_ms = before.since_unix_ms if before else unix_ms
+    outage = ZoneOutage(change.zone, change.reason, since_unix_ms, change.drain_ms)
+    zones_out = {**config.zones_out, change.zone: outage}
+    return Success(dataclasses.replace(config, zones_out=zones_out))
+
+
+def zones_of(hosts: Iterable[Host]) -> set[str]:
+    """The availability zones that have workers or executors."""
+    return {host.zone for host in hosts if host.kind is not HostKind.ENTRY}
+
+
+def _unknown(code: ResultCode, what: str, name: str) -> Failure[Fault]:
+    return Failure(Fault(code, f"no {what} {name!r}"))
+
+
+def _bad_config(detail: str) -> Failure[Fault]:
+    return Failure(Fault(ResultCode.BAD_CONFIG, detail))
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_operator_api.py
@@ -0,0 +1,387 @@
+"""The HTTP interface for jobs and for operators, served by every router.
+
+Jobs go to the owner of the shard (`JobCalls`); configuration changes go to the table service
+(`ConfigChanger`); status comes from all processes (`StatusGatherer`).  docs/PROTOCOL.md lists the
+paths with examples.
+
+Headers of a change: `X-Change-Id` identifies it, so that it can be repeated safely; `X-Author`
+names the operator; `If-Match` holds the version that the operator has seen, in which case the
+change is only made on that version.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import uuid
+from dataclasses import dataclass, field
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    ENDED_STATES,
+    Config,
+    Fault,
+    GuaranteedShape,
+    JobSpec,
+    JobState,
+    ListJobs,
+    Name,
+    PresetName,
+    PresetSettings,
+    ReadQuery,
+    ResultCode,
+    Workspace,
+    config_history_key,
+    convert,
+    decode_json,
+    encode_json,
+)
+from jacinthreel_daemon._config_changes import ChangeAccepted, ConfigChanger
+from jacinthreel_daemon._config_rules import (
+    ActivatePreset,
+    BringZoneIn,
+    Change,
+    ChangeRequest,
+    DeleteWorkspace,
+    Initialize,
+    SetPreset,
+    SetWorkspace,
+    TakeZoneOut,
+)
+from jacinthreel_daemon._context import RouterContext
+from jacinthreel_daemon._http_server import JsonHandler, Route, write_fault
+from jacinthreel_daemon._job_calls import MAX_LISTED_JOBS, JobCalls
+from jacinthreel_daemon._system_status import StatusGatherer
+
+T = TypeVar("T")
+RETRY_AFTER_MS = 2_000
+DEFAULT_HISTORY = 20
+MAX_HISTORY = 500
+
+
+@dataclass(frozen=True, slots=True)
+class WorkspaceBody:
+    """The body of `PUT /v1/workspaces/NAME`."""
+
+    guarantee: list[GuaranteedShape] = field(default_factory=list)
+    weight: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneOutBody:
+    """The body of `POST /v1/zones/ZONE/out`."""
+
+    reason: Annotated[str, msgspec.Meta(max_length=500)] = ""
+    drain_ms: Annotated[int, msgspec.Meta(ge=0, le=86_400_000)] = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeAnswer:
+    """The answer to an accepted change; `changed` is false if it was in force before."""
+
+    version: int
+    change_id: str
+    changed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLine:
+    """One version of the configuration."""
+
+    version: int
+    preset: PresetName
+    summary: str
+    author: str
+    change_id: str
+    changed_unix_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PresetList:
+    """All presets and the one in force."""
+
+    active: PresetName
+    version: int
+    presets: dict[PresetName, PresetSettings]
+
+
+@dataclass(slots=True)
+class OperatorService:
+    """The operators' interface of one router."""
+
+    context: RouterContext
+
+    def routes(self) -> list[Route]:
+        """The paths and their handlers, for the router's HTTP server."""
+        parts = _Parts(
+            self.context,
+            JobCalls(self.context),
+            ConfigChanger(self.context),
+            StatusGatherer(self.context),
+        )
+        shared = {"parts": parts}
+        return [
+            (r"/v1/jobs", _JobsHandler, shared),
+            (r"/v1/jobs/([^/]+)", _JobHandler, shared),
+            (r"/v1/config", _ConfigHandler, shared),
+            (r"/v1/config/history", _HistoryHandler, shared),
+            (r"/v1/workspaces/([^/]+)", _WorkspaceHandler, shared),
+            (r"/v1/zones", _ZonesHandler, shared),
+            (r"/v1/zones/([^/]+)/out", _ZoneOutHandler, shared),
+            (r"/v1/zones/([^/]+)/in", _ZoneInHandler, shared),
+            (r"/v1/presets", _PresetsHandler, shared),
+            (r"/v1/presets/([^/]+)", _PresetHandler, shared),
+            (r"/v1/presets/([^/]+)/activate", _ActivateHandler, shared),
+            (r"/v1/status", _StatusHandler, shared),
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class _Parts:
+    context: RouterContext
+    jobs: JobCalls
+    changer: ConfigChanger
+    gatherer: StatusGatherer
+
+
+class _OperatorHandler(JsonHandler):
+    parts: _Parts
+
+    def initialize(self, parts: _Parts) -> None:
+        self.parts = parts
+
+    def body_as(self, kind: type[T]) -> Result[T, Fault]:
+        """The body as a record; an empty body stands for `{}`."""
+        return decode_json(kind, self.request.body or b"{}")
+
+    def respond(self, result: Result[Any, Fault]) -> None:
+        """Answers with a record or a numbered error."""
+        if isinstance(result, Failure):
+            self._respond_with_fault(result.failure())
+            return
+        self.set_header("Content-Type", "application/json")
+        self.finish(encode_json(result.unwrap()))
+
+    def _respond_with_fault(self, fault: Fault) -> None:
+        fields = {"path": self.request.path, "code": fault.code.name, "reason": fault.detail}
+        self.parts.context.log_decision("operator_request_refused", fields)
+        self.parts.context.telemetry.count(f'operator_refusals{{code="{fault.code.name}"}}')
+        write_fault(self, fault)
+
+    def number_argument(self, name: str, default: int, most: int) -> Result[int, Fault]:
+        """A number from the query string, from 1 to `most`."""
+        text = self.get_query_argument(name, str(default))
+        if not text.isascii() or not text.isdigit() or not 1 <= int(text) <= most:
+            detail = f"{name} must be a number from 1 to {most}"
+            return Failure(Fault(ResultCode.OUT_OF_RANGE, detail))
+        return Success(int(text))
+
+    def current_config(self) -> Result[Config, Fault]:
+        """The configuration in force in this process.  Errors: NO_CONFIG."""
+        applied = self.parts.context.config.current()
+        if applied is None:
+            detail = "no configuration has been seen; `jacinthreel init` accepts the first one"
+            return Failure(Fault(ResultCode.NO_CONFIG, detail, RETRY_AFTER_MS))
+        return Success(applied.config)
+
+    async def make_change(self, change: Result[Change, Fault]) -> None:
+        """Carries a change out and answers."""
+        request = change.bind(self._request_of)
+        if isinstance(request, Failure):
+            self.respond(request)
+            return
+        accepted = await self.parts.changer.change(request.unwrap())
+        self.respond(accepted.map(_answer_of))
+
+    def _request_of(self, change: Change) -> Result[ChangeRequest, Fault]:
+        headers = self.request.headers
+        expected = headers.get("If-Match", "").strip().strip('"')
+        if expected and not (expected.isascii() and expected.isdigit()):
+            detail = "If-Match must hold a version of the configuration"
+            return Failure(Fault(ResultCode.WRONG_TYPE, detail))
+        change_id = headers.get("X-Change-Id", "") or uuid.uuid4().hex
+        named = convert(Name, change_id)
+        if isinstance(named, Failure):
+            return Failure(Fault(ResultCode.OUT_OF_RANGE, f"X-Change-Id: {named.failure().detail}"))
+        return Success(
+            ChangeRequest(
+                change=change,
+                change_id=change_id,
+                author=headers.get("X-Author", "")[:200],
+                expected_version=int(expected) if expected else None,
+            )
+        )
+
+
+class _JobsHandler(_OperatorHandler):
+    async def post(self) -> None:
+        """Submits a job."""
+        spec = self.body_as(JobSpec)
+        if isinstance(spec, Failure):
+            self.respond(spec)
+            return
+        self.respond(await self.parts.jobs.submit(spec.unwrap()))
+
+    async def get(self) -> None:
+        """Lists jobs."""
+        state = self.get_query_argument("state", "")
+        if state and state not in set(JobState):
+            self.respond(Failure(Fault(ResultCode.OUT_OF_RANGE, f"no job state {state!r}")))
+            return
+        limit = self.number_argument("limit", MAX_LISTED_JOBS, MAX_LISTED_JOBS)
+        if isinstance(limit, Failure):
+            self.respond(limit)
+            return
+        workspace = self.get_query_argument("workspace", "")
+        query = ListJobs(workspace=workspace, state=state, limit=limit.unwrap())
+        self.respond(await self.parts.jobs.list(query))
+
+
+class _JobHandler(_OperatorHandler):
+    async def get(self, job_id: str) -> None:
+        """Shows a job."""
+        self.respond(await self.parts.jobs.show(job_id))
+
+    async def delete(self, job_id: str) -> None:
+        """Cancels a job."""
+        self.respond(await self.parts.jobs.cancel(job_id))
+
+
+class _ConfigHandler(_OperatorHandler):
+    def get(self) -> None:
+        """Shows the configuration in force in this process."""
+        self.respond(self.current_config())
+
+    async def post(self) -> None:
+        """Accepts the first configuration; changes nothing where there is one."""
+        await self.make_change(Success(Initialize()))
+
+
+class _HistoryHandler(_OperatorHandler):
+    async def get(self) -> None:
+        """Lists the newest versions of the configuration, newest first."""
+        limit = self.number_argument("limit", DEFAULT_HISTORY, MAX_HISTORY)
+        config = self.current_config()
+        if isinstance(limit, Failure) or isinstance(config, Failure):
+            self.respond(limit if isinstance(limit, Failure) else config)
+            return
+        newest = config.unwrap().version
+        oldest = max(1, newest - limit.unwrap() + 1)
+        keys = [config_history_key(version) for version in range(oldest, newest + 1)]
+        read = await self.parts.context.store.read(ReadQuery(keys=keys))
+        if isinstance(read, Failure):
+            self.respond(read)
+            return
+        lines: list[HistoryLine] = []
+        for row in reversed(read.unwrap().rows):
+            kept = {name: row.value.get(name) for name in _HISTORY_FIELDS}
+            line = convert(HistoryLine, kept)
+            if isinstance(line, Failure):
+                continue
+            lines.append(line.unwrap())
+        self.respond(Success({"history": lines}))
+
+
+class _WorkspaceHandler(_OperatorHandler):
+    async def put(self, name: str) -> None:
+        """Creates or replaces a workspace."""
+        body = self.body_as(WorkspaceBody)
+        await self.make_change(body.bind(lambda record: _make_workspace(name, record)))
+
+    async def delete(self, name: str) -> None:
+        """Deletes a workspace that has no jobs left."""
+        jobs = await self.parts.jobs.list(ListJobs(workspace=name, limit=MAX_LISTED_JOBS))
+        if isinstance(jobs, Failure):
+            self.respond(jobs)
+            return
+        active = [job for job in jobs.unwrap().jobs if job.state not in ENDED_STATES]
+        if active:
+            detail = f"workspace {name!r} has {len(active)} jobs that have not ended"
+            self.respond(Failure(Fault(ResultCode.WORKSPACE_IN_USE, detail)))
+            return
+        await self.make_change(Success(DeleteWorkspace(name)))
+
+
+class _ZonesHandler(_OperatorHandler):
+    async def get(self) -> None:
+        """Lists the availability zones."""
+        gatherer = self.parts.gatherer
+        shard = await gatherer.shard()
+        zones = self.current_config().map(
+            lambda config: {
+                "version": config.version,
+                "zones": gatherer.zones(config, shard.value_or(None)),
+            }
+        )
+        self.respond(zones)
+
+
+class _ZoneOutHandler(_OperatorHandler):
+    async def post(self, zone: str) -> None:
+        """Takes an availability zone out of service."""
+        body = self.body_as(ZoneOutBody)
+        await self.make_change(
+            body.map(lambda record: TakeZoneOut(zone, record.reason, record.drain_ms))
+        )
+
+
+class _ZoneInHandler(_OperatorHandler):
+    async def post(self, zone: str) -> None:
+        """Returns an availability zone to service."""
+        await self.make_change(Success(BringZoneIn(zone)))
+
+
+class _PresetsHandler(_OperatorHandler):
+    def get(self) -> None:
+        """Lists the presets."""
+        self.respond(
+            self.current_config().map(
+                lambda config: PresetList(config.preset, config.version, config.presets)
+            )
+        )
+
+
+class _PresetHandler(_OperatorHandler):
+    def get(self, name: str) -> None:
+        """Shows the settings of a preset."""
+        preset, config = _parse_preset(name), self.current_config()
+        self.respond(preset.bind(lambda key: config.map(lambda shown: shown.presets[key])))
+
+    async def put(self, name: str) -> None:
+        """Replaces the settings of a preset."""
+        preset, body = _parse_preset(name), self.body_as(PresetSettings)
+        await self.make_change(
+            preset.bind(lambda key: body.map(lambda settings: SetPreset(key, settings)))
+        )
+
+
+class _ActivateHandler(_OperatorHandler):
+    async def post(self, name: str) -> None:
+        """Puts a preset in force."""
+        await self.make_change(_parse_preset(name).map(ActivatePreset))
+
+
+class _StatusHandler(_OperatorHandler):
+    async def get(self) -> None:
+        """Shows the state of the whole region."""
+        self.respond(Success(await self.parts.gatherer.gather()))
+
+
+_HISTORY_FIELDS = [item.name for item in dataclasses.fields(HistoryLine)]
+
+
+def _make_workspace(name: str, body: WorkspaceBody) -> Result[Change, Fault]:
+    data = {"name": name, "guarantee": body.guarantee, "weight": body.weight}
+    return convert(Workspace, msgspec.to_builtins(data)).map(SetWorkspace)
+
+
+def _parse_preset(name: str) -> Result[PresetName, Fault]:
+    if name not in set(PresetName):
+        return Failure(Fault(ResultCode.UNKNOWN_PRESET, f"no preset {name!r}"))
+    return Success(PresetName(name))
+
+
+def _answer_of(accepted: ChangeAccepted) -> ChangeAnswer:
+    return ChangeAnswer(accepted.version, accepted.change_id, accepted.changed)
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_system_status.py
@@ -0,0 +1,158 @@
+"""Gathers the status of a region from every process over the streams.
+
+Each listed entry host's router and scheduler is asked at once; a process that doesn't answer is
+listed with the code of the failure.  Nothing is cached.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Final, TypeVar
+
+from returns.result import Failure, Result
+
+from jacinthreel_common import (
+    Config,
+    Fault,
+    Host,
+    HostKind,
+    HostState,
+    ProcessStatus,
+    ProcessStatusReply,
+    ResultCode,
+    ShardStatus,
+    ShardStatusReply,
+    ZoneOutage,
+    convert,
+)
+from jacinthreel_daemon._context import RouterContext
+
+STATUS_TIMEOUT_MS: Final = 1_500
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLine:
+    """A process; `code` is OK where it answered, else the other fields of its reply are empty."""
+
+    host_id: str
+    role: str
+    zone: str
+    host_state: HostState
+    code: ResultCode
+    config_version: int = 0
+    epoch: int = 0
+    draining: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneLine:
+    """An availability zone; `outage` is None while it is in service."""
+
+    zone: str
+    workers: int
+    accelerators: int
+    executors: int
+    free_accelerators: int | None
+    outage: ZoneOutage | None
+
+
+@dataclass(frozen=True, slots=True)
+class SystemStatus:
+    """All that `GET /v1/status` answers.
+
+    `config` is None where the answering router has seen none, `shard` where no owner answered.
+    """
+
+    region: str
+    answered_by: str
+    config: Config | None
+    shard: ShardStatusReply | None
+    processes: list[ProcessLine] = field(default_factory=list)
+    zones: list[ZoneLine] = field(default_factory=list)
+
+
+class StatusGatherer:
+    """Asks the processes of a region for their status."""
+
+    def __init__(self, context: RouterContext) -> None:
+        self._context = context
+
+    async def gather(self) -> SystemStatus:
+        """The status now."""
+        context = self._context
+        entries = [h for h in context.hosts.by_id().values() if h.kind is HostKind.ENTRY]
+        lines: list[asyncio.Future[ProcessLine]] = []
+        for host in sorted(entries, key=lambda entry: entry.host_id):
+            for role, port in (("router", host.stream_port), ("scheduler", host.scheduler_port)):
+                lines.append(asyncio.ensure_future(self._ask_process(host, role, port)))
+        shard = await self.shard()
+        processes = list(await asyncio.gather(*lines))
+        applied = context.config.current()
+        config = applied.config if applied else None
+        return SystemStatus(
+            region=context.region,
+            answered_by=context.host_id,
+            config=config,
+            shard=shard.value_or(None),
+            processes=processes,
+            zones=self.zones(config, shard.value_or(None)),
+        )
+
+    async def shard(self) -> Result[ShardStatusReply, Fault]:
+        """The owner's summary.  Errors: NO_OWNER and those of the stream."""
+        owner = self._context.owner.owner_address()
+        if owner is None:
+            return Failure(Fault(ResultCode.NO_OWNER, "no scheduler is known to own the shard"))
+        return await self._ask(*owner, ShardStatus(), ShardStatusReply)
+
+    def zones(self, config: Config | None, shard: ShardStatusReply | None) -> list[ZoneLine]:
+        """The region's availability zones, by name."""
+        hosts = [h for h in self._context.hosts.by_id().values() if h.kind is not HostKind.ENTRY]
+        outages = config.zones_out if config else {}
+        lines: list[ZoneLine] = []
+        for zone in sorted({host.zone for host in hosts} | set(outages)):
+            here = [host for host in hosts if host.zone == zone]
+            workers = [host for host in here if host.kind is HostKind.WORKER]
+            free = None
+            if shard is not None:
+                free = sum(w.free_accelerators for w in shard.workers if w.zone == zone)
+            line = ZoneLine(
+                zone=zone,
+                workers=len(workers),
+                accelerators=sum(worker.accelerators for worker in workers),
+                executors=len(here) - len(workers),
+                free_accelerators=free,
+                outage=outages.get(zone),
+            )
+            lines.append(line)
+        return lines
+
+    async def _ask_process(self, host: Host, role: str, port: int) -> ProcessLine:
+        answer = await self._ask(host.address, port, ProcessStatus(), ProcessStatusReply)
+        if isinstance(answer, Failure):
+            code = answer.failure().code
+            return ProcessLine(host.host_id, role, host.zone, host.state, code)
+        reply = answer.unwrap()
+        return ProcessLine(
+            host.host_id,
+            role,
+            host.zone,
+            host.state,
+            ResultCode.OK,
+            config_version=reply.config_version,
+            epoch=reply.epoch,
+            draining=reply.draining,
+        )
+
+    async def _ask(
+        self, address: str, port: int, message: object, kind: type[T]
+    ) -> Result[T, Fault]:
+        called = await self._context.streams.call(address, port, message, STATUS_TIMEOUT_MS)
+        if isinstance(called, Failure):
+            return called
+        reply = called.unwrap()
+        if reply.code is not ResultCode.OK:
+            return Failure(Fault(reply.code, reply.detail))
+        return convert(kind, reply.body)
--- /dev/null
+++ b/packages/daemon/tests/test_config_changes.py
@@ -0,0 +1,287 @@
+"""Configuration changes: races, lost replies, and the chain of versions."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    CONFIG_HISTORY_PREFIX,
+    CONFIG_KEY,
+    CellLevel,
+    Config,
+    Fault,
+    GuaranteedShape,
+    Host,
+    HostKind,
+    PresetName,
+    ReadQuery,
+    ResultCode,
+    StreamReply,
+    Workspace,
+    convert,
+)
+from jacinthreel_daemon._config_changes import ChangeAccepted, ConfigChanger
+from jacinthreel_daemon._config_rules import (
+    ActivatePreset,
+    BringZoneIn,
+    Change,
+    ChangeRequest,
+    DeleteWorkspace,
+    Initialize,
+    SetWorkspace,
+    TakeZoneOut,
+)
+from jacinthreel_daemon._context import RouterContext
+from jacinthreel_daemon._ports import AppliedConfig
+from jacinthreel_standins import MemoryStore, StoreOutcome
+
+
+@dataclass
+class FakeProcess:
+    """The ports of a router that the changer uses."""
+
+    store: MemoryStore
+    seen_versions: list[int] = field(default_factory=list)
+    pushed: list[Any] = field(default_factory=list)
+
+    def now_ms(self) -> int:
+        return 0
+
+    def unix_ms(self) -> int:
+        return 1_000
+
+    def by_id(self) -> dict[str, Host]:
+        hosts = [
+            Host(f"w{n}", HostKind.WORKER, "127.0.0.1", n + 1, zone, "r", accelerators=8)
+            for n, zone in enumerate(["a", "b"])
+        ]
+        return {host.host_id: host for host in hosts}
+
+    def subscribe(self, callback: Callable[[Any], None]) -> None:
+        raise NotImplementedError
+
+    def current(self) -> AppliedConfig | None:
+        return None
+
+    def apply(self, config: Config, row_version: int) -> bool:
+        self.seen_versions.append(config.version)
+        return True
+
+    def notify_all(self, message: object) -> None:
+        self.pushed.append(message)
+
+    async def call(
+        self, address: str, port: int, message: object, timeout_ms: int
+    ) -> Result[StreamReply, Fault]:
+        raise NotImplementedError
+
+    def owner_address(self) -> tuple[str, int] | None:
+        return None
+
+    def count(self, name: str, amount: int = 1) -> None:
+        pass
+
+    def observe_ms(self, name: str, value_ms: float) -> None:
+        pass
+
+    def gauge(self, name: str, value: float) -> None:
+        pass
+
+
+def make_changer(process: FakeProcess) -> ConfigChanger:
+    async def sleep(seconds: float) -> None:
+        await asyncio.sleep(0)
+
+    context = RouterContext(
+        host_id="h1",
+        zone="a",
+        region="r",
+        clock=process,
+        store=process.store,
+        config=process,
+        hosts=process,
+        streams=process,
+        owner=process,
+        telemetry=process,
+        log_decision=lambda event, fields: None,
+        rng=random.Random(1),
+    )
+    return ConfigChanger(context, sleep)
+
+
+def change_one(store: MemoryStore, *requests: ChangeRequest) -> list[Result[ChangeAccepted, Fault]]:
+    """Makes changes one after the other."""
+
+    async def run() -> list[Result[ChangeAccepted, Fault]]:
+        changer = make_changer(FakeProcess(store))
+        return [await changer.change(request) for request in requests]
+
+    return asyncio.run(run())
+
+
+def outcome(result: Result[ChangeAccepted, Fault]) -> str:
+    """A version for an accepted change, the code's name for another."""
+    match result:
+        case Success(ChangeAccepted(version)):
+            return f"version {version}"
+        case Failure(Fault(code)):
+            return code.name
+    raise AssertionError(result)
+
+
+def read_current(store: MemoryStore) -> Config:
+    return convert(Config, store.table.rows_by_key[CONFIG_KEY].value).unwrap()
+
+
+INIT = ChangeRequest(Initialize(), "init")
+PEAK = ActivatePreset(PresetName.PEAK)
+MAINTENANCE = ActivatePreset(PresetName.MAINTENANCE)
+OUT_A = TakeZoneOut("a", "power", 1_000)
+TWO_WORKERS = Workspace("labels", [GuaranteedShape(CellLevel.WORKER, 2)])
+THREE_WORKERS = Workspace("labels", [GuaranteedShape(CellLevel.WORKER, 3)])
+
+SEQUENCES: dict[str, tuple[list[ChangeRequest], list[str]]] = {
+    "the first change makes version 1": ([ChangeRequest(PEAK, "c1")], ["version 1"]),
+    "a second initial configuration changes nothing": (
+        [INIT, ChangeRequest(Initialize(), "again")],
+        ["version 1", "version 1"],
+    ),
+    "the same change id is accepted once": (
+        [INIT, ChangeRequest(PEAK, "c1"), ChangeRequest(OUT_A, "c2"), ChangeRequest(PEAK, "c1")],
+        ["version 1", "version 2", "version 3", "version 2"],
+    ),
+    "a change that is in force makes no version": (
+        [INIT, ChangeRequest(OUT_A, "c1"), ChangeRequest(OUT_A, "c2")],
+        ["version 1", "version 2", "version 2"],
+    ),
+    "an older expected version conflicts": (
+        [INIT, ChangeRequest(PEAK, "c1"), ChangeRequest(OUT_A, "c2", expected_version=1)],
+        ["version 1", "version 2", "CONFIG_CONFLICT"],
+    ),
+    "guarantees have to fit": (
+        [ChangeRequest(SetWorkspace(TWO_WORKERS), "c1")]
+        + [ChangeRequest(SetWorkspace(THREE_WORKERS), "c2")],
+        ["version 1", "GUARANTEES_DO_NOT_FIT"],
+    ),
+    "names have to exist": (
+        [
+            ChangeRequest(TakeZoneOut("nowhere", "", 0), "c1"),
+            ChangeRequest(BringZoneIn("nowhere"), "c2"),
+            ChangeRequest(DeleteWorkspace("nobody"), "c3"),
+        ],
+        ["UNKNOWN_ZONE", "UNKNOWN_ZONE", "UNKNOWN_WORKSPACE"],
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SEQUENCES)
+def test_sequences(name: str) -> None:
+    requests, expected = SEQUENCES[name]
+    assert [outcome(result) for result in change_one(MemoryStore(), *requests)] == expected
+
+
+LOST = StoreOutcome.LOST_REPLY
+REQUEST = StoreOutcome.LOST_REQUEST
+LATE = StoreOutcome.LATE
+REFUSED = StoreOutcome.REFUSED
+OUTCOMES: list[tuple[list[StoreOutcome], str, int]] = [
+    ([LOST], "version 1", 1),
+    ([REQUEST], "version 1", 1),
+    ([LATE], "version 1", 1),
+    ([LOST, LOST, LOST], "version 1", 1),
+    ([REFUSED], "STORE_UNAVAILABLE", 0),
+    ([LOST, REFUSED], "version 1", 1),
+    ([REQUEST] * 6, "CONFIG_OUTCOME_UNKNOWN", 0),
+    ([REQUEST, REFUSED, REQUEST, REFUSED, REQUEST, REFUSED], "CONFIG_OUTCOME_UNKNOWN", 0),
+]
+
+
+@pytest.mark.parametrize(("outcomes", "expected", "version"), OUTCOMES)
+def test_lost_replies_are_resolved(
+    outcomes: list[StoreOutcome], expected: str, version: int
+) -> None:
+    store = MemoryStore(outcomes=deque(outcomes))
+    assert outcome(change_one(store, ChangeRequest(PEAK, "c1"))[0]) == expected
+    history = [key for key in store.table.rows_by_key if key.startswith(CONFIG_HISTORY_PREFIX)]
+    assert len(history) == version
+
+
+def test_a_lost_reply_is_resolved_while_reads_fail() -> None:
+    store = MemoryStore(outcomes=deque([LOST]), reads_answered=deque([True, False, True, False]))
+    assert outcome(change_one(store, ChangeRequest(PEAK, "c1"))[0]) == "version 1"
+
+
+def test_an_outage_is_definitely_not_accepted() -> None:
+    result = change_one(MemoryStore(down=True), INIT)[0]
+    assert result.failure().code is ResultCode.STORE_UNAVAILABLE
+    assert result.failure().retry_after_ms
+
+
+def test_accepted_versions_are_applied_and_pushed() -> None:
+    process = FakeProcess(MemoryStore())
+    asyncio.run(make_changer(process).change(INIT))
+    assert process.seen_versions == [1]
+    assert [message.config.version for message in process.pushed] == [1]
+
+
+changes: st.SearchStrategy[Change] = st.one_of(
+    st.sampled_from(list(PresetName)).map(ActivatePreset),
+    st.builds(
+        TakeZoneOut, st.sampled_from(["a", "b"]), st.sampled_from(["x", "y"]), st.just(1_000)
+    ),
+    st.sampled_from(["a", "b"]).map(BringZoneIn),
+    st.integers(1, 3).map(lambda weight: SetWorkspace(Workspace("labels", [], weight))),
+)
+operators = st.lists(
+    st.lists(st.tuples(changes, st.none() | st.integers(0, 4)), max_size=3), min_size=2, max_size=4
+)
+outcomes_drawn = st.lists(st.sampled_from(list(StoreOutcome)), max_size=12)
+reads_drawn = st.lists(st.booleans(), max_size=12)
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=200)
+@given(operators, outcomes_drawn, reads_drawn)
+def test_racing_changes_form_one_chain(
+    plans: list[list[tuple[Change, int | None]]], outcomes: list[StoreOutcome], reads: list[bool]
+) -> None:
+    store = MemoryStore(outcomes=deque(outcomes), reads_answered=deque(reads))
+    accepted: list[tuple[str, ChangeAccepted]] = []
+    refused: list[str] = []
+
+    async def operate(number: int, plan: list[tuple[Change, int | None]]) -> None:
+        changer = make_changer(FakeProcess(store))
+        for step, (change, expected) in enumerate(plan):
+            change_id = f"c{number}-{step}"
+            request = ChangeRequest(change, change_id, f"operator {number}", expected)
+            result = await changer.change(request)
+            if isinstance(result, Success):
+                accepted.append((change_id, result.unwrap()))
+            elif result.failure().code is not ResultCode.CONFIG_OUTCOME_UNKNOWN:
+                refused.append(change_id)
+
+    async def run() -> None:
+        await asyncio.gather(*(operate(number, plan) for number, plan in enumerate(plans)))
+
+    asyncio.run(run())
+    rows = store.table.read(ReadQuery(prefixes=[CONFIG_HISTORY_PREFIX])).rows
+    history = [convert(Config, row.value).unwrap() for row in rows]
+    assert [config.version for config in history] == list(range(1, len(history) + 1))
+    if history:
+        assert read_current(store) == history[-1]
+    id_by_version = {config.version: config.change_id for config in history}
+    for change_id, answer in accepted:
+        if answer.changed:
+            assert id_by_version[answer.version] == change_id
+    assert not set(refused) & set(id_by_version.values())
+    assert len(set(id_by_version.values())) == len(history)
+    assert all(set(config.presets) == set(PresetName) for config in history)
--- a/packages/standins/src/jacinthreel_standins/__init__.py
+++ b/packages/standins/src/jacinthreel_standins/__init__.py
@@ -8,6 +8,7 @@
     expected_answer,
     parse_run_ms,
 )
+from jacinthreel_standins._memory_store import MemoryStore, StoreOutcome
 from jacinthreel_standins._table_model import TableModel
 from jacinthreel_standins._worker_model import (
     TaskBehaviour,
@@ -21,6 +22,8 @@
     "ExecutorModel",
     "ExecutorRefusal",
     "ExecutorRun",
+    "MemoryStore",
+    "StoreOutcome",
     "TableModel",
     "TaskBehaviour",
     "TaskStart",
