Lay out guarantees as cells and place gangs within them

Guarantees are laid out on workers and racks largest first; sizes divide each other, so the count that fits does not depend on where a cell goes. A placement names the cell level of each task, so a new owner lays out the same cells.

Ruled out: one clearing cost for a whole worker. Two plans in a row then chose different places and took a second borrower down, and a gang within its guarantee stayed queued (property test, 2 plans). Costs now count the units that are needed, and gangs that are leaving count as free.

--- a/packages/common/src/jacinthreel_common/_jobs.py
+++ b/packages/common/src/jacinthreel_common/_jobs.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from jacinthreel_common._codes import ResultCode
-from jacinthreel_common._config import Name
+from jacinthreel_common._config import CellLevel, Name
 
 MAX_GANG_TASKS = 256
 
@@ -68,10 +68,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskPlacement:
-    """Which worker one task of a gang runs on."""
+    """Which worker one task of a gang runs on.
+
+    `cell` is the level of the guaranteed cell that the task occupies, None where it borrows.
+    """
 
     task_index: int
     worker_id: str
+    cell: CellLevel | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
@@ -0,0 +1,185 @@
+"""A planner's working copy of the workers: what is free now and what this plan has claimed.
+
+The copy is built from the tables for each plan and changed only by the planner, so that later
+decisions of a plan see the earlier ones.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+from jacinthreel_common import JobRecord, JobSpec, JobState, TaskPlacement
+from jacinthreel_jobs._cells import BoundTask, CellWorker, RackKey
+from jacinthreel_jobs._fit import tasks_that_fit
+from jacinthreel_jobs._tables import JobEntry, Tables, WorkerEntry, WorkerHealth
+
+UNLIMITED_TASKS: Final = 1 << 30
+PROBATION_TASKS: Final = 1
+
+CELL_HEALTH: Final = frozenset({WorkerHealth.HEALTHY, WorkerHealth.SUSPECT, WorkerHealth.PROBATION})
+"""Workers that count as shapes for guarantees; a suspect one is expected back soon."""
+
+
+@dataclass(slots=True)
+class WorkerView:
+    """A worker as a plan sees it.  `task_limit` is how many more tasks may be placed on it."""
+
+    worker_id: str
+    zone: str
+    rack: RackKey
+    accelerators: int
+    cores: int
+    memory_gb: int
+    free_accelerators: int
+    free_cores: int
+    free_memory_gb: int
+    in_service: bool
+    task_limit: int
+    carries_cells: bool
+    borrower_ids: set[str] = field(default_factory=set)
+
+    def fits(self, spec: JobSpec) -> int:
+        """How many more tasks of a gang can be placed here now."""
+        if self.task_limit <= 0:
+            return 0
+        fit = tasks_that_fit(spec, self.free_accelerators, self.free_cores, self.free_memory_gb)
+        return min(fit, self.task_limit)
+
+    def fits_when_empty(self, spec: JobSpec) -> int:
+        """How many tasks of a gang this worker could hold if nothing else ran on it."""
+        return tasks_that_fit(spec, self.accelerators, self.cores, self.memory_gb)
+
+    def take(self, spec: JobSpec, tasks: int) -> None:
+        """Claims room for tasks of a gang."""
+        self.free_accelerators -= spec.accelerators_per_task * tasks
+        self.free_cores -= spec.cores_per_task * tasks
+        self.free_memory_gb -= spec.memory_gb_per_task * tasks
+        self.task_limit -= tasks
+
+    def give(self, spec: JobSpec, tasks: int) -> None:
+        """Gives room back."""
+        self.take(spec, -tasks)
+
+    def is_short(self) -> bool:
+        """Whether more has been claimed than is free."""
+        return self.free_accelerators < 0 or self.free_cores < 0 or self.free_memory_gb < 0
+
+    def units_per_task(self, spec: JobSpec) -> int:
+        """The units of a cell that a task takes here: its largest share of any resource.
+
+        >>> worker = WorkerView("w", "z", ("z", "r"), 8, 128, 512, 8, 128, 512, True, 1, True)
+        >>> worker.units_per_task(JobSpec("j", "w", 1, 1, cores_per_task=33))
+        3
+        """
+        units = max(1, spec.accelerators_per_task)
+        if not self.cores or not self.memory_gb:
+            return units
+        by_cores = -(-spec.cores_per_task * self.accelerators // self.cores)
+        by_memory = -(-spec.memory_gb_per_task * self.accelerators // self.memory_gb)
+        return max(units, by_cores, by_memory)
+
+
+@dataclass(slots=True)
+class ClusterView:
+    """All workers of a shard, and the running gangs that may be asked to make room.
+
+    `borrowers_by_id` are running gangs beyond their workspace's guarantee; `leaving_by_id` those
+    of them that were asked already.
+    """
+
+    workers_by_id: dict[str, WorkerView]
+    cell_workers: list[CellWorker]
+    bound_tasks: list[BoundTask]
+    borrowers_by_id: dict[str, JobEntry]
+    leaving_by_id: dict[str, JobEntry]
+
+    def placeable(self) -> Iterator[WorkerView]:
+        """Workers on which tasks may start."""
+        for worker in self.workers_by_id.values():
+            if worker.in_service and worker.task_limit > 0:
+                yield worker
+
+    def take(self, spec: JobSpec, placement: Iterable[TaskPlacement]) -> None:
+        """Claims the room of a placement."""
+        for task in placement:
+            self.workers_by_id[task.worker_id].take(spec, 1)
+
+    def bind(self, spec: JobSpec, placement: Iterable[TaskPlacement]) -> None:
+        """Notes the cells that a placement occupies."""
+        self.bound_tasks.extend(_bound_tasks(spec, placement, self.workers_by_id))
+
+
+def build_view(tables: Tables) -> ClusterView:
+    """Copies what a plan needs from the tables."""
+    zones_out = tables.config.zones_out if tables.config is not None else {}
+    workers_by_id = {
+        worker.worker_id: _worker_view(worker, worker.zone in zones_out)
+        for worker in tables.workers_by_id.values()
+    }
+    cell_workers = [
+        CellWorker(worker.worker_id, worker.rack, worker.accelerators)
+        for worker in workers_by_id.values()
+        if worker.carries_cells
+    ]
+    view = ClusterView(workers_by_id, cell_workers, [], {}, {})
+    for job in tables.active_by_id.values():
+        _add_active_job(view, job)
+    return view
+
+
+def _worker_view(worker: WorkerEntry, zone_out: bool) -> WorkerView:
+    match worker.health:
+        case WorkerHealth.HEALTHY:
+            task_limit = UNLIMITED_TASKS
+        case WorkerHealth.PROBATION:
+            task_limit = PROBATION_TASKS - len(worker.held)
+        case _:
+            task_limit = 0
+    return WorkerView(
+        worker.worker_id,
+        worker.zone,
+        (worker.zone, worker.rack),
+        worker.accelerators,
+        worker.cores,
+        worker.memory_gb,
+        worker.free_accelerators,
+        worker.free_cores,
+        worker.free_memory_gb,
+        in_service=not zone_out,
+        task_limit=task_limit,
+        carries_cells=not zone_out and worker.health in CELL_HEALTH,
+    )
+
+
+def _add_active_job(view: ClusterView, job: JobEntry) -> None:
+    record = job.record
+    if not is_borrowing(record):
+        view.bind(record.spec, record.placement)
+        return
+    if job.state is JobState.RUNNING and not job.preempting_for:
+        view.borrowers_by_id[job.job_id] = job
+    elif job.preempting_for or job.state is JobState.STOPPING:
+        view.leaving_by_id[job.job_id] = job
+    for task in record.placement:
+        worker = view.workers_by_id.get(task.worker_id)
+        if worker is not None:
+            worker.borrower_ids.add(job.job_id)
+
+
+def is_borrowing(record: JobRecord) -> bool:
+    """Whether a placed gang holds no cells of its workspace's guarantee."""
+    return record.borrowed or any(task.cell is None for task in record.placement)
+
+
+def _bound_tasks(
+    spec: JobSpec, placement: Iterable[TaskPlacement], workers_by_id: dict[str, WorkerView]
+) -> Iterator[BoundTask]:
+    for task in placement:
+        if task.cell is None:
+            continue
+        worker = workers_by_id.get(task.worker_id)
+        rack = worker.rack if worker is not None else ("", "")
+        units = worker.units_per_task(spec) if worker is not None else spec.accelerators_per_task
+        yield BoundTask(spec.workspace, task.worker_id, rack, task.cell, units)
--- a/packages/jobs/src/jacinthreel_jobs/_planning.py
+++ b/packages/jobs/src/jacinthreel_jobs/_planning.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 from typing import Protocol
 
-from jacinthreel_common import TaskPlacement
+from jacinthreel_common import JobSpec, TaskPlacement
 from jacinthreel_jobs._tables import Tables
 
 
@@ -66,3 +66,9 @@
         workers until they are known to be free, so the job it made room for is placed by a later
         plan.
         """
+
+    def observe_finished(self, spec: JobSpec, run_s: float) -> None:
+        """Learns that a gang finished after `run_s` seconds of running."""
+
+    def expect_run_s(self, spec: JobSpec) -> float:
+        """The run time that the planner expects of a gang, in seconds."""
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -0,0 +1,302 @@
+"""Placing gangs in the cells that their workspace is guaranteed, and clearing these cells.
+
+A gang is placed in room of its own workspace's cells as laid out by `_cells`: in cells that are
+in use already, then in the smallest unused ones, where the least borrowed work has to make room.
+The victims are the borrowers on the workers that are short, cheapest first.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from jacinthreel_common import (
+    CELL_ACCELERATORS,
+    Adjacency,
+    CellLevel,
+    JobSpec,
+    TaskPlacement,
+    Workspace,
+)
+from jacinthreel_jobs._cells import LEVELS_LARGEST_FIRST, LaidCell, lay_out
+from jacinthreel_jobs._cluster_view import ClusterView, WorkerView
+from jacinthreel_jobs._fit import adjacency_group
+from jacinthreel_jobs._tables import JobEntry
+
+CHECKPOINT_COST_S: Final = 5.0
+PREEMPTION_COST_S: Final = 1.0
+
+LossOf = Callable[[JobEntry], float]
+"""The work lost when a gang is taken down, in accelerator seconds."""
+
+
+@dataclass(slots=True)
+class _Slot:
+    """Room for tasks of a gang in one cell on one worker."""
+
+    level: CellLevel
+    bound: bool
+    worker: WorkerView
+    tasks: int
+    cost: float
+    room: int
+
+
+def work_lost(job: JobEntry, now_ms: int) -> float:
+    """The accelerator seconds lost when a running gang is taken down now."""
+    spec = job.record.spec
+    size = max(1, spec.accelerators)
+    if spec.checkpointable:
+        return size * (CHECKPOINT_COST_S + PREEMPTION_COST_S)
+    return size * (max(0.0, (now_ms - job.started_ms) / 1000) + PREEMPTION_COST_S)
+
+
+class ClearingCosts:
+    """What clearing room on a worker costs; gangs that are leaving cost nothing.
+
+    A gang that spans several workers costs its whole loss on each of them.
+    """
+
+    def __init__(self, view: ClusterView, loss_of: LossOf) -> None:
+        self._view = view
+        self._loss_of = loss_of
+        self._steps_by_worker: dict[str, list[tuple[int, float]]] = {}
+
+    def cost(self, worker_id: str, units: int) -> float:
+        """The cost of having `units` of a worker free."""
+        steps = self._steps_by_worker.get(worker_id)
+        if steps is None:
+            steps = self._steps(self._view.workers_by_id[worker_id])
+            self._steps_by_worker[worker_id] = steps
+        for free, cost in steps:
+            if free >= units:
+                return cost
+        return math.inf
+
+    def claim(self, placement: Iterable[TaskPlacement]) -> None:
+        """Forgets what is known of the workers of a placement, since their room changed."""
+        for task in placement:
+            self._steps_by_worker.pop(task.worker_id, None)
+
+    def _steps(self, worker: WorkerView) -> list[tuple[int, float]]:
+        """Pairs of units free and cost, cheapest borrowers first."""
+        room = Room(worker.free_accelerators, worker.free_cores, worker.free_memory_gb)
+        borrowers: list[tuple[float, JobSpec, int]] = []
+        for job_id in worker.borrower_ids:
+            running = self._view.borrowers_by_id.get(job_id)
+            job = running or self._view.leaving_by_id.get(job_id)
+            if job is None:
+                continue
+            tasks = sum(t.worker_id == worker.worker_id for t in job.record.placement)
+            loss = self._loss_of(job) if running is not None else 0.0
+            borrowers.append((loss, job.record.spec, tasks))
+        borrowers.sort(key=lambda item: (item[0], item[1].job_id))
+        steps = [(room.units(worker), 0.0)]
+        cost = 0.0
+        for loss, spec, tasks in borrowers:
+            cost += loss
+            room.add(spec, tasks)
+            steps.append((room.units(worker), cost))
+        return steps
+
+
+@dataclass(slots=True)
+class Room:
+    """Free resources of one worker."""
+
+    accelerators: int
+    cores: int
+    memory_gb: int
+
+    def add(self, spec: JobSpec, tasks: int) -> None:
+        """Adds what tasks of a gang hold."""
+        self.accelerators += spec.accelerators_per_task * tasks
+        self.cores += spec.cores_per_task * tasks
+        self.memory_gb += spec.memory_gb_per_task * tasks
+
+    def units(self, worker: WorkerView) -> int:
+        """The whole units of the worker that are free in every resource."""
+        if not worker.cores or not worker.memory_gb:
+            return self.accelerators
+        return min(
+            self.accelerators,
+            self.cores * worker.accelerators // worker.cores,
+            self.memory_gb * worker.accelerators // worker.memory_gb,
+        )
+
+
+def place_in_cells(
+    spec: JobSpec,
+    view: ClusterView,
+    workspaces: Iterable[Workspace],
+    costs: ClearingCosts,
+    avoid: Iterable[str] = (),
+) -> list[TaskPlacement] | None:
+    """An arrangement within the guarantee of the gang's workspace, or None if there is none.
+
+    Borrowers may stand in its place.  Workers in `avoid` are not used.
+    """
+    layout = lay_out(
+        workspaces,
+        view.cell_workers,
+        view.bound_tasks,
+        asker=spec.workspace,
+        asked_levels=(natural_level(spec),),
+        cost=costs.cost,
+    )
+    avoided = frozenset(avoid)
+    slots_by_group: dict[tuple[str, ...], list[_Slot]] = {}
+    for cell in layout.cells_by_workspace.get(spec.workspace, []):
+        for slot in _slots(spec, cell, view, costs):
+            worker = slot.worker
+            if worker.worker_id in avoided:
+                continue
+            group = adjacency_group(spec.adjacency, worker.zone, worker.rack[1], worker.worker_id)
+            slots_by_group.setdefault(group, []).append(slot)
+    best: tuple[float, int, list[TaskPlacement]] | None = None
+    for slots in slots_by_group.values():
+        filled = _fill(spec, slots)
+        if filled is None:
+            continue
+        if best is None or filled[:2] < best[:2]:
+            best = filled
+    return None if best is None else best[2]
+
+
+def natural_level(spec: JobSpec) -> CellLevel:
+    """The smallest cell that holds the gang, or a task of it where its tasks may be apart."""
+    together = spec.adjacency in (Adjacency.WORKER, Adjacency.RACK)
+    units = max(1, spec.accelerators if together else spec.accelerators_per_task)
+    for level in reversed(LEVELS_LARGEST_FIRST):
+        if CELL_ACCELERATORS[level] >= units:
+            return level
+    return CellLevel.RACK
+
+
+def _slots(spec: JobSpec, cell: LaidCell, view: ClusterView, costs: ClearingCosts) -> list[_Slot]:
+    slots: list[_Slot] = []
+    for worker_id, room in cell.room_by_worker.items():
+        worker = view.workers_by_id[worker_id]
+        if not worker.in_service or worker.task_limit <= 0:
+            continue
+        units = worker.units_per_task(spec)
+        tasks = min(room // units, worker.task_limit)
+        if tasks > 0:
+            cost = costs.cost(worker_id, tasks * units)
+            slots.append(_Slot(cell.level, cell.bound, worker, tasks, cost, room))
+    return slots
+
+
+def _fill(spec: JobSpec, slots: list[_Slot]) -> tuple[float, int, list[TaskPlacement]] | None:
+    """Fills slots of one adjacency group; returns cost, units of cells opened, and placement."""
+    if sum(slot.tasks for slot in slots) < spec.tasks:
+        return None
+    slots.sort(
+        key=lambda s: (CELL_ACCELERATORS[s.level], not s.bound, s.cost, s.room, s.worker.worker_id)
+    )
+    placement: list[TaskPlacement] = []
+    limits: dict[str, int] = {}
+    cost = 0.0
+    opened = 0
+    for slot in slots:
+        worker_id = slot.worker.worker_id
+        limit = limits.get(worker_id, slot.worker.task_limit)
+        wanted = min(slot.tasks, limit, spec.tasks - len(placement))
+        if wanted <= 0:
+            continue
+        limits[worker_id] = limit - wanted
+        cost += slot.cost
+        opened += 0 if slot.bound else CELL_ACCELERATORS[slot.level]
+        for _ in range(wanted):
+            placement.append(TaskPlacement(len(placement), worker_id, slot.level))
+        if len(placement) == spec.tasks:
+            return cost, opened, placement
+    return None
+
+
+def choose_victims(
+    spec: JobSpec, placement: list[TaskPlacement], view: ClusterView, loss_of: LossOf
+) -> list[JobEntry] | None:
+    """Borrowers to take down so that a placement, claimed in the view already, has room.
+
+    Returns None if taking down all of them does not make room, as while a gang is still stopping.
+    Room that leaving gangs will give back counts as free.
+    """
+    short_ids = {t.worker_id for t in placement if view.workers_by_id[t.worker_id].is_short()}
+    returned: list[tuple[WorkerView, JobSpec]] = []
+    for job in view.leaving_by_id.values():
+        _give_back(job, view, short_ids, returned)
+    victims: list[JobEntry] = []
+    while any(view.workers_by_id[worker_id].is_short() for worker_id in short_ids):
+        victim = _cheapest_borrower(view, short_ids, victims, loss_of)
+        if victim is None:
+            break
+        victims.append(victim)
+        _give_back(victim, view, short_ids, returned)
+    made_room = not any(view.workers_by_id[worker_id].is_short() for worker_id in short_ids)
+    needless = _needless(victims, view, short_ids) if made_room else []
+    for worker, borrower_spec in returned:
+        worker.take(borrower_spec, 1)
+    if not made_room:
+        return None
+    return [victim for victim in victims if victim.job_id not in needless]
+
+
+def _cheapest_borrower(
+    view: ClusterView, short_ids: set[str], chosen: list[JobEntry], loss_of: LossOf
+) -> JobEntry | None:
+    chosen_ids = {job.job_id for job in chosen}
+    best: tuple[float, str] | None = None
+    for worker_id in short_ids:
+        worker = view.workers_by_id[worker_id]
+        if not worker.is_short():
+            continue
+        for job_id in worker.borrower_ids:
+            job = view.borrowers_by_id.get(job_id)
+            if job is None or job_id in chosen_ids:
+                continue
+            candidate = (loss_of(job), job_id)
+            if best is None or candidate < best:
+                best = candidate
+    return None if best is None else view.borrowers_by_id[best[1]]
+
+
+def _give_back(
+    job: JobEntry,
+    view: ClusterView,
+    short_ids: set[str],
+    returned: list[tuple[WorkerView, JobSpec]],
+) -> None:
+    spec = job.record.spec
+    for task in job.record.placement:
+        if task.worker_id not in short_ids:
+            continue
+        worker = view.workers_by_id[task.worker_id]
+        worker.give(spec, 1)
+        returned.append((worker, spec))
+
+
+def _needless(victims: list[JobEntry], view: ClusterView, short_ids: set[str]) -> set[str]:
+    """Victims, dearest first, without which there is room all the same."""
+    needless: set[str] = set()
+    taken: list[tuple[WorkerView, JobSpec]] = []
+    for victim in reversed(victims):
+        spec = victim.record.spec
+        workers = [
+            view.workers_by_id[task.worker_id]
+            for task in victim.record.placement
+            if task.worker_id in short_ids
+        ]
+        for worker in workers:
+            worker.take(spec, 1)
+        if any(worker.is_short() for worker in workers):
+            for worker in workers:
+                worker.give(spec, 1)
+            continue
+        needless.add(victim.job_id)
+        taken.extend((worker, spec) for worker in workers)
+    for worker, spec in taken:
+        worker.give(spec, 1)
+    return needless
--- a/packages/jobs/src/jacinthreel_jobs/_reports.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reports.py
@@ -45,7 +45,8 @@
     sent = take_outstanding(ctx, event.worker_id, event.batch_id)
     if sent is None:
         return
-    batch_lost(ctx, ctx.links_by_id[event.worker_id], sent, event.delivered)
+    link = ctx.links_by_id[event.worker_id]
+    batch_lost(ctx, link, sent, event.delivered, event.sent_ms)
 
 
 def take_reply(ctx: ShardContext, event: WorkerReplied) -> list[Gang]:
@@ -59,8 +60,9 @@
         return []
     link = ctx.links_by_id[event.worker_id]
     if reply.code is not ResultCode.OK or len(reply.results) != len(sent.commands):
-        batch_lost(ctx, link, sent, delivered=True)
+        batch_lost(ctx, link, sent, True, event.sent_ms)
         return []
+    link.worker.last_renewal_sent_ms = max(link.worker.last_renewal_sent_ms, event.sent_ms)
     worker_answered(ctx, link)
     for command, result in zip(sent.commands, reply.results, strict=True):
         _apply_result(ctx, link, command, result)
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -15,6 +15,7 @@
 
 from jacinthreel_common import (
     CONFIG_KEY,
+    CommandKind,
     Condition,
     Config,
     Host,
@@ -51,6 +52,7 @@
     OwnershipLost,
     Place,
     PlanTrigger,
+    Preempt,
     ReadRows,
     Reply,
     RowsRead,
@@ -77,8 +79,21 @@
 RENEW_MS = 1_000
 
 
+def has_start(effect: Effect) -> bool:
+    """Whether an effect is a batch that starts a task."""
+    if not isinstance(effect, SendBatch):
+        return False
+    return any(command.kind is CommandKind.START for command in effect.batch.commands)
+
+
 class FirstFitPlanner:
-    """Places queued gangs in order on the first workers that hold them; never preempts."""
+    """Places queued gangs in order on the first workers that hold them.
+
+    Preempts only what a test puts into `preempts`.
+    """
+
+    def __init__(self) -> None:
+        self.preempts: list[Preempt] = []
 
     def plan(self, tables: Tables, trigger: PlanTrigger, now_ms: int) -> list[Decision]:
         free = {
@@ -88,7 +103,8 @@
             and tables.config is not None
             and worker.zone not in tables.config.zones_out
         }
-        decisions: list[Decision] = []
+        decisions: list[Decision] = list(self.preempts)
+        self.preempts = []
         for job in tables.queued_by_id.values():
             if job.not_before_ms > now_ms:
                 continue
@@ -137,6 +153,7 @@
     epoch: int = 0
     lease_row_version: int = 0
     lease_seen: tuple[int, int] = (-1, 0)
+    freeze_on_start_ms: int = 0
     owner: bool = False
 
 
@@ -195,7 +212,8 @@
     # Nodes.
 
     def add_node(self, name: str, planner: object = None) -> Node:
-        core = ShardCore(SHARD, planner or FirstFitPlanner(), random.Random(len(self.nodes)))
+        self.planner = planner or FirstFitPlanner()
+        core = ShardCore(SHARD, self.planner, random.Random(len(self.nodes)))
         node = Node(name, core)
         self.nodes.append(node)
         self.feed(node, HostsListed(self.hosts))
@@ -346,6 +364,9 @@
         self.feed(node, RowsRead(effect.read_id, rows))
 
     def _send(self, node: Node, effect: SendBatch, check_limit: bool = True) -> None:
+        if node.freeze_on_start_ms and has_start(effect):
+            self.freeze(node, node.freeze_on_start_ms)
+            node.freeze_on_start_ms = 0
         if self.now_ms < node.frozen_until_ms:
             node.held_sends.append(effect)
             return
