--- a/packages/daemon/src/jacinthreel_daemon/_job_calls.py
+++ b/packages/daemon/src/jacinthreel_daemon/_job_calls.py
@@ -13,7 +13,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -22,6 +21,7 @@
     ENDED_STATES,
     CancelJob,
     Fault,
+    JobList,
     JobRecord,
     JobSpec,
     JobState,
@@ -56,14 +56,6 @@
 Sleep = Callable[[float], Awaitable[None]]
 
 
-@dataclass(frozen=True, slots=True)
-class JobList:
-    """Jobs and where they were read: `owner` is the newest view, `table` the stored rows."""
-
-    source: str
-    jobs: list[JobRecord]
-
-
 class JobCalls:
     """Job calls of one router; `sleep` waits for seconds."""
 
--- a/packages/daemon/src/jacinthreel_daemon/_operator_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_operator_api.py
@@ -13,26 +13,35 @@
 
 import dataclasses
 import uuid
-from dataclasses import dataclass, field
-from typing import Annotated, Any, TypeVar
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
+    AUTHOR_HEADER,
+    CHANGE_ID_HEADER,
     ENDED_STATES,
+    EXPECTED_VERSION_HEADER,
+    ChangeAnswer,
     Config,
     Fault,
-    GuaranteedShape,
+    HistoryLine,
+    HistoryList,
     JobSpec,
     JobState,
     ListJobs,
     Name,
+    PresetList,
     PresetName,
     PresetSettings,
     ReadQuery,
     ResultCode,
     Workspace,
+    WorkspaceBody,
+    ZoneList,
+    ZoneOutBody,
     config_history_key,
     convert,
     decode_json,
@@ -56,55 +65,10 @@
 from jacinthreel_daemon._system_status import StatusGatherer
 
 T = TypeVar("T")
-RETRY_AFTER_MS = 2_000
-DEFAULT_HISTORY = 20
-MAX_HISTORY = 500
-
-
-@dataclass(frozen=True, slots=True)
-class WorkspaceBody:
-    """The body of `PUT /v1/workspaces/NAME`."""
-
-    guarantee: list[GuaranteedShape] = field(default_factory=list)
-    weight: Annotated[int, msgspec.Meta(ge=1, le=100)] = 1
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneOutBody:
-    """The body of `POST /v1/zones/ZONE/out`."""
-
-    reason: Annotated[str, msgspec.Meta(max_length=500)] = ""
-    drain_ms: Annotated[int, msgspec.Meta(ge=0, le=86_400_000)] = 60_000
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeAnswer:
-    """The answer to an accepted change; `changed` is false if it was in force before."""
-
-    version: int
-    change_id: str
-    changed: bool
-
-
-@dataclass(frozen=True, slots=True)
-class HistoryLine:
-    """One version of the configuration."""
-
-    version: int
-    preset: PresetName
-    summary: str
-    author: str
-    change_id: str
-    changed_unix_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class PresetList:
-    """All presets and the one in force."""
-
-    active: PresetName
-    version: int
-    presets: dict[PresetName, PresetSettings]
+RETRY_AFTER_MS: Final = 2_000
+DEFAULT_HISTORY: Final = 20
+MAX_HISTORY: Final = 500
+MAX_AUTHOR_CHARS: Final = 200
 
 
 @dataclass(slots=True)
@@ -197,19 +161,21 @@
 
     def _request_of(self, change: Change) -> Result[ChangeRequest, Fault]:
         headers = self.request.headers
-        expected = headers.get("If-Match", "").strip().strip('"')
+        expected = headers.get(EXPECTED_VERSION_HEADER, "").strip().strip('"')
         if expected and not (expected.isascii() and expected.isdigit()):
-            detail = "If-Match must hold a version of the configuration"
+            detail = f"{EXPECTED_VERSION_HEADER} must hold a version of the configuration"
             return Failure(Fault(ResultCode.WRONG_TYPE, detail))
-        change_id = headers.get("X-Change-Id", "") or uuid.uuid4().hex
+        change_id = headers.get(CHANGE_ID_HEADER, "") or uuid.uuid4().hex
         named = convert(Name, change_id)
         if isinstance(named, Failure):
-            return Failure(Fault(ResultCode.OUT_OF_RANGE, f"X-Change-Id: {named.failure().detail}"))
+            return Failure(
+                Fault(ResultCode.OUT_OF_RANGE, f"{CHANGE_ID_HEADER}: {named.failure().detail}")
+            )
         return Success(
             ChangeRequest(
                 change=change,
                 change_id=change_id,
-                author=headers.get("X-Author", "")[:200],
+                author=headers.get(AUTHOR_HEADER, "")[:MAX_AUTHOR_CHARS],
                 expected_version=int(expected) if expected else None,
             )
         )
@@ -281,7 +247,7 @@
             if isinstance(line, Failure):
                 continue
             lines.append(line.unwrap())
-        self.respond(Success({"history": lines}))
+        self.respond(Success(HistoryList(lines)))
 
 
 class _WorkspaceHandler(_OperatorHandler):
@@ -310,10 +276,7 @@
         gatherer = self.parts.gatherer
         shard = await gatherer.shard()
         zones = self.current_config().map(
-            lambda config: {
-                "version": config.version,
-                "zones": gatherer.zones(config, shard.value_or(None)),
-            }
+            lambda config: ZoneList(config.version, gatherer.zones(config, shard.value_or(None)))
         )
         self.respond(zones)
 
--- a/packages/daemon/src/jacinthreel_daemon/_system_status.py
+++ b/packages/daemon/src/jacinthreel_daemon/_system_status.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
 from typing import Final, TypeVar
 
 from returns.result import Failure, Result
@@ -17,13 +16,14 @@
     Fault,
     Host,
     HostKind,
-    HostState,
+    ProcessLine,
     ProcessStatus,
     ProcessStatusReply,
     ResultCode,
     ShardStatus,
     ShardStatusReply,
-    ZoneOutage,
+    SystemStatus,
+    ZoneLine,
     convert,
 )
 from jacinthreel_daemon._context import RouterContext
@@ -32,47 +32,6 @@
 T = TypeVar("T")
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessLine:
-    """A process; `code` is OK where it answered, else the other fields of its reply are empty."""
-
-    host_id: str
-    role: str
-    zone: str
-    host_state: HostState
-    code: ResultCode
-    config_version: int = 0
-    epoch: int = 0
-    draining: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class ZoneLine:
-    """An availability zone; `outage` is None while it is in service."""
-
-    zone: str
-    workers: int
-    accelerators: int
-    executors: int
-    free_accelerators: int | None
-    outage: ZoneOutage | None
-
-
-@dataclass(frozen=True, slots=True)
-class SystemStatus:
-    """All that `GET /v1/status` answers.
-
-    `config` is None where the answering router has seen none, `shard` where no owner answered.
-    """
-
-    region: str
-    answered_by: str
-    config: Config | None
-    shard: ShardStatusReply | None
-    processes: list[ProcessLine] = field(default_factory=list)
-    zones: list[ZoneLine] = field(default_factory=list)
-
-
 class StatusGatherer:
     """Asks the processes of a region for their status."""
 
