--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_election_driver.py
@@ -0,0 +1,156 @@
+"""Runs an `Election` against the table service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, assert_never
+
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    Fault,
+    ResultCode,
+    Row,
+    Transaction,
+    TransactionReply,
+    epoch_key,
+    lease_key,
+)
+from jacinthreel_daemon._budget import LEASE_PRIORITY
+from jacinthreel_daemon._ownership import (
+    ClaimDone,
+    Election,
+    ElectionEffect,
+    ElectionEvent,
+    Gained,
+    Lost,
+    ReadFailed,
+    RenewalDone,
+    RenewalDue,
+    Renewed,
+    RowsSeen,
+    SendClaim,
+    SendRelease,
+    SendRenewal,
+    StepDownAsked,
+    StopAsked,
+)
+from jacinthreel_daemon._ports import Clock, TableStore
+from jacinthreel_jobs import WriteOutcome
+
+RELEASE_TIMEOUT_S: Final = 3.0
+
+OwnershipChange = Gained | Renewed | Lost
+
+
+def write_outcome(result: Result[TransactionReply, Fault]) -> WriteOutcome:
+    """What became of a transaction."""
+    match result:
+        case Success(TransactionReply(committed=True)):
+            return WriteOutcome.COMMITTED
+        case Success(TransactionReply()):
+            return WriteOutcome.CONFLICT
+        case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
+            return WriteOutcome.UNKNOWN
+    return WriteOutcome.FAILED
+
+
+def reply_versions(result: Result[TransactionReply, Fault]) -> dict[str, int]:
+    """The versions in a reply; empty where there is none."""
+    match result:
+        case Success(TransactionReply(versions=versions)):
+            return versions
+    return {}
+
+
+class ElectionDriver:
+    """Feeds the election and carries out its effects; a `RowFollower`.
+
+    `on_change` learns of ownership gained, renewed and lost.
+    """
+
+    def __init__(
+        self,
+        election: Election,
+        shard: str,
+        store: TableStore,
+        clock: Clock,
+        spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
+        on_change: Callable[[OwnershipChange], None],
+    ) -> None:
+        self.election = election
+        self._shard = shard
+        self._store = store
+        self._clock = clock
+        self._spawn = spawn
+        self._on_change = on_change
+
+    def lease_valid(self) -> bool:
+        """Whether this process owns the shard and its lease has not run out."""
+        return self.election.is_owner and self._clock.now_ms() < self.election.lease_until_ms
+
+    def renewal_due(self, now_ms: int) -> None:
+        """Renews the lease, where there is one; called each `RENEW_PERIOD_MS`."""
+        self._feed(RenewalDue())
+
+    def step_down(self, reason: str) -> None:
+        """Gives the shard up without releasing it."""
+        self._feed(StepDownAsked(reason))
+
+    async def release(self) -> None:
+        """Gives the shard up for good, so that a candidate takes over at once."""
+        for effect in self.election.handle(StopAsked(), self._clock.now_ms()):
+            match effect:
+                case SendRelease(transaction=transaction):
+                    await self._release(transaction)
+                case Gained() | Renewed() | Lost():
+                    self._on_change(effect)
+
+    def wanted_keys(self) -> list[str]:
+        """Both rows, while this process is a candidate."""
+        if self.election.is_owner:
+            return []
+        return [epoch_key(self._shard), lease_key(self._shard)]
+
+    def rows_read(self, keys: list[str], rows_by_key: dict[str, Row], sent_ms: int) -> None:
+        """Shows the rows to the election."""
+        epoch_row = rows_by_key.get(epoch_key(self._shard))
+        self._feed(RowsSeen(epoch_row, rows_by_key.get(lease_key(self._shard))))
+
+    def read_failed(self) -> None:
+        """Tells the election that it saw nothing."""
+        self._feed(ReadFailed())
+
+    def _feed(self, event: ElectionEvent) -> None:
+        for effect in self.election.handle(event, self._clock.now_ms()):
+            self._perform(effect)
+
+    def _perform(self, effect: ElectionEffect) -> None:
+        match effect:
+            case SendClaim(transaction=transaction):
+                self._spawn(self._claim(transaction))
+            case SendRenewal(transaction=transaction):
+                self._spawn(self._renew(transaction))
+            case SendRelease(transaction=transaction):
+                self._spawn(self._release(transaction))
+            case Gained() | Renewed() | Lost():
+                self._on_change(effect)
+            case _:
+                assert_never(effect)
+
+    async def _claim(self, transaction: Transaction) -> None:
+        result = await self._store.transact(transaction, LEASE_PRIORITY)
+        outcome = write_outcome(result)
+        self._feed(ClaimDone(transaction.write_id, outcome, reply_versions(result)))
+
+    async def _renew(self, transaction: Transaction) -> None:
+        result = await self._store.transact(transaction, LEASE_PRIORITY)
+        self._feed(RenewalDone(transaction.write_id, write_outcome(result)))
+
+    async def _release(self, transaction: Transaction) -> None:
+        try:
+            async with asyncio.timeout(RELEASE_TIMEOUT_S):
+                await self._store.transact(transaction, LEASE_PRIORITY)
+        except TimeoutError:
+            return  # Candidates take over when the lease has run out.
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_frames.py
@@ -0,0 +1,89 @@
+"""Frames of the streams between the project's processes: how they are written and read.
+
+A frame is a four-byte big-endian length and a msgpack body that holds an `Envelope`.  A frame
+that is too long, isn't msgpack, has another version or an unknown kind, or whose body doesn't fit
+its kind, makes the connection useless: the reader answers once with BAD_FRAME or
+UNKNOWN_VERSION and closes it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+from tornado.iostream import IOStream
+
+from jacinthreel_common import (
+    MAX_FRAME_BYTES,
+    MESSAGES_BY_KIND,
+    STREAM_VERSION,
+    Envelope,
+    Fault,
+    ResultCode,
+    convert,
+    pack,
+    to_plain,
+    unpack,
+)
+
+LENGTH_BYTES: Final = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """A message with the id of its call; 0 for a notice."""
+
+    message: Any
+    call_id: int
+
+
+def encode_frame(message: object, call_id: int) -> bytes:
+    """Writes a frame.
+
+    >>> encode_frame(MESSAGES_BY_KIND["ShardStatus"](), 7)[:4]
+    b'\\x00\\x00\\x00-'
+    """
+    envelope = Envelope(STREAM_VERSION, type(message).__name__, call_id, to_plain(message))
+    body = pack(envelope)
+    return len(body).to_bytes(LENGTH_BYTES, "big") + body
+
+
+def decode_body(body: bytes) -> Result[Frame, Fault]:
+    """Reads the body of a frame.  Errors: UNKNOWN_VERSION, BAD_FRAME."""
+    match unpack(Envelope, body):
+        case Failure(Fault() as fault):
+            return _bad(fault.detail)
+        case Success(Envelope() as envelope):
+            return _decode_message(envelope)
+        case _:
+            raise AssertionError("a Result is Success or Failure")
+
+
+def _decode_message(envelope: Envelope) -> Result[Frame, Fault]:
+    if envelope.version != STREAM_VERSION:
+        detail = f"version {envelope.version}, expected {STREAM_VERSION}"
+        return Failure(Fault(ResultCode.UNKNOWN_VERSION, detail))
+    kind = MESSAGES_BY_KIND.get(envelope.kind)
+    if kind is None:
+        return _bad(f"unknown kind {envelope.kind[:40]!r}")
+    match convert(kind, envelope.body):
+        case Failure(Fault() as fault):
+            return _bad(f"{envelope.kind}: {fault.detail}")
+        case Success(message):
+            return Success(Frame(message, envelope.call_id))
+        case _:
+            raise AssertionError("a Result is Success or Failure")
+
+
+async def read_frame(stream: IOStream) -> Result[Frame, Fault]:
+    """Reads the next frame.  Raises `StreamClosedError` at the end of the stream."""
+    header = await stream.read_bytes(LENGTH_BYTES)
+    length = int.from_bytes(header, "big")
+    if length > MAX_FRAME_BYTES:
+        return _bad(f"a frame of {length} bytes; the limit is {MAX_FRAME_BYTES}")
+    return decode_body(await stream.read_bytes(length))
+
+
+def _bad(detail: str) -> Failure[Fault]:
+    return Failure(Fault(ResultCode.BAD_FRAME, detail))
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_host_list.py
@@ -0,0 +1,92 @@
+"""The platform's host list, polled by revision.
+
+Each poll asks with the revision that is known, so that an unchanged list costs a few bytes.  While
+the list can't be read the last one stays in force.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import Fault, Host, HostKind, HostListReply, decode_json
+from jacinthreel_daemon._http_pool import HttpFailure, HttpPool, HttpReply
+
+HOST_POLL_MS: Final = 1_000
+HOST_TIMEOUT_MS: Final = 3_000
+WARN_AFTER_FAILURES: Final = 3
+
+
+class HostListPoller:
+    """Follows the list; see the port `HostView`."""
+
+    def __init__(self, pool: HttpPool, log: Callable[[str, dict[str, Any]], None]) -> None:
+        self._pool = pool
+        self._log = log
+        self._revision = 0
+        self._hosts_by_id: dict[str, Host] = {}
+        self._callbacks: list[Callable[[list[Host]], None]] = []
+        self._polling = False
+        self._failures = 0
+
+    def by_id(self) -> dict[str, Host]:
+        """All listed hosts."""
+        return self._hosts_by_id
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a list has been read since the start."""
+        return self._revision > 0
+
+    def subscribe(self, callback: Callable[[list[Host]], None]) -> None:
+        """Calls back when the list changes, and at once if there is one."""
+        self._callbacks.append(callback)
+        if self.is_known:
+            callback(list(self._hosts_by_id.values()))
+
+    async def poll(self) -> None:
+        """Reads the list once; does nothing while an earlier poll goes on."""
+        if self._polling:
+            return
+        self._polling = True
+        try:
+            outcome = await self._pool.get(f"/v1/hosts?revision={self._revision}", HOST_TIMEOUT_MS)
+        finally:
+            self._polling = False
+        match outcome:
+            case Success(HttpReply(status=200, body=body)):
+                self._take(body)
+            case Success(HttpReply(status=status)):
+                self._note_failure(f"status {status}")
+            case Failure(HttpFailure(detail=detail)):
+                self._note_failure(detail)
+
+    def _take(self, body: bytes) -> None:
+        match decode_json(HostListReply, body):
+            case Failure(Fault(detail=detail)):
+                self._note_failure(f"bad reply: {detail}")
+            case Success(HostListReply(revision=revision, hosts=hosts)):
+                self._failures = 0
+                if revision == self._revision:
+                    return
+                self._revision = revision
+                self._hosts_by_id = {host.host_id: host for host in hosts}
+                for callback in self._callbacks:
+                    callback(hosts)
+
+    def _note_failure(self, detail: str) -> None:
+        self._failures += 1
+        if self._failures == WARN_AFTER_FAILURES:
+            self._log("host_list_unavailable", {"reason": detail})
+
+
+def entry_hosts(hosts_by_id: dict[str, Host], region: str) -> list[Host]:
+    """The entry hosts of a region, in order of id."""
+    found = [
+        host
+        for host in hosts_by_id.values()
+        if host.kind is HostKind.ENTRY and host.region == region
+    ]
+    return sorted(found, key=lambda host: host.host_id)
--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -13,13 +13,14 @@
 from dataclasses import dataclass
 from typing import Final
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
-from jacinthreel_common import join_address
+from jacinthreel_common import join_address, parse_ip
 
 MAX_REPLY_BYTES: Final = 64 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -153,6 +154,8 @@
         return Success(HttpReply(collector.status, b"".join(collector.chunks)))
 
     async def _connect(self) -> IOStream:
+        if not is_successful(parse_ip(self._address)):
+            raise OSError("the address is not an IP number")  # Names are never looked up.
         async with asyncio.timeout(self._connect_timeout_s):
             stream = await self._client.connect(
                 self._address, self._port, max_buffer_size=MAX_REPLY_BYTES
--- a/packages/daemon/src/jacinthreel_daemon/_http_server.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_server.py
@@ -157,10 +157,14 @@
         """Starts serving."""
         self._server.listen(port, address)
 
-    async def drain(self, limit_ms: int) -> bool:
-        """Stops listening and waits for requests in progress; false where the limit passed."""
+    async def stop_listening(self) -> None:
+        """Accepts no more connections; requests on those that stand are served."""
         self._server.stop()
         await asyncio.sleep(LAST_REQUEST_PAUSE_S)
+
+    async def drain(self, limit_ms: int) -> bool:
+        """Stops listening and waits for requests in progress; false where the limit passed."""
+        await self.stop_listening()
         deadline_s = asyncio.get_running_loop().time() + limit_ms / 1000
         while self._state.active and asyncio.get_running_loop().time() < deadline_s:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -183,8 +187,11 @@
     class CountedHandler(handler):  # type: ignore[valid-type, misc]
         """Counts the request from its headers to its reply."""
 
+        _in_progress = False
+
         async def prepare(self) -> None:
             state.active += 1
+            self._in_progress = True
             if state.draining:
                 self.set_header("Connection", "close")
             if len(self.request.body) > MAX_BODY_BYTES:
@@ -196,7 +203,16 @@
                 await waiting
 
         def on_finish(self) -> None:
-            state.active -= 1
+            self._leave()
             super().on_finish()
 
+        def on_connection_close(self) -> None:
+            self._leave()
+            super().on_connection_close()
+
+        def _leave(self) -> None:
+            if self._in_progress:
+                self._in_progress = False
+                state.active -= 1
+
     return CountedHandler
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_process.py
@@ -0,0 +1,241 @@
+"""What both roles of `jacinthreeld` share: ports, polls, streams, health and shutdown.
+
+Shutdown: the first SIGTERM or SIGINT starts a graceful one; `/readyz` fails from then on, and the
+role's own `shutdown` drains it.  A second signal ends the process at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+from abc import ABC, abstractmethod
+from collections.abc import Coroutine, Sequence
+from typing import Any, Final
+
+from returns.result import Success
+
+from jacinthreel_common import (
+    ConfigPull,
+    ConfigPush,
+    Hello,
+    Host,
+    HostKind,
+    ProcessStatus,
+    ProcessStatusReply,
+    ResultCode,
+    StreamReply,
+    convert,
+    to_plain,
+)
+from jacinthreel_daemon._budget import RowBudget
+from jacinthreel_daemon._clock import LoopTimers, SystemClock
+from jacinthreel_daemon._config_watch import ConfigWatch
+from jacinthreel_daemon._host_list import HOST_POLL_MS, HostListPoller
+from jacinthreel_daemon._http_pool import HttpPool
+from jacinthreel_daemon._http_server import HttpService, ServingState
+from jacinthreel_daemon._logs import open_log
+from jacinthreel_daemon._row_poll import ROW_POLL_MS, RowPoller
+from jacinthreel_daemon._settings import Settings
+from jacinthreel_daemon._store_client import CONNECT_TIMEOUT_MS, StoreClient
+from jacinthreel_daemon._stream_hub import StreamHub
+from jacinthreel_daemon._streams import StreamConnection
+from jacinthreel_daemon._telemetry import MetricsRegistry
+
+LIVENESS_MS: Final = 1_000
+PULL_TIMEOUT_MS: Final = 1_500
+KILLED_EXIT_STATUS: Final = 1
+
+
+class DaemonProcess(ABC):
+    """One process; `run` serves until a signal and returns the exit status."""
+
+    role: str
+
+    def __init__(self, settings: Settings, writes_per_s: int) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.log = open_log(settings.host_id, self.role, settings.log_level)
+        self.metrics = MetricsRegistry()
+        self.rng = random.Random()
+        self.state = ServingState(not_ready={"config": "no configuration has been seen"})
+        self.timers = LoopTimers(self.clock, lambda error: self.log.error("timer_failed", error))
+        self.store = self._make_store(writes_per_s)
+        hosts = settings.platform.hosts
+        pool = HttpPool(hosts.address, hosts.port, CONNECT_TIMEOUT_MS)
+        self.hosts = HostListPoller(pool, self.log.warning)
+        self.config = ConfigWatch(self.clock, self.log.decision)
+        self.rows = RowPoller(self.store, self.clock)
+        self.rows.follow(self.config)
+        hello = Hello(settings.host_id, self.role, settings.zone)
+        self.hub = StreamHub(hello, self.clock, self.rng, self.log.warning)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stop_asked = asyncio.Event()
+
+    async def run(self) -> int:
+        """Serves until a signal asks for the end."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal, number)
+        self._wire()
+        http = HttpService(self.state, self.metrics, self.routes(), self.refresh_metrics)
+        http.listen(self.settings.bind_address, self.http_port())
+        self.hub.listen(self.settings.bind_address, self.stream_port())
+        self.start()
+        self.log.decision("started", {"pid": os.getpid()})
+        await self._stop_asked.wait()
+        await self.shutdown(http)
+        self.hub.close()
+        self.timers.stop()
+        self.log.decision("stopped", {})
+        return 0
+
+    @abstractmethod
+    def start(self) -> None:
+        """Starts what is particular to the role."""
+
+    @abstractmethod
+    async def shutdown(self, http: HttpService) -> None:
+        """Drains the role."""
+
+    @abstractmethod
+    def routes(self) -> Sequence[Any]:
+        """HTTP routes besides health and metrics."""
+
+    @abstractmethod
+    def http_port(self) -> int:
+        """Where HTTP is served."""
+
+    @abstractmethod
+    def stream_port(self) -> int:
+        """Where streams are accepted."""
+
+    @abstractmethod
+    def peers_of(self, hosts: list[Host]) -> set[tuple[str, int]]:
+        """The stream addresses that this process connects to, of the region's entry hosts."""
+
+    def owned_epoch(self) -> int:
+        """The epoch under which this process owns the shard, or 0."""
+        return 0
+
+    def refresh_metrics(self) -> None:
+        """Sets the gauges before they are served."""
+        applied = self.config.current()
+        self.metrics.gauge("config_version", applied.config.version if applied else 0)
+        self.metrics.gauge("stream_peers", len(self.hub.connections()))
+        self.metrics.gauge("store_out", int(self.store.is_out))
+        self.metrics.gauge("listed_hosts", len(self.hosts.by_id()))
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Runs a coroutine in the background; an exception is logged."""
+        task = asyncio.get_running_loop().create_task(self._guard(coroutine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def entry_hosts(self, hosts: list[Host]) -> list[Host]:
+        """The entry hosts of this region."""
+        region = self.settings.region
+        return [host for host in hosts if host.kind is HostKind.ENTRY and host.region == region]
+
+    def _make_store(self, writes_per_s: int) -> StoreClient:
+        table = self.settings.platform.table
+        return StoreClient(
+            HttpPool(table.address, table.port, CONNECT_TIMEOUT_MS),
+            self.clock,
+            RowBudget(writes_per_s, self.clock),
+            RowBudget(self.settings.budgets.reads_per_s, self.clock),
+            self.metrics,
+            self.rng,
+        )
+
+    def _wire(self) -> None:
+        self.hub.on_call(ConfigPull, self._serve_config_pull)
+        self.hub.on_call(ProcessStatus, self._serve_status)
+        self.hub.on_notice(ConfigPush, self._take_config_push)
+        self.hub.on_open(self._on_connection)
+        self.config.subscribe(lambda applied: self._clear_not_ready("config"))
+        self.hosts.subscribe(lambda hosts: self._set_peers(hosts))
+        self.timers.every(HOST_POLL_MS, lambda now_ms: self._poll_hosts())
+        self.timers.every(ROW_POLL_MS, lambda now_ms: self._poll_rows())
+        self.timers.every(LIVENESS_MS, self.hub.check_liveness)
+        self._poll_hosts()
+        self._poll_rows()
+
+    def _poll_hosts(self) -> None:
+        self.spawn(self.hosts.poll())
+
+    def _poll_rows(self) -> None:
+        self.spawn(self.poll_rows())
+
+    async def poll_rows(self) -> None:
+        """Reads the followed rows, and once more where a newer configuration showed up."""
+        await self.rows.poll()
+        if self.config.is_behind:
+            await self.rows.poll()
+        if self.config.current() is None:
+            for host in self.entry_hosts(list(self.hosts.by_id().values())):
+                self.spawn(self._pull_config_from(host))
+
+    async def _pull_config_from(self, host: Host) -> None:
+        if host.host_id == self.settings.host_id and self.role == "router":
+            return
+        reply = await self.hub.call(host.address, host.stream_port, ConfigPull(), PULL_TIMEOUT_MS)
+        self._take_pull(reply.value_or(None), host.host_id)
+
+    def _on_connection(self, connection: StreamConnection) -> None:
+        if self.config.current() is None or self.store.is_out:
+            self.spawn(self._pull_config_on(connection))
+
+    async def _pull_config_on(self, connection: StreamConnection) -> None:
+        reply = await connection.call(ConfigPull(), PULL_TIMEOUT_MS)
+        peer = connection.peer.host_id if connection.peer else ""
+        self._take_pull(reply.value_or(None), peer)
+
+    def _take_pull(self, reply: StreamReply | None, source: str) -> None:
+        if reply is None or reply.code is not ResultCode.OK or reply.body is None:
+            return
+        match convert(ConfigPush, reply.body):
+            case Success(ConfigPush() as push):
+                self.config.take_push(push, source)
+
+    def _take_config_push(self, peer: Hello, push: ConfigPush) -> None:
+        self.config.take_push(push, peer.host_id)
+
+    async def _serve_config_pull(self, message: ConfigPull) -> StreamReply:
+        push = self.config.as_push()
+        return StreamReply(ResultCode.OK, body=to_plain(push) if push is not None else None)
+
+    async def _serve_status(self, message: ProcessStatus) -> StreamReply:
+        applied = self.config.current()
+        reply = ProcessStatusReply(
+            self.settings.host_id,
+            self.role,
+            self.settings.zone,
+            applied.config.version if applied else 0,
+            applied.config.preset.value if applied else "",
+            self.owned_epoch(),
+            self.state.draining,
+        )
+        return StreamReply(ResultCode.OK, body=to_plain(reply))
+
+    def _set_peers(self, hosts: list[Host]) -> None:
+        self.hub.set_peers(self.peers_of(self.entry_hosts(hosts)))
+
+    def _clear_not_ready(self, part: str) -> None:
+        self.state.not_ready.pop(part, None)
+
+    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            self.log.error("task_failed", error)
+
+    def _on_signal(self, number: int) -> None:
+        if self._stop_asked.is_set():
+            self.log.warning("killed", {"signal": number})
+            os._exit(KILLED_EXIT_STATUS)
+        self.log.decision("shutdown_started", {"signal": number})
+        self.state.draining = True
+        self._stop_asked.set()
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_router.py
@@ -0,0 +1,115 @@
+"""The router role: serves callers and operators, and tells its peers what it has in flight.
+
+Routers connect to each other, the one with the lower host id to the other, and to every
+scheduler, so that each pair of processes shares one connection for calls and notices both ways.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, Final
+
+from jacinthreel_common import Hello, Host, InFlight, OwnerNotice
+from jacinthreel_daemon._context import RouterContext
+from jacinthreel_daemon._http_server import HttpService
+from jacinthreel_daemon._operator_api import OperatorService
+from jacinthreel_daemon._owner_view import OwnerWatch
+from jacinthreel_daemon._process import DaemonProcess
+from jacinthreel_daemon._request_api import RequestService
+from jacinthreel_daemon._settings import Settings
+
+IN_FLIGHT_MS: Final = 200
+IN_FLIGHT_REPEATS: Final = 5  # An unchanged notice is repeated once a second.
+
+
+class RouterProcess(DaemonProcess):
+    """One router process."""
+
+    role = "router"
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings, settings.budgets.router_writes_per_s)
+        self.owner = OwnerWatch(settings.region, self.log.decision)
+        self.context = RouterContext(
+            host_id=settings.host_id,
+            zone=settings.zone,
+            region=settings.region,
+            clock=self.clock,
+            store=self.store,
+            config=self.config,
+            hosts=self.hosts,
+            streams=self.hub,
+            owner=self.owner,
+            telemetry=self.metrics,
+            log_decision=self.log.decision,
+            rng=self.rng,
+        )
+        self.requests = RequestService(self.context)
+        self.operators = OperatorService(self.context)
+        self.state.not_ready["hosts"] = "no host list has been read"
+        self._told: dict[str, int] = {}
+        self._quiet_periods = 0
+
+    def start(self) -> None:
+        """Begins the exchange with the peers."""
+        self.rows.follow(self.owner)
+        self.hosts.subscribe(lambda hosts: self._clear_not_ready("hosts"))
+        self.hub.on_notice(InFlight, self._take_in_flight)
+        self.hub.on_notice(OwnerNotice, self._take_owner_notice)
+        self.timers.every(IN_FLIGHT_MS, self._tell_in_flight)
+
+    async def shutdown(self, http: HttpService) -> None:
+        """Serves on until the balancer has noticed, then drains."""
+        limits = self.settings.shutdown
+        await asyncio.sleep(limits.balancer_pause_ms / 1000)
+        await http.stop_listening()
+        try:
+            async with asyncio.timeout(limits.drain_limit_ms / 1000):
+                await self.requests.drain()
+        except TimeoutError:
+            self.log.warning("requests_pending", {"count": self.state.active})
+        if not await http.drain(limits.drain_limit_ms):
+            self.log.warning("requests_cut_off", {"count": self.state.active})
+
+    def routes(self) -> Sequence[Any]:
+        """The callers' and the operators' interfaces."""
+        return [*self.requests.routes(), *self.operators.routes()]
+
+    def http_port(self) -> int:
+        """Where HTTP is served."""
+        return self.settings.router.http_port
+
+    def stream_port(self) -> int:
+        """Where streams are accepted."""
+        return self.settings.router.stream_port
+
+    def peers_of(self, hosts: list[Host]) -> set[tuple[str, int]]:
+        """All schedulers, and the routers with a higher host id."""
+        own_id = self.settings.host_id
+        peers = {(host.address, host.scheduler_port) for host in hosts}
+        peers.update((h.address, h.stream_port) for h in hosts if h.host_id > own_id)
+        return peers
+
+    def refresh_metrics(self) -> None:
+        """Sets the gauges before they are served."""
+        super().refresh_metrics()
+        self.metrics.gauge("requests_in_progress", self.state.active)
+        self.metrics.gauge("known_owner_epoch", self.owner.epoch)
+
+    def _tell_in_flight(self, now_ms: int) -> None:
+        in_flight = {k: n for k, n in self.requests.in_flight_by_executor().items() if n}
+        self._quiet_periods += 1
+        repeat = bool(in_flight) and self._quiet_periods >= IN_FLIGHT_REPEATS
+        if in_flight == self._told and not repeat:
+            return
+        self._told = in_flight
+        self._quiet_periods = 0
+        for connection in self.hub.connections("router"):
+            connection.notify(InFlight(in_flight))
+
+    def _take_in_flight(self, peer: Hello, notice: InFlight) -> None:
+        self.requests.on_in_flight(peer.host_id, notice)
+
+    def _take_owner_notice(self, peer: Hello, notice: OwnerNotice) -> None:
+        self.owner.take_notice(notice)
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_scheduler.py
@@ -0,0 +1,251 @@
+"""The scheduler role: stands for election, and schedules the shard's jobs while it owns it.
+
+After a takeover the rows of the jobs are read before anything else; until then calls are
+answered with NOT_OWNER.  A graceful shutdown refuses new calls with NOT_OWNER, waits for writes
+that callers wait for, lets batches on the way to workers arrive, and releases the lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any, Final
+
+from jacinthreel_common import (
+    CancelJob,
+    Host,
+    ListJobs,
+    OwnerNotice,
+    ReadQuery,
+    ResultCode,
+    ShardStatus,
+    StreamReply,
+    SubmitJob,
+    job_prefix,
+    to_plain,
+)
+from jacinthreel_daemon._election_driver import ElectionDriver, OwnershipChange
+from jacinthreel_daemon._http_server import HttpService
+from jacinthreel_daemon._ownership import RENEW_PERIOD_MS, Election, Gained, Lost, Renewed
+from jacinthreel_daemon._ports import AppliedConfig
+from jacinthreel_daemon._process import DaemonProcess
+from jacinthreel_daemon._settings import Settings
+from jacinthreel_daemon._shard_driver import ShardDriver
+from jacinthreel_daemon._shard_summary import summarize_shard
+from jacinthreel_daemon._streams import StreamConnection
+from jacinthreel_daemon._worker_client import WorkerClients
+from jacinthreel_jobs import (
+    ConfigApplied,
+    GuaranteePlanner,
+    HostsListed,
+    JobCancelled,
+    JobSubmitted,
+    LeaseRenewed,
+    OwnershipGained,
+    OwnershipLost,
+    ShardCore,
+    Tick,
+)
+
+TICK_MS: Final = 100
+NOT_OWNER_RETRY_AFTER_MS: Final = 500
+IDLE_LIMIT_S: Final = 3.0
+BATCH_DRAIN_S: Final = 2.0
+CALL_DRAIN_S: Final = 5.0
+DRAIN_POLL_S: Final = 0.02
+
+
+class SchedulerProcess(DaemonProcess):
+    """One scheduler process."""
+
+    role = "scheduler"
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings, settings.budgets.scheduler_writes_per_s)
+        self.shard = settings.region
+        self.workers = WorkerClients()
+        self.driver = ShardDriver(
+            ShardCore(self.shard, GuaranteePlanner(), self.rng),
+            self.store,
+            self.workers,
+            self.clock,
+            self.metrics,
+            self.log,
+            self.rng,
+            self.spawn,
+            self._step_down,
+            lambda: self._poll_rows(),
+        )
+        nonce = f"{settings.host_id}-{self.rng.getrandbits(64):016x}"
+        port = settings.scheduler.stream_port
+        election = Election(self.shard, settings.host_id, settings.public_address, port, nonce)
+        self.election = ElectionDriver(
+            election, self.shard, self.store, self.clock, self.spawn, self._on_ownership
+        )
+        self._calls_in_progress = 0
+
+    def start(self) -> None:
+        """Serves calls and stands for election."""
+        self.hub.on_call(SubmitJob, self._serve_submit)
+        self.hub.on_call(CancelJob, self._serve_cancel)
+        self.hub.on_call(ListJobs, self._serve_list)
+        self.hub.on_call(ShardStatus, self._serve_shard_status)
+        self.config.subscribe(self._on_config)
+        self.hosts.subscribe(self._on_hosts)
+        self.rows.follow(self.election)
+        self.timers.every(RENEW_PERIOD_MS, self.election.renewal_due)
+        self.timers.every(TICK_MS, self._tick)
+
+    async def shutdown(self, http: HttpService) -> None:
+        """Hands the shard over and finishes the calls in progress."""
+        await self._wait_until_idle()
+        self.driver.feed(OwnershipLost())
+        await self.driver.drain_batches(BATCH_DRAIN_S)
+        await self.election.release()
+        self.hub.stop_listening()
+        await self._wait_for_calls()
+        await http.drain(self.settings.shutdown.drain_limit_ms)
+
+    def routes(self) -> Sequence[Any]:
+        """A scheduler serves health and metrics only."""
+        return []
+
+    def http_port(self) -> int:
+        """Where HTTP is served."""
+        return self.settings.scheduler.http_port
+
+    def stream_port(self) -> int:
+        """Where streams are accepted."""
+        return self.settings.scheduler.stream_port
+
+    def peers_of(self, hosts: list[Host]) -> set[tuple[str, int]]:
+        """Routers connect to schedulers, so there is nobody to connect to."""
+        return set()
+
+    def owned_epoch(self) -> int:
+        """The epoch under which this process owns the shard, or 0."""
+        return self.election.election.epoch if self.election.election.is_owner else 0
+
+    def refresh_metrics(self) -> None:
+        """Sets the gauges before they are served."""
+        super().refresh_metrics()
+        tables = self.driver.core.tables
+        self.metrics.gauge("shard_epoch", self.owned_epoch())
+        self.metrics.gauge("shard_lease_valid", int(self.election.lease_valid()))
+        self.metrics.gauge("jobs_queued", len(tables.queued_by_id))
+        self.metrics.gauge("jobs_active", len(tables.active_by_id))
+
+    def _tick(self, now_ms: int) -> None:
+        if self.driver.core.epoch:
+            self.driver.feed(Tick(self.clock.unix_ms()))
+
+    def _step_down(self, reason: str) -> None:
+        self.election.step_down(reason)
+
+    def _on_ownership(self, change: OwnershipChange) -> None:
+        match change:
+            case Gained():
+                fields = {"shard": self.shard, "epoch": change.epoch}
+                self.log.decision("ownership_gained", fields)
+                self.metrics.count("takeovers_total")
+                self.spawn(self._take_over(change))
+            case Renewed(lease_until_ms=lease_until_ms):
+                if self.driver.core.epoch:
+                    self.driver.feed(LeaseRenewed(lease_until_ms))
+            case Lost(reason=reason):
+                fields = {"shard": self.shard, "epoch": self.election.election.epoch}
+                self.log.warning("ownership_lost", {**fields, "reason": reason})
+                self.driver.feed(OwnershipLost())
+
+    async def _take_over(self, gained: Gained) -> None:
+        election = self.election.election
+        query = ReadQuery(prefixes=[job_prefix(self.shard)])
+        rows = await self.driver.read_until_done(
+            query, lambda: election.is_owner and election.epoch == gained.epoch
+        )
+        if rows is None:
+            return
+        event = OwnershipGained(
+            gained.epoch,
+            gained.epoch_row_version,
+            election.lease_until_ms,
+            rows,
+            self.clock.unix_ms(),
+        )
+        self.driver.feed(event)
+        self.log.decision("shard_loaded", {"epoch": gained.epoch, "job_rows": len(rows)})
+        self.hub.notify_all(self._owner_notice())
+
+    def _owner_notice(self) -> OwnerNotice:
+        return OwnerNotice(
+            self.shard,
+            self.election.election.epoch,
+            self.settings.public_address,
+            self.settings.scheduler.stream_port,
+        )
+
+    def _on_connection(self, connection: StreamConnection) -> None:
+        super()._on_connection(connection)
+        if self.driver.core.epoch:
+            connection.notify(self._owner_notice())
+
+    def _on_config(self, applied: AppliedConfig) -> None:
+        self.driver.feed(ConfigApplied(applied.config, applied.row_version))
+
+    def _on_hosts(self, hosts: list[Host]) -> None:
+        self.workers.set_hosts(hosts)
+        self.driver.feed(HostsListed(hosts))
+
+    async def _serve_submit(self, message: SubmitJob) -> StreamReply:
+        unix_ms = self.clock.unix_ms()
+        return await self._serve_change(lambda id_: JobSubmitted(id_, message.spec, unix_ms))
+
+    async def _serve_cancel(self, message: CancelJob) -> StreamReply:
+        return await self._serve_change(lambda id_: JobCancelled(id_, message.job_id))
+
+    async def _serve_change(self, make_event: Any) -> StreamReply:
+        if not self._serves():
+            return self._not_owner()
+        self._calls_in_progress += 1
+        try:
+            return await self.driver.submit(make_event)
+        finally:
+            self._calls_in_progress -= 1
+
+    async def _serve_list(self, message: ListJobs) -> StreamReply:
+        if not self._serves():
+            return self._not_owner()
+        records = self.driver.core.list_jobs(
+            message.job_id, message.workspace, message.state, message.limit
+        )
+        return StreamReply(ResultCode.OK, body=to_plain(records))
+
+    async def _serve_shard_status(self, message: ShardStatus) -> StreamReply:
+        if not self._serves():
+            return self._not_owner()
+        core = self.driver.core
+        reply = summarize_shard(core.tables, core.epoch, self.settings.host_id, self.clock.now_ms())
+        return StreamReply(ResultCode.OK, body=to_plain(reply))
+
+    def _serves(self) -> bool:
+        return bool(self.driver.core.epoch) and not self.state.draining
+
+    def _not_owner(self) -> StreamReply:
+        detail = "this scheduler does not own the shard"
+        return StreamReply(ResultCode.NOT_OWNER, detail, NOT_OWNER_RETRY_AFTER_MS)
+
+    async def _wait_until_idle(self) -> None:
+        try:
+            async with asyncio.timeout(IDLE_LIMIT_S):
+                while not self.driver.core.idle():
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            self.log.warning("writes_pending", {})
+
+    async def _wait_for_calls(self) -> None:
+        try:
+            async with asyncio.timeout(CALL_DRAIN_S):
+                while self._calls_in_progress:
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            self.log.warning("calls_pending", {"count": self._calls_in_progress})
--- /dev/null
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -0,0 +1,247 @@
+"""The streams of a process: its listener, its links to peers, and calls to any address.
+
+A `PeerLink` connects as long as it is wanted, with backoff and jitter between attempts.  A call on
+a link that isn't connected asks for an attempt at once, waits for it at most
+`CONNECT_TIMEOUT_MS`, and is otherwise PEER_UNREACHABLE.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from returns.pipeline import is_successful
+from returns.result import Failure, Result
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from jacinthreel_common import Fault, Hello, ResultCode, StreamReply, parse_ip
+from jacinthreel_daemon._backoff import Backoff
+from jacinthreel_daemon._ports import CallHandler, Clock
+from jacinthreel_daemon._streams import (
+    MAX_BACKLOG_BYTES,
+    NoticeHandler,
+    StreamConnection,
+    StreamHandlers,
+    StreamLog,
+)
+
+CONNECT_TIMEOUT_MS: Final = 1_000
+RECONNECT_BASE_MS: Final = 100
+RECONNECT_CAP_MS: Final = 3_000
+URGENT_PAUSE_MS: Final = 50  # Bounds the attempts that calls ask for.
+UNREACHABLE_RETRY_AFTER_MS: Final = 1_000
+LINK_KEEP_MS: Final = 60_000
+MAX_CONNECTIONS: Final = 1_024
+
+Address = tuple[str, int]
+
+
+class PeerLink:
+    """The connection that this process opens to one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        connect: Callable[[Address], Any],
+        on_open: Callable[[StreamConnection], None],
+        rng: random.Random,
+    ) -> None:
+        self._address = address
+        self._connect = connect
+        self._on_open = on_open
+        self._backoff = Backoff(rng, RECONNECT_BASE_MS, RECONNECT_CAP_MS)
+        self._wanted = asyncio.Event()
+        self._opened = asyncio.Event()
+        self.connection: StreamConnection | None = None
+        self._task = asyncio.create_task(self._keep())
+
+    async def wait_open(self, timeout_ms: int) -> StreamConnection | None:
+        """The open connection, or None where there is none in time."""
+        if self.connection is None:
+            self._wanted.set()
+            try:
+                async with asyncio.timeout(timeout_ms / 1000):
+                    await self._opened.wait()
+            except TimeoutError:
+                return None
+        return self.connection
+
+    def close(self) -> None:
+        """Gives the link up."""
+        self._task.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
+    async def _keep(self) -> None:
+        while True:
+            connection = await self._connect(self._address)
+            if connection is not None:
+                self.connection = connection
+                self._opened.set()
+                self._backoff.reset()
+                self._on_open(connection)
+                try:
+                    await connection.serve()
+                finally:
+                    self.connection = None
+                    self._opened.clear()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        await asyncio.sleep(URGENT_PAUSE_MS / 1000)
+        self._wanted.clear()
+        try:
+            async with asyncio.timeout(self._backoff.next_ms() / 1000):
+                await self._wanted.wait()
+        except TimeoutError:
+            return
+
+
+class _Listener(TCPServer):
+    def __init__(self, accept: Callable[[IOStream], Any]) -> None:
+        super().__init__(max_buffer_size=MAX_BACKLOG_BYTES)
+        self._accept = accept
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Serves one connection."""
+        await self._accept(stream)
+
+
+class StreamHub:
+    """All streams of a process; the port `PeerStreams`."""
+
+    def __init__(self, hello: Hello, clock: Clock, rng: random.Random, log: StreamLog) -> None:
+        self._hello = hello
+        self._clock = clock
+        self._rng = rng
+        self._handlers = StreamHandlers({}, {}, log)
+        self._client = TCPClient()
+        self._listener = _Listener(self._accept)
+        self._links_by_address: dict[Address, PeerLink] = {}
+        self._peers: set[Address] = set()
+        self._used_ms_by_address: dict[Address, int] = {}
+        self._accepted: set[StreamConnection] = set()
+        self._on_open: Callable[[StreamConnection], None] = lambda connection: None
+
+    def on_call(self, kind: type, handler: CallHandler) -> None:
+        """Serves calls of one kind."""
+        self._handlers.calls_by_kind[kind] = handler
+
+    def on_notice(self, kind: type, handler: NoticeHandler) -> None:
+        """Takes notices of one kind."""
+        self._handlers.notices_by_kind[kind] = handler
+
+    def on_open(self, callback: Callable[[StreamConnection], None]) -> None:
+        """Calls back for each new connection, whichever side opened it."""
+        self._on_open = callback
+
+    def listen(self, address: str, port: int) -> None:
+        """Accepts connections."""
+        self._listener.listen(port, address)
+
+    def stop_listening(self) -> None:
+        """Accepts no more connections; those that stand go on."""
+        self._listener.stop()
+
+    def set_peers(self, peers: set[Address]) -> None:
+        """Keeps links to exactly these addresses, besides those that calls use."""
+        self._peers = peers
+        for address in peers:
+            self._link(address)
+        for address in list(self._links_by_address):
+            if address not in peers and address not in self._used_ms_by_address:
+                self._links_by_address.pop(address).close()
+
+    async def call(
+        self, address: str, port: int, message: object, timeout_ms: int
+    ) -> Result[StreamReply, Fault]:
+        """Calls a peer.  Errors: PEER_UNREACHABLE (nothing was sent), PEER_TIMEOUT (unknown)."""
+        started_ms = self._clock.now_ms()
+        self._used_ms_by_address[(address, port)] = started_ms
+        link = self._link((address, port))
+        connection = await link.wait_open(min(timeout_ms, CONNECT_TIMEOUT_MS))
+        if connection is None:
+            detail = f"no connection to {address} port {port}"
+            return Failure(Fault(ResultCode.PEER_UNREACHABLE, detail, UNREACHABLE_RETRY_AFTER_MS))
+        left_ms = max(1, timeout_ms - (self._clock.now_ms() - started_ms))
+        return await connection.call(message, left_ms)
+
+    def notify_all(self, message: object) -> None:
+        """Sends a notice to every connected peer; never waits."""
+        for connection in self.connections():
+            connection.notify(message)
+
+    def connections(self, role: str = "") -> list[StreamConnection]:
+        """One open connection to each peer process, whichever side opened it."""
+        found: dict[tuple[str, str], StreamConnection] = {}
+        opened = [link.connection for link in self._links_by_address.values()]
+        for connection in (*opened, *self._accepted):
+            if connection is None or not connection.is_open or connection.peer is None:
+                continue
+            if role and connection.peer.role != role:
+                continue
+            found.setdefault((connection.peer.host_id, connection.peer.role), connection)
+        return list(found.values())
+
+    def check_liveness(self, now_ms: int) -> None:
+        """Looks after all connections; called about once a second."""
+        for connection in list(self._accepted):
+            connection.check_liveness(now_ms)
+        for address, link in list(self._links_by_address.items()):
+            if link.connection is not None:
+                link.connection.check_liveness(now_ms)
+            used_ms = self._used_ms_by_address.get(address, now_ms)
+            if now_ms - used_ms > LINK_KEEP_MS:
+                del self._used_ms_by_address[address]
+                if address not in self._peers:
+                    self._links_by_address.pop(address).close()
+
+    def close(self) -> None:
+        """Closes everything."""
+        self._listener.stop()
+        for link in self._links_by_address.values():
+            link.close()
+        for connection in list(self._accepted):
+            connection.close()
+
+    def _link(self, address: Address) -> PeerLink:
+        link = self._links_by_address.get(address)
+        if link is None:
+            link = PeerLink(address, self._connect, self._opened, self._rng)
+            self._links_by_address[address] = link
+        return link
+
+    def _opened(self, connection: StreamConnection) -> None:
+        self._on_open(connection)
+
+    async def _connect(self, address: Address) -> StreamConnection | None:
+        if not is_successful(parse_ip(address[0])):
+            return None  # Names are never looked up.
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                stream = await self._client.connect(*address, max_buffer_size=MAX_BACKLOG_BYTES)
+        except (OSError, StreamClosedError):
+            return None
+        stream.max_write_buffer_size = MAX_BACKLOG_BYTES
+        connection = StreamConnection(stream, self._hello, self._handlers, self._clock)
+        return connection if await connection.greet() else None
+
+    async def _accept(self, stream: IOStream) -> None:
+        if len(self._accepted) >= MAX_CONNECTIONS:
+            self._handlers.log("stream_closed", {"reason": "too many connections"})
+            stream.close()
+            return
+        stream.max_write_buffer_size = MAX_BACKLOG_BYTES
+        connection = StreamConnection(stream, self._hello, self._handlers, self._clock)
+        self._accepted.add(connection)
+        try:
+            if await connection.greet():
+                self._on_open(connection)
+                await connection.serve()
+        finally:
+            connection.close()
+            self._accepted.discard(connection)
