--- a/packages/daemon/src/jacinthreel_daemon/_frames.py
+++ b/packages/daemon/src/jacinthreel_daemon/_frames.py
@@ -41,8 +41,10 @@
 def encode_frame(message: object, call_id: int) -> bytes:
     """Writes a frame.
 
-    >>> encode_frame(MESSAGES_BY_KIND["ShardStatus"](), 7)[:4]
-    b'\\x00\\x00\\x00-'
+    >>> from jacinthreel_common import ShardStatus
+    >>> frame = encode_frame(ShardStatus(), 7)
+    >>> int.from_bytes(frame[:LENGTH_BYTES], "big") == len(frame) - LENGTH_BYTES
+    True
     """
     envelope = Envelope(STREAM_VERSION, type(message).__name__, call_id, to_plain(message))
     body = pack(envelope)
