Prove the election of a shard's owner

A property runs two or three candidates against a table with delays up to 5 s, lost and late messages, freezes up to 12 s and outages: never two valid leases at a moment, and one owner once the faults end.

The circuit of the table client admits one probe at a time, rows found by a read are charged afterwards, and a port in use ends the process with status 3 and a log line.

--- a/packages/daemon/src/jacinthreel_daemon/_budget.py
+++ b/packages/daemon/src/jacinthreel_daemon/_budget.py
@@ -16,6 +16,7 @@
 import heapq
 import random
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import Final
 
 from jacinthreel_daemon._backoff import Backoff
@@ -24,6 +25,7 @@
 LEASE_PRIORITY: Final = -1
 MAX_WAIT_MS: Final = 2_000
 BURST_S: Final = 1.0
+MAX_DEBT_S: Final = 1.0
 FAILURES_TO_OPEN: Final = 2
 OPEN_BASE_MS: Final = 500
 OPEN_CAP_MS: Final = 2_000
@@ -64,6 +66,11 @@
         self._arm()
         return await future
 
+    def charge(self, rows: int) -> None:
+        """Takes tokens for rows that were not foreseen; the debt is bounded."""
+        self._fill()
+        self._tokens = max(-MAX_DEBT_S * self._rows_per_s, self._tokens - rows)
+
     def _covers(self, rows: int) -> bool:
         """Whether there are tokens; a transaction beyond the burst needs a full bucket."""
         return self._tokens >= min(rows, self._burst)
@@ -102,6 +109,14 @@
         self._arm()
 
 
+class Admission(Enum):
+    """Whether an operation may be sent; a probe finds out whether the store is back."""
+
+    REFUSED = auto()
+    NORMAL = auto()
+    PROBE = auto()
+
+
 class Circuit:
     """Whether the store is worth asking."""
 
@@ -121,18 +136,19 @@
         """How long a caller had better wait."""
         return max(OPEN_BASE_MS, self._closed_until_ms - self._clock.now_ms())
 
-    def admit(self) -> bool:
-        """Whether an operation may be sent now; `leave` follows each admission."""
+    def admit(self) -> Admission:
+        """Whether an operation may be sent now; `leave` follows unless it was refused."""
         if not self.is_open:
-            return True
+            return Admission.NORMAL
         if self._probing or self._clock.now_ms() < self._closed_until_ms:
-            return False
+            return Admission.REFUSED
         self._probing = True
-        return True
+        return Admission.PROBE
 
-    def leave(self) -> None:
+    def leave(self, admission: Admission) -> None:
         """An admitted operation has ended, whether it was sent or not."""
-        self._probing = False
+        if admission is Admission.PROBE:
+            self._probing = False
 
     def succeeded(self) -> None:
         """The store answered."""
--- a/packages/daemon/src/jacinthreel_daemon/_process.py
+++ b/packages/daemon/src/jacinthreel_daemon/_process.py
@@ -46,6 +46,7 @@
 LIVENESS_MS: Final = 1_000
 PULL_TIMEOUT_MS: Final = 1_500
 KILLED_EXIT_STATUS: Final = 1
+LISTEN_EXIT_STATUS: Final = 3
 
 
 class DaemonProcess(ABC):
@@ -78,10 +79,14 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal, number)
-        self._wire()
         http = HttpService(self.state, self.metrics, self.routes(), self.refresh_metrics)
-        http.listen(self.settings.bind_address, self.http_port())
-        self.hub.listen(self.settings.bind_address, self.stream_port())
+        try:
+            http.listen(self.settings.bind_address, self.http_port())
+            self.hub.listen(self.settings.bind_address, self.stream_port())
+        except OSError as error:
+            self.log.error("listen_failed", error)
+            return LISTEN_EXIT_STATUS
+        self._wire()
         self.start()
         self.log.decision("started", {"pid": os.getpid()})
         await self._stop_asked.wait()
--- a/packages/daemon/src/jacinthreel_daemon/_store_client.py
+++ b/packages/daemon/src/jacinthreel_daemon/_store_client.py
@@ -12,6 +12,7 @@
 import random
 from typing import Final, TypeVar
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
@@ -24,7 +25,7 @@
     decode_json,
     encode_json,
 )
-from jacinthreel_daemon._budget import Circuit, RowBudget
+from jacinthreel_daemon._budget import Admission, Circuit, RowBudget
 from jacinthreel_daemon._http_pool import HttpFailure, HttpPool, HttpReply
 from jacinthreel_daemon._ports import Clock, Telemetry
 
@@ -69,7 +70,8 @@
         STORE_OUTCOME_UNKNOWN.
         """
         rows = max(1, len(transaction.writes))
-        if not self._circuit.admit():
+        admission = self._circuit.admit()
+        if admission is Admission.REFUSED:
             return Failure(self._out("the store is out"))
         try:
             if not await self._writes.take(rows, priority):
@@ -78,20 +80,24 @@
             body = encode_json(transaction)
             return await self._post("/v1/transact", body, TransactionReply, True)
         finally:
-            self._circuit.leave()
+            self._circuit.leave(admission)
 
     async def read(self, query: ReadQuery) -> Result[ReadReply, Fault]:
         """Reads rows.  Errors: STORE_UNAVAILABLE, STORE_BUDGET_SPENT."""
         rows = max(1, len(query.keys) + len(query.prefixes))
-        if not self._circuit.admit():
+        admission = self._circuit.admit()
+        if admission is Admission.REFUSED:
             return Failure(self._out("the store is out"))
         try:
             if not await self._reads.take(rows, READ_PRIORITY):
                 return Failure(self._spent())
-            self._telemetry.count("store_rows_read_total", rows)
-            return await self._post("/v1/read", encode_json(query), ReadReply, False)
+            reply = await self._post("/v1/read", encode_json(query), ReadReply, False)
+            found = len(reply.unwrap().rows) if is_successful(reply) else 0
+            self._reads.charge(max(0, found - rows))
+            self._telemetry.count("store_rows_read_total", max(rows, found))
+            return reply
         finally:
-            self._circuit.leave()
+            self._circuit.leave(admission)
 
     async def _post(
         self, path: str, body: bytes, kind: type[T], is_write: bool
--- /dev/null
+++ b/packages/daemon/tests/test_ownership.py
@@ -0,0 +1,263 @@
+"""The election: never two valid leases, under freezes, slow, lost and late messages."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from jacinthreel_common import ReadQuery, Row, Transaction, epoch_key, lease_key
+from jacinthreel_daemon._ownership import (
+    LEASE_MS,
+    WATCH_MARGIN_MS,
+    ClaimDone,
+    Election,
+    ElectionEffect,
+    ElectionEvent,
+    Gained,
+    Lost,
+    ReadFailed,
+    RenewalDone,
+    RenewalDue,
+    Role,
+    RowsSeen,
+    SendClaim,
+    SendRelease,
+    SendRenewal,
+    StopAsked,
+)
+from jacinthreel_jobs import WriteOutcome
+from jacinthreel_standins import TableModel
+
+SHARD = "r"
+TIMEOUT_MS = 6_000
+FAULTS_UNTIL_MS = 60_000
+END_MS = 90_000
+
+
+@dataclass(frozen=True)
+class Faults:
+    """How bad the world is: delays of a message, shares of lost messages, freezes, outages."""
+
+    delay_ms: int
+    loss: float
+    freeze: float
+    outage: float
+
+
+@dataclass
+class Process:
+    election: Election
+    offset_ms: int
+    frozen_until_ms: int = 0
+    reading: bool = False
+
+
+@dataclass
+class World:
+    """Processes and a table service on one simulated time line."""
+
+    faults: Faults
+    rng: random.Random
+    table: TableModel = field(default_factory=TableModel)
+    processes: list[Process] = field(default_factory=list)
+    now_ms: int = 0
+    queue: list[tuple[int, int, Callable[[], None]]] = field(default_factory=list)
+    sequence: int = 0
+    outage_until_ms: int = 0
+    gains: int = 0
+    worst: int = 0
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        self.sequence += 1
+        heapq.heappush(self.queue, (self.now_ms + delay_ms, self.sequence, action))
+
+    def run(self) -> None:
+        while self.queue and self.queue[0][0] <= END_MS:
+            self.now_ms, _, action = heapq.heappop(self.queue)
+            action()
+            self.worst = max(self.worst, len(self.valid_holders()))
+
+    def valid_holders(self) -> list[str]:
+        return [
+            process.election._host_id
+            for process in self.processes
+            if process.election.is_owner
+            and self.now_ms + process.offset_ms < process.election.lease_until_ms
+        ]
+
+    @property
+    def faulty(self) -> bool:
+        return self.now_ms < FAULTS_UNTIL_MS
+
+    def chance(self, share: float) -> bool:
+        return self.faulty and self.rng.random() < share
+
+    def delay(self) -> int:
+        return self.rng.randint(0, self.faults.delay_ms if self.faulty else 5)
+
+    def tick(self, process: Process) -> None:
+        self.at(1_000 + self.rng.randint(-50, 50), lambda: self.tick(process))
+        if self.chance(self.faults.freeze):
+            process.frozen_until_ms = self.now_ms + self.rng.randint(500, 12_000)
+        if self.chance(self.faults.outage):
+            self.outage_until_ms = self.now_ms + self.rng.randint(500, 8_000)
+        self.deliver(process, RenewalDue())
+        if not process.election.is_owner and not process.reading:
+            process.reading = True
+            self.send(lambda: self.read(), lambda rows: self.take_rows(process, rows))
+
+    def read(self) -> RowsSeen:
+        rows = {row.key: row for row in self.table.read(ReadQuery([KEYS[0], KEYS[1]])).rows}
+        return RowsSeen(rows.get(KEYS[0]), rows.get(KEYS[1]))
+
+    def take_rows(self, process: Process, rows: RowsSeen | WriteOutcome) -> None:
+        process.reading = False
+        self.deliver(process, rows if isinstance(rows, RowsSeen) else ReadFailed())
+
+    def send(self, apply: Callable[[], Any], reply: Callable[[Any], None]) -> None:
+        """One exchange with the table service, as the faults have it."""
+
+        def arrive() -> None:
+            if self.now_ms < self.outage_until_ms:
+                self.at(self.delay(), lambda: reply(WriteOutcome.FAILED))
+                return
+            result = apply()
+            if self.chance(self.faults.loss):
+                self.at(TIMEOUT_MS, lambda: reply(WriteOutcome.UNKNOWN))
+            else:
+                self.at(self.delay(), lambda: reply(result))
+
+        if self.chance(self.faults.loss):
+            self.at(TIMEOUT_MS, lambda: reply(WriteOutcome.UNKNOWN))
+            self.at(TIMEOUT_MS + self.delay(), lambda: apply() and None)
+            return
+        self.at(self.delay(), arrive)
+
+    def deliver(self, process: Process, event: ElectionEvent) -> None:
+        if self.now_ms < process.frozen_until_ms:
+            wait_ms = process.frozen_until_ms - self.now_ms
+            self.at(wait_ms, lambda: self.deliver(process, event))
+            return
+        for effect in process.election.handle(event, self.now_ms + process.offset_ms):
+            self.perform(process, effect)
+
+    def perform(self, process: Process, effect: ElectionEffect) -> None:
+        match effect:
+            case SendClaim(transaction=sent) | SendRenewal(transaction=sent):
+                renewal = isinstance(effect, SendRenewal)
+                self.send(
+                    lambda: self.table.transact(sent),
+                    lambda reply: self.deliver(process, done(sent, renewal, reply)),
+                )
+            case SendRelease(transaction=sent):
+                self.send(lambda: self.table.transact(sent), lambda reply: None)
+            case Gained():
+                self.gains += 1
+
+
+KEYS = (epoch_key(SHARD), lease_key(SHARD))
+
+
+def done(sent: Transaction, renewal: bool, reply: object) -> ClaimDone | RenewalDone:
+    versions: dict[str, int] = {}
+    if isinstance(reply, WriteOutcome):
+        outcome = reply
+    else:
+        committed = getattr(reply, "committed")  # noqa: B009
+        outcome = WriteOutcome.COMMITTED if committed else WriteOutcome.CONFLICT
+        versions = getattr(reply, "versions")  # noqa: B009
+    if renewal:
+        return RenewalDone(sent.write_id, outcome)
+    return ClaimDone(sent.write_id, outcome, versions)
+
+
+def make_world(seed: int, faults: Faults, count: int) -> World:
+    world = World(faults, random.Random(seed))
+    for number in range(count):
+        election = Election(SHARD, f"h{number}", "127.0.0.1", 1, f"n{number}")
+        world.processes.append(Process(election, world.rng.randint(0, 10**9)))
+        process = world.processes[-1]
+        world.at(world.rng.randint(0, 1_000), lambda process=process: world.tick(process))
+    return world
+
+
+@settings(derandomize=True, deadline=None, database=None, max_examples=60)
+@given(
+    seed=st.integers(0, 2**32),
+    count=st.integers(2, 3),
+    faults=st.builds(
+        Faults,
+        delay_ms=st.sampled_from([5, 500, 3_000, 5_000]),
+        loss=st.sampled_from([0.0, 0.1, 0.3]),
+        freeze=st.sampled_from([0.0, 0.05, 0.2]),
+        outage=st.sampled_from([0.0, 0.05]),
+    ),
+)
+def test_never_two_valid_leases_and_always_an_owner_in_the_end(
+    seed: int, count: int, faults: Faults
+) -> None:
+    world = make_world(seed, faults, count)
+    world.run()
+    assert world.worst <= 1
+    assert world.gains >= 1
+    assert len(world.valid_holders()) == 1
+
+
+def row(key: str, version: int, value: object = None, write_id: str = "") -> Row:
+    return Row(key, version, write_id, value)
+
+
+def make_election() -> Election:
+    return Election(SHARD, "h1", "127.0.0.1", 9, "n")
+
+
+def claim_of(effects: list[ElectionEffect]) -> Transaction:
+    assert isinstance(effects[0], SendClaim)
+    return effects[0].transaction
+
+
+def test_an_unrenewed_lease_is_taken_over_after_its_whole_time() -> None:
+    election = make_election()
+    seen = RowsSeen(row(KEYS[0], 1), row(KEYS[1], 2))
+    limit_ms = LEASE_MS + WATCH_MARGIN_MS
+    assert election.handle(seen, 0) == []
+    assert election.handle(seen, limit_ms - 1) == []
+    claim = claim_of(election.handle(seen, limit_ms))
+    assert {c.key: c.version for c in claim.conditions} == {KEYS[0]: 1, KEYS[1]: 2}
+
+
+def test_a_failed_read_restarts_the_watch() -> None:
+    election = make_election()
+    seen = RowsSeen(row(KEYS[0], 1), row(KEYS[1], 2))
+    election.handle(seen, 0)
+    election.handle(ReadFailed(), 3_000)
+    assert election.handle(seen, 60_000) == []
+    assert election.handle(seen, 60_000 + LEASE_MS) == []
+    claim_of(election.handle(seen, 60_000 + LEASE_MS + WATCH_MARGIN_MS))
+
+
+def test_a_claim_whose_reply_was_lost_is_found_by_its_write_id() -> None:
+    election = make_election()
+    claim = claim_of(election.handle(RowsSeen(None, None), 1_000))
+    election.handle(ClaimDone(claim.write_id, WriteOutcome.UNKNOWN, {}), 7_000)
+    own = Row(KEYS[0], 5, claim.write_id, claim.writes[0].value)
+    gained = election.handle(RowsSeen(own, row(KEYS[1], 6)), 7_500)
+    assert gained == [Gained(1, 5, 1_000 + LEASE_MS)]
+
+
+def test_a_stopping_owner_deletes_its_lease_under_its_epoch() -> None:
+    election = make_election()
+    claim = claim_of(election.handle(RowsSeen(None, None), 0))
+    election.handle(ClaimDone(claim.write_id, WriteOutcome.COMMITTED, {KEYS[0]: 1, KEYS[1]: 2}), 1)
+    lost, release = election.handle(StopAsked(), 2)
+    assert isinstance(lost, Lost) and isinstance(release, SendRelease)
+    assert [(w.key, w.value) for w in release.transaction.writes] == [(KEYS[1], None)]
+    assert [c.key for c in release.transaction.conditions] == [KEYS[0]]
+    assert election.role is Role.STOPPED
+    assert election.handle(RowsSeen(None, None), 10_000) == []
