--- a/packages/daemon/src/jacinthreel_daemon/_config_changes.py
+++ b/packages/daemon/src/jacinthreel_daemon/_config_changes.py
@@ -56,7 +56,7 @@
 RESEND_PAUSE_LIMIT_MS: Final = 1_000
 RETRY_AFTER_MS: Final = 2_000
 HISTORY_KEPT_VERSIONS: Final = 3_000
-HISTORY_LOOKBACK: Final = 32
+HISTORY_LOOKBACK: Final = 16
 CHANGE_PRIORITY: Final = 0
 """Operators' changes spend the budget of table operations before all other writes."""
 
