--- /dev/null
+++ b/packages/daemon/tests/test_scheduler_driver.py
@@ -0,0 +1,257 @@
+"""The driver of the shard core and of the election, with fakes around them."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    CONFIG_KEY,
+    CommandBatch,
+    CommandReply,
+    Condition,
+    ReadQuery,
+    ResultCode,
+    RowWrite,
+    StreamReply,
+    Transaction,
+    lease_key,
+)
+from jacinthreel_daemon._election_driver import ElectionDriver, OwnershipChange
+from jacinthreel_daemon._http_pool import HttpFailure
+from jacinthreel_daemon._logs import open_log
+from jacinthreel_daemon._ownership import LEASE_MS, Election, Gained, Lost, Renewed
+from jacinthreel_daemon._row_poll import RowPoller
+from jacinthreel_daemon._settings import LogLevel
+from jacinthreel_daemon._shard_driver import ShardDriver
+from jacinthreel_daemon._telemetry import MetricsRegistry
+from jacinthreel_jobs import (
+    JobCancelled,
+    LogDecision,
+    ReadRows,
+    Reply,
+    RowsRead,
+    SendBatch,
+    StepDown,
+    Tick,
+    WorkerReplied,
+    WorkerUnreachable,
+    Write,
+    WriteDone,
+    WriteOutcome,
+    WritePriority,
+)
+from jacinthreel_standins import MemoryStore, StoreOutcome
+
+BATCH = CommandBatch("r", 1, 1_000, 0)
+REPLY = CommandReply("w1", ResultCode.OK, 1, 1)
+
+
+class ManualClock:
+    def __init__(self) -> None:
+        self.time_ms = 1_000
+
+    def now_ms(self) -> int:
+        return self.time_ms
+
+    def unix_ms(self) -> int:
+        return 0
+
+
+class FakeCore:
+    """Answers a `Tick` with the effects that a test wants, and keeps all other events."""
+
+    epoch = 1
+
+    def __init__(self, *effects: Any) -> None:
+        self.effects = list(effects)
+        self.events: list[Any] = []
+
+    def handle(self, event: Any, now_ms: int) -> list[Any]:
+        if isinstance(event, JobCancelled):
+            return [Reply(event.call_id, ResultCode.OK, body={"job": event.job_id})]
+        if not isinstance(event, Tick):
+            self.events.append(event)
+            return []
+        if not self.effects:
+            raise KeyError("broken invariant")
+        return self.effects
+
+
+class FakeWorkers:
+    """Connects slowly: the clock moves by `connect_ms` before the last check."""
+
+    def __init__(self, clock: ManualClock, outcome: Result[CommandReply, HttpFailure]) -> None:
+        self.clock = clock
+        self.outcome = outcome
+        self.connect_ms = 0
+        self.sent = 0
+
+    async def send(
+        self, worker_id: str, batch: CommandBatch, may_send: Callable[[], bool]
+    ) -> Result[CommandReply, HttpFailure]:
+        self.clock.time_ms += self.connect_ms
+        if not may_send():
+            return Failure(HttpFailure(False, "too late"))
+        self.sent += 1
+        return self.outcome
+
+
+class Rig:
+    def __init__(self, *effects: Any) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryStore()
+        self.core = FakeCore(*effects)
+        self.workers = FakeWorkers(self.clock, Success(REPLY))
+        self.output = io.StringIO()
+        self.stepped_down: list[str] = []
+        self.stale = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.driver = ShardDriver(
+            self.core,  # type: ignore[arg-type]
+            self.store,
+            self.workers,  # type: ignore[arg-type]
+            self.clock,
+            MetricsRegistry(),
+            open_log("h1", "scheduler", LogLevel.INFO, self.output),
+            random.Random(1),
+            self.spawn,
+            self.stepped_down.append,
+            self.note_stale,
+        )
+
+    def spawn(self, coroutine: Any) -> asyncio.Task[None]:
+        self.tasks.append(asyncio.get_running_loop().create_task(coroutine))
+        return self.tasks[-1]
+
+    def note_stale(self) -> None:
+        self.stale += 1
+
+    def tick(self) -> list[Any]:
+        """Lets the core emit its effects, and returns the events that came of them."""
+
+        async def run() -> None:
+            self.driver.feed(Tick(0))
+            while pending := [task for task in self.tasks if not task.done()]:
+                await asyncio.wait(pending)
+
+        asyncio.run(run())
+        return self.core.events
+
+
+def write(*conditions: Condition) -> Write:
+    return Write("w", list(conditions), [RowWrite("a", 1)], WritePriority.ACCEPT)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (StoreOutcome.ANSWERED, WriteDone("w", WriteOutcome.COMMITTED, {"a": 1}, [])),
+        (StoreOutcome.REFUSED, WriteDone("w", WriteOutcome.FAILED, {}, [])),
+        (StoreOutcome.LOST_REPLY, WriteDone("w", WriteOutcome.UNKNOWN, {}, [])),
+        (StoreOutcome.LOST_REQUEST, WriteDone("w", WriteOutcome.UNKNOWN, {}, [])),
+    ],
+)
+def test_the_core_learns_what_became_of_a_write(outcome: StoreOutcome, expected: WriteDone) -> None:
+    rig = Rig(write())
+    rig.store.outcomes.append(outcome)
+    assert rig.tick() == [expected]
+
+
+def test_a_conflict_names_its_rows_and_a_newer_configuration_is_fetched() -> None:
+    rig = Rig(write(Condition("b", 7), Condition(CONFIG_KEY, 3)))
+    assert rig.tick() == [WriteDone("w", WriteOutcome.CONFLICT, {}, ["b", CONFIG_KEY])]
+    assert rig.stale == 1
+
+
+def test_a_read_is_repeated_until_it_succeeds() -> None:
+    rig = Rig(ReadRows("r1", ["a"]))
+    rig.store.reads_answered = deque([False, False])
+    rig.store.table.transact(Transaction("t", [], [RowWrite("a", 1)]))
+    (event,) = rig.tick()
+    assert isinstance(event, RowsRead) and [row.value for row in event.rows] == [1]
+
+
+def test_a_batch_whose_time_passes_while_it_connects_is_not_sent() -> None:
+    rig = Rig(SendBatch(3, "w1", BATCH, not_after_ms=1_500))
+    rig.workers.connect_ms = 500
+    assert rig.tick() == [WorkerUnreachable("w1", 3, 1_000, delivered=False)]
+    assert rig.workers.sent == 0
+    rig = Rig(SendBatch(3, "w1", BATCH, not_after_ms=1_500))
+    rig.workers.connect_ms = 499
+    assert rig.tick() == [WorkerReplied("w1", 3, 1_000, REPLY)]
+    rig = Rig(SendBatch(3, "w1", BATCH, not_after_ms=1_500))
+    rig.workers.outcome = Failure(HttpFailure(True, "cut"))
+    assert rig.tick() == [WorkerUnreachable("w1", 3, 1_000, delivered=True)]
+
+
+def test_a_core_that_fails_gives_the_shard_up_and_a_step_down_is_passed_on() -> None:
+    rig = Rig()
+    rig.tick()
+    assert rig.stepped_down == ["internal error"]
+    line = json.loads(rig.output.getvalue())
+    assert (line["event"], line["level"], line["host"]) == ("core_failed", "error", "h1")
+    assert "broken invariant" in line["exception"]
+    rig = Rig(StepDown("stale epoch"), LogDecision("place", {"job_id": "j", "host": "x"}))
+    rig.tick()
+    assert rig.stepped_down == ["stale epoch"]
+    line = json.loads(rig.output.getvalue())
+    assert (line["event"], line["job_id"], line["host"], line["host_"]) == ("place", "j", "h1", "x")
+
+
+def test_a_caller_gets_its_own_reply() -> None:
+    async def run() -> list[StreamReply]:
+        rig = Rig()
+        calls = [
+            rig.driver.submit(lambda call_id, job=job: JobCancelled(call_id, job)) for job in "abc"
+        ]
+        return await asyncio.gather(*calls)
+
+    assert [reply.body for reply in asyncio.run(run())] == [{"job": job} for job in "abc"]
+
+
+def test_the_election_driver_takes_over_renews_and_releases() -> None:
+    async def run() -> None:
+        clock, store = ManualClock(), MemoryStore()
+        changes: list[OwnershipChange] = []
+        tasks: list[asyncio.Task[None]] = []
+
+        def spawn(coroutine: Any) -> asyncio.Task[None]:
+            tasks.append(asyncio.get_running_loop().create_task(coroutine))
+            return tasks[-1]
+
+        def make(host_id: str) -> tuple[ElectionDriver, RowPoller]:
+            election = Election("r", host_id, "127.0.0.1", 9, f"{host_id}-boot")
+            driver = ElectionDriver(election, "r", store, clock, spawn, changes.append)
+            poller = RowPoller(store, clock)
+            poller.follow(driver)
+            return driver, poller
+
+        (first, first_poll), (second, second_poll) = make("h1"), make("h2")
+        await first_poll.poll()
+        await asyncio.gather(*tasks)
+        await second_poll.poll()
+        assert changes == [Gained(1, 1, 1_000 + LEASE_MS)]
+        clock.time_ms += 1_000
+        first.renewal_due(clock.time_ms)
+        await asyncio.gather(*tasks)
+        assert changes[1:] == [Renewed(2_000 + LEASE_MS)]
+        assert first.lease_valid() and not second.election.is_owner
+        await first.release()
+        assert not first.lease_valid() and isinstance(changes[2], Lost)
+        await second_poll.poll()
+        await asyncio.gather(*tasks)
+        assert second.lease_valid() and second.election.epoch == 2
+        await first_poll.poll()
+        assert (await store.read(ReadQuery([lease_key("r")]))).unwrap().rows
+        assert not first.election.is_owner
+
+    asyncio.run(run())
--- /dev/null
+++ b/packages/daemon/tests/test_telemetry_and_hosts.py
@@ -0,0 +1,200 @@
+"""Metrics, the host list, timers, and the HTTP side of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from tornado import web
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.testing import bind_unused_port
+
+from jacinthreel_common import Fault, Host, HostKind, HostListReply, ResultCode, encode_json
+from jacinthreel_daemon._clock import LoopTimers, SystemClock
+from jacinthreel_daemon._host_list import WARN_AFTER_FAILURES, HostListPoller
+from jacinthreel_daemon._http_pool import HttpPool, HttpReply
+from jacinthreel_daemon._http_server import (
+    MAX_BODY_BYTES,
+    HttpService,
+    JsonHandler,
+    ServingState,
+    write_fault,
+)
+from jacinthreel_daemon._telemetry import MetricsRegistry
+
+
+def test_metrics_are_written_with_one_type_line_each() -> None:
+    metrics = MetricsRegistry()
+    metrics.count('a_total{code="1"}', 2)
+    metrics.count("ab_total")
+    metrics.count('a_total{code="0"}')
+    for value_ms in range(1, 1001):
+        metrics.observe_ms('wait_ms{kind="x"}', value_ms)
+    lines = metrics.render().splitlines()
+    assert lines[:5] == [
+        "# TYPE a_total counter",
+        'a_total{code="0"} 1',
+        'a_total{code="1"} 2',
+        "# TYPE ab_total counter",
+        "ab_total 1",
+    ]
+    assert lines[-1] == 'wait_ms_count{kind="x"} 1000'
+    name, value = lines[8].split(" ")
+    assert name == 'wait_ms{kind="x",quantile="0.99"}' and abs(float(value) - 990) < 10
+
+
+class SumHandler(JsonHandler):
+    """Waits for its gate, or does what the body says."""
+
+    gate: asyncio.Event
+
+    async def post(self) -> None:
+        match json.loads(self.request.body):
+            case "wait":
+                await SumHandler.gate.wait()
+                self.finish("done")
+            case "raise":
+                raise ValueError("bug")
+            case "refuse":
+                write_fault(self, Fault(ResultCode.OVERLOADED, "full", 1_500))
+
+
+class Site:
+    """A service on loopback and a client of it."""
+
+    def __init__(self, routes: Any = ((r"/sum", SumHandler),)) -> None:
+        SumHandler.gate = asyncio.Event()
+        self.state = ServingState()
+        self.service = HttpService(self.state, MetricsRegistry(), list(routes))
+        sock, self.port = bind_unused_port(address="127.0.0.1")
+        self.service._server.add_sockets([sock])
+        self.client = HttpPool("127.0.0.1", self.port, 1_000)
+
+    async def post(self, body: object) -> HttpReply:
+        return (await self.client.post("/sum", json.dumps(body).encode(), 10_000)).unwrap()
+
+    async def get(self, path: str) -> HttpReply:
+        return (await self.client.get(path, 10_000)).unwrap()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status", "code"),
+    [
+        ("GET", "/healthz", "", 200, None),
+        ("GET", "/readyz", "", 200, None),
+        ("GET", "/nowhere", "", 404, 1009),
+        ("GET", "/sum", "", 404, 1009),
+        ("POST", "/sum", '"raise"', 500, 1010),
+        ("POST", "/sum", '"refuse"', 503, 2001),
+        ("POST", "/sum", "x" * (MAX_BODY_BYTES + 1), 413, 1005),
+    ],
+)
+def test_answers(method: str, path: str, body: str, status: int, code: int | None) -> None:
+    async def run() -> HttpReply:
+        site = Site()
+        if method == "GET":
+            return await site.get(path)
+        return (await site.client.post(path, body.encode(), 10_000)).unwrap()
+
+    reply = asyncio.run(run())
+    assert reply.status == status
+    assert json.loads(reply.body).get("code") == code
+
+
+def test_a_drain_fails_readiness_and_waits_for_requests_in_progress() -> None:
+    async def run() -> None:
+        site = Site()
+        waiting = [asyncio.create_task(site.post("wait")) for _ in range(3)]
+        while site.state.active < 3:
+            await asyncio.sleep(0.005)
+        site.state.draining = True
+        unready = await site.get("/readyz")
+        assert (unready.status, json.loads(unready.body)["code"]) == (503, 2005)
+        drain = asyncio.create_task(site.service.drain(60_000))
+        await site.service.stop_listening()
+        assert not drain.done()
+        SumHandler.gate.set()
+        assert [(await reply).body for reply in waiting] == [b"done"] * 3
+        assert await drain is True
+        assert not (await site.client.get("/healthz", 1_000)).value_or(None)
+
+    asyncio.run(run())
+
+
+def test_a_drain_gives_up_at_its_limit_and_forgets_callers_that_left() -> None:
+    async def run() -> None:
+        site = Site()
+        stream = await TCPClient().connect("127.0.0.1", site.port)
+        await stream.write(b'POST /sum HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\n"wait"')
+        while site.state.active < 1:
+            await asyncio.sleep(0.005)
+        assert await site.service.drain(50) is False
+        with pytest.raises(StreamClosedError):
+            await stream.read_until(b"\r\n")
+        while site.state.active:
+            await asyncio.sleep(0.005)
+
+    asyncio.run(run())
+
+
+class HostsHandler(web.RequestHandler):
+    replies: list[bytes]
+    asked: list[str]
+
+    def get(self) -> None:
+        HostsHandler.asked.append(self.get_argument("revision"))
+        body = HostsHandler.replies.pop(0)
+        self.set_status(200 if body else 503)
+        self.finish(body)
+
+
+def test_the_host_list_is_followed_by_revision_and_outlives_an_outage() -> None:
+    async def run() -> None:
+        site = Site([(r"/v1/hosts", HostsHandler)])
+        logged: list[str] = []
+        poller = HostListPoller(site.client, lambda event, fields: logged.append(event))
+        seen: list[list[str]] = []
+        poller.subscribe(lambda hosts: seen.append([host.host_id for host in hosts]))
+        hosts = [Host("w1", HostKind.WORKER, "127.0.0.1", 1, "za", "r")]
+        first = encode_json(HostListReply(4, hosts))
+        HostsHandler.asked = []
+        HostsHandler.replies = [b"", first, encode_json(HostListReply(4, [])), b"{}"]
+        HostsHandler.replies += [b""] * WARN_AFTER_FAILURES + [encode_json(HostListReply(5, []))]
+        for _ in range(len(HostsHandler.replies) - 1):
+            await poller.poll()
+        assert list(poller.by_id()) == ["w1"]
+        assert logged == ["host_list_unavailable"]
+        await poller.poll()
+        assert seen == [["w1"], []]
+        assert HostsHandler.asked == ["0", "0"] + ["4"] * (WARN_AFTER_FAILURES + 3)
+
+    asyncio.run(run())
+
+
+def test_timers_outlive_a_callback_that_raises() -> None:
+    async def run() -> list[str]:
+        errors: list[Exception] = []
+        seen: list[str] = []
+        done = asyncio.Event()
+        timers = LoopTimers(SystemClock(), errors.append)
+
+        def fail(now_ms: int) -> None:
+            seen.append("failed")
+            raise ValueError("bug")
+
+        def succeed(now_ms: int) -> None:
+            seen.append("ran")
+            if len(seen) >= 4:
+                done.set()
+
+        timers.every(10, fail)
+        timers.every(10, succeed)
+        await asyncio.wait_for(done.wait(), 20)
+        timers.stop()
+        assert len(errors) == seen.count("failed")
+        return seen
+
+    assert set(asyncio.run(run())) == {"failed", "ran"}
