--- a/scripts/_local_cluster.py
+++ b/scripts/_local_cluster.py
@@ -86,10 +86,10 @@
             self.start_role(host.host_id, "router")
             self.start_role(host.host_id, "scheduler")
         for host in self.entry_hosts():
-            self._wait_serving(host, "/healthz")
+            self.wait_serving(host, "/healthz")
         wait_until("first configuration", self._initialize)
         for host in self.entry_hosts():
-            self._wait_serving(host, "/readyz")
+            self.wait_serving(host, "/readyz")
         self.wait_for("a shard owner", lambda: self.owner_id() is not None)
 
     def start_stand_ins(self) -> None:
@@ -109,7 +109,7 @@
         for host in self.hosts_by_id.values():
             if host.kind is HostKind.ENTRY:
                 continue
-            self._wait_serving(host, "/healthz")
+            self.wait_serving(host, "/healthz")
 
     def start_role(self, host_id: str, role: str) -> None:
         """Starts the router or the scheduler of an entry host."""
@@ -213,7 +213,8 @@
     def _initialize(self) -> bool:
         return call(self.entry_hosts()[0].port, "POST", "/v1/config").status == 200
 
-    def _wait_serving(self, host: Host, path: str) -> None:
+    def wait_serving(self, host: Host, path: str) -> None:
+        """Waits until an address answers 200."""
         self.wait_for(f"{host.host_id} {path}", lambda: self._serves(host.port, path))
 
     def _serves(self, port: int, path: str) -> bool:
