Plan by rank with reservations, and keep claimed places between plans

A guaranteed gang that waits for borrowers to leave keeps its place from plan to plan.

Queued gangs are kept in order of rank per workspace and shape, so that a plan looks at one gang of a shape that does not fit and not at all of them.

--- a/packages/jobs/src/jacinthreel_jobs/_cells.py
+++ b/packages/jobs/src/jacinthreel_jobs/_cells.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -92,6 +93,12 @@
         self.cells_by_workspace.setdefault(cell.workspace, []).append(cell)
 
 
+def added_cost(cost: ClearingCost, worker_id: str, units: int, more: int) -> float:
+    """What clearing `more` units costs beyond `units` that are cleared anyway."""
+    before = cost(worker_id, units)
+    return cost(worker_id, units + more) - before if math.isfinite(before) else before
+
+
 def guaranteed_counts(workspace: Workspace) -> dict[CellLevel, int]:
     """How many cells of each level a workspace is guaranteed."""
     counts = dict.fromkeys(CellLevel, 0)
@@ -171,6 +178,7 @@
         """
         size = CELL_ACCELERATORS[level]
         whole_by_rack = self._whole_workers_by_rack()
+        laid_on: dict[str, int] = {}
         heap = [
             (cost(worker_id, size), spare, whole_by_rack.get(self.rack_of(worker_id), 0), worker_id)
             for worker_id, spare in self.spare.items()
@@ -184,9 +192,10 @@
             self.spare[worker_id] = spare - size
             rack = self.rack_of(worker_id)
             self.layout.add(LaidCell(workspace, level, rack, {worker_id: size}, bound=False))
+            laid_on[worker_id] = laid_on.get(worker_id, 0) + size
             if spare - size >= size:
-                units = self.workers_by_id[worker_id].units - spare + 2 * size
-                heapq.heappush(heap, (cost(worker_id, units), spare - size, whole, worker_id))
+                next_cost = added_cost(cost, worker_id, laid_on[worker_id], size)
+                heapq.heappush(heap, (next_cost, spare - size, whole, worker_id))
         return count
 
     def rack_of(self, worker_id: str) -> RackKey:
--- a/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
+++ b/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
@@ -38,7 +38,7 @@
     in_service: bool
     task_limit: int
     carries_cells: bool
-    borrower_ids: set[str] = field(default_factory=set)
+    tasks_by_borrower: dict[str, int] = field(default_factory=dict)
 
     def fits(self, spec: JobSpec) -> int:
         """How many more tasks of a gang can be placed here now."""
@@ -83,15 +83,16 @@
 
 @dataclass(slots=True)
 class ClusterView:
-    """All workers of a shard, and the running gangs that may be asked to make room.
+    """All workers of a shard, and the gangs on them.
 
-    `borrowers_by_id` are running gangs beyond their workspace's guarantee; `leaving_by_id` those
-    of them that were asked already.
+    `active` are all gangs that hold workers.  `borrowers_by_id` are those beyond their workspace's
+    guarantee that may be asked to make room; `leaving_by_id` those that were asked already.
     """
 
     workers_by_id: dict[str, WorkerView]
     cell_workers: list[CellWorker]
     bound_tasks: list[BoundTask]
+    active: list[JobEntry]
     borrowers_by_id: dict[str, JobEntry]
     leaving_by_id: dict[str, JobEntry]
 
@@ -108,7 +109,11 @@
 
     def bind(self, spec: JobSpec, placement: Iterable[TaskPlacement]) -> None:
         """Notes the cells that a placement occupies."""
-        self.bound_tasks.extend(_bound_tasks(spec, placement, self.workers_by_id))
+        self.bound_tasks.extend(self.bound_by(spec, placement))
+
+    def bound_by(self, spec: JobSpec, placement: Iterable[TaskPlacement]) -> Iterator[BoundTask]:
+        """The tasks of a placement that occupy cells."""
+        return _bound_tasks(spec, placement, self.workers_by_id)
 
 
 def build_view(tables: Tables) -> ClusterView:
@@ -123,9 +128,11 @@
         for worker in workers_by_id.values()
         if worker.carries_cells
     ]
-    view = ClusterView(workers_by_id, cell_workers, [], {}, {})
+    view = ClusterView(workers_by_id, cell_workers, [], [], {}, {})
     for job in tables.active_by_id.values():
         _add_active_job(view, job)
+    for entry in tables.workers_by_id.values():
+        _count_borrowers(view, entry)
     return view
 
 
@@ -155,17 +162,21 @@
 
 def _add_active_job(view: ClusterView, job: JobEntry) -> None:
     record = job.record
+    view.active.append(job)
     if not is_borrowing(record):
         view.bind(record.spec, record.placement)
         return
-    if job.state is JobState.RUNNING and not job.preempting_for:
-        view.borrowers_by_id[job.job_id] = job
-    elif job.preempting_for or job.state is JobState.STOPPING:
+    if job.preempting_for or job.state is JobState.STOPPING:
         view.leaving_by_id[job.job_id] = job
-    for task in record.placement:
-        worker = view.workers_by_id.get(task.worker_id)
-        if worker is not None:
-            worker.borrower_ids.add(job.job_id)
+    else:
+        view.borrowers_by_id[job.job_id] = job
+
+
+def _count_borrowers(view: ClusterView, entry: WorkerEntry) -> None:
+    worker = view.workers_by_id[entry.worker_id]
+    for job_id, _, _ in entry.held:
+        if job_id in view.borrowers_by_id or job_id in view.leaving_by_id:
+            worker.tasks_by_borrower[job_id] = worker.tasks_by_borrower.get(job_id, 0) + 1
 
 
 def is_borrowing(record: JobRecord) -> bool:
--- /dev/null
+++ b/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
@@ -0,0 +1,161 @@
+"""The first phase of a plan: gangs within the guarantee of their workspace.
+
+Queued gangs are placed in the cells of their own workspace, in the order given.  Where borrowers
+stand in the way, they are asked to make room, and the place stays claimed so that nobody else
+takes it.  Claims are kept from plan to plan: a gang that chose anew each time would follow the
+cheapest place around and take down borrowers in each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from jacinthreel_common import Adjacency, Config, JobSpec, TaskPlacement
+from jacinthreel_jobs._cells import Layout, lay_out
+from jacinthreel_jobs._cluster_view import ClusterView
+from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
+from jacinthreel_jobs._reclaim import ClearingCosts, choose_victims, place_in_cells, work_lost
+from jacinthreel_jobs._tables import JobEntry, Tables
+
+ShapeKey = tuple[int, int, int, int, Adjacency, tuple[str, ...]]
+
+
+def shape_key(job: JobEntry) -> ShapeKey:
+    """What decides whether a gang fits; equal gangs fit or don't alike within one plan."""
+    spec = job.record.spec
+    return (
+        spec.tasks,
+        spec.accelerators_per_task,
+        spec.cores_per_task,
+        spec.memory_gb_per_task,
+        spec.adjacency,
+        tuple(job.record.failed_workers),
+    )
+
+
+@dataclass(slots=True)
+class Claims:
+    """Places that gangs wait for, by job id, under one version of the configuration."""
+
+    config_version: int = 0
+    placements_by_id: dict[str, list[TaskPlacement]] = field(default_factory=dict)
+
+
+class GuaranteedPass:
+    """Places gangs in cells; `handled` holds the ids of those placed or waiting for room."""
+
+    def __init__(
+        self, tables: Tables, config: Config, view: ClusterView, claims: Claims, now_ms: int
+    ) -> None:
+        self.decisions: list[Decision] = []
+        self.handled: set[str] = set()
+        self._settings = config.settings
+        self._workspaces = list(config.workspaces.values())
+        self._view = view
+        self._now_ms = now_ms
+        self._costs = ClearingCosts(view, self._loss)
+        self._claims = claims
+        self._layout = self._lay_out()
+        self._renew_claims(tables, config.version)
+
+    def run(self, jobs: Iterable[JobEntry]) -> None:
+        """Places what fits the guarantees, in order."""
+        missed: set[tuple[str, ShapeKey]] = set()
+        for job in jobs:
+            key = (job.record.spec.workspace, shape_key(job))
+            if key not in missed and not self.visit(job):
+                missed.add(key)
+
+    def visit(self, job: JobEntry) -> bool:
+        """Places one gang or claims its place; false if it does not fit its guarantee."""
+        spec = job.record.spec
+        if not self._may_fit(spec):
+            return False
+        avoid = job.record.failed_workers
+        placement = place_in_cells(spec, self._view, self._workspaces, self._costs, avoid)
+        if placement is None:
+            return False
+        self._claim(job, placement)
+        return True
+
+    def _lay_out(self) -> Layout:
+        return lay_out(self._workspaces, self._view.cell_workers, self._view.bound_tasks)
+
+    def _renew_claims(self, tables: Tables, config_version: int) -> None:
+        """Takes up the claims of earlier plans that still stand."""
+        claimed = self._claims.placements_by_id
+        self._claims.placements_by_id = {}
+        if self._claims.config_version != config_version:
+            self._claims.config_version = config_version
+            return
+        for job_id, placement in claimed.items():
+            job = tables.queued_by_id.get(job_id)
+            if job is None or job.record.cancel_requested or job.not_before_ms > self._now_ms:
+                continue
+            if self._claim_stands(job.record.spec, placement):
+                self._claim(job, placement)
+
+    def _claim_stands(self, spec: JobSpec, placement: list[TaskPlacement]) -> bool:
+        """Whether all workers of a claim take tasks and all guarantees still fit beside it."""
+        for task in placement:
+            worker = self._view.workers_by_id.get(task.worker_id)
+            if worker is None or not worker.in_service or worker.task_limit <= 0:
+                return False
+        bound = [*self._view.bound_tasks, *self._view.bound_by(spec, placement)]
+        layout = lay_out(self._workspaces, self._view.cell_workers, bound)
+        return len(layout.missing) <= len(self._layout.missing)
+
+    def units_set_aside(self) -> dict[str, int]:
+        """The units of each worker that cells take which their owner does not use now."""
+        units: dict[str, int] = {}
+        for cells in self._layout.cells_by_workspace.values():
+            for cell in cells:
+                for worker_id, room in cell.room_by_worker.items():
+                    units[worker_id] = units.get(worker_id, 0) + room
+        return units
+
+    def _may_fit(self, spec: JobSpec) -> bool:
+        """Whether the cells of a gang's workspace have room for it, wherever they are."""
+        tasks = 0
+        for cell in self._layout.cells_by_workspace.get(spec.workspace, ()):
+            for worker_id, room in cell.room_by_worker.items():
+                tasks += room // self._view.workers_by_id[worker_id].units_per_task(spec)
+            if tasks >= spec.tasks:
+                return True
+        return False
+
+    def _loss(self, job: JobEntry) -> float:
+        return work_lost(job, self._now_ms)
+
+    def _claim(self, job: JobEntry, placement: list[TaskPlacement]) -> None:
+        spec = job.record.spec
+        view = self._view
+        self.handled.add(job.job_id)
+        view.take(spec, placement)
+        view.bind(spec, placement)
+        worker_ids = {task.worker_id for task in placement}
+        if not any(view.workers_by_id[worker_id].is_short() for worker_id in worker_ids):
+            reason = "within the workspace's guarantee"
+            candidates = len(view.workers_by_id)
+            self.decisions.append(Place(job.job_id, placement, False, reason, candidates))
+        else:
+            self._claims.placements_by_id[job.job_id] = placement
+            self._clear(spec, placement)
+        self._costs.claim(placement)
+        self._layout = self._lay_out()
+
+    def _clear(self, spec: JobSpec, placement: list[TaskPlacement]) -> None:
+        for victim in choose_victims(placement, self._view, self._loss) or ():
+            mode = preempt_mode(spec, victim, self._settings.checkpoint_grace_ms)
+            reason = f"workspace {spec.workspace} reclaims its guarantee"
+            self.decisions.append(Preempt(victim.job_id, spec.job_id, mode, reason))
+            del self._view.borrowers_by_id[victim.job_id]
+            self._view.leaving_by_id[victim.job_id] = victim
+
+
+def preempt_mode(spec: JobSpec, victim: JobEntry, grace_ms: int) -> PreemptMode:
+    """Urgent gangs don't wait for checkpoints, and some gangs can't keep any."""
+    if spec.urgent or not victim.record.spec.checkpointable or not grace_ms:
+        return PreemptMode.STOP
+    return PreemptMode.CHECKPOINT
--- a/packages/jobs/src/jacinthreel_jobs/_reclaim.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -17,10 +17,11 @@
     Adjacency,
     CellLevel,
     JobSpec,
+    JobState,
     TaskPlacement,
     Workspace,
 )
-from jacinthreel_jobs._cells import LEVELS_LARGEST_FIRST, LaidCell, lay_out
+from jacinthreel_jobs._cells import LEVELS_LARGEST_FIRST, LaidCell, added_cost, lay_out
 from jacinthreel_jobs._cluster_view import ClusterView, WorkerView
 from jacinthreel_jobs._fit import adjacency_group
 from jacinthreel_jobs._tables import JobEntry
@@ -48,6 +49,8 @@
     """The accelerator seconds lost when a running gang is taken down now."""
     spec = job.record.spec
     size = max(1, spec.accelerators)
+    if job.state is JobState.PLACED:
+        return size * PREEMPTION_COST_S
     if spec.checkpointable:
         return size * (CHECKPOINT_COST_S + PREEMPTION_COST_S)
     return size * (max(0.0, (now_ms - job.started_ms) / 1000) + PREEMPTION_COST_S)
@@ -84,12 +87,11 @@
         """Pairs of units free and cost, cheapest borrowers first."""
         room = Room(worker.free_accelerators, worker.free_cores, worker.free_memory_gb)
         borrowers: list[tuple[float, JobSpec, int]] = []
-        for job_id in worker.borrower_ids:
+        for job_id, tasks in worker.tasks_by_borrower.items():
             running = self._view.borrowers_by_id.get(job_id)
             job = running or self._view.leaving_by_id.get(job_id)
             if job is None:
                 continue
-            tasks = sum(t.worker_id == worker.worker_id for t in job.record.placement)
             loss = self._loss_of(job) if running is not None else 0.0
             borrowers.append((loss, job.record.spec, tasks))
         borrowers.sort(key=lambda item: (item[0], item[1].job_id))
@@ -148,8 +150,9 @@
     )
     avoided = frozenset(avoid)
     slots_by_group: dict[tuple[str, ...], list[_Slot]] = {}
+    cleared: dict[str, int] = {}
     for cell in layout.cells_by_workspace.get(spec.workspace, []):
-        for slot in _slots(spec, cell, view, costs):
+        for slot in _slots(spec, cell, view, costs, cleared):
             worker = slot.worker
             if worker.worker_id in avoided:
                 continue
@@ -175,7 +178,14 @@
     return CellLevel.RACK
 
 
-def _slots(spec: JobSpec, cell: LaidCell, view: ClusterView, costs: ClearingCosts) -> list[_Slot]:
+def _slots(
+    spec: JobSpec,
+    cell: LaidCell,
+    view: ClusterView,
+    costs: ClearingCosts,
+    cleared: dict[str, int],
+) -> list[_Slot]:
+    """The slots of a cell; `cleared` counts the units of each worker in slots so far."""
     slots: list[_Slot] = []
     for worker_id, room in cell.room_by_worker.items():
         worker = view.workers_by_id[worker_id]
@@ -183,9 +193,12 @@
             continue
         units = worker.units_per_task(spec)
         tasks = min(room // units, worker.task_limit)
-        if tasks > 0:
-            cost = costs.cost(worker_id, tasks * units)
-            slots.append(_Slot(cell.level, cell.bound, worker, tasks, cost, room))
+        if tasks <= 0:
+            continue
+        before = cleared.get(worker_id, 0)
+        cleared[worker_id] = before + tasks * units
+        cost = added_cost(costs.cost, worker_id, before, tasks * units)
+        slots.append(_Slot(cell.level, cell.bound, worker, tasks, cost, room))
     return slots
 
 
@@ -217,7 +230,7 @@
 
 
 def choose_victims(
-    spec: JobSpec, placement: list[TaskPlacement], view: ClusterView, loss_of: LossOf
+    placement: list[TaskPlacement], view: ClusterView, loss_of: LossOf
 ) -> list[JobEntry] | None:
     """Borrowers to take down so that a placement, claimed in the view already, has room.
 
@@ -225,37 +238,45 @@
     Room that leaving gangs will give back counts as free.
     """
     short_ids = {t.worker_id for t in placement if view.workers_by_id[t.worker_id].is_short()}
-    returned: list[tuple[WorkerView, JobSpec]] = []
+    returned: list[_Returned] = []
     for job in view.leaving_by_id.values():
-        _give_back(job, view, short_ids, returned)
+        returned.extend(_give_back(job, view, short_ids))
     victims: list[JobEntry] = []
+    given: dict[str, list[_Returned]] = {}
     while any(view.workers_by_id[worker_id].is_short() for worker_id in short_ids):
-        victim = _cheapest_borrower(view, short_ids, victims, loss_of)
+        victim = _cheapest_borrower(view, short_ids, given, loss_of)
         if victim is None:
             break
         victims.append(victim)
-        _give_back(victim, view, short_ids, returned)
+        given[victim.job_id] = _give_back(victim, view, short_ids)
     made_room = not any(view.workers_by_id[worker_id].is_short() for worker_id in short_ids)
-    needless = _needless(victims, view, short_ids) if made_room else []
-    for worker, borrower_spec in returned:
-        worker.take(borrower_spec, 1)
-    if not made_room:
-        return None
-    return [victim for victim in victims if victim.job_id not in needless]
+    if made_room:
+        victims = _without_needless(victims, given)
+    for room in [*returned, *(room for rooms in given.values() for room in rooms)]:
+        room.worker.take(room.spec, room.tasks)
+    return victims if made_room else None
+
+
+@dataclass(frozen=True, slots=True)
+class _Returned:
+    """Room that a gang would give back on one worker."""
+
+    worker: WorkerView
+    spec: JobSpec
+    tasks: int
 
 
 def _cheapest_borrower(
-    view: ClusterView, short_ids: set[str], chosen: list[JobEntry], loss_of: LossOf
+    view: ClusterView, short_ids: set[str], chosen: Container[str], loss_of: LossOf
 ) -> JobEntry | None:
-    chosen_ids = {job.job_id for job in chosen}
     best: tuple[float, str] | None = None
     for worker_id in short_ids:
         worker = view.workers_by_id[worker_id]
         if not worker.is_short():
             continue
-        for job_id in worker.borrower_ids:
+        for job_id in worker.tasks_by_borrower:
             job = view.borrowers_by_id.get(job_id)
-            if job is None or job_id in chosen_ids:
+            if job is None or job_id in chosen:
                 continue
             candidate = (loss_of(job), job_id)
             if best is None or candidate < best:
@@ -263,40 +284,28 @@
     return None if best is None else view.borrowers_by_id[best[1]]
 
 
-def _give_back(
-    job: JobEntry,
-    view: ClusterView,
-    short_ids: set[str],
-    returned: list[tuple[WorkerView, JobSpec]],
-) -> None:
-    spec = job.record.spec
-    for task in job.record.placement:
-        if task.worker_id not in short_ids:
-            continue
-        worker = view.workers_by_id[task.worker_id]
-        worker.give(spec, 1)
-        returned.append((worker, spec))
+def _give_back(job: JobEntry, view: ClusterView, short_ids: set[str]) -> list[_Returned]:
+    returned: list[_Returned] = []
+    for worker_id in short_ids:
+        worker = view.workers_by_id[worker_id]
+        tasks = worker.tasks_by_borrower.get(job.job_id, 0)
+        if tasks:
+            worker.give(job.record.spec, tasks)
+            returned.append(_Returned(worker, job.record.spec, tasks))
+    return returned
 
 
-def _needless(victims: list[JobEntry], view: ClusterView, short_ids: set[str]) -> set[str]:
-    """Victims, dearest first, without which there is room all the same."""
-    needless: set[str] = set()
-    taken: list[tuple[WorkerView, JobSpec]] = []
+def _without_needless(victims: list[JobEntry], given: dict[str, list[_Returned]]) -> list[JobEntry]:
+    """Drops victims, dearest first, without which there is room all the same."""
+    needed: list[JobEntry] = []
     for victim in reversed(victims):
-        spec = victim.record.spec
-        workers = [
-            view.workers_by_id[task.worker_id]
-            for task in victim.record.placement
-            if task.worker_id in short_ids
-        ]
-        for worker in workers:
-            worker.take(spec, 1)
-        if any(worker.is_short() for worker in workers):
-            for worker in workers:
-                worker.give(spec, 1)
-            continue
-        needless.add(victim.job_id)
-        taken.extend((worker, spec) for worker in workers)
-    for worker, spec in taken:
-        worker.give(spec, 1)
-    return needless
+        rooms = given[victim.job_id]
+        for room in rooms:
+            room.worker.take(room.spec, room.tasks)
+        if any(room.worker.is_short() for room in rooms):
+            for room in rooms:
+                room.worker.give(room.spec, room.tasks)
+            needed.append(victim)
+        else:
+            given[victim.job_id] = []
+    return needed[::-1]
