Tell apart what may have reached a router, and test the operators' interface

A connection that is reset after the request was sent raised the same kind of error as one that never came about, so the command line could have repeated a request that is not idempotent. Only errors of connecting count as not sent; errors without a number, from a balancer, count as maybe arrived.

--- a/packages/cli/src/jacinthreel_cli/_routers.py
+++ b/packages/cli/src/jacinthreel_cli/_routers.py
@@ -8,14 +8,15 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
 from returns.result import Failure, Success
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
-from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+from tornado.simple_httpclient import HTTPTimeoutError
 
 from jacinthreel_cli._exit import CommandError, ExitStatus, refusal, usage_error
 from jacinthreel_common import (
@@ -41,6 +42,11 @@
 }
 """Refusals of a repeated call that leave open what became of the first sending."""
 
+_NOT_CONNECTED_ERRNOS: Final = frozenset(
+    {errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.EADDRNOTAVAIL}
+)
+"""Errors of a connection that never came about; any other may follow a sent request."""
+
 
 @dataclass(frozen=True, slots=True)
 class ApiCall:
@@ -56,16 +62,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ApiAnswer:
-    """What a router answered."""
+    """What a router answered where it did what it was asked."""
 
     status: int
     body: bytes
-    headers: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The numbered error that a router answered."""
+
+    fault: Fault
 
 
 @dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """Why a router gave no answer; `sent` is false where nothing can have reached it."""
+    """Why a router gave no answer; `sent` is false where nothing can have reached it.
+
+    An error without a number comes from something between, such as a balancer.
+    """
 
     sent: bool
     reason: str
@@ -104,31 +119,34 @@
         return asyncio.run(self._call(call))
 
     async def _call(self, call: ApiCall) -> ApiAnswer:
-        lost: NoAnswer | None = None
+        lost = False
         reasons: list[str] = []
         for number, address in enumerate(self._addresses, start=1):
-            answer = await _send(address, call)
-            if isinstance(answer, NoAnswer):
-                reasons.append(f"{address}: {answer.reason}")
-                lost = answer if answer.sent else lost
-                if answer.sent and not call.repeatable:
-                    break
-                continue
-            if answer.status < 300:
-                return answer
-            fault = read_fault(answer)
-            if fault.code in _NEXT_ROUTER_CODES and number < len(self._addresses):
-                reasons.append(f"{address}: {fault.code.name}")
-                continue
-            if lost is not None and fault.code in _SAYS_NOTHING_CODES:
-                reasons.append(f"{address}: {fault.code.name}")
-                continue
-            raise refusal(fault)
+            match await _send(address, call):
+                case ApiAnswer() as answer:
+                    return answer
+                case Refused(fault):
+                    is_last = number == len(self._addresses)
+                    if not _try_next(fault.code, lost, is_last):
+                        raise refusal(fault)
+                    reasons.append(f"{address}: {fault.code.name}")
+                case NoAnswer(sent, reason):
+                    reasons.append(f"{address}: {reason}")
+                    lost = lost or sent
+                    if sent and not call.repeatable:
+                        break
         code = ResultCode.PEER_TIMEOUT if lost else ResultCode.PEER_UNREACHABLE
         raise CommandError(ExitStatus.UNKNOWN, Fault(code, "; ".join(reasons)))
 
 
-async def _send(address: str, call: ApiCall) -> ApiAnswer | NoAnswer:
+def _try_next(code: ResultCode, lost: bool, is_last: bool) -> bool:
+    """Whether a refusal leaves something to ask of the next router, or to leave unknown."""
+    if lost:
+        return code in _SAYS_NOTHING_CODES
+    return code in _NEXT_ROUTER_CODES and not is_last
+
+
+async def _send(address: str, call: ApiCall) -> ApiAnswer | Refused | NoAnswer:
     client = AsyncHTTPClient(force_instance=True)
     request = HTTPRequest(
         f"http://{address}{call.path}",
@@ -144,20 +162,20 @@
         response: HTTPResponse = await client.fetch(request, raise_error=False)
     except HTTPTimeoutError as error:
         return NoAnswer("connecting" not in str(error), "no answer in time")
-    except HTTPStreamClosedError:
-        return NoAnswer(True, "connection lost")
+    except HTTPClientError as error:
+        return NoAnswer(True, error.message)
     except OSError as error:
-        return NoAnswer(False, error.strerror or str(error))
+        return NoAnswer(error.errno not in _NOT_CONNECTED_ERRNOS, error.strerror or str(error))
     finally:
         client.close()
-    return ApiAnswer(response.code, response.body, dict(response.headers.get_all()))
+    return _read_answer(response)
 
 
-def read_fault(answer: ApiAnswer) -> Fault:
-    """The numbered error of an answer."""
-    match decode_json(ErrorBody, answer.body):
+def _read_answer(response: HTTPResponse) -> ApiAnswer | Refused | NoAnswer:
+    if response.code < 300:
+        return ApiAnswer(response.code, response.body)
+    match decode_json(ErrorBody, response.body):
         case Success(ErrorBody(code, _, detail, retry_after_ms)):
-            return Fault(code, detail, retry_after_ms)
+            return Refused(Fault(code, detail, retry_after_ms))
         case _:
-            detail = f"HTTP {answer.status} without a numbered error"
-            return Fault(ResultCode.INTERNAL, detail)
+            return NoAnswer(True, f"HTTP {response.code} without a numbered error")
--- /dev/null
+++ b/packages/cli/tests/test_routers.py
@@ -0,0 +1,169 @@
+"""Which router a call goes to next, and what the exit status says."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+import pytest
+
+from jacinthreel_cli import _routers
+from jacinthreel_cli.__main__ import run
+from jacinthreel_cli._config_commands import find_behind
+from jacinthreel_cli._exit import CommandError, ExitStatus
+from jacinthreel_cli._routers import (
+    ApiAnswer,
+    ApiCall,
+    NoAnswer,
+    Refused,
+    Routers,
+    parse_routers,
+)
+from jacinthreel_common import Fault, HostState, ProcessLine, ResultCode, SystemStatus
+
+
+def refused(code: ResultCode) -> Refused:
+    return Refused(Fault(code, "", 1_000))
+
+
+DONE = ApiAnswer(200, b"{}")
+NOT_SENT = NoAnswer(False, "refused")
+LOST = NoAnswer(True, "connection lost")
+CONFLICT = refused(ResultCode.CONFIG_CONFLICT)
+STORE_OUT = refused(ResultCode.STORE_UNAVAILABLE)
+STOPPING = refused(ResultCode.SHUTTING_DOWN)
+UNKNOWN = refused(ResultCode.CONFIG_OUTCOME_UNKNOWN)
+BALANCER_ERROR = NoAnswer(True, "HTTP 502 without a numbered error")
+Answer = ApiAnswer | Refused | NoAnswer
+Answers = list[Answer]
+
+CASES: dict[str, tuple[Answers, bool, ExitStatus, int]] = {
+    "the first answers": ([DONE, DONE], True, ExitStatus.DONE, 1),
+    "the first is down": ([NOT_SENT, DONE], False, ExitStatus.DONE, 2),
+    "the first is stopping": ([STOPPING, DONE], False, ExitStatus.DONE, 2),
+    "a refusal is final": ([CONFLICT, DONE], True, ExitStatus.REFUSED, 1),
+    "all are down": ([NOT_SENT, NOT_SENT], True, ExitStatus.UNKNOWN, 2),
+    "a lost answer is repeated where that is safe": ([LOST, DONE], True, ExitStatus.DONE, 2),
+    "a lost answer is not repeated otherwise": ([LOST, DONE], False, ExitStatus.UNKNOWN, 1),
+    "a refusal that says nothing of the first": ([LOST, STORE_OUT], True, ExitStatus.UNKNOWN, 2),
+    "a refusal that settles the first": ([LOST, CONFLICT], True, ExitStatus.REFUSED, 2),
+    "the server doesn't know": ([UNKNOWN, DONE], True, ExitStatus.UNKNOWN, 1),
+    "a balancer's error": ([BALANCER_ERROR, DONE], True, ExitStatus.DONE, 2),
+    "a balancer's error, unsafe": ([BALANCER_ERROR, DONE], False, ExitStatus.UNKNOWN, 1),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_failover(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    answers, repeatable, status, sendings = CASES[name]
+    sent: list[str] = []
+
+    async def send(address: str, call: ApiCall) -> Answer:
+        sent.append(address)
+        return answers[len(sent) - 1]
+
+    monkeypatch.setattr(_routers, "_send", send)
+    call = ApiCall("POST", "/v1/x", repeatable=repeatable)
+    try:
+        Routers(["10.0.0.1:80", "10.0.0.2:80"]).call(call)
+        seen = ExitStatus.DONE
+    except CommandError as error:
+        seen = error.status
+    assert (seen, len(sent)) == (status, sendings)
+
+
+@pytest.mark.parametrize(
+    ("text", "code"),
+    [
+        ("localhost:80", ResultCode.NOT_AN_IP),
+        ("10.0.0.1", ResultCode.BAD_SETTINGS),
+        ("10.0.0.1:0", ResultCode.BAD_SETTINGS),
+        ("10.0.0.1:70000", ResultCode.BAD_SETTINGS),
+    ],
+)
+def test_bad_router_addresses(text: str, code: ResultCode) -> None:
+    with pytest.raises(CommandError) as caught:
+        parse_routers([text])
+    assert (caught.value.fault.code, caught.value.status) == (code, ExitStatus.USAGE)
+
+
+def test_routers_come_from_the_environment(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setenv("JACINTHREEL_ROUTERS", "10.0.0.1:80, [::1]:81")
+    assert parse_routers([]) == ["10.0.0.1:80", "[::1]:81"]
+    assert parse_routers(["10.0.0.3:80"]) == ["10.0.0.3:80"]
+
+
+def test_who_is_behind_a_version() -> None:
+    def line(host_id: str, version: int, state: HostState, code: ResultCode) -> ProcessLine:
+        return ProcessLine(host_id, "router", "a", state, code, config_version=version)
+
+    unreachable = ResultCode.PEER_UNREACHABLE
+    lines = [
+        line("h1", 5, HostState.LIVE, ResultCode.OK),
+        line("h2", 4, HostState.LIVE, ResultCode.OK),
+        line("h3", 0, HostState.LIVE, unreachable),
+        line("h4", 0, HostState.LEAVING, unreachable),
+    ]
+    status = SystemStatus("r", "h1", None, None, lines)
+    assert find_behind(status, 5) == ["h2/router", "h3/router"]
+
+
+USAGE_CASES: dict[str, list[str]] = {
+    "no router": ["status"],
+    "unknown command": ["reboot"],
+    "unknown cell": ["workspace", "set", "x", "--guarantee", "shelf=1", "--router", "10.0.0.1:1"],
+    "unknown preset": ["preset", "activate", "holiday", "--router", "10.0.0.1:1"],
+    "unknown code": ["codes", "explain", "42"],
+    "job out of range": (
+        ["job", "submit", "--workspace", "x", "--tasks", "0", "--accelerators", "1"]
+        + ["--router", "10.0.0.1:1"]
+    ),
+}
+
+
+@pytest.mark.parametrize("name", USAGE_CASES)
+def test_bad_usage_ends_with_status_2(
+    name: str, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.delenv("JACINTHREEL_ROUTERS", raising=False)
+    assert run(USAGE_CASES[name]) is ExitStatus.USAGE
+    captured: Any = capsys.readouterr()
+    assert captured.err or captured.out
+
+
+def test_codes_are_explained(capsys: pytest.CaptureFixture[str]) -> None:
+    assert run(["codes", "explain", "4001"]) is ExitStatus.DONE
+    assert "CONFIG_CONFLICT" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "sent"),
+    [("refuse", False), ("close", True), ("reset", True), ("half an answer", True)],
+)
+def test_what_may_have_arrived(behaviour: str, sent: bool) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        if behaviour == "reset":
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if behaviour == "half an answer":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+            await writer.drain()
+        writer.close()
+
+    async def run() -> ApiAnswer | Refused | NoAnswer:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        if behaviour == "refuse":
+            server.close()
+            await server.wait_closed()
+        try:
+            return await _routers._send(f"127.0.0.1:{port}", ApiCall("GET", "/v1/x"))
+        finally:
+            server.close()
+
+    answer = asyncio.run(run())
+    assert isinstance(answer, NoAnswer)
+    assert answer.sent == sent
--- a/packages/daemon/tests/test_config_changes.py
+++ b/packages/daemon/tests/test_config_changes.py
@@ -3,11 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -21,12 +17,9 @@
     Config,
     Fault,
     GuaranteedShape,
-    Host,
-    HostKind,
     PresetName,
     ReadQuery,
     ResultCode,
-    StreamReply,
     Workspace,
     convert,
 )
@@ -41,82 +34,13 @@
     SetWorkspace,
     TakeZoneOut,
 )
-from jacinthreel_daemon._context import RouterContext
-from jacinthreel_daemon._ports import AppliedConfig
 from jacinthreel_standins import MemoryStore, StoreOutcome
 
-
-@dataclass
-class FakeProcess:
-    """The ports of a router that the changer uses."""
-
-    store: MemoryStore
-    seen_versions: list[int] = field(default_factory=list)
-    pushed: list[Any] = field(default_factory=list)
-
-    def now_ms(self) -> int:
-        return 0
-
-    def unix_ms(self) -> int:
-        return 1_000
-
-    def by_id(self) -> dict[str, Host]:
-        hosts = [
-            Host(f"w{n}", HostKind.WORKER, "127.0.0.1", n + 1, zone, "r", accelerators=8)
-            for n, zone in enumerate(["a", "b"])
-        ]
-        return {host.host_id: host for host in hosts}
-
-    def subscribe(self, callback: Callable[[Any], None]) -> None:
-        raise NotImplementedError
-
-    def current(self) -> AppliedConfig | None:
-        return None
-
-    def apply(self, config: Config, row_version: int) -> bool:
-        self.seen_versions.append(config.version)
-        return True
-
-    def notify_all(self, message: object) -> None:
-        self.pushed.append(message)
-
-    async def call(
-        self, address: str, port: int, message: object, timeout_ms: int
-    ) -> Result[StreamReply, Fault]:
-        raise NotImplementedError
-
-    def owner_address(self) -> tuple[str, int] | None:
-        return None
-
-    def count(self, name: str, amount: int = 1) -> None:
-        pass
-
-    def observe_ms(self, name: str, value_ms: float) -> None:
-        pass
-
-    def gauge(self, name: str, value: float) -> None:
-        pass
+from .router_fakes import FakeProcess
 
 
 def make_changer(process: FakeProcess) -> ConfigChanger:
-    async def sleep(seconds: float) -> None:
-        await asyncio.sleep(0)
-
-    context = RouterContext(
-        host_id="h1",
-        zone="a",
-        region="r",
-        clock=process,
-        store=process.store,
-        config=process,
-        hosts=process,
-        streams=process,
-        owner=process,
-        telemetry=process,
-        log_decision=lambda event, fields: None,
-        rng=random.Random(1),
-    )
-    return ConfigChanger(context, sleep)
+    return ConfigChanger(process.context(), process.sleep)
 
 
 def change_one(store: MemoryStore, *requests: ChangeRequest) -> list[Result[ChangeAccepted, Fault]]:
--- /dev/null
+++ b/packages/daemon/tests/test_operator_api.py
@@ -0,0 +1,135 @@
+"""The operators' HTTP interface: paths, headers and numbered errors."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application
+
+from jacinthreel_daemon._operator_api import OperatorService
+
+from .router_fakes import FakeProcess
+
+Call = tuple[str, str, Any, dict[str, str]]
+
+
+def serve(process: FakeProcess, *calls: Call) -> list[tuple[int, Any]]:
+    """Makes calls one after the other; their statuses and bodies."""
+
+    async def run() -> list[tuple[int, Any]]:
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application(OperatorService(process.context()).routes()))
+        server.add_sockets([socket])
+        answers: list[tuple[int, Any]] = []
+        for method, path, body, headers in calls:
+            sent = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+            answer = await AsyncHTTPClient().fetch(
+                f"http://127.0.0.1:{port}{path}",
+                method=method,
+                body=sent,
+                headers=headers,
+                raise_error=False,
+                allow_nonstandard_methods=True,
+            )
+            answers.append((answer.code, json.loads(answer.body)))
+        server.stop()
+        return answers
+
+    return asyncio.run(run())
+
+
+INIT: Call = ("POST", "/v1/config", None, {})
+
+BAD_CALLS: dict[str, tuple[Call, int, int]] = {
+    "broken JSON": (("PUT", "/v1/workspaces/x", b"{", {}), 400, 1001),
+    "unknown field": (("PUT", "/v1/workspaces/x", {"colour": 1}, {}), 400, 1002),
+    "wrong type": (("PUT", "/v1/workspaces/x", {"weight": "1"}, {}), 400, 1003),
+    "out of range": (("PUT", "/v1/workspaces/x", {"weight": 0}, {}), 400, 1004),
+    "bad name": (("PUT", "/v1/workspaces/X", {}, {}), 400, 1004),
+    "cell level twice": (
+        ("PUT", "/v1/workspaces/x", {"guarantee": [{"cell": "pair", "count": 1}] * 2}, {}),
+        422,
+        4006,
+    ),
+    "guarantee too large": (
+        ("PUT", "/v1/workspaces/x", {"guarantee": [{"cell": "rack", "count": 1}]}, {}),
+        422,
+        4002,
+    ),
+    "bad version": (("POST", "/v1/presets/peak/activate", None, {"If-Match": "x"}), 400, 1003),
+    "old version": (("POST", "/v1/presets/peak/activate", None, {"If-Match": "7"}), 409, 4001),
+    "bad change id": (("POST", "/v1/zones/a/in", None, {"X-Change-Id": "a b"}), 400, 1004),
+    "unknown zone": (("POST", "/v1/zones/x/out", {"reason": "r"}, {}), 404, 4003),
+    "unknown preset": (("GET", "/v1/presets/x", None, {}), 404, 4004),
+    "preset setting out of range": (
+        ("PUT", "/v1/presets/peak", {"retry_budget_ratio": 2.0}, {}),
+        400,
+        1004,
+    ),
+    "unknown workspace": (("DELETE", "/v1/workspaces/x", None, {}), 404, 3002),
+    "bad history limit": (("GET", "/v1/config/history?limit=0", None, {}), 400, 1004),
+    "bad job state": (("GET", "/v1/jobs?state=lost", None, {}), 400, 1004),
+    "bad job": (("POST", "/v1/jobs", {"job_id": "j"}, {}), 400, 1003),
+    "unknown job": (("GET", "/v1/jobs/j", None, {}), 404, 3005),
+    "wrong method": (("DELETE", "/v1/zones", None, {}), 404, 1009),
+}
+
+
+@pytest.mark.parametrize("name", BAD_CALLS)
+def test_bad_calls_are_numbered_and_logged(name: str) -> None:
+    call, status, code = BAD_CALLS[name]
+    process = FakeProcess()
+    answers = serve(process, INIT, call, ("GET", "/v1/config", None, {}))
+    assert (answers[1][0], answers[1][1]["code"]) == (status, code)
+    assert answers[2][1]["version"] == 1
+    assert name == "wrong method" or "operator_request_refused" in process.decisions
+
+
+def test_before_the_first_configuration() -> None:
+    answers = serve(FakeProcess(), ("GET", "/v1/config", None, {}), INIT, INIT)
+    assert (answers[0][0], answers[0][1]["code"]) == (503, 4008)
+    assert [body["changed"] for _, body in answers[1:]] == [True, False]
+
+
+def test_changes_show_in_config_and_history() -> None:
+    author = {"X-Author": "ana"}
+    answers = serve(
+        FakeProcess(),
+        INIT,
+        ("POST", "/v1/zones/a/out", {"reason": "power"}, author),
+        ("PUT", "/v1/presets/peak", {"borrowing": False}, {}),
+        ("GET", "/v1/zones", None, {}),
+        ("GET", "/v1/presets/peak", None, {}),
+        ("GET", "/v1/config/history?limit=2", None, {}),
+    )
+    assert [body["version"] for _, body in answers[:3]] == [1, 2, 3]
+    assert answers[3][1]["zones"][0]["outage"]["reason"] == "power"
+    assert answers[4][1]["borrowing"] is False
+    lines = answers[5][1]["history"]
+    assert [(line["version"], line["author"]) for line in lines] == [(3, ""), (2, "ana")]
+
+
+def test_status_lists_processes_that_do_not_answer() -> None:
+    answers = serve(FakeProcess(), INIT, ("GET", "/v1/status", None, {}))
+    lines = answers[1][1]["processes"]
+    assert [(line["role"], line["code"]) for line in lines] == [
+        ("router", 7002),
+        ("scheduler", 7002),
+    ]
+    assert answers[1][1]["shard"] is None
+
+
+def test_an_outage_refuses_changes_at_once() -> None:
+    process = FakeProcess()
+    serve(process, INIT)
+    process.store.down = True
+    answers = serve(process, ("POST", "/v1/zones/a/out", {}, {}), ("GET", "/v1/config", None, {}))
+    assert (answers[0][0], answers[0][1]["code"]) == (503, 5001)
+    assert answers[0][1]["retry_after_ms"] > 0
+    assert answers[1][0] == 200
--- /dev/null
+++ b/packages/daemon/tests/test_operator_job_calls.py
@@ -0,0 +1,117 @@
+"""Job calls of a router: each lost reply, missing owner and refusal has a definite outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import replace
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    Fault,
+    JobRecord,
+    JobSpec,
+    JobState,
+    ListJobs,
+    ResultCode,
+    RowWrite,
+    StreamReply,
+    Transaction,
+    job_key,
+    to_plain,
+)
+from jacinthreel_daemon._job_calls import CALL_LIMIT_MS, JobCalls
+
+from .router_fakes import NO_REPLY, NOT_REACHED, FakeProcess, answered
+
+SPEC = JobSpec("j1", "labels", 2, 8)
+RECORD = JobRecord(SPEC, JobState.QUEUED, 1_000)
+OTHER = replace(RECORD, spec=replace(SPEC, tasks=3))
+CANCELLED = replace(RECORD, cancel_requested=True)
+ACCEPTED = answered(ResultCode.OK, to_plain(RECORD))
+Replies = list[Result[StreamReply, Fault]]
+
+
+def make_process(replies: Replies, row: JobRecord | None) -> FakeProcess:
+    process = FakeProcess(replies=deque(replies))
+    if row is not None:
+        write = RowWrite(job_key("r", "j1"), to_plain(row))
+        process.store.table.transact(Transaction("w", [], [write]))
+    return process
+
+
+def outcome(result: Result[JobRecord, Fault]) -> str:
+    match result:
+        case Success(JobRecord()):
+            return "accepted"
+        case Failure(Fault(code)):
+            return code.name
+    raise AssertionError(result)
+
+
+SUBMISSIONS: dict[str, tuple[Replies, JobRecord | None, str, int]] = {
+    "answered": ([ACCEPTED], None, "accepted", 1),
+    "refused": ([answered(ResultCode.JOB_NEVER_FITS)], None, "JOB_NEVER_FITS", 1),
+    "owner changed": ([answered(ResultCode.NOT_OWNER), ACCEPTED], None, "accepted", 2),
+    "owner not reached": ([NOT_REACHED, ACCEPTED], None, "accepted", 2),
+    "store out": ([answered(ResultCode.STORE_UNAVAILABLE)], None, "STORE_UNAVAILABLE", 1),
+    "reply lost, row there": ([NO_REPLY], RECORD, "accepted", 1),
+    "reply lost, no row yet": ([NO_REPLY, ACCEPTED], None, "accepted", 2),
+    "reply lost, id used before": (
+        [NO_REPLY, answered(ResultCode.JOB_ID_CONFLICT)],
+        OTHER,
+        "JOB_ID_CONFLICT",
+        2,
+    ),
+    "reply lost, then the store is out": (
+        [NO_REPLY, answered(ResultCode.STORE_UNAVAILABLE), ACCEPTED],
+        None,
+        "accepted",
+        3,
+    ),
+    "write unknown, row there": (
+        [answered(ResultCode.JOB_OUTCOME_UNKNOWN)],
+        RECORD,
+        "accepted",
+        1,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", SUBMISSIONS)
+def test_submissions(name: str) -> None:
+    replies, row, expected, calls = SUBMISSIONS[name]
+    process = make_process(replies, row)
+    result = asyncio.run(JobCalls(process.context(), process.sleep).submit(SPEC))
+    assert (outcome(result), len(process.sent)) == (expected, calls)
+
+
+@pytest.mark.parametrize(
+    ("replies", "expected"),
+    [([], "NO_OWNER"), ([NO_REPLY], "JOB_OUTCOME_UNKNOWN")],
+)
+def test_calls_are_given_up_on(replies: Replies, expected: str) -> None:
+    process = make_process(replies, None)
+    result = asyncio.run(JobCalls(process.context(), process.sleep).submit(SPEC))
+    assert outcome(result) == expected
+    assert result.failure().retry_after_ms
+    assert process.time_ms >= CALL_LIMIT_MS
+
+
+def test_a_lost_cancellation_is_resolved_by_the_row() -> None:
+    process = make_process([NO_REPLY], CANCELLED)
+    result = asyncio.run(JobCalls(process.context(), process.sleep).cancel("j1"))
+    assert outcome(result) == "accepted"
+
+
+def test_reads_fall_back_to_the_rows() -> None:
+    process = make_process([], RECORD)
+    process.owner = None
+    calls = JobCalls(process.context(), process.sleep)
+    listed = asyncio.run(calls.list(ListJobs(workspace="labels", state="queued"))).unwrap()
+    assert (listed.source, listed.jobs) == ("table", [RECORD])
+    assert asyncio.run(calls.list(ListJobs(workspace="other"))).unwrap().jobs == []
+    assert asyncio.run(calls.show("j1")).unwrap() == RECORD
+    assert outcome(asyncio.run(calls.show("j2"))) == "JOB_NOT_FOUND"
