--- a/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
+++ b/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
@@ -38,7 +38,7 @@
     in_service: bool
     task_limit: int
     carries_cells: bool
-    tasks_by_borrower: dict[str, int] = field(default_factory=dict)
+    tasks_by_gang: dict[str, int] = field(default_factory=dict)
 
     def fits(self, spec: JobSpec) -> int:
         """How many more tasks of a gang can be placed here now."""
@@ -85,14 +85,16 @@
 class ClusterView:
     """All workers of a shard, and the gangs on them.
 
-    `active` are all gangs that hold workers.  `borrowers_by_id` are those beyond their workspace's
-    guarantee that may be asked to make room; `leaving_by_id` those that were asked already.
+    `active` are all gangs that hold workers.  `guaranteed_by_id` are those in cells of their own
+    workspace, `borrowers_by_id` those beyond, and `leaving_by_id` those of either kind that were
+    asked to make room.
     """
 
     workers_by_id: dict[str, WorkerView]
     cell_workers: list[CellWorker]
     bound_tasks: list[BoundTask]
     active: list[JobEntry]
+    guaranteed_by_id: dict[str, JobEntry]
     borrowers_by_id: dict[str, JobEntry]
     leaving_by_id: dict[str, JobEntry]
 
@@ -128,11 +130,11 @@
         for worker in workers_by_id.values()
         if worker.carries_cells
     ]
-    view = ClusterView(workers_by_id, cell_workers, [], [], {}, {})
+    view = ClusterView(workers_by_id, cell_workers, [], [], {}, {}, {})
     for job in tables.active_by_id.values():
         _add_active_job(view, job)
     for entry in tables.workers_by_id.values():
-        _count_borrowers(view, entry)
+        _count_tasks(view, entry)
     return view
 
 
@@ -163,20 +165,19 @@
 def _add_active_job(view: ClusterView, job: JobEntry) -> None:
     record = job.record
     view.active.append(job)
-    if not is_borrowing(record):
-        view.bind(record.spec, record.placement)
-        return
     if job.preempting_for or job.state is JobState.STOPPING:
         view.leaving_by_id[job.job_id] = job
-    else:
+    elif is_borrowing(record):
         view.borrowers_by_id[job.job_id] = job
+    else:
+        view.guaranteed_by_id[job.job_id] = job
+        view.bind(record.spec, record.placement)
 
 
-def _count_borrowers(view: ClusterView, entry: WorkerEntry) -> None:
+def _count_tasks(view: ClusterView, entry: WorkerEntry) -> None:
     worker = view.workers_by_id[entry.worker_id]
     for job_id, _, _ in entry.held:
-        if job_id in view.borrowers_by_id or job_id in view.leaving_by_id:
-            worker.tasks_by_borrower[job_id] = worker.tasks_by_borrower.get(job_id, 0) + 1
+        worker.tasks_by_gang[job_id] = worker.tasks_by_gang.get(job_id, 0) + 1
 
 
 def is_borrowing(record: JobRecord) -> bool:
--- a/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
+++ b/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
@@ -16,6 +16,7 @@
 from jacinthreel_jobs._cluster_view import ClusterView
 from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
 from jacinthreel_jobs._reclaim import ClearingCosts, choose_victims, place_in_cells, work_lost
+from jacinthreel_jobs._relocation import find_relocation
 from jacinthreel_jobs._tables import JobEntry, Tables
 
 ShapeKey = tuple[int, int, int, int, Adjacency, tuple[str, ...]]
@@ -70,15 +71,37 @@
     def visit(self, job: JobEntry) -> bool:
         """Places one gang or claims its place; false if it does not fit its guarantee."""
         spec = job.record.spec
-        if not self._may_fit(spec):
-            return False
-        avoid = job.record.failed_workers
-        placement = place_in_cells(spec, self._view, self._workspaces, self._costs, avoid)
+        placement = None
+        if self._may_fit(spec):
+            avoid = job.record.failed_workers
+            placement = place_in_cells(spec, self._view, self._workspaces, self._costs, avoid)
+        if placement is None:
+            placement = self._relocate(spec)
         if placement is None:
             return False
         self._claim(job, placement)
         return True
 
+    def _relocate(self, spec: JobSpec) -> list[TaskPlacement] | None:
+        """Asks guaranteed gangs to move where a lost shape left a cell without room."""
+        if not self._layout.missing:
+            return None
+        found = find_relocation(
+            spec, self._view, self._workspaces, self._layout, self._costs, self._loss
+        )
+        if found is None:
+            return None
+        view = self._view
+        for mover in found.movers:
+            for task in view.bound_by(mover.record.spec, mover.record.placement):
+                view.bound_tasks.remove(task)
+            del view.guaranteed_by_id[mover.job_id]
+            view.leaving_by_id[mover.job_id] = mover
+            mode = preempt_mode(spec, mover, self._settings.checkpoint_grace_ms)
+            reason = f"moves within its guarantee for workspace {spec.workspace}"
+            self.decisions.append(Preempt(mover.job_id, spec.job_id, mode, reason))
+        return found.placement
+
     def _lay_out(self) -> Layout:
         return lay_out(self._workspaces, self._view.cell_workers, self._view.bound_tasks)
 
--- a/packages/jobs/src/jacinthreel_jobs/_reclaim.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -87,7 +87,7 @@
         """Pairs of units free and cost, cheapest borrowers first."""
         room = Room(worker.free_accelerators, worker.free_cores, worker.free_memory_gb)
         borrowers: list[tuple[float, JobSpec, int]] = []
-        for job_id, tasks in worker.tasks_by_borrower.items():
+        for job_id, tasks in worker.tasks_by_gang.items():
             running = self._view.borrowers_by_id.get(job_id)
             job = running or self._view.leaving_by_id.get(job_id)
             if job is None:
@@ -274,7 +274,7 @@
         worker = view.workers_by_id[worker_id]
         if not worker.is_short():
             continue
-        for job_id in worker.tasks_by_borrower:
+        for job_id in worker.tasks_by_gang:
             job = view.borrowers_by_id.get(job_id)
             if job is None or job_id in chosen:
                 continue
@@ -288,7 +288,7 @@
     returned: list[_Returned] = []
     for worker_id in short_ids:
         worker = view.workers_by_id[worker_id]
-        tasks = worker.tasks_by_borrower.get(job.job_id, 0)
+        tasks = worker.tasks_by_gang.get(job.job_id, 0)
         if tasks:
             worker.give(job.record.spec, tasks)
             returned.append(_Returned(worker, job.record.spec, tasks))
