--- /dev/null
+++ b/packages/jobs/tests/features/shard_gangs.feature
@@ -0,0 +1,65 @@
+Feature: A gang runs with all of its parts or not at all
+
+  Background:
+    Given a shard with 4 workers in 2 zones
+
+  Scenario Outline: A part that does not come up takes the gang down at once
+    Given worker "w2" <fault>
+    When job "a" with 4 tasks of 8 accelerators runs for 6 s
+    And 4000 ms pass
+    Then no task of job "a" runs
+    When worker "w2" answers again
+    Then job "a" becomes finished within 40000 ms
+    And no gang was partial for longer than 2500 ms
+
+    Examples:
+      | fault               |
+      | refuses connections |
+      | loses requests      |
+      | loses replies       |
+
+  Scenario: Replies that come twice and late change nothing
+    Given worker "w1" repeats replies
+    When job "a" with 4 tasks of 8 accelerators runs for 6 s
+    Then job "a" becomes finished within 10000 ms
+    And job "a" took 1 attempt
+
+  Scenario: A worker that loses its tasks takes the gang down, and it runs again as a whole
+    When job "a" with 4 tasks of 8 accelerators runs for 6 s
+    And 2000 ms pass
+    And worker "w1" restarts
+    And 1500 ms pass
+    Then no gang was partial for longer than 1500 ms
+    And job "a" becomes finished within 20000 ms
+    And job "a" took 2 attempts
+
+  Scenario: A gang with checkpoints resumes from what all of its tasks kept
+    When checkpointable job "a" with 2 tasks of 8 accelerators runs for 20 s
+    And 10000 ms pass
+    And job "a" is preempted with a checkpoint
+    Then job "a" becomes finished within 16000 ms
+    And job "a" took 2 attempts
+
+  Scenario: Nothing is handed out twice while an unreachable worker may still run a task
+    When job "a" with 1 task of 8 accelerators runs for 60 s
+    And 1000 ms pass
+    And worker "w0" loses requests
+    And 9000 ms pass
+    Then 1 task of job "a" runs
+    When 4000 ms pass
+    Then job "a" is placed on "w0"
+    And job "a" becomes running elsewhere than "w0" within 20000 ms
+
+  Scenario: A task that no row explains is stopped
+    Given worker "w3" runs a task that no row explains
+    When 1500 ms pass
+    Then worker "w3" holds no task
+
+  Scenario: Cancelling a running gang stops all of it
+    When job "a" with 4 tasks of 8 accelerators runs for 60 s
+    And 1000 ms pass
+    And job "a" is cancelled
+    And 500 ms pass
+    Then no task of job "a" runs
+    And the last call is answered with OK
+    And job "a" becomes cancelled within 2000 ms
--- /dev/null
+++ b/packages/jobs/tests/features/shard_store.feature
@@ -0,0 +1,56 @@
+Feature: Nothing is assumed of a write whose reply was lost
+
+  Background:
+    Given a shard with 4 workers in 2 zones
+
+  Scenario: A submission whose reply is lost is kept, and repeating it gives the same answer
+    Given the store loses replies
+    When job "a" with 1 task of 8 accelerators runs for 2 s
+    And 50 ms pass
+    Then the last call is answered with JOB_OUTCOME_UNKNOWN
+    Given the store is back
+    When job "a" with 1 task of 8 accelerators runs for 2 s
+    And 1000 ms pass
+    Then the last call is answered with OK
+    And job "a" becomes finished within 10000 ms
+
+  Scenario: The same id with another specification is refused
+    When job "a" with 1 task of 8 accelerators runs for 2 s
+    And 50 ms pass
+    And job "a" with 2 tasks of 8 accelerators runs for 2 s
+    Then the last call is answered with JOB_ID_CONFLICT
+
+  Scenario: A job that can never run is refused at once
+    When job "a" with 5 tasks of 8 accelerators runs for 2 s
+    Then the last call is answered with JOB_NEVER_FITS
+
+  Scenario Outline: A placement with an unknown outcome never runs beside the next one
+    When job "a" with 2 tasks of 8 accelerators runs for 4 s
+    And 6 ms pass
+    And the store <fault>
+    And 1500 ms pass
+    And the store is back
+    Then job "a" becomes finished within 30000 ms
+    And no task ran twice at once
+    And nothing is held or left on any worker
+
+    Examples:
+      | fault              |
+      | loses replies      |
+      | loses requests     |
+      | applies writes late |
+      | is down            |
+
+  Scenario: Running tasks go on while the store is out, and nothing starts
+    When job "a" with 2 tasks of 8 accelerators runs for 60 s
+    And 1000 ms pass
+    And the store is down
+    And 30000 ms pass
+    Then 2 tasks of job "a" run
+    When job "b" with 1 task of 8 accelerators runs for 2 s
+    Then the last call is answered with STORE_UNAVAILABLE
+    And job "a" is placed on "w0"
+    When 40000 ms pass
+    And the store is back
+    Then job "a" becomes finished within 5000 ms
+    And job "a" took 1 attempt
--- /dev/null
+++ b/packages/jobs/tests/features/shard_zones.feature
@@ -0,0 +1,55 @@
+Feature: No task starts in a zone a few seconds after it was taken out
+
+  Background:
+    Given a shard with 4 workers in 2 zones
+
+  Scenario: The owner hears of the closure only seconds later
+    When zone "z0" is closed, which the owner hears after 8000 ms
+    And 3100 ms pass
+    And job "a" with 1 task of 8 accelerators runs for 2 s
+    And 4000 ms pass
+    Then nothing started in a closed zone too late
+    And job "a" becomes finished within 20000 ms
+    And nothing started in a closed zone too late
+
+  Scenario: A zone is closed while a start is on its way
+    Given worker "w0" answers after 1500 ms
+    When job "a" with 3 tasks of 8 accelerators runs for 5 s
+    And 20 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    And 12000 ms pass
+    Then nothing started in a closed zone too late
+    And no gang was partial for longer than 2500 ms
+
+  Scenario: The owner is frozen as it sends the starts
+    When the owner freezes for 9000 ms as it sends a start
+    And job "a" with 4 tasks of 8 accelerators runs for 5 s
+    And 200 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    And 20000 ms pass
+    Then nothing started in a closed zone too late
+    And no task ran twice at once
+
+  Scenario: Running gangs keep a checkpoint and go on in the other zone
+    When checkpointable job "a" with 2 tasks of 4 accelerators runs for 30 s
+    And 10000 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    And 3000 ms pass
+    Then no task runs in zone "z0"
+    And job "a" becomes finished within 25000 ms
+
+  Scenario: A gang that is about to finish is left alone
+    When job "a" with 1 task of 8 accelerators runs for 12 s
+    And 8000 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    Then job "a" becomes finished within 8000 ms
+    And job "a" took 1 attempt
+
+  Scenario: A zone that comes back causes no second move
+    When checkpointable job "a" with 2 tasks of 8 accelerators runs for 30 s
+    And 5000 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    And 5000 ms pass
+    And zone "z0" is opened
+    Then job "a" becomes finished within 40000 ms
+    And job "a" took 2 attempts
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from jacinthreel_common import (
     CONFIG_KEY,
@@ -79,11 +80,11 @@
 RENEW_MS = 1_000
 
 
-def has_start(effect: Effect) -> bool:
-    """Whether an effect is a batch that starts a task."""
+def has_command(effect: Effect, kind: CommandKind) -> bool:
+    """Whether an effect is a batch with a command of this kind."""
     if not isinstance(effect, SendBatch):
         return False
-    return any(command.kind is CommandKind.START for command in effect.batch.commands)
+    return any(command.kind is kind for command in effect.batch.commands)
 
 
 class FirstFitPlanner:
@@ -176,7 +177,10 @@
         self.stop_before: Callable[[Effect], bool] | None = None
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
-        self._calls = 0
+        self.last_call = 0
+        self.partial_since: dict[str, int] = {}
+        self.longest_partial_ms = 0
+        self.at(TICK_MS, self._watch_partial)
         self.config = Config(1, PresetName.ORDINARY, workspaces={"lab": Workspace("lab")})
         self._config_version = 0
         for index in range(workers):
@@ -364,7 +368,7 @@
         self.feed(node, RowsRead(effect.read_id, rows))
 
     def _send(self, node: Node, effect: SendBatch, check_limit: bool = True) -> None:
-        if node.freeze_on_start_ms and has_start(effect):
+        if node.freeze_on_start_ms and has_command(effect, CommandKind.START):
             self.freeze(node, node.freeze_on_start_ms)
             node.freeze_on_start_ms = 0
         if self.now_ms < node.frozen_until_ms:
@@ -413,17 +417,18 @@
 
     def close_zone(self, zone: str, drain_ms: int = 10_000, after_ms: int = 50) -> None:
         outage = ZoneOutage(zone, "repairs", self.now_ms, drain_ms)
-        self._change_zones({**self.config.zones_out, zone: outage}, after_ms)
+        self.change_config(after_ms, zones_out={**self.config.zones_out, zone: outage})
         self.closed_since.setdefault(zone, self.now_ms)
 
     def open_zone(self, zone: str, after_ms: int = 50) -> None:
         zones = {name: out for name, out in self.config.zones_out.items() if name != zone}
-        self._change_zones(zones, after_ms)
+        self.change_config(after_ms, zones_out=zones)
         if zone in self.closed_since:
             self.closures.append((zone, self.closed_since.pop(zone), self.now_ms))
 
-    def _change_zones(self, zones: dict[str, ZoneOutage], after_ms: int) -> None:
-        self.store_config(replace(self.config, version=self.config.version + 1, zones_out=zones))
+    def change_config(self, after_ms: int = 50, **changes: Any) -> None:
+        """Accepts a changed configuration; nodes hear of it `after_ms` later."""
+        self.store_config(replace(self.config, version=self.config.version + 1, **changes))
         for node in self.nodes:
             self.at(after_ms, lambda node=node: self.announce(node))
 
@@ -442,11 +447,11 @@
         return self._call(lambda call: JobCancelled(call, job_id), node)
 
     def _call(self, event: Callable[[int], Event], node: Node | None) -> int:
-        self._calls += 1
+        self.last_call += 1
         target = node or self.owner()
         if target is not None:
-            self.feed(target, event(self._calls))
-        return self._calls
+            self.feed(target, event(self.last_call))
+        return self.last_call
 
     # What is true.
 
@@ -471,6 +476,15 @@
         tasks = [(key[0], key[2]) for key in self.running()]
         assert len(tasks) == len(set(tasks)), f"a task runs twice: {sorted(self.running())}"
 
+    def _watch_partial(self) -> None:
+        """Measures for how long gangs run in part."""
+        partial = self.partial_gangs()
+        since = {job_id: self.partial_since.get(job_id, self.now_ms) for job_id in partial}
+        self.partial_since = since
+        for started_ms in since.values():
+            self.longest_partial_ms = max(self.longest_partial_ms, self.now_ms - started_ms)
+        self.at(TICK_MS, self._watch_partial)
+
     def check_closed_zones(self, limit_ms: int = 3_000) -> None:
         """No start in a zone later than `limit_ms` after its closure was accepted."""
         zones = {host.host_id: host.zone for host in self.hosts}
--- /dev/null
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -0,0 +1,359 @@
+"""Steps of the shard's scenarios; the scenarios are in `features`."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from jacinthreel_common import (
+    ENDED_STATES,
+    CellLevel,
+    CommandBatch,
+    CommandKind,
+    GuaranteedShape,
+    JobSpec,
+    JobState,
+    ResultCode,
+    TaskCommand,
+    Workspace,
+)
+from jacinthreel_jobs import (
+    Effect,
+    GuaranteePlanner,
+    Preempt,
+    PreemptMode,
+    WorkerHealth,
+    Write,
+)
+
+from .shard_cluster import SHARD, Cluster, Link, has_command
+
+scenarios("features")
+
+LINKS = {
+    "refuses connections": Link(refuses=True),
+    "loses requests": Link(loses_requests=True),
+    "loses replies": Link(loses_replies=True),
+    "repeats replies": Link(repeats_replies=True),
+    "answers again": Link(),
+}
+STORES = {
+    "is down": "down",
+    "loses replies": "loses_replies",
+    "loses requests": "loses_requests",
+    "applies writes late": "late",
+    "is back": "up",
+}
+JOB = (
+    r'job "(?P<job_id>\w+)" with (?P<tasks>\d+) tasks? of (?P<accelerators>\d+) accelerators '
+    r"runs for (?P<run_s>\d+) s"
+)
+NUMBERS = {"tasks": int, "accelerators": int, "run_s": int}
+
+
+def stores(state: JobState, effect: Effect) -> bool:
+    if not isinstance(effect, Write):
+        return False
+    values = [write.value for write in effect.writes if isinstance(write.value, dict)]
+    return any(value.get("state") == state for value in values)
+
+
+STEPS = {
+    "it stores the placement": lambda effect: stores(JobState.PLACED, effect),
+    "it sends a reservation": lambda effect: has_command(effect, CommandKind.RESERVE),
+    "it sends a start": lambda effect: has_command(effect, CommandKind.START),
+    "it stores that the job ran": lambda effect: stores(JobState.RUNNING, effect),
+    "it stores the end": lambda effect: stores(JobState.FINISHED, effect),
+    "it releases a task": lambda effect: has_command(effect, CommandKind.RELEASE),
+}
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    return Cluster(workers=0, nodes=0)
+
+
+@given(parsers.parse("a shard with {workers:d} workers in {zones:d} zones"))
+def _shard(cluster: Cluster, workers: int, zones: int) -> None:
+    cluster.__init__(workers, zones)  # type: ignore[misc]
+    cluster.run(2_000)
+
+
+@given(parsers.parse("a shard with {workers:d} workers in {zones:d} zones, planned by guarantees"))
+def _shard_with_guarantees(cluster: Cluster, workers: int, zones: int) -> None:
+    cluster.__init__(workers, zones, nodes=0)  # type: ignore[misc]
+    cluster.add_node("n0", GuaranteePlanner())
+    cluster.run(2_000)
+
+
+@given(parsers.parse('workspace "{name}" holds {cells:d} worker cells'))
+def _guarantee(cluster: Cluster, name: str, cells: int) -> None:
+    workspace = Workspace(name, [GuaranteedShape(CellLevel.WORKER, cells)])
+    cluster.change_config(workspaces={**cluster.config.workspaces, name: workspace})
+
+
+@given(parsers.parse('workspace "{name}" holds nothing'))
+def _no_guarantee(cluster: Cluster, name: str) -> None:
+    cluster.change_config(workspaces={**cluster.config.workspaces, name: Workspace(name)})
+
+
+def job_spec(
+    job_id: str, tasks: int, accelerators: int, run_s: int, workspace: str = "lab"
+) -> JobSpec:
+    command = f"run={run_s}"
+    return JobSpec(job_id, workspace, tasks, accelerators, declared_run_s=run_s, command=command)
+
+
+@when(parsers.re(JOB), converters=NUMBERS)
+def _submit(cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int) -> None:
+    cluster.submit(job_spec(job_id, tasks, accelerators, run_s))
+
+
+@when(parsers.re("checkpointable " + JOB), converters=NUMBERS)
+def _submit_with_checkpoints(
+    cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int
+) -> None:
+    cluster.submit(replace(job_spec(job_id, tasks, accelerators, run_s), checkpointable=True))
+
+
+@when(parsers.re("failing " + JOB), converters=NUMBERS)
+def _submit_failing(
+    cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int
+) -> None:
+    spec = job_spec(job_id, tasks, accelerators, run_s)
+    cluster.submit(replace(spec, command=f"run={run_s} fail=1"))
+
+
+@when(
+    parsers.parse("{count:d} jobs with 1 task of {accelerators:d} accelerators run for {run_s:d} s")
+)
+def _submit_many(cluster: Cluster, count: int, accelerators: int, run_s: int) -> None:
+    for index in range(count):
+        cluster.submit(job_spec(f"many{cluster.now_ms}-{index}", 1, accelerators, run_s))
+    cluster.run(100)
+
+
+@when(
+    parsers.re(
+        r'"guest" fills the shard with (?P<kept>checkpointable )?jobs of 1 task '
+        r"of 8 accelerators for (?P<run_s>\d+) s"
+    )
+)
+def _fill(cluster: Cluster, kept: str | None, run_s: str) -> None:
+    for index in range(len(cluster.workers)):
+        spec = job_spec(f"guest{index}", 1, 8, int(run_s), "guest")
+        cluster.submit(replace(spec, checkpointable=bool(kept)))
+
+
+@when(parsers.parse("{duration_ms:d} ms pass"))
+def _pass_time(cluster: Cluster, duration_ms: int) -> None:
+    cluster.run(duration_ms)
+
+
+@when(parsers.parse('job "{job_id}" is cancelled'))
+def _cancel(cluster: Cluster, job_id: str) -> None:
+    cluster.cancel(job_id)
+
+
+@when(parsers.parse('job "{job_id}" is preempted with a checkpoint'))
+def _preempt(cluster: Cluster, job_id: str) -> None:
+    decision = Preempt(job_id, "other", PreemptMode.CHECKPOINT, "test")
+    cluster.planner.preempts.append(decision)
+    cluster.submit(job_spec("other", 1, 1, 1))
+
+
+@given(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>refuses connections|loses requests)'))
+@given(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>(loses|repeats) replies)'))
+@when(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>refuses connections|loses requests)'))
+@when(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>answers again)'))
+def _set_link(cluster: Cluster, worker_id: str, fault: str) -> None:
+    cluster.links[worker_id] = LINKS[fault]
+
+
+@given(parsers.parse('worker "{worker_id}" answers after {delay_ms:d} ms'))
+def _slow_link(cluster: Cluster, worker_id: str, delay_ms: int) -> None:
+    cluster.links[worker_id] = Link(delay_ms=delay_ms // 2)
+
+
+@when(parsers.parse('worker "{worker_id}" restarts'))
+def _restart(cluster: Cluster, worker_id: str) -> None:
+    cluster.workers[worker_id].restart()
+
+
+@given(parsers.parse('worker "{worker_id}" fails every task'))
+def _spoil(cluster: Cluster, worker_id: str) -> None:
+    cluster.workers[worker_id].fails_everything = True
+
+
+@when(parsers.parse('worker "{worker_id}" works again'))
+def _mend(cluster: Cluster, worker_id: str) -> None:
+    cluster.workers[worker_id].fails_everything = False
+
+
+@given(parsers.parse('worker "{worker_id}" is listed as leaving'))
+@when(parsers.parse('worker "{worker_id}" is listed as leaving'))
+def _leave(cluster: Cluster, worker_id: str) -> None:
+    cluster.list_leaving(worker_id)
+
+
+@given(parsers.parse('worker "{worker_id}" runs a task that no row explains'))
+def _unexplained(cluster: Cluster, worker_id: str) -> None:
+    commands = [
+        TaskCommand(CommandKind.RESERVE, "ghost", 1, 0, 1, 1, 1, command="run=900"),
+        TaskCommand(CommandKind.START, "ghost", 1, 0),
+    ]
+    batch = CommandBatch(SHARD, 1, 60_000, 0, commands)
+    cluster.workers[worker_id].handle(batch, cluster.now_ms)
+
+
+@given(parsers.parse("the store {fault}"))
+@when(parsers.parse("the store {fault}"))
+def _set_store(cluster: Cluster, fault: str) -> None:
+    cluster.store = STORES[fault]
+
+
+@when(parsers.parse('zone "{zone}" is closed, which the owner hears after {after_ms:d} ms'))
+def _close(cluster: Cluster, zone: str, after_ms: int) -> None:
+    cluster.close_zone(zone, after_ms=after_ms)
+
+
+@when(parsers.parse('zone "{zone}" is opened'))
+def _open(cluster: Cluster, zone: str) -> None:
+    cluster.open_zone(zone)
+
+
+@given("another process starts")
+@when("another process starts")
+def _another_process(cluster: Cluster) -> None:
+    cluster.add_node(f"n{len(cluster.nodes)}")
+
+
+@when("the owner crashes")
+def _crash(cluster: Cluster) -> None:
+    cluster.crash(cluster.owner())
+
+
+@when(parsers.parse("the owner will crash before {step}"))
+def _crash_before(cluster: Cluster, step: str) -> None:
+    cluster.stop_before = STEPS[step]
+
+
+@when(parsers.parse("the owner is frozen for {duration_ms:d} ms"))
+def _freeze(cluster: Cluster, duration_ms: int) -> None:
+    cluster.freeze(cluster.owner(), duration_ms)
+
+
+@when(parsers.parse("the owner freezes for {duration_ms:d} ms as it sends a start"))
+def _freeze_at_start(cluster: Cluster, duration_ms: int) -> None:
+    cluster.owner().freeze_on_start_ms = duration_ms
+
+
+@then(parsers.parse('no task of job "{job_id}" runs'))
+def _none_runs(cluster: Cluster, job_id: str) -> None:
+    assert not cluster.running(job_id)
+
+
+@then(parsers.re(r'(?P<count>\d+) tasks? of job "(?P<job_id>\w+)" runs?'))
+def _some_run(cluster: Cluster, count: str, job_id: str) -> None:
+    assert len(cluster.running(job_id)) == int(count)
+
+
+@then(parsers.re(r'job "(?P<job_id>\w+)" becomes (?P<state>\w+) within (?P<limit_ms>\d+) ms'))
+def _becomes(cluster: Cluster, job_id: str, state: str, limit_ms: str) -> None:
+    reached = cluster.run_until(lambda: cluster.state(job_id) == state, int(limit_ms))
+    assert reached, cluster.record(job_id)
+
+
+@then(
+    parsers.parse(
+        'job "{job_id}" becomes running elsewhere than "{worker_id}" within {limit_ms:d} ms'
+    )
+)
+def _moves(cluster: Cluster, job_id: str, worker_id: str, limit_ms: int) -> None:
+    def runs_elsewhere() -> bool:
+        record = cluster.record(job_id)
+        elsewhere = all(item.worker_id != worker_id for item in record.placement)
+        return record.state is JobState.RUNNING and elsewhere
+
+    assert cluster.run_until(runs_elsewhere, limit_ms), cluster.record(job_id)
+
+
+@then(parsers.parse("all jobs become finished within {limit_ms:d} ms"))
+def _all_finish(cluster: Cluster, limit_ms: int) -> None:
+    jobs = cluster.owner().core.tables.jobs_by_id
+    ended = cluster.run_until(
+        lambda: all(job.state in ENDED_STATES for job in jobs.values()), limit_ms
+    )
+    assert ended
+    assert {job.state for job in jobs.values()} == {JobState.FINISHED}
+
+
+@then(parsers.re(r'job "(?P<job_id>\w+)" took (?P<attempts>\d+) attempts?'))
+def _attempts(cluster: Cluster, job_id: str, attempts: str) -> None:
+    assert cluster.record(job_id).attempt == int(attempts)
+
+
+@then(parsers.parse('job "{job_id}" is placed on "{worker_id}"'))
+def _placed_on(cluster: Cluster, job_id: str, worker_id: str) -> None:
+    assert worker_id in {item.worker_id for item in cluster.record(job_id).placement}
+    held = cluster.owner().core.tables.workers_by_id[worker_id].held
+    assert job_id in {key[0] for key in held}
+
+
+@then(parsers.parse('job "{job_id}" ended with {code}'))
+def _ended_with(cluster: Cluster, job_id: str, code: str) -> None:
+    assert cluster.record(job_id).result is ResultCode[code]
+
+
+@then(parsers.parse("the last call is answered with {code}"))
+def _answered(cluster: Cluster, code: str) -> None:
+    assert cluster.replies[max(cluster.replies)].code is ResultCode[code]
+    assert max(cluster.replies) == cluster.last_call
+
+
+@then("no task ran twice at once")
+def _nothing_doubled(cluster: Cluster) -> None:
+    cluster.check_running()
+
+
+@then(parsers.parse("no gang was partial for longer than {limit_ms:d} ms"))
+def _never_partial(cluster: Cluster, limit_ms: int) -> None:
+    assert cluster.longest_partial_ms <= limit_ms
+
+
+@then("nothing started in a closed zone too late")
+def _no_late_start(cluster: Cluster) -> None:
+    cluster.check_closed_zones()
+
+
+@then(parsers.parse('no task runs in zone "{zone}"'))
+def _zone_empty(cluster: Cluster, zone: str) -> None:
+    for host in cluster.hosts:
+        assert host.zone != zone or not cluster.workers[host.host_id].running()
+
+
+@then(parsers.parse('nothing ever started on "{worker_id}"'))
+def _never_started(cluster: Cluster, worker_id: str) -> None:
+    assert not cluster.workers[worker_id].starts
+
+
+@then(parsers.parse('worker "{worker_id}" holds no task'))
+def _holds_nothing(cluster: Cluster, worker_id: str) -> None:
+    assert not cluster.workers[worker_id].tasks_by_key
+
+
+@then(parsers.parse('worker "{worker_id}" is {health}'))
+def _health(cluster: Cluster, worker_id: str, health: str) -> None:
+    workers = cluster.owner().core.tables.workers_by_id
+    assert workers[worker_id].health is WorkerHealth(health)
+
+
+@then("nothing is held or left on any worker")
+def _nothing_left(cluster: Cluster) -> None:
+    cluster.run_until(lambda: cluster.owner() is not None)
+    cluster.run(3_000)
+    workers = cluster.owner().core.tables.workers_by_id.values()
+    assert not any(worker.held for worker in workers)
+    assert not any(worker.tasks_by_key for worker in cluster.workers.values())
