Bound the demonstration in time and end it in order on signals

A time limit of 300 s and SIGTERM end the steps with a line that says so, and everything that was started is stopped in every case.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -10,6 +10,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -27,6 +28,7 @@
 DIRECTORY: Final = ROOT / "build" / "demo"
 REQUESTS: Final = 30
 COMMAND_TIMEOUT_S: Final = 90.0
+TIME_LIMIT_S: Final = 300
 ZONE: Final = "kumamoto"
 START_LIMIT_MS: Final = 3_000
 """After this time from the acceptance of a zone outage no task may start in the zone."""
@@ -227,17 +229,32 @@
         print()
 
 
-def run_guarded(steps: Callable[[], None]) -> int:
-    """Runs steps; prints a failure in one line and returns the exit status."""
+def end_by_signal(number: int, frame: object) -> None:
+    """Turns SIGTERM and the time limit into an orderly end."""
+    raise ClusterError("time limit" if number == signal.SIGALRM else "ended by a signal")
+
+
+def run_guarded(steps: Callable[[], None]) -> bool:
+    """Runs steps; prints a failure in one line and says whether there was none."""
     try:
         steps()
-    except (ClusterError, OSError, subprocess.TimeoutExpired, KeyError, ValueError) as error:
-        print(f"FAILED: {error!r}" if isinstance(error, KeyError) else f"FAILED: {error}")
-        return 1
+    except (ClusterError, OSError, subprocess.TimeoutExpired, LookupError, ValueError) as error:
+        print(f"FAILED: {error!r}" if isinstance(error, LookupError) else f"FAILED: {error}")
+        return False
     except KeyboardInterrupt:
         print("interrupted")
-        return 1
-    return 0
+        return False
+    return True
+
+
+def stop_cluster(cluster: LocalCluster) -> bool:
+    """Stops everything that was started; says whether each process ended with status 0."""
+    statuses = cluster.stop()
+    bad = {name: status for name, status in statuses.items() if status != 0}
+    if bad:
+        print(f"FAILED: ended with other statuses than 0: {bad}")
+    print(f"Stopped {len(statuses)} processes.")
+    return not bad
 
 
 def main(arguments: list[str]) -> int:
@@ -246,22 +263,23 @@
     for old in DIRECTORY.glob("*"):
         old.unlink()
     cluster = LocalCluster(DIRECTORY, ClusterShape())
+    signal.signal(signal.SIGTERM, end_by_signal)
+    signal.signal(signal.SIGALRM, end_by_signal)
+    signal.alarm(TIME_LIMIT_S)
     print("Starting the stand-ins and 6 entry hosts on loopback.", flush=True)
 
     def steps() -> None:
         cluster.start()
         Demo(cluster).run()
+        signal.alarm(0)
         if keep:
             keep_running(cluster)
 
-    status = run_guarded(steps)
-    statuses = cluster.stop()
-    bad = {name: code for name, code in statuses.items() if code != 0}
-    if bad and status == 0:
-        print(f"FAILED: not stopped cleanly: {bad}")
-        status = 1
-    print(f"Stopped {len(statuses)} processes.  {'Done.' if status == 0 else 'See build/demo.'}")
-    return status
+    passed = run_guarded(steps)
+    signal.alarm(0)
+    stopped = stop_cluster(cluster)
+    print("Done." if passed and stopped else f"Logs are in {DIRECTORY.relative_to(ROOT)}.")
+    return 0 if passed and stopped else 1
 
 
 if __name__ == "__main__":
