--- a/packages/daemon/src/jacinthreel_daemon/_router.py
+++ b/packages/daemon/src/jacinthreel_daemon/_router.py
@@ -1,7 +1,9 @@
 """The router role: serves callers and operators, and tells its peers what it has in flight.
 
-Routers connect to each other, the one with the lower host id to the other, and to every
-scheduler, so that each pair of processes shares one connection for calls and notices both ways.
+Routers connect to every scheduler and to each other, and each pair of processes shares one
+connection for calls and notices both ways.  Between routers it is opened by the one with the
+lower host id; the other one opens it as well while none is there, since a new host may not have
+been able to read the host list yet.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from jacinthreel_daemon._settings import Settings
 
 IN_FLIGHT_MS: Final = 200
+LINK_CHECK_MS: Final = 3_000
 IN_FLIGHT_REPEATS: Final = 5  # An unchanged notice is repeated once a second.
 
 
@@ -58,6 +61,7 @@
         self.hub.on_notice(InFlight, self._take_in_flight)
         self.hub.on_notice(OwnerNotice, self._take_owner_notice)
         self.timers.every(IN_FLIGHT_MS, self._tell_in_flight)
+        self.timers.every(LINK_CHECK_MS, lambda now_ms: self._check_links())
 
     async def shutdown(self, http: HttpService) -> None:
         """Serves on until the balancer has noticed, then drains."""
@@ -85,10 +89,15 @@
         return self.settings.router.stream_port
 
     def peers_of(self, hosts: list[Host]) -> set[tuple[str, int]]:
-        """All schedulers, and the routers with a higher host id."""
+        """All schedulers, and the other routers that have not connected to this one."""
         own_id = self.settings.host_id
+        connected = self.hub.accepted_peers()
         peers = {(host.address, host.scheduler_port) for host in hosts}
-        peers.update((h.address, h.stream_port) for h in hosts if h.host_id > own_id)
+        for host in hosts:
+            if host.host_id < own_id and (host.host_id, self.role) in connected:
+                continue
+            if host.host_id != own_id:
+                peers.add((host.address, host.stream_port))
         return peers
 
     def refresh_metrics(self) -> None:
@@ -97,6 +106,9 @@
         self.metrics.gauge("requests_in_progress", self.state.active)
         self.metrics.gauge("known_owner_epoch", self.owner.epoch)
 
+    def _check_links(self) -> None:
+        self._set_peers(list(self.hosts.by_id().values()))
+
     def _tell_in_flight(self, now_ms: int) -> None:
         in_flight = {k: n for k, n in self.requests.in_flight_by_executor().items() if n}
         self._quiet_periods += 1
--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -187,6 +187,11 @@
             found.setdefault((connection.peer.host_id, connection.peer.role), connection)
         return list(found.values())
 
+    def accepted_peers(self) -> set[tuple[str, str]]:
+        """Host id and role of each process that has connected to this one."""
+        peers = [connection.peer for connection in self._accepted if connection.is_open]
+        return {(peer.host_id, peer.role) for peer in peers if peer is not None}
+
     def check_liveness(self, now_ms: int) -> None:
         """Looks after all connections; called about once a second."""
         for connection in list(self._accepted):
