--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -157,9 +157,10 @@
 
 @dataclass(frozen=True, slots=True)
 class InFlight:
-    """How many requests the sender has in flight at each executor."""
+    """How many requests the sender has in flight at each executor, and how many wait for a slot."""
 
     by_executor: dict[str, int] = field(default_factory=dict)
+    waiting: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/jacinthreel_daemon/_request_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_request_api.py
@@ -123,7 +123,11 @@
 
     def on_in_flight(self, host_id: str, notice: InFlight) -> None:
         """Takes another router's notice of its requests in flight."""
-        self.feed(PeerInFlight(host_id, notice.by_executor))
+        self.feed(PeerInFlight(host_id, notice.by_executor, notice.waiting))
+
+    def in_flight_notice(self) -> InFlight:
+        """What the other routers should hear of this one, several times a second."""
+        return InFlight(self.core.in_flight_by_executor(), self.core.waiting())
 
     def in_flight_by_executor(self) -> dict[str, int]:
         """Requests in flight at each executor, for notices to the others."""
--- a/packages/requests/src/jacinthreel_requests/_admission.py
+++ b/packages/requests/src/jacinthreel_requests/_admission.py
@@ -15,9 +15,12 @@
 from jacinthreel_common import ResultCode
 from jacinthreel_requests._effects import NotRun
 from jacinthreel_requests._queue import DeadlineQueue
+from jacinthreel_requests._tables import MAX_DEADLINE_LEAD_MS
 
 RATE_WINDOW_MS: Final = 1_000
 LATENCY_SMOOTHING: Final = 0.02
+BURST_MS: Final = 1_000
+STANDING_WAIT_MS: Final = 200
 MIN_RETRY_AFTER_MS: Final = 1_000
 MAX_RETRY_AFTER_MS: Final = 60_000
 
@@ -64,10 +67,15 @@
     deadline_ms: int,
     rate: float | None,
     latency_ms: float,
+    standing_ms: int,
     rng: random.Random,
     now_ms: int,
 ) -> NotRun | None:
-    """Refuses a request that finds the queue full or can't be answered before its deadline."""
+    """Refuses a request that finds the queue full or can't be answered before its deadline.
+
+    `standing_ms` is how long requests have waited without a break.  A queue that stands for longer
+    than `BURST_MS` is no burst: it only makes everyone wait, so it is kept to `STANDING_WAIT_MS`.
+    """
     if now_ms >= deadline_ms:
         return NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline has passed")
     if waiting == 0:
@@ -76,7 +84,12 @@
         wait_ms = estimate_wait_ms(waiting, rate)
         detail = f"{waiting} requests wait, as many as may"
         return NotRun(ResultCode.OVERLOADED, detail, retry_after_ms(wait_ms, rng))
-    wait_ms = estimate_wait_ms(queue.ahead_of(deadline_ms), rate)
+    total_ms = estimate_wait_ms(waiting, rate)
+    if standing_ms > BURST_MS and total_ms > STANDING_WAIT_MS:
+        detail = f"requests have waited for {standing_ms} ms without a break"
+        return NotRun(ResultCode.OVERLOADED, detail, retry_after_ms(total_ms, rng))
+    due_ms = min(deadline_ms, now_ms + MAX_DEADLINE_LEAD_MS)
+    wait_ms = estimate_wait_ms(queue.ahead_of(due_ms), rate)
     if now_ms + wait_ms + latency_ms <= deadline_ms:
         return None
     detail = f"an answer is expected after {wait_ms + latency_ms:.0f} ms"
--- a/packages/requests/src/jacinthreel_requests/_choice.py
+++ b/packages/requests/src/jacinthreel_requests/_choice.py
@@ -17,16 +17,20 @@
 from typing import Final
 
 from jacinthreel_requests._tables import (
+    PEER_SILENCE_MS,
     ExecutorEntry,
     ExecutorHealth,
     RequestEntry,
     Tables,
 )
 
-SAMPLE_SIZE: Final = 2
-HOT_RATIO: Final = 0.75
+SAMPLE_SIZE: Final = 8
+HOT_RATIO: Final = 0.9
 LATENCY_STEP: Final = 1.25  # Averages within one step of each other count as equal.
 LEAVING_MEMORY_MS: Final = 30_000
+NEEDY_BELOW_SHARE: Final = 0.8
+MAX_PROBES: Final = 2
+PROBE_REASON: Final = "below slot share"
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +42,21 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Executors that can take a request now.
+
+    `only_trials` is true where every executor in service is on trial.
+    """
+
+    healthy: list[ExecutorEntry]
+    trials: list[ExecutorEntry]
+    only_trials: bool
+
+    def __bool__(self) -> bool:
+        return bool(self.healthy or self.trials)
+
+
 def in_service(tables: Tables, zones_out: Collection[str], now_ms: int) -> list[ExecutorEntry]:
     """The executors that may be given work, whether or not they have room."""
     return [
@@ -47,43 +66,98 @@
     ]
 
 
+def find_room(tables: Tables, zones_out: Collection[str], now_ms: int) -> Room:
+    """The executors that can take a request now."""
+    serving = in_service(tables, zones_out, now_ms)
+    if must_yield(tables, serving, now_ms):
+        return Room([], [], only_trials=False)
+    return Room(
+        healthy=[e for e in serving if has_room(tables, e, now_ms)],
+        trials=[e for e in serving if _has_trial_room(e)],
+        only_trials=all(e.health is ExecutorHealth.TRIAL for e in serving),
+    )
+
+
 def choose(
     tables: Tables,
     entry: RequestEntry,
-    serving: list[ExecutorEntry],
+    room: Room,
     zone: str,
     rng: random.Random,
     now_ms: int,
 ) -> Choice | None:
-    """Picks an executor with room for a request, or None."""
-    open_to_entry = [e for e in serving if e.executor_id not in entry.failed_executors] or serving
-    trials = [e for e in open_to_entry if _has_trial_room(e)]
-    if trials and entry.idempotent:
-        return Choice(rng.choice(trials), len(trials), "trial")
-    with_room = [e for e in open_to_entry if has_room(tables, e, now_ms)]
-    if not with_room:
-        # A non-idempotent request goes to an executor on trial only where there is no other.
-        only_trials = all(e.health is ExecutorHealth.TRIAL for e in open_to_entry)
-        if trials and only_trials:
-            return Choice(rng.choice(trials), len(trials), "trial")
+    """Picks an executor with room for a request, or None.
+
+    A non-idempotent request goes to an executor on trial only where there is no other kind.
+    """
+    if room.trials and (entry.idempotent or room.only_trials):
+        return Choice(rng.choice(room.trials), len(room.trials), "trial")
+    healthy = room.healthy
+    if entry.failed_executors:
+        others = [e for e in healthy if e.executor_id not in entry.failed_executors]
+        healthy = others or healthy
+    if not healthy:
         return None
-    sample = rng.sample(with_room, min(SAMPLE_SIZE, len(with_room)))
+    sample = rng.sample(healthy, min(SAMPLE_SIZE, len(healthy)))
     best = min(sample, key=lambda e: _preference(tables, e, zone, now_ms))
-    return Choice(best, len(with_room), "least loaded of sample")
+    return Choice(best, len(healthy), "least loaded of sample")
+
+
+def slot_share(tables: Tables, serving: list[ExecutorEntry]) -> float:
+    """The slots that one router may count on when all routers are short of them."""
+    return sum(executor.slots for executor in serving) / tables.entry_hosts
+
+
+def must_yield(tables: Tables, serving: list[ExecutorEntry], now_ms: int) -> bool:
+    """Whether this router has its share of slots while another has requests waiting for its own."""
+    share = slot_share(tables, serving)
+    if len(tables.attempts_by_id) < share:
+        return False
+    return any(
+        peer.waiting and peer.in_flight < NEEDY_BELOW_SHARE * share
+        for peer in tables.peers_by_host.values()
+        if now_ms - peer.heard_ms <= PEER_SILENCE_MS
+    )
+
+
+def choose_probe(
+    tables: Tables, zones_out: Collection[str], rng: random.Random, now_ms: int
+) -> Choice | None:
+    """Picks an executor that seems to be full, for a router with less than its share of slots.
+
+    A router hands a slot that falls free to its own queue before others hear of it, so under
+    lasting overload a router that has just joined would never see a free slot.  It tries its luck
+    in the moment between two requests; an executor that is full refuses at no cost to anyone.
+    """
+    serving = in_service(tables, zones_out, now_ms)
+    if len(tables.attempts_by_id) >= NEEDY_BELOW_SHARE * slot_share(tables, serving):
+        return None
+    if sum(attempt.probe for attempt in tables.attempts_by_id.values()) >= MAX_PROBES:
+        return None
+    open_to_probe = [
+        executor
+        for executor in serving
+        if executor.health is ExecutorHealth.HEALTHY
+        and executor.in_flight < executor.share
+        and now_ms >= executor.full_until_ms
+    ]
+    if not open_to_probe:
+        return None
+    return Choice(rng.choice(open_to_probe), len(open_to_probe), PROBE_REASON)
 
 
 def has_room(tables: Tables, executor: ExecutorEntry, now_ms: int) -> bool:
     """Whether a healthy executor has a slot and a connection left for this router."""
     if executor.health is not ExecutorHealth.HEALTHY or now_ms < executor.full_until_ms:
         return False
-    if executor.in_flight >= connection_share(tables, executor):
+    if executor.in_flight >= executor.share:
         return False
     return tables.estimated_busy(executor, now_ms) < executor.slots
 
 
-def connection_share(tables: Tables, executor: ExecutorEntry) -> int:
+def connection_share(executor: ExecutorEntry, entry_hosts: int) -> int:
     """The connections that one router may hold, so that all together keep to the limit."""
-    return max(1, min(executor.slots, executor.connections // tables.entry_hosts))
+    return max(1, min(executor.slots, executor.connections // entry_hosts))
 
 
 def _takes_work(executor: ExecutorEntry, zones_out: Collection[str], now_ms: int) -> bool:
--- a/packages/requests/src/jacinthreel_requests/_events.py
+++ b/packages/requests/src/jacinthreel_requests/_events.py
@@ -95,10 +95,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerInFlight:
-    """Another router told how many requests it has in flight at each executor."""
+    """Another router told what it has in flight at each executor, and how many requests wait."""
 
     host_id: str
     by_executor: dict[str, int]
+    waiting: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/requests/src/jacinthreel_requests/_queue.py
+++ b/packages/requests/src/jacinthreel_requests/_queue.py
@@ -1,4 +1,9 @@
-"""The queue of requests that wait for a slot, ordered by deadline."""
+"""The queue of requests that wait for a slot, ordered by deadline.
+
+Deadlines that are far away all count as `MAX_DEADLINE_LEAD_MS` after arrival.  Without that bound
+the earliest deadline first starves requests that allow much time whenever there is more work than
+slots: each newcomer with a closer deadline would go before them until their own was near.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +13,7 @@
 
 
 class DeadlineQueue:
-    """Waiting requests; the earliest deadline goes first, then the earliest arrival."""
+    """Waiting requests; the one that is due first goes first, then the earliest arrival."""
 
     __slots__ = ("_entries",)
 
@@ -30,13 +35,13 @@
         return entry in self._entries
 
     def first(self, count: int) -> list[RequestEntry]:
-        """Up to `count` requests with the earliest deadlines."""
+        """Up to `count` requests that are due first."""
         return list(self._entries.islice(0, min(count, len(self._entries))))
 
-    def ahead_of(self, deadline_ms: int) -> int:
-        """How many waiting requests have a deadline at or before this one."""
-        return int(self._entries.bisect_key_right((deadline_ms, float("inf"))))
+    def ahead_of(self, due_ms: int) -> int:
+        """How many waiting requests go before one that is due then."""
+        return int(self._entries.bisect_key_right((due_ms, float("inf"))))
 
 
 def _deadline_order(entry: RequestEntry) -> tuple[int, int]:
-    return (entry.deadline_ms, entry.call_id)
+    return (entry.due_ms, entry.call_id)
--- a/packages/requests/src/jacinthreel_requests/_router.py
+++ b/packages/requests/src/jacinthreel_requests/_router.py
@@ -24,6 +24,7 @@
 
 import heapq
 import random
+from collections.abc import Collection
 from dataclasses import asdict
 from typing import Final
 
@@ -35,7 +36,15 @@
     retry_after_ms,
 )
 from jacinthreel_requests._budget import RetryBudget
-from jacinthreel_requests._choice import Choice, choose, in_service
+from jacinthreel_requests._choice import (
+    PROBE_REASON,
+    Choice,
+    choose,
+    choose_probe,
+    connection_share,
+    find_room,
+    in_service,
+)
 from jacinthreel_requests._claims import ClaimDecision, ClaimDenied, ClaimGranted, ClaimKeeper
 from jacinthreel_requests._effects import (
     Answer,
@@ -103,6 +112,7 @@
         self._next_attempt = 1
         self._next_health_ms = 0
         self._in_service_ms: int | None = None
+        self._empty_ms = 0
         self._effects: list[Effect] = []
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
@@ -120,8 +130,7 @@
             case HostsListed():
                 self._on_hosts(event.hosts)
             case PeerInFlight():
-                peer = PeerEntry(event.by_executor, now_ms)
-                self.tables.peers_by_host[event.host_id] = peer
+                self._on_peer(event, now_ms)
             case DrainStarted():
                 self.draining = True
             case WriteDone():
@@ -132,6 +141,8 @@
                 self._on_tick(now_ms)
         self._expire(now_ms)
         self._dispatch_queue(now_ms)
+        if not len(self.queue):
+            self._empty_ms = now_ms
         return self._effects
 
     def next_due_ms(self, now_ms: int) -> int:
@@ -154,6 +165,10 @@
             if executor.in_flight
         }
 
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self.queue)
+
     def idle(self) -> bool:
         """Whether no request is open and no claim waits to be closed."""
         return not self.tables.requests_by_call and not self.claims.unsettled()
@@ -204,6 +219,7 @@
             event.deadline_ms,
             self._rate(now_ms),
             self._drain.latency_ms,
+            now_ms - self._empty_ms,
             self._rng,
             now_ms,
         )
@@ -235,19 +251,24 @@
 
     def _dispatch_queue(self, now_ms: int) -> None:
         """Sends queued requests, in order of deadline, while executors have room."""
-        if not len(self.queue):
-            return
-        serving = self._in_service(now_ms)
-        progress = True
-        while progress:
-            progress = False
+        while len(self.queue):
+            room = find_room(self.tables, self._zones_out(), now_ms)
+            if not room:
+                self._probe(now_ms)
+                return
             for entry in self.queue.first(QUEUE_SCAN):
-                choice = choose(self.tables, entry, serving, self._zone, self._rng, now_ms)
-                if choice is None:
-                    continue
-                self._dispatch(entry, choice, now_ms)
-                progress = True
-                break
+                choice = choose(self.tables, entry, room, self._zone, self._rng, now_ms)
+                if choice is not None:
+                    self._dispatch(entry, choice, now_ms)
+                    break
+            else:
+                return
+
+    def _probe(self, now_ms: int) -> None:
+        """Tries for a slot while this router has less than its share of them."""
+        choice = choose_probe(self.tables, self._zones_out(), self._rng, now_ms)
+        if choice is not None:
+            self._dispatch(self.queue.first(1)[0], choice, now_ms)
 
     def _dispatch(self, entry: RequestEntry, choice: Choice, now_ms: int) -> None:
         executor = choice.executor
@@ -255,7 +276,10 @@
         entry.state = RequestState.IN_FLIGHT
         entry.attempts += 1
         executor.in_flight += 1
-        attempt = AttemptEntry(self._next_attempt, entry.call_id, executor.executor_id, now_ms)
+        probe = choice.reason == PROBE_REASON
+        attempt = AttemptEntry(
+            self._next_attempt, entry.call_id, executor.executor_id, now_ms, probe
+        )
         self._next_attempt += 1
         self.tables.attempts_by_id[attempt.attempt_id] = attempt
         if executor.health is ExecutorHealth.TRIAL:
@@ -428,8 +452,15 @@
         self.tables.entry_hosts = max(1, entry_hosts)
         for executor in list(self.tables.executors_by_id.values()):
             executor.listed = executor.executor_id in listed
+            executor.share = connection_share(executor, self.tables.entry_hosts)
             self._drop_unlisted(executor)
 
+    def _on_peer(self, event: PeerInFlight, now_ms: int) -> None:
+        in_flight = sum(event.by_executor.values())
+        peer = PeerEntry(event.by_executor, in_flight, event.waiting, now_ms)
+        self.tables.peers_by_host[event.host_id] = peer
+        self.tables.count_peers(now_ms)
+
     def _list_executor(self, host: Host) -> None:
         executor = self.tables.executors_by_id.get(host.host_id)
         if executor is None or (executor.address, executor.port) != (host.address, host.port):
@@ -451,6 +482,7 @@
         if now_ms < self._next_health_ms:
             return
         self._next_health_ms = now_ms + HEALTH_PERIOD_MS
+        self.tables.count_peers(now_ms)
         for change in refresh(self.tables, self._rng, now_ms):
             self._log_health(change)
         if self._in_service(now_ms):
@@ -459,9 +491,11 @@
             for entry in self.queue.first(len(self.queue)):
                 self._give_up(entry, self._no_executor(), now_ms)
 
+    def _zones_out(self) -> Collection[str]:
+        return self.config.zones_out if self.config else ()
+
     def _in_service(self, now_ms: int) -> list[ExecutorEntry]:
-        zones_out = self.config.zones_out if self.config else {}
-        return in_service(self.tables, zones_out, now_ms)
+        return in_service(self.tables, self._zones_out(), now_ms)
 
     def _no_executor(self) -> NotRun:
         retry_ms = retry_after_ms(0, self._rng)
--- a/packages/requests/src/jacinthreel_requests/_tables.py
+++ b/packages/requests/src/jacinthreel_requests/_tables.py
@@ -9,9 +9,10 @@
 from enum import StrEnum
 from typing import Final
 
-LATENCY_SMOOTHING: Final = 0.1
+LATENCY_SMOOTHING: Final = 0.03
 HEADER_FRESH_MS: Final = 100
-PEER_SILENCE_MS: Final = 1_000
+PEER_SILENCE_MS: Final = 2_500  # Unchanged notices are repeated each second.
+MAX_DEADLINE_LEAD_MS: Final = 500  # Later deadlines count as this, so that they don't starve.
 
 
 class RequestState(StrEnum):
@@ -49,6 +50,11 @@
     answered: bool = False
     failed_executors: set[str] = field(default_factory=set)
 
+    @property
+    def due_ms(self) -> int:
+        """The place in the queue: the deadline, but no later than `MAX_DEADLINE_LEAD_MS` on."""
+        return min(self.deadline_ms, self.arrived_ms + MAX_DEADLINE_LEAD_MS)
+
 
 class ExecutorHealth(StrEnum):
     """What this router thinks of an executor.
@@ -65,10 +71,11 @@
 class ExecutorEntry:
     """An executor and what is known of it.
 
-    `in_flight` counts this router's own requests.  `header_others` is how many slots others used
-    by the last reply, `header_ms` when it came; None before the first.  `listed` is false once
-    the host list no longer names it.  `latency_ms` is a moving average of answered requests.
-    `trial_attempt` is the attempt on trial, if one is.
+    `in_flight` counts this router's own requests, `share` is how many it may have at once, and
+    `peers_in_flight` is what the other routers told of theirs.  `header_others` is how many slots
+    others used by the last reply, `header_ms` when it came; None before the first.  `listed` is
+    false once the host list no longer names it.  `latency_ms` is a moving average of answered
+    requests.  `trial_attempt` is the attempt on trial, if one is.
     """
 
     executor_id: str
@@ -81,6 +88,8 @@
     leaving: bool = False
     refused_leaving_ms: int | None = None
     in_flight: int = 0
+    share: int = 1
+    peers_in_flight: int = 0
     header_others: int = 0
     header_ms: int | None = None
     full_until_ms: int = 0
@@ -102,20 +111,26 @@
 
 @dataclass(slots=True)
 class PeerEntry:
-    """What another router last told of its requests in flight."""
+    """What another router last told of its requests; `in_flight` is their count."""
 
     by_executor: dict[str, int]
+    in_flight: int
+    waiting: int
     heard_ms: int
 
 
 @dataclass(slots=True)
 class AttemptEntry:
-    """A request on its way to an executor and back."""
+    """A request on its way to an executor and back.
+
+    `probe` is true where it was sent although the executor seemed to be full.
+    """
 
     attempt_id: int
     call_id: int
     executor_id: str
     sent_ms: int
+    probe: bool = False
 
 
 @dataclass(slots=True)
@@ -128,15 +143,19 @@
     attempts_by_id: dict[int, AttemptEntry] = field(default_factory=dict)
     entry_hosts: int = 1
 
+    def count_peers(self, now_ms: int) -> None:
+        """Adds up what the other routers told; those that fell silent count no more."""
+        heard = [p for p in self.peers_by_host.values() if now_ms - p.heard_ms <= PEER_SILENCE_MS]
+        for executor in self.executors_by_id.values():
+            executor.peers_in_flight = sum(
+                peer.by_executor.get(executor.executor_id, 0) for peer in heard
+            )
+
     def busy_elsewhere(self, executor: ExecutorEntry, now_ms: int) -> int:
         """Slots that other routers use at an executor, by the freshest news of it."""
         if executor.header_ms is not None and now_ms - executor.header_ms <= HEADER_FRESH_MS:
             return executor.header_others
-        return sum(
-            peer.by_executor.get(executor.executor_id, 0)
-            for peer in self.peers_by_host.values()
-            if now_ms - peer.heard_ms <= PEER_SILENCE_MS
-        )
+        return executor.peers_in_flight
 
     def estimated_busy(self, executor: ExecutorEntry, now_ms: int) -> int:
         """Slots in use at an executor, as far as this router can tell."""
