Measure capacity slopes of the cores and of real processes

make slopes fits straight lines through at least four sizes for each role and writes build/slopes.json.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(BIN)/python -m jacinthreel_bench measure --seeds "$(SEEDS)"
 
 slopes: $(STAMP)
-	$(BIN)/python -m jacinthreel_bench slopes
+	$(BIN)/python scripts/slopes.py
 
 clean:
 	rm -rf build $(VENV)
--- /dev/null
+++ b/scripts/slopes.py
@@ -0,0 +1,366 @@
+"""Measures the capacity slopes and writes `build/slopes.json`.
+
+Rows from the cores come from `jacinthreel_bench`; rows from real processes on loopback are measured
+here.  `--cores-only` leaves the processes out.  Byte rates are the loopback interface's, headers
+included, so nothing else should use the interface meanwhile.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import sys
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import psutil
+from _local_cluster import ClusterShape, LocalCluster, call, wait_until
+
+from jacinthreel_bench import (
+    Point,
+    Quantity,
+    SlopeRow,
+    fit_slope,
+    measure_config,
+    measure_owner,
+    measure_queue,
+)
+from jacinthreel_common import HostKind
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+DIRECTORY: Final = ROOT / "build" / "slopes"
+OUTPUT: Final = ROOT / "build" / "slopes.json"
+HOST_COUNTS: Final = (3, 6, 9, 12)
+WORKERS_PER_ZONE: Final = (4, 12, 25, 50)
+REQUEST_RATES: Final = (0, 20, 40, 80)
+SAMPLE_S: Final = 20.0
+IDLE_SAMPLE_S: Final = 60.0
+SETTLE_S: Final = 3.0
+TASKS_PER_WORKER: Final = 6
+GANG_TASKS: Final = 48
+REGION_WORKERS: Final = 2_600 / 7
+TARGET_HOSTS: Final = 9
+TARGET_REQUESTS_PER_S: Final = 100
+URGENT_TRIES: Final = 5
+LONG_RUN: Final = "run=100000"
+ZONE: Final = "fukuoka"
+
+
+@dataclass(slots=True)
+class Usage:
+    """What processes spent over a sample.
+
+    `cpu_percent` and `memory_mb` are by process name; bytes are the whole interface's.
+    """
+
+    cpu_percent: dict[str, float]
+    memory_mb: dict[str, float]
+    bytes_per_s: float
+    table_reads_per_s: float
+    table_writes_per_s: float
+
+    def cpu_of(self, role: str) -> list[float]:
+        """Processor shares of all processes of a role, in percent of a core."""
+        return [cpu for name, cpu in self.cpu_percent.items() if name.endswith(role)]
+
+    def memory_of(self, role: str) -> float:
+        """Resident memory of the largest process of a role, in megabytes."""
+        return max(size for name, size in self.memory_mb.items() if name.endswith(role))
+
+
+def sample(cluster: LocalCluster, duration_s: float) -> Usage:
+    """Measures all processes of a cluster over a time."""
+    processes = {
+        name: psutil.Process(process.pid) for name, process in cluster.processes_by_name.items()
+    }
+    before = {name: sum(process.cpu_times()[:2]) for name, process in processes.items()}
+    bytes_before = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+    table_before = cluster.platform("GET", "/v1/counters")
+    begun_s = time.monotonic()
+    time.sleep(duration_s)
+    took_s = time.monotonic() - begun_s
+    bytes_after = psutil.net_io_counters(pernic=True)["lo"].bytes_sent
+    table_after = cluster.platform("GET", "/v1/counters")
+    cpu = {
+        name: (sum(process.cpu_times()[:2]) - before[name]) / took_s * 100
+        for name, process in processes.items()
+    }
+    memory = {name: process.memory_info().rss / 1e6 for name, process in processes.items()}
+    return Usage(
+        cpu,
+        memory,
+        (bytes_after - bytes_before) / took_s,
+        (table_after["rows_read"] - table_before["rows_read"]) / took_s,
+        (table_after["rows_written"] - table_before["rows_written"]) / took_s,
+    )
+
+
+def run_cluster(shape: ClusterShape, measure: Callable[[LocalCluster], None]) -> None:
+    """Starts a cluster, measures it, and stops it whatever happens."""
+    shutil.rmtree(DIRECTORY, ignore_errors=True)
+    cluster = LocalCluster(DIRECTORY, shape)
+    try:
+        cluster.start()
+        time.sleep(SETTLE_S)
+        measure(cluster)
+    finally:
+        cluster.stop()
+
+
+def measure_hosts() -> list[SlopeRow]:
+    """Idle cost against the number of entry hosts."""
+    points: dict[str, list[Point]] = {
+        name: [] for name in ("cpu", "memory", "bytes", "reads", "writes", "change")
+    }
+
+    def measure(cluster: LocalCluster) -> None:
+        hosts = cluster.shape.entry_hosts
+        used = sample(cluster, IDLE_SAMPLE_S if hosts in (6, 9) else SAMPLE_S)
+        router_cpu, scheduler_cpu = used.cpu_of("router"), used.cpu_of("scheduler")
+        points["cpu"].append(Point(hosts, (sum(router_cpu) + sum(scheduler_cpu)) / hosts))
+        points["memory"].append(
+            Point(hosts, used.memory_of("router") + used.memory_of("scheduler"))
+        )
+        points["bytes"].append(Point(hosts, used.bytes_per_s / hosts / 1000))
+        points["reads"].append(Point(hosts, used.table_reads_per_s))
+        points["writes"].append(Point(hosts, used.table_writes_per_s))
+        points["change"].append(Point(hosts, _change_ms(cluster)))
+        print(f"  {hosts} entry hosts: {used}")
+
+    for hosts in HOST_COUNTS:
+        run_cluster(ClusterShape(workers=4, executors=2, entry_hosts=hosts), measure)
+    size = "entry hosts of a region"
+    return [
+        fit_slope(
+            Quantity("entry host, idle", "both processes", "% of a core", size, TARGET_HOSTS, 1.3),
+            points["cpu"],
+        ),
+        fit_slope(
+            Quantity("entry host, idle", "resident memory", "MB", size, TARGET_HOSTS, 128),
+            points["memory"],
+        ),
+        fit_slope(
+            Quantity("entry host, idle", "bytes on the wire", "kB/s", size, TARGET_HOSTS, 6),
+            points["bytes"],
+        ),
+        fit_slope(
+            Quantity("table service", "rows read, idle", "1/s", size, TARGET_HOSTS * 7, 2_000),
+            points["reads"],
+        ),
+        fit_slope(
+            Quantity("table service", "rows written, idle", "1/s", size, TARGET_HOSTS * 7, 300),
+            points["writes"],
+        ),
+        fit_slope(
+            Quantity("configuration", "in force everywhere", "ms", size, TARGET_HOSTS * 7, 3_000),
+            points["change"],
+        ),
+    ]
+
+
+def _change_ms(cluster: LocalCluster) -> float:
+    """Time from the sending of a change until every process says that it is in force."""
+    port = cluster.router_ports()[0]
+    begun_s = time.monotonic()
+    body = {"reason": "measurement"}
+    version = call(port, "POST", f"/v1/zones/{ZONE}/out", body).json()["version"]
+
+    def in_force() -> bool:
+        status = call(port, "GET", "/v1/status").json()
+        return all(line["config_version"] >= version for line in status["processes"])
+
+    wait_until("the change is in force", in_force)
+    took_ms = (time.monotonic() - begun_s) * 1000
+    call(port, "POST", f"/v1/zones/{ZONE}/in", {})
+    return took_ms
+
+
+def measure_workers() -> list[SlopeRow]:
+    """Cost of an owner, urgent starts and takeover against the workers of its region."""
+    points: dict[str, list[Point]] = {
+        name: [] for name in ("cpu", "standby", "memory", "bytes", "urgent", "takeover")
+    }
+
+    def measure(cluster: LocalCluster) -> None:
+        workers = len(cluster.ids_of(HostKind.WORKER))
+        _fill(cluster, workers)
+        owner = cluster.owner_id()
+        used = sample(cluster, SAMPLE_S)
+        standby = [cpu for n, cpu in used.cpu_percent.items() if n.endswith("scheduler")]
+        points["cpu"].append(Point(workers, used.cpu_percent[f"{owner}/scheduler"]))
+        points["standby"].append(Point(workers, min(standby)))
+        points["memory"].append(Point(workers, used.memory_mb[f"{owner}/scheduler"]))
+        points["bytes"].append(Point(workers, used.bytes_per_s / 1000))
+        for number in range(URGENT_TRIES):
+            points["urgent"].append(Point(workers, _urgent_ms(cluster, number)))
+        points["takeover"].append(Point(workers, _takeover_ms(cluster, str(owner))))
+        print(f"  {workers} workers: {used}")
+
+    for workers in WORKERS_PER_ZONE:
+        run_cluster(ClusterShape(workers=workers, executors=1, entry_hosts=3), measure)
+    size = "workers of a region"
+    return [
+        fit_slope(
+            Quantity("shard owner", "whole process", "% of a core", size, REGION_WORKERS, 1.3),
+            points["cpu"],
+        ),
+        fit_slope(
+            Quantity("standby owner", "whole process", "% of a core", size, REGION_WORKERS, 1.3),
+            points["standby"],
+        ),
+        fit_slope(
+            Quantity("shard owner", "resident memory", "MB", size, REGION_WORKERS, 128),
+            points["memory"],
+        ),
+        _per_worker(points["bytes"]),
+        fit_slope(
+            Quantity("shard owner", "urgent start", "ms", size, REGION_WORKERS, 1_000),
+            points["urgent"],
+        ),
+        fit_slope(
+            Quantity("standby owner", "takeover after a kill", "ms", size, REGION_WORKERS, 15_000),
+            points["takeover"],
+        ),
+    ]
+
+
+def _per_worker(points: list[Point]) -> SlopeRow:
+    """The slope of all bytes against the workers is what one worker's link carries.
+
+    The intercept is the traffic among the entry hosts, which is no part of a worker's link.
+    """
+    quantity = Quantity("worker link", "bytes on the wire", "kB/s", "workers", 1, limit=6)
+    whole = fit_slope(quantity, points)
+    links_only = [Point(point.x, point.y - whole.intercept) for point in points]
+    return fit_slope(quantity, links_only)
+
+
+def _fill(cluster: LocalCluster, workers: int) -> None:
+    """Gives every worker about `TASKS_PER_WORKER` long tasks."""
+    port = cluster.router_ports()[0]
+    call(port, "PUT", "/v1/workspaces/lab", {"guarantee": [], "weight": 1})
+    left = workers * TASKS_PER_WORKER
+    number = 0
+    while left > 0:
+        tasks = min(GANG_TASKS, left)
+        _submit(port, f"fill-{number}", tasks, urgent=False)
+        left -= tasks
+        number += 1
+    wait_until(
+        "all gangs run",
+        lambda: all(
+            job["state"] == "running"
+            for job in call(port, "GET", "/v1/jobs?workspace=lab").json()["jobs"]
+        ),
+        timeout_s=60,
+    )
+
+
+def _submit(port: int, job_id: str, tasks: int, urgent: bool) -> None:
+    spec: dict[str, Any] = {
+        "job_id": job_id,
+        "workspace": "lab",
+        "tasks": tasks,
+        "accelerators_per_task": 0,
+        "urgent": urgent,
+        "command": LONG_RUN,
+    }
+    answer = call(port, "POST", "/v1/jobs", spec)
+    if answer.status not in (200, 201, 202):
+        raise RuntimeError(f"{job_id} refused: {answer.body!r}")
+
+
+def _urgent_ms(cluster: LocalCluster, number: int) -> float:
+    """Time from the submission of an urgent job until its worker has started it."""
+    job_id = f"urgent-{number}"
+    begun_ms = time.monotonic_ns() / 1e6
+    _submit(cluster.router_ports()[0], job_id, 1, urgent=True)
+    wait_until("an urgent start", lambda: bool(cluster.task_starts(job_id)))
+    return float(cluster.task_starts(job_id)[0]["at_ms"] - begun_ms)
+
+
+def _takeover_ms(cluster: LocalCluster, owner: str) -> float:
+    """Time from a kill of the owner's host until another owner starts a new job."""
+    begun_ms = time.monotonic_ns() / 1e6
+    cluster.kill_host(owner)
+    port = cluster.router_ports()[0]
+
+    def accepted() -> bool:
+        spec = {"job_id": "next", "workspace": "lab", "tasks": 1, "accelerators_per_task": 0}
+        return call(port, "POST", "/v1/jobs", spec).status in (200, 201, 202)
+
+    wait_until("a new owner", accepted, timeout_s=60)
+    wait_until("a start by the new owner", lambda: bool(cluster.task_starts("next")))
+    return float(cluster.task_starts("next")[0]["at_ms"] - begun_ms)
+
+
+def measure_requests() -> list[SlopeRow]:
+    """Processor time of the routers against the rate of requests."""
+    cpu: list[Point] = []
+
+    def measure(cluster: LocalCluster) -> None:
+        for rate in REQUEST_RATES:
+            with ThreadPoolExecutor(32) as callers:
+                sending = callers.submit(_send_requests, cluster, rate, SAMPLE_S)
+                used = sample(cluster, SAMPLE_S)
+                sending.result()
+            cpu.append(Point(rate, sum(used.cpu_of("router"))))
+
+    run_cluster(ClusterShape(workers=1, executors=8, entry_hosts=3), measure)
+    quantity = Quantity(
+        "entry hosts, requests",
+        "routers together",
+        "% of a core",
+        "requests/s",
+        TARGET_REQUESTS_PER_S,
+    )
+    return [fit_slope(quantity, cpu)]
+
+
+def _send_requests(cluster: LocalCluster, rate: int, duration_s: float) -> None:
+    ports = cluster.router_ports()
+    end_s = time.monotonic() + duration_s
+    with ThreadPoolExecutor(32) as callers:
+        number = 0
+        while rate and time.monotonic() < end_s:
+            port = ports[number % len(ports)]
+            headers = {"X-Idempotent": "true"}
+            callers.submit(call, port, "POST", "/v1/requests/lab", b"run=20", headers)
+            number += 1
+            time.sleep(1 / rate)
+
+
+def report(rows: list[SlopeRow]) -> None:
+    """Prints the rows as a table and writes them."""
+    for row in rows:
+        limit = "-" if row.limit is None else f"{row.limit:g}"
+        verdict = "" if row.limit is None else ("holds" if row.holds else "DOES NOT HOLD")
+        print(
+            f"{row.role:22} {row.quantity:28} {row.intercept:10.4g} + {row.slope:10.4g} x"
+            f"  +-{row.spread:8.3g}  at {row.target:7g} {row.x}: {row.at_target:9.4g} {row.unit}"
+            f"  limit {limit} {verdict}"
+        )
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_text(json.dumps([asdict(row) for row in rows], indent=1))
+    print(f"wrote {OUTPUT.relative_to(ROOT)}")
+
+
+def main(arguments: list[str]) -> int:
+    """Measures everything and reports."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--cores-only", action="store_true")
+    options = parser.parse_args(arguments)
+    rows = measure_config() + measure_owner() + measure_queue()
+    if not options.cores_only:
+        rows += measure_hosts() + measure_workers() + measure_requests()
+    report(rows)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
