--- /dev/null
+++ b/packages/bench/src/jacinthreel_bench/__main__.py
@@ -0,0 +1,40 @@
+"""Command line of the measurements: `python -m jacinthreel_bench measure|slopes`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Final
+
+from cyclopts import App
+
+BUILD: Final = Path("build")
+
+app = App(name="jacinthreel_bench", help="Measurements and capacity experiments.")
+
+
+@app.command
+def measure(seeds: str = "1 2 3", parts: str = "jobs requests") -> None:
+    """Measures job and request decisions against baselines; writes build/measure.json.
+
+    Parameters
+    ----------
+    seeds
+        Seeds, separated by blanks.
+    parts
+        Which sides to measure: jobs, requests or both.
+    """
+    from jacinthreel_bench._measure import run_measurements
+
+    run_measurements([int(seed) for seed in seeds.split()], BUILD, tuple(parts.split()))
+
+
+@app.command
+def slopes() -> None:
+    """Measures the cost of each role over growing sizes; writes build/slopes.json."""
+    from jacinthreel_bench._slopes import run_slopes
+
+    run_slopes(BUILD)
+
+
+if __name__ == "__main__":
+    app()
--- a/packages/jobs/src/jacinthreel_jobs/_backfill.py
+++ b/packages/jobs/src/jacinthreel_jobs/_backfill.py
@@ -45,6 +45,7 @@
     now_ms: int
     by_worker: dict[str, Reservation] = field(default_factory=dict)
     count: int = 0
+    _ends: list[tuple[float, JobEntry]] = field(default_factory=list)
 
     def allows(self, worker: WorkerView, run_s: float) -> bool:
         """Whether a gang expected to run for `run_s` seconds may use a worker."""
@@ -65,16 +66,20 @@
         best = search.best_group()
         if best is not None:
             return self._reservation(job, 0.0, search, best)
-        ends = sorted(
-            ((left_s(other, self.now_ms), other) for other in view.active),
-            key=lambda item: (item[0], item[1].job_id),
-        )
-        for after_s, other in ends:
+        for after_s, other in self._ends_in_order(view):
             best = search.give_back(other)
             if best is not None:
                 return self._reservation(job, after_s, search, best)
         return None
 
+    def _ends_in_order(self, view: ClusterView) -> list[tuple[float, JobEntry]]:
+        if not self._ends:
+            self._ends = sorted(
+                ((left_s(other, self.now_ms), other) for other in view.active),
+                key=lambda item: (item[0], item[1].job_id),
+            )
+        return self._ends
+
     def _reservation(
         self, job: JobEntry, after_s: float, search: _Search, group: tuple[str, ...]
     ) -> Reservation:
