--- a/packages/jobs/src/jacinthreel_jobs/_context.py
+++ b/packages/jobs/src/jacinthreel_jobs/_context.py
@@ -11,6 +11,7 @@
 
 from jacinthreel_common import (
     CommandKind,
+    Fault,
     Host,
     JobRecord,
     TaskCommand,
@@ -119,6 +120,7 @@
     )
     cancel_calls_by_id: dict[str, list[int]] = field(default_factory=dict)
     hosts: list[Host] = field(default_factory=list)
+    fit_fault_by_shape: dict[tuple[object, ...], Fault | None] = field(default_factory=dict)
     outages_by_zone: dict[str, ZoneOutage] = field(default_factory=dict)
     urgent_ids: set[str] = field(default_factory=set)
     plan_wanted: bool = False
--- a/packages/jobs/src/jacinthreel_jobs/_hosts.py
+++ b/packages/jobs/src/jacinthreel_jobs/_hosts.py
@@ -23,6 +23,7 @@
 
 def apply_hosts(ctx: ShardContext) -> None:
     """Brings the workers' table in line with the host list."""
+    ctx.fit_fault_by_shape.clear()
     if not ctx.owns:
         return
     listed = {host.host_id: host for host in shard_workers(ctx.hosts, ctx.tables.shard)}
--- a/packages/jobs/src/jacinthreel_jobs/_limits.py
+++ b/packages/jobs/src/jacinthreel_jobs/_limits.py
@@ -32,7 +32,7 @@
 WRITE_RETRY_LIMIT_MS: Final = 4_000
 GROUP_ROWS: Final = 64
 """Most rows in one transaction."""
-REPLAN_MS: Final = 2_000
+REPLAN_MS: Final = 5_000
 """A waiting queue is planned again after this time, even if nothing changed."""
 REFUSED_PAUSE_MS: Final = 1_000
 """How long a job that was refused by a worker, or failed, waits before its next placement."""
@@ -40,6 +40,8 @@
 """What callers are told to wait while the shard or the store is away."""
 QUEUE_FULL_RETRY_MS: Final = 10_000
 """What callers are told to wait while the queue is full."""
+KNOWN_SHAPES: Final = 1_000
+"""Most shapes of gangs of which it is remembered whether they can ever run."""
 FAILS_EVERYWHERE_WORKERS: Final = 3
 """A job that fails on this many distinct workers, none in quarantine, is at fault itself."""
 MAX_TASK_FAILURES: Final = 6
--- a/packages/jobs/src/jacinthreel_jobs/_reports.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reports.py
@@ -27,6 +27,7 @@
 )
 from jacinthreel_jobs._gang_down import mark_gone, sync_row, take_down
 from jacinthreel_jobs._gang_start import STARTED, task_reserved, task_started
+from jacinthreel_jobs._overuse import throttle_overuse
 from jacinthreel_jobs._tables import TaskKey
 from jacinthreel_jobs._worker_health import (
     batch_lost,
@@ -115,6 +116,8 @@
         elif key in reports_by_key:
             _apply_report(ctx, gang, task, reports_by_key[key])
     _stop_unexplained(ctx, link)
+    if moved_on:
+        throttle_overuse(ctx, link)
     adopted: list[Gang] = []
     for gang in touched.values():
         if _judge_gang(ctx, gang):
--- a/packages/jobs/src/jacinthreel_jobs/_shard.py
+++ b/packages/jobs/src/jacinthreel_jobs/_shard.py
@@ -126,8 +126,9 @@
             case JobCancelled():
                 cancel(ctx, event)
             case LeaseRenewed():
+                if not ctx.lease_valid:
+                    ctx.want_plan()
                 ctx.lease_until_ms = max(ctx.lease_until_ms, event.lease_until_ms)
-                ctx.want_plan()
             case ConfigApplied():
                 self._apply_config(event)
             case HostsListed():
--- a/packages/jobs/src/jacinthreel_jobs/_submission.py
+++ b/packages/jobs/src/jacinthreel_jobs/_submission.py
@@ -9,10 +9,11 @@
 
 from dataclasses import replace
 
-from returns.result import Failure
+from returns.pipeline import is_successful
 
 from jacinthreel_common import (
     ENDED_STATES,
+    Fault,
     JobRecord,
     JobSpec,
     JobState,
@@ -25,7 +26,7 @@
 from jacinthreel_jobs._fit import check_job_fits
 from jacinthreel_jobs._gang_down import sync_row
 from jacinthreel_jobs._hosts import shard_workers
-from jacinthreel_jobs._limits import QUEUE_FULL_RETRY_MS, RETRY_AFTER_MS
+from jacinthreel_jobs._limits import KNOWN_SHAPES, QUEUE_FULL_RETRY_MS, RETRY_AFTER_MS
 from jacinthreel_jobs._planning import Planner
 from jacinthreel_jobs._recovery import add_job, read_record
 from jacinthreel_jobs._rows import ChangeOutcome, SettledChange, request_change
@@ -81,12 +82,11 @@
     if spec.workspace not in config.workspaces:
         detail = f"no workspace {spec.workspace!r}"
         return Reply(call_id, ResultCode.UNKNOWN_WORKSPACE, detail)
-    workers = shard_workers(ctx.hosts, ctx.tables.shard)
-    if not workers:
+    if not ctx.tables.workers_by_id:
         return Reply(call_id, ResultCode.NO_OWNER, "no host list seen yet", RETRY_AFTER_MS)
-    match check_job_fits(spec, workers):
-        case Failure(fault):
-            return Reply(call_id, fault.code, fault.detail)
+    fault = _fit_fault(ctx, spec)
+    if fault is not None:
+        return Reply(call_id, fault.code, fault.detail)
     waiting = len(ctx.tables.queued_by_id) + _pending_inserts(ctx)
     if waiting >= config.settings.max_queued_jobs:
         detail = f"{waiting} jobs are queued"
@@ -94,6 +94,24 @@
     return None
 
 
+def _fit_fault(ctx: ShardContext, spec: JobSpec) -> Fault | None:
+    """Why a gang can never run, or None; worked out once for each shape and host list."""
+    shape = (
+        spec.tasks,
+        spec.accelerators_per_task,
+        spec.cores_per_task,
+        spec.memory_gb_per_task,
+        spec.adjacency,
+    )
+    if shape not in ctx.fit_fault_by_shape:
+        if len(ctx.fit_fault_by_shape) >= KNOWN_SHAPES:
+            ctx.fit_fault_by_shape.clear()
+        result = check_job_fits(spec, shard_workers(ctx.hosts, ctx.tables.shard))
+        fault = None if is_successful(result) else result.failure()
+        ctx.fit_fault_by_shape[shape] = fault
+    return ctx.fit_fault_by_shape[shape]
+
+
 def _pending_inserts(ctx: ShardContext) -> int:
     """Acceptances that wait to be sent; those on their way are at most one group."""
     return len(ctx.unsent_by_priority[WritePriority.ACCEPT])
--- a/packages/jobs/tests/features/shard_gangs.feature
+++ b/packages/jobs/tests/features/shard_gangs.feature
@@ -7,7 +7,7 @@
     Given worker "w2" <fault>
     When job "a" with 4 tasks of 8 accelerators runs for 6 s
     And 4000 ms pass
-    Then no task of job "a" runs
+    Then no task of job "a" ever started
     When worker "w2" answers again
     Then job "a" becomes finished within 40000 ms
     And no gang was partial for longer than 2500 ms
@@ -24,6 +24,14 @@
     Then job "a" becomes finished within 10000 ms
     And job "a" took 1 attempt
 
+  Scenario: A repeated reply does not stand for the answer to a lost start
+    Given worker "w1" loses starts and repeats replies
+    When job "a" with 4 tasks of 8 accelerators runs for 4 s
+    And 5000 ms pass
+    Then no gang was partial for longer than 2500 ms
+    When worker "w1" answers again
+    Then job "a" becomes finished within 20000 ms
+
   Scenario: A worker that loses its tasks takes the gang down, and it runs again as a whole
     When job "a" with 4 tasks of 8 accelerators runs for 6 s
     And 2000 ms pass
@@ -50,8 +58,26 @@
     Then job "a" is placed on "w0"
     And job "a" becomes running elsewhere than "w0" within 20000 ms
 
+  Scenario: A reservation that is refused takes the gang down before any start
+    Given worker "w3" runs a task of 8 accelerators that no row explains
+    And worker "w3" answers after 600 ms
+    When job "a" with 4 tasks of 8 accelerators runs for 2 s
+    And 200 ms pass
+    Then no task of job "a" ever started
+    And job "a" becomes finished within 20000 ms
+    And job "a" took 2 attempts
+
+  Scenario: A task that uses more than it declared is throttled where memory runs short
+    When job "a" with 1 task of 4 accelerators runs for 30 s and uses 500 GB
+    And job "b" with 1 task of 4 accelerators runs for 30 s
+    And 7000 ms pass
+    Then no decision "throttle" is logged
+    When job "c" with 2 tasks of 1 accelerators runs for 30 s and uses 500 GB
+    And 7000 ms pass
+    Then a decision "throttle" is logged
+
   Scenario: A task that no row explains is stopped
-    Given worker "w3" runs a task that no row explains
+    Given worker "w3" runs a task of 1 accelerators that no row explains
     When 1500 ms pass
     Then worker "w3" holds no task
 
--- a/packages/jobs/tests/features/shard_store.feature
+++ b/packages/jobs/tests/features/shard_store.feature
@@ -14,6 +14,30 @@
     Then the last call is answered with OK
     And job "a" becomes finished within 10000 ms
 
+  Scenario: A write that takes effect late changes nothing that was written since
+    Given the store applies writes late
+    When job "a" with 1 task of 8 accelerators runs for 1 s
+    And 50 ms pass
+    And the store is back
+    Then job "a" becomes finished within 8000 ms
+    When 10000 ms pass
+    Then job "a" becomes finished within 1 ms
+
+  Scenario: A placement of a former owner that arrives late is not stored
+    When job "a" with 1 task of 8 accelerators runs for 1 s
+    And 6 ms pass
+    And the store applies writes late
+    And 6 ms pass
+    And the owner crashes
+    And the store is back
+    And worker "w0" refuses connections
+    And worker "w1" refuses connections
+    And worker "w2" refuses connections
+    And worker "w3" refuses connections
+    And another process starts
+    And 12000 ms pass
+    Then job "a" becomes queued within 1 ms
+
   Scenario: The same id with another specification is refused
     When job "a" with 1 task of 8 accelerators runs for 2 s
     And 50 ms pass
--- a/packages/jobs/tests/features/shard_zones.feature
+++ b/packages/jobs/tests/features/shard_zones.feature
@@ -12,6 +12,14 @@
     And job "a" becomes finished within 20000 ms
     And nothing started in a closed zone too late
 
+  Scenario: The store answers late that the placement is stored
+    Given the store answers after 5 s
+    When job "a" with 4 tasks of 8 accelerators runs for 2 s
+    And 5200 ms pass
+    And zone "z0" is closed, which the owner hears after 8000 ms
+    And 8000 ms pass
+    Then nothing started in a closed zone too late
+
   Scenario: A zone is closed while a start is on its way
     Given worker "w0" answers after 1500 ms
     When job "a" with 3 tasks of 8 accelerators runs for 5 s
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -74,6 +74,8 @@
 SHARD = "kyushu"
 TICK_MS = 100
 STORE_MS = 5
+LATE_WRITE_MS = 9_000
+SLOW_STORE_MS = 5_000
 LINK_MS = 2
 LINK_TIMEOUT_MS = 2_000
 SHARD_LEASE_MS = 4_000
@@ -137,6 +139,7 @@
     refuses: bool = False
     loses_requests: bool = False
     loses_replies: bool = False
+    loses_starts: bool = False
     repeats_replies: bool = False
     delay_ms: int = LINK_MS
 
@@ -177,6 +180,7 @@
         self.stop_before: Callable[[Effect], bool] | None = None
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
+        self._records: dict[str, tuple[int, JobRecord | None]] = {}
         self.last_call = 0
         self.partial_since: dict[str, int] = {}
         self.longest_partial_ms = 0
@@ -210,7 +214,7 @@
     def run_until(self, condition: Callable[[], bool], limit_ms: int = 60_000) -> bool:
         end_ms = self.now_ms + limit_ms
         while not condition() and self.now_ms < end_ms:
-            self.run(10)
+            self.run(20)
         return condition()
 
     # Nodes.
@@ -333,9 +337,15 @@
             case LogDecision():
                 self.logs.append(effect)
             case StepDown():
+                self._check_step_down(node, effect)
                 node.owner = False
                 self.at(0, lambda: self.feed(node, OwnershipLost()))
 
+    def _check_step_down(self, node: Node, effect: StepDown) -> None:
+        """An owner gives up only because there is a newer one."""
+        newest = self.table.rows_by_key[epoch_key(SHARD)].value["epoch"]
+        assert newest > node.epoch, f"needless step-down: {effect.reason}"
+
     def _write(self, node: Node, effect: Write) -> None:
         done = WriteDone(effect.write_id, WriteOutcome.UNKNOWN, {}, [])
         transaction = Transaction(effect.write_id, effect.conditions, effect.writes)
@@ -347,18 +357,19 @@
                 self.feed(node, done)
                 return
             case "late":
-                self.at(3_000, lambda: self.table.transact(transaction))
+                self.at(LATE_WRITE_MS, lambda: self.table.transact(transaction))
                 self.feed(node, done)
                 return
         reply = self.table.transact(transaction)
-        if self.store == "loses_replies":
-            self.feed(node, done)
-        elif reply.committed:
-            committed = replace(done, outcome=WriteOutcome.COMMITTED, versions=reply.versions)
-            self.feed(node, committed)
+        if reply.committed:
+            answer = replace(done, outcome=WriteOutcome.COMMITTED, versions=reply.versions)
         else:
             conflicts = list(reply.versions)
-            self.feed(node, replace(done, outcome=WriteOutcome.CONFLICT, conflicts=conflicts))
+            answer = replace(done, outcome=WriteOutcome.CONFLICT, conflicts=conflicts)
+        if self.store == "loses_replies":
+            answer = done
+        delay_ms = SLOW_STORE_MS if self.store == "slow" else 0
+        self.at(delay_ms, lambda: self.feed(node, answer))
 
     def _read(self, node: Node, effect: ReadRows) -> None:
         if self.store in ("down", "loses_requests"):
@@ -384,9 +395,10 @@
         if link.refuses or (check_limit and self.now_ms > effect.not_after_ms):
             self.at(1, lambda: unreachable(False))
             return
-        if not link.loses_requests:
+        lost = link.loses_requests or (link.loses_starts and has_command(effect, CommandKind.START))
+        if not lost:
             self.at(link.delay_ms, lambda: self._arrive(node, effect, sent_ms))
-        if link.loses_requests or link.loses_replies or link.delay_ms >= LINK_TIMEOUT_MS:
+        if lost or link.loses_replies or link.delay_ms >= LINK_TIMEOUT_MS:
             self.at(LINK_TIMEOUT_MS, lambda: unreachable(True))
 
     def _arrive(self, node: Node, effect: SendBatch, sent_ms: int) -> None:
@@ -456,8 +468,14 @@
     # What is true.
 
     def record(self, job_id: str) -> JobRecord | None:
-        rows = self.table.read(ReadQuery([job_key(SHARD, job_id)])).rows
-        return convert(JobRecord, rows[0].value).unwrap() if rows else None
+        row = self.table.rows_by_key.get(job_key(SHARD, job_id))
+        if row is None:
+            return None
+        version, record = self._records.get(job_id, (0, None))
+        if version != row.version:
+            record = convert(JobRecord, row.value).unwrap()
+            self._records[job_id] = (row.version, record)
+        return record
 
     def state(self, job_id: str) -> JobState | None:
         record = self.record(job_id)
@@ -500,6 +518,8 @@
         partial: list[str] = []
         for job_id in {key[0] for key in self.running()}:
             record = self.record(job_id)
+            if record is None:
+                continue
             finished = sum(
                 key[0] == job_id and task.state == "finished" and key[1] == record.attempt
                 for worker in self.workers.values()
--- a/packages/jobs/tests/test_shard_machine.py
+++ b/packages/jobs/tests/test_shard_machine.py
@@ -17,13 +17,14 @@
 
 WORKER_IDS = st.sampled_from(["w0", "w1", "w2", "w3"])
 ZONES = st.sampled_from(["z0", "z1"])
-STORE_FAULTS = st.sampled_from(["down", "loses_requests", "loses_replies", "late"])
+STORE_FAULTS = st.sampled_from(["down", "loses_requests", "loses_replies", "late", "slow"])
 LINK_FAULTS = st.sampled_from(
     [
         Link(refuses=True),
         Link(loses_requests=True),
         Link(loses_replies=True),
         Link(repeats_replies=True),
+        Link(loses_starts=True, repeats_replies=True, delay_ms=20),
         Link(delay_ms=300),
         Link(delay_ms=1_500),
         Link(delay_ms=4_000),
@@ -44,7 +45,7 @@
     @rule(
         tasks=st.integers(1, 4),
         accelerators=st.sampled_from([1, 4, 8]),
-        run_s=st.sampled_from([1, 4, 20]),
+        run_s=st.sampled_from([2, 20, 60]),
         checkpointable=st.booleans(),
         urgent=st.booleans(),
     )
@@ -179,7 +180,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=25,
+    max_examples=150,
     stateful_step_count=25,
     suppress_health_check=list(HealthCheck),
 )
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -37,6 +37,7 @@
     "loses requests": Link(loses_requests=True),
     "loses replies": Link(loses_replies=True),
     "repeats replies": Link(repeats_replies=True),
+    "loses starts and repeats replies": Link(loses_starts=True, repeats_replies=True, delay_ms=20),
     "answers again": Link(),
 }
 STORES = {
@@ -44,6 +45,7 @@
     "loses replies": "loses_replies",
     "loses requests": "loses_requests",
     "applies writes late": "late",
+    "answers after 5 s": "slow",
     "is back": "up",
 }
 JOB = (
@@ -166,6 +168,7 @@
 
 @given(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>refuses connections|loses requests)'))
 @given(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>(loses|repeats) replies)'))
+@given(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>loses starts and repeats replies)'))
 @when(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>refuses connections|loses requests)'))
 @when(parsers.re(r'worker "(?P<worker_id>\w+)" (?P<fault>answers again)'))
 def _set_link(cluster: Cluster, worker_id: str, fault: str) -> None:
@@ -198,10 +201,12 @@
     cluster.list_leaving(worker_id)
 
 
-@given(parsers.parse('worker "{worker_id}" runs a task that no row explains'))
-def _unexplained(cluster: Cluster, worker_id: str) -> None:
+@given(
+    parsers.parse('worker "{worker_id}" runs a task of {count:d} accelerators that no row explains')
+)
+def _unexplained(cluster: Cluster, worker_id: str, count: int) -> None:
     commands = [
-        TaskCommand(CommandKind.RESERVE, "ghost", 1, 0, 1, 1, 1, command="run=900"),
+        TaskCommand(CommandKind.RESERVE, "ghost", 1, 0, count, 1, 1, command="run=900"),
         TaskCommand(CommandKind.START, "ghost", 1, 0),
     ]
     batch = CommandBatch(SHARD, 1, 60_000, 0, commands)
@@ -250,6 +255,25 @@
     cluster.owner().freeze_on_start_ms = duration_ms
 
 
+@when(parsers.re(JOB + r" and uses (?P<memory_gb>\d+) GB"), converters=NUMBERS)
+def _submit_large(
+    cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int, memory_gb: str
+) -> None:
+    spec = job_spec(job_id, tasks, accelerators, run_s)
+    cluster.submit(replace(spec, command=f"run={run_s} memory={memory_gb}"))
+
+
+@then(parsers.re(r'(?P<count>no|a) decision "(?P<event>\w+)" is logged'))
+def _logged(cluster: Cluster, count: str, event: str) -> None:
+    assert any(line.event == event for line in cluster.logs) is (count == "a")
+
+
+@then(parsers.parse('no task of job "{job_id}" ever started'))
+def _none_started(cluster: Cluster, job_id: str) -> None:
+    for worker in cluster.workers.values():
+        assert job_id not in {start.job_id for start in worker.starts}
+
+
 @then(parsers.parse('no task of job "{job_id}" runs'))
 def _none_runs(cluster: Cluster, job_id: str) -> None:
     assert not cluster.running(job_id)
