--- a/packages/daemon/src/jacinthreel_daemon/_job_calls.py
+++ b/packages/daemon/src/jacinthreel_daemon/_job_calls.py
@@ -94,7 +94,7 @@
             records = convert(list[JobRecord], reply.unwrap().body)
             if isinstance(records, Failure):
                 return records
-            return Success(JobList("owner", records.unwrap()))
+            return Success(JobList("owner", _newest_first(records.unwrap())))
         return await self._list_rows(query)
 
     async def _change(
@@ -164,7 +164,7 @@
             if isinstance(record, Failure) or not _matches(record.unwrap(), query):
                 continue
             jobs.append(record.unwrap())
-        return Success(JobList("table", jobs[: query.limit]))
+        return Success(JobList("table", _newest_first(jobs)[: query.limit]))
 
 
 def _may_pass(code: ResultCode) -> bool:
@@ -190,6 +190,10 @@
     return Fault(ResultCode.NO_OWNER, fault.detail, RETRY_AFTER_MS)
 
 
+def _newest_first(jobs: list[JobRecord]) -> list[JobRecord]:
+    return sorted(jobs, key=lambda job: (-job.submitted_unix_ms, job.spec.job_id))
+
+
 def _matches(record: JobRecord, query: ListJobs) -> bool:
     if query.workspace and record.spec.workspace != query.workspace:
         return False
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -151,6 +151,7 @@
         check(owner is not None, "no owner")
         assert owner is not None
         self._cluster.kill_host(owner)
+        self._cluster.platform("POST", f"/v1/hosts/{owner}/state", {"state": "leaving"})
         job = self.operate("job", "wait", "survivor", "--timeout-s", "80")
         check(job["state"] == "finished", f"job survivor is {job['state']}")
         starts = self._cluster.task_starts("survivor")
--- /dev/null
+++ b/tests/process/test_protocol_page.py
@@ -0,0 +1,77 @@
+"""The examples of docs/PROTOCOL.md, run against real processes in their order."""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from _local_cluster import LocalCluster, call
+
+PAGE = Path(__file__).resolve().parents[2] / "docs" / "PROTOCOL.md"
+FENCE = re.compile(r"^```http\n(.*?)^```$", re.MULTILINE | re.DOTALL)
+VARIES = {"version", "submitted_unix_ms", "changed_unix_ms", "detail"}
+"""Fields whose values differ from run to run; only their types are compared."""
+
+
+@dataclass
+class Message:
+    first_line: str
+    headers: dict[str, str]
+    body: str
+
+
+def read_messages() -> list[Message]:
+    messages: list[Message] = []
+    for block in FENCE.findall(PAGE.read_text()):
+        head, _, body = block.partition("\n\n")
+        first_line, *lines = head.strip().splitlines()
+        headers = dict(line.split(": ", 1) for line in lines)
+        messages.append(Message(first_line, headers, body.strip()))
+    return messages
+
+
+def find_difference(expected: Any, seen: Any, path: str = "$") -> str | None:
+    """The path of the first field that differs in kind or, where it is fixed, in value."""
+    if type(expected) is not type(seen):
+        return f"{path}: {expected!r} is not {seen!r}"
+    if isinstance(expected, dict):
+        if set(expected) - set(seen):
+            return f"{path} lacks {set(expected) - set(seen)}"
+        for key, value in expected.items():
+            if key in VARIES and type(value) is type(seen[key]):
+                continue
+            found = find_difference(value, seen[key], f"{path}.{key}")
+            if found:
+                return found
+        return None
+    if isinstance(expected, list) and len(expected) == len(seen):
+        found = (
+            find_difference(*pair, f"{path}[{number}]")
+            for number, pair in enumerate(zip(expected, seen, strict=True))
+        )
+        return next((path for path in found if path), None)
+    return None if expected == seen else f"{path}: {expected!r} is not {seen!r}"
+
+
+def test_the_examples_are_true(cluster: LocalCluster) -> None:
+    messages = read_messages()
+    assert len(messages) >= 20
+    assert len(messages) % 2 == 0
+    port = cluster.router_ports()[0]
+    assert call(port, "POST", "/v1/presets/ordinary/activate").status == 200
+    for request, response in zip(messages[::2], messages[1::2], strict=True):
+        method, path = request.first_line.split(" ")
+        sent = request.body.encode() if request.body else None
+        answer = call(port, method, path, sent, request.headers)
+        about = f"{request.first_line}: {answer.status} {answer.body.decode()}"
+        assert str(answer.status) == response.first_line, about
+        for name, value in response.headers.items():
+            assert answer.headers[name.lower()] == value, about
+        if not response.body.startswith("{"):
+            assert answer.body.decode() == response.body, about
+            continue
+        difference = find_difference(json.loads(response.body), answer.json())
+        assert difference is None, f"{about}\n{difference}"
