Test that all guarantees are checked together; list the proofs of operators' changes

The case that was there had one workspace only and passed with just the changed workspace checked; the new one has two and fails then.

--- a/packages/daemon/tests/test_config_changes.py
+++ b/packages/daemon/tests/test_config_changes.py
@@ -34,9 +34,10 @@
     SetWorkspace,
     TakeZoneOut,
 )
+from jacinthreel_jobs import check_guarantees
 from jacinthreel_standins import MemoryStore, StoreOutcome
 
-from .router_fakes import FakeProcess
+from .router_fakes import FakeProcess, make_hosts
 
 
 def make_changer(process: FakeProcess) -> ConfigChanger:
@@ -71,6 +72,8 @@
 PEAK = ActivatePreset(PresetName.PEAK)
 MAINTENANCE = ActivatePreset(PresetName.MAINTENANCE)
 OUT_A = TakeZoneOut("a", "power", 1_000)
+ONE_WORKER = Workspace("labels", [GuaranteedShape(CellLevel.WORKER, 1)])
+PRESS = Workspace("press", [GuaranteedShape(CellLevel.WORKER, 1)])
 TWO_WORKERS = Workspace("labels", [GuaranteedShape(CellLevel.WORKER, 2)])
 THREE_WORKERS = Workspace("labels", [GuaranteedShape(CellLevel.WORKER, 3)])
 
@@ -97,6 +100,15 @@
         + [ChangeRequest(SetWorkspace(THREE_WORKERS), "c2")],
         ["version 1", "GUARANTEES_DO_NOT_FIT"],
     ),
+    "guarantees have to fit together": (
+        [
+            ChangeRequest(SetWorkspace(TWO_WORKERS), "c1"),
+            ChangeRequest(SetWorkspace(PRESS), "c2"),
+            ChangeRequest(SetWorkspace(ONE_WORKER), "c3"),
+            ChangeRequest(SetWorkspace(PRESS), "c4"),
+        ],
+        ["version 1", "GUARANTEES_DO_NOT_FIT", "version 2", "version 3"],
+    ),
     "names have to exist": (
         [
             ChangeRequest(TakeZoneOut("nowhere", "", 0), "c1"),
@@ -164,7 +176,7 @@
         TakeZoneOut, st.sampled_from(["a", "b"]), st.sampled_from(["x", "y"]), st.just(1_000)
     ),
     st.sampled_from(["a", "b"]).map(BringZoneIn),
-    st.integers(1, 3).map(lambda weight: SetWorkspace(Workspace("labels", [], weight))),
+    st.sampled_from([ONE_WORKER, TWO_WORKERS, PRESS]).map(SetWorkspace),
 )
 operators = st.lists(
     st.lists(st.tuples(changes, st.none() | st.integers(0, 4)), max_size=3), min_size=2, max_size=4
@@ -209,3 +221,6 @@
     assert not set(refused) & set(id_by_version.values())
     assert len(set(id_by_version.values())) == len(history)
     assert all(set(config.presets) == set(PresetName) for config in history)
+    hosts = make_hosts()
+    for config in history:
+        assert check_guarantees(config.workspaces.values(), hosts) == Success(None)
