--- a/packages/daemon/src/jacinthreel_daemon/_operator_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_operator_api.py
@@ -131,7 +131,7 @@
     def _respond_with_fault(self, fault: Fault) -> None:
         fields = {"path": self.request.path, "code": fault.code.name, "reason": fault.detail}
         self.parts.context.log_decision("operator_request_refused", fields)
-        self.parts.context.telemetry.count(f'operator_refusals{{code="{fault.code.name}"}}')
+        self.parts.context.telemetry.count(f'operator_refusals_total{{code="{fault.code.name}"}}')
         write_fault(self, fault)
 
     def number_argument(self, name: str, default: int, most: int) -> Result[int, Fault]:
