--- a/tests/test_operating_page.py
+++ b/tests/test_pages.py
@@ -1,4 +1,4 @@
-"""Commands, metrics and log events on the operators' pages exist."""
+"""Commands, metrics, log events and messages on the pages exist."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import pytest
 
 from jacinthreel_cli.__main__ import app
+from jacinthreel_common import MESSAGES_BY_KIND
 
 ROOT = Path(__file__).resolve().parent.parent
 PAGES = [ROOT / "docs" / "OPERATING.md", ROOT / "README.md"]
@@ -32,6 +33,12 @@
     app.parse_args(shlex.split(command), exit_on_error=False, print_error=False)
 
 
+def test_every_stream_message_is_on_the_protocol_page() -> None:
+    section = (ROOT / "docs" / "PROTOCOL.md").read_text().split("### Messages\n")[1]
+    listed = re.findall(r"^\| `(\w+)` \|", section, re.MULTILINE)
+    assert sorted(listed) == sorted(MESSAGES_BY_KIND)
+
+
 @pytest.mark.parametrize("heading", ["Alarms", "Log lines"])
 def test_metrics_and_events_exist(heading: str) -> None:
     names = read_names(heading)
