Log bad input, and tell a refused request from an outage of the store

A 4xx of the table service counted as a failure, so two requests that it refuses would have opened the circuit for everything; the new test saw is_out after two of five. Latencies of the store are measured below the millisecond.

--- a/packages/daemon/src/jacinthreel_daemon/_http_server.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_server.py
@@ -17,6 +17,7 @@
 from tornado import httpserver, httputil, routing, web
 
 from jacinthreel_common import RESULT_TABLE, Fault, ResultCode, encode_json
+from jacinthreel_daemon._context import DecisionLog
 from jacinthreel_daemon._telemetry import MetricsRegistry
 
 MAX_BODY_BYTES: Final = 1024 * 1024
@@ -24,6 +25,7 @@
 MAX_HEADER_BYTES: Final = 16 * 1024
 IDLE_CONNECTION_S: Final = 75.0
 BODY_TIMEOUT_S: Final = 30.0
+INPUT_CODES: Final = frozenset(range(ResultCode.MALFORMED_BODY, ResultCode.BAD_SETTINGS))
 DRAIN_POLL_S: Final = 0.02
 LAST_REQUEST_PAUSE_S: Final = 0.25  # A request that crossed the end of listening still arrives.
 
@@ -56,6 +58,8 @@
 
 def write_fault(handler: web.RequestHandler, fault: Fault) -> None:
     """Answers a request with a numbered error."""
+    if isinstance(handler, JsonHandler):
+        handler.fault = fault
     handler.set_status(RESULT_TABLE[fault.code].http_status)
     handler.set_header("Content-Type", "application/json")
     if fault.retry_after_ms is not None:
@@ -64,7 +68,9 @@
 
 
 class JsonHandler(web.RequestHandler):
-    """A handler whose errors are numbered JSON bodies."""
+    """A handler whose errors are numbered JSON bodies; `fault` is the one that was answered."""
+
+    fault: Fault | None = None
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Turns an exception or a refused method into a numbered error."""
@@ -130,8 +136,10 @@
         metrics: MetricsRegistry,
         routes: Sequence[Any],
         refresh_metrics: Callable[[], None] = lambda: None,
+        log: DecisionLog = lambda event, fields: None,
     ) -> None:
         self._state = state
+        self._log = log
         own_routes: list[Any] = [
             (r"/healthz", _HealthHandler),
             (r"/readyz", _ReadyHandler, {"state": state}),
@@ -141,7 +149,7 @@
         application = web.Application(
             own_routes + counted,
             default_handler_class=_NotFoundHandler,
-            log_function=lambda handler: None,
+            log_function=self._log_request,
             compress_response=False,
         )
         self._server = httpserver.HTTPServer(
@@ -153,6 +161,19 @@
             body_timeout=BODY_TIMEOUT_S,
         )
 
+    def _log_request(self, handler: web.RequestHandler) -> None:
+        """Writes a line for bad input; other outcomes are logged by whoever decides them."""
+        fault = handler.fault if isinstance(handler, JsonHandler) else None
+        if fault is None or fault.code not in INPUT_CODES:
+            return
+        fields = {
+            "code": fault.code.value,
+            "reason": fault.detail,
+            "from": handler.request.remote_ip,
+        }
+        request = {"method": handler.request.method, "path": handler.request.path}
+        self._log("bad_input", {**request, **fields})
+
     def listen(self, address: str, port: int) -> None:
         """Starts serving."""
         self._server.listen(port, address)
--- a/packages/daemon/src/jacinthreel_daemon/_process.py
+++ b/packages/daemon/src/jacinthreel_daemon/_process.py
@@ -79,7 +79,9 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._on_signal, number)
-        http = HttpService(self.state, self.metrics, self.routes(), self.refresh_metrics)
+        http = HttpService(
+            self.state, self.metrics, self.routes(), self.refresh_metrics, self.log.warning
+        )
         try:
             http.listen(self.settings.bind_address, self.http_port())
             self.hub.listen(self.settings.bind_address, self.stream_port())
--- a/packages/daemon/src/jacinthreel_daemon/_store_client.py
+++ b/packages/daemon/src/jacinthreel_daemon/_store_client.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Final, TypeVar
 
@@ -50,7 +51,6 @@
         rng: random.Random,
     ) -> None:
         self._pool = pool
-        self._clock = clock
         self._writes = writes
         self._reads = reads
         self._telemetry = telemetry
@@ -102,10 +102,10 @@
     async def _post(
         self, path: str, body: bytes, kind: type[T], is_write: bool
     ) -> Result[T, Fault]:
-        started_ms = self._clock.now_ms()
+        started_s = asyncio.get_running_loop().time()
         outcome = await self._pool.post(path, body, STORE_TIMEOUT_MS)
         operation = "write" if is_write else "read"
-        elapsed_ms = self._clock.now_ms() - started_ms
+        elapsed_ms = (asyncio.get_running_loop().time() - started_s) * 1000
         self._telemetry.observe_ms(f'store_latency_ms{{operation="{operation}"}}', elapsed_ms)
         match outcome:
             case Success(HttpReply(status=200 | 409) as reply):
@@ -115,8 +115,11 @@
                 # An error status doesn't say whether the write took effect, unless it is a
                 # refusal: 4xx means that the request was not accepted, 503 that the service
                 # turned it away.
-                self._note_failure(operation)
                 refused = 400 <= status < 500 or status == 503
+                if status < 500:
+                    self._circuit.succeeded()  # The service answers; it is not out.
+                else:
+                    self._note_failure(operation)
                 return Failure(self._lost(is_write and not refused, f"status {status}"))
             case Failure(HttpFailure() as failure):
                 self._note_failure(operation)
--- a/packages/daemon/tests/test_store_client.py
+++ b/packages/daemon/tests/test_store_client.py
@@ -161,6 +161,19 @@
     asyncio.run(run())
 
 
+def test_a_request_that_the_service_refuses_is_no_outage() -> None:
+    async def run() -> None:
+        server = ScriptedServer(*[answer(400, b"")] * 5)
+        client = make_client(server.port)
+        for _ in range(5):
+            fault = (await client.transact(WRITE, 0)).failure()
+            assert fault.code is ResultCode.STORE_UNAVAILABLE
+        assert server.requests == 5 and not client.is_out
+        server.stop()
+
+    asyncio.run(run())
+
+
 def test_the_probe_of_a_circuit_is_given_back_by_its_owner_only() -> None:
     clock = ManualClock()
     circuit = Circuit(clock, random.Random(1))
--- a/packages/daemon/tests/test_telemetry_and_hosts.py
+++ b/packages/daemon/tests/test_telemetry_and_hosts.py
@@ -68,7 +68,13 @@
     def __init__(self, routes: Any = ((r"/sum", SumHandler),)) -> None:
         SumHandler.gate = asyncio.Event()
         self.state = ServingState()
-        self.service = HttpService(self.state, MetricsRegistry(), list(routes))
+        self.logged: list[dict[str, Any]] = []
+        self.service = HttpService(
+            self.state,
+            MetricsRegistry(),
+            list(routes),
+            log=lambda event, fields: self.logged.append({"event": event, **fields}),
+        )
         sock, self.port = bind_unused_port(address="127.0.0.1")
         self.service._server.add_sockets([sock])
         self.client = HttpPool("127.0.0.1", self.port, 1_000)
@@ -93,15 +99,16 @@
     ],
 )
 def test_answers(method: str, path: str, body: str, status: int, code: int | None) -> None:
-    async def run() -> HttpReply:
+    async def run() -> tuple[HttpReply, list[dict[str, Any]]]:
         site = Site()
         if method == "GET":
-            return await site.get(path)
-        return (await site.client.post(path, body.encode(), 10_000)).unwrap()
+            return await site.get(path), site.logged
+        return (await site.client.post(path, body.encode(), 10_000)).unwrap(), site.logged
 
-    reply = asyncio.run(run())
+    reply, logged = asyncio.run(run())
     assert reply.status == status
     assert json.loads(reply.body).get("code") == code
+    assert [line["code"] for line in logged] == ([1005] if code == 1005 else [])
 
 
 def test_a_drain_fails_readiness_and_waits_for_requests_in_progress() -> None:
