--- a/packages/daemon/src/jacinthreel_daemon/_config_changes.py
+++ b/packages/daemon/src/jacinthreel_daemon/_config_changes.py
@@ -51,7 +51,7 @@
 from jacinthreel_daemon._context import RouterContext
 
 MAX_ROUNDS: Final = 8
-MAX_SENDS: Final = 6
+RESOLVE_LIMIT_MS: Final = 10_000
 RESEND_PAUSE_MS: Final = 100
 RESEND_PAUSE_LIMIT_MS: Final = 1_000
 RETRY_AFTER_MS: Final = 2_000
@@ -160,7 +160,8 @@
         transaction = make_transaction(following, stored.row_version)
         pause_ms = RESEND_PAUSE_MS
         doubtful = False
-        for _ in range(MAX_SENDS):
+        give_up_ms = self._context.clock.now_ms() + RESOLVE_LIMIT_MS
+        while self._context.clock.now_ms() < give_up_ms:
             sent = await self._context.store.transact(transaction, CHANGE_PRIORITY)
             if isinstance(sent, Success):
                 reply = sent.unwrap()
