Look for unended jobs state by state, and show progress where there is no terminal

A workspace with over 1000 newer ended jobs could have been deleted although an older one still ran, because only the newest 1000 were looked at. A list that is too long for one reply is refused and no longer read from the table service instead. Commands that wait print a line for each change on stderr where that is no terminal.

--- a/packages/cli/src/jacinthreel_cli/_config_commands.py
+++ b/packages/cli/src/jacinthreel_cli/_config_commands.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from jacinthreel_cli._exit import CommandError, ExitStatus, refusal, usage_error
-from jacinthreel_cli._session import ChangeOptions, Common, Session
+from jacinthreel_cli._session import ChangeOptions, Common, Progress, Session
 from jacinthreel_cli._views import (
     draw_change,
     draw_history,
@@ -266,12 +266,12 @@
 def _wait_in_force(session: Session, version: int, timeout_s: float) -> None:
     """Waits until every process of every live host has applied a version."""
     deadline_s = time.monotonic() + timeout_s
-    with session.progress.status("") as spinner:
+    with Progress() as progress:
         while True:
             behind = find_behind(session.get(SystemStatus, "/v1/status"), version)
             if not behind:
                 return
-            spinner.update(f"version {version} not yet in force at {', '.join(behind)}")
+            progress.update(f"version {version} not yet in force at {', '.join(behind)}")
             if time.monotonic() >= deadline_s:
                 break
             time.sleep(WAIT_POLL_S)
--- a/packages/cli/src/jacinthreel_cli/_job_commands.py
+++ b/packages/cli/src/jacinthreel_cli/_job_commands.py
@@ -12,7 +12,7 @@
 
 from jacinthreel_cli._exit import CommandError, ExitStatus, usage_error
 from jacinthreel_cli._routers import ApiCall
-from jacinthreel_cli._session import Common, Session
+from jacinthreel_cli._session import Common, Progress, Session
 from jacinthreel_cli._views import draw_job, draw_jobs
 from jacinthreel_common import (
     ENDED_STATES,
@@ -100,7 +100,7 @@
     checked = convert(JobSpec, to_plain(spec))
     if isinstance(checked, Failure):
         raise usage_error(checked.failure().code, checked.failure().detail)
-    session.progress.print(f"job id: {spec.job_id}")
+    session.note(f"job id: {spec.job_id}")
     call = ApiCall("POST", "/v1/jobs", encode_json(spec))
     session.show(session.fetch(JobRecord, call), draw_job)
 
@@ -170,7 +170,7 @@
 def _wait_ended(session: Session, job_id: str, timeout_s: float) -> JobRecord:
     deadline_s = time.monotonic() + timeout_s
     last = "not seen yet"
-    with session.progress.status(f"job {job_id}") as spinner:
+    with Progress() as progress:
         while True:
             try:
                 job = session.get(JobRecord, _path(job_id))
@@ -181,7 +181,7 @@
                 if error.fault.code is ResultCode.JOB_NOT_FOUND:
                     raise
                 last = error.lines()[0]
-            spinner.update(f"job {job_id}: {last}")
+            progress.update(f"job {job_id}: {last}")
             if time.monotonic() >= deadline_s:
                 break
             time.sleep(WAIT_POLL_S)
--- a/packages/cli/src/jacinthreel_cli/_session.py
+++ b/packages/cli/src/jacinthreel_cli/_session.py
@@ -7,7 +7,7 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any, Self, TypeVar
 
 import cyclopts
 from returns.result import Failure
@@ -53,6 +53,33 @@
     """Identifies the change; repeat an unknown outcome with the same id."""
 
 
+class Progress:
+    """Tells how far a wait has come, on stderr: a spinner on a terminal, else a line a change."""
+
+    def __init__(self) -> None:
+        self._console = Console(stderr=True, highlight=False, soft_wrap=True)
+        self._status = self._console.status("")
+        self._last = ""
+
+    def __enter__(self) -> Self:
+        if self._console.is_terminal:
+            self._status.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self._status.stop()
+
+    def update(self, text: str) -> None:
+        """Shows the newest state."""
+        if text == self._last:
+            return
+        self._last = text
+        if self._console.is_terminal:
+            self._status.update(text)
+            return
+        self._console.print(text, markup=False)
+
+
 class Session:
     """One run of a command."""
 
@@ -60,7 +87,6 @@
         options = common or Common()
         self.as_json = not sys.stdout.isatty() if options.json is None else options.json
         self.console = Console(soft_wrap=True, highlight=False)
-        self.progress = Console(stderr=True, highlight=False)
         self._routers = Routers(parse_routers(options.router or []))
 
     def fetch(self, kind: type[T], call: ApiCall) -> T:
@@ -93,6 +119,10 @@
         encoded = None if body is None else encode_json(body)
         return self.fetch(ChangeAnswer, ApiCall(method, path, encoded, headers))
 
+    def note(self, text: str) -> None:
+        """Prints a line for people on stderr."""
+        sys.stderr.write(text + "\n")
+
     def show(self, record: Any, render: Callable[[Any], RenderableType]) -> None:
         """Prints a record as JSON or as `render` draws it."""
         if self.as_json:
--- a/packages/daemon/src/jacinthreel_daemon/_job_calls.py
+++ b/packages/daemon/src/jacinthreel_daemon/_job_calls.py
@@ -88,14 +88,34 @@
         return Failure(Fault(ResultCode.JOB_NOT_FOUND, f"no job {job_id!r}"))
 
     async def list(self, query: ListJobs) -> Result[JobList, Fault]:
-        """Jobs from the owner, or from the rows where there is none to ask."""
-        reply = await self._call_owner(query)
-        if isinstance(reply, Success) and reply.unwrap().code is ResultCode.OK:
-            records = convert(list[JobRecord], reply.unwrap().body)
-            if isinstance(records, Failure):
-                return records
-            return Success(JobList("owner", _newest_first(records.unwrap())))
-        return await self._list_rows(query)
+        """Jobs from the owner, or from the rows where there is none to ask.
+
+        Errors: OUT_OF_RANGE (too many for one reply) and those of the store without an owner.
+        """
+        called = await self._call_owner(query)
+        if isinstance(called, Failure):
+            return await self._list_rows(query)
+        reply = called.unwrap()
+        if reply.code in _NOT_ACCEPTED_CODES:
+            return await self._list_rows(query)
+        if reply.code is not ResultCode.OK:
+            return Failure(Fault(reply.code, reply.detail, reply.retry_after_ms))
+        records = convert(list[JobRecord], reply.body)
+        if isinstance(records, Failure):
+            return records
+        return Success(JobList("owner", _newest_first(records.unwrap())))
+
+    async def has_unended(self, workspace: str) -> Result[bool, Fault]:
+        """Whether a workspace has jobs that have not ended.  Errors: as for `list`."""
+        for state in JobState:
+            if state in ENDED_STATES:
+                continue
+            listed = await self.list(ListJobs(workspace=workspace, state=state, limit=1))
+            if isinstance(listed, Failure):
+                return listed
+            if listed.unwrap().jobs:
+                return Success(True)
+        return Success(False)
 
     async def _change(
         self, message: SubmitJob | CancelJob, job_id: str, spec: JobSpec | None
--- a/packages/daemon/src/jacinthreel_daemon/_operator_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_operator_api.py
@@ -22,7 +22,6 @@
 from jacinthreel_common import (
     AUTHOR_HEADER,
     CHANGE_ID_HEADER,
-    ENDED_STATES,
     EXPECTED_VERSION_HEADER,
     ChangeAnswer,
     Config,
@@ -258,13 +257,12 @@
 
     async def delete(self, name: str) -> None:
         """Deletes a workspace that has no jobs left."""
-        jobs = await self.parts.jobs.list(ListJobs(workspace=name, limit=MAX_LISTED_JOBS))
-        if isinstance(jobs, Failure):
-            self.respond(jobs)
+        in_use = await self.parts.jobs.has_unended(name)
+        if isinstance(in_use, Failure):
+            self.respond(in_use)
             return
-        active = [job for job in jobs.unwrap().jobs if job.state not in ENDED_STATES]
-        if active:
-            detail = f"workspace {name!r} has {len(active)} jobs that have not ended"
+        if in_use.unwrap():
+            detail = f"workspace {name!r} has jobs that have not ended"
             self.respond(Failure(Fault(ResultCode.WORKSPACE_IN_USE, detail)))
             return
         await self.make_change(Success(DeleteWorkspace(name)))
--- a/packages/daemon/tests/test_operator_api.py
+++ b/packages/daemon/tests/test_operator_api.py
@@ -12,6 +12,15 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application
 
+from jacinthreel_common import (
+    JobRecord,
+    JobSpec,
+    JobState,
+    RowWrite,
+    Transaction,
+    job_key,
+    to_plain,
+)
 from jacinthreel_daemon._operator_api import OperatorService
 
 from .router_fakes import FakeProcess
@@ -91,6 +100,20 @@
     assert name == "wrong method" or "operator_request_refused" in process.decisions
 
 
+def test_a_workspace_with_jobs_is_not_deleted() -> None:
+    process = FakeProcess(owner=None)
+    job = JobRecord(JobSpec("j1", "labels", 1, 8), JobState.RUNNING, 1_000)
+    write = RowWrite(job_key("r", "j1"), to_plain(job))
+    process.store.table.transact(Transaction("w", [], [write]))
+    answers = serve(
+        process,
+        INIT,
+        ("PUT", "/v1/workspaces/labels", {}, {}),
+        ("DELETE", "/v1/workspaces/labels", None, {}),
+    )
+    assert (answers[2][0], answers[2][1]["code"]) == (409, 4007)
+
+
 def test_before_the_first_configuration() -> None:
     answers = serve(FakeProcess(), ("GET", "/v1/config", None, {}), INIT, INIT)
     assert (answers[0][0], answers[0][1]["code"]) == (503, 4008)
--- a/packages/daemon/tests/test_operator_job_calls.py
+++ b/packages/daemon/tests/test_operator_job_calls.py
@@ -115,3 +115,16 @@
     assert asyncio.run(calls.list(ListJobs(workspace="other"))).unwrap().jobs == []
     assert asyncio.run(calls.show("j1")).unwrap() == RECORD
     assert outcome(asyncio.run(calls.show("j2"))) == "JOB_NOT_FOUND"
+    assert asyncio.run(calls.has_unended("labels")).unwrap()
+
+
+def test_a_list_that_is_too_long_is_refused_and_not_read_from_the_rows() -> None:
+    process = make_process([answered(ResultCode.OUT_OF_RANGE)], RECORD)
+    listed = asyncio.run(JobCalls(process.context(), process.sleep).list(ListJobs()))
+    assert listed.failure().code is ResultCode.OUT_OF_RANGE
+
+
+def test_ended_jobs_do_not_hold_a_workspace() -> None:
+    process = make_process([], replace(RECORD, state=JobState.FINISHED))
+    calls = JobCalls(process.context(), process.sleep)
+    assert not asyncio.run(calls.has_unended("labels")).unwrap()
