Name the guarantees that an outage leaves without room

Guarantees stay accepted while zones are out; operators now see at once which cells the zones in service can't hold, in the answer to a change and in the status.

--- a/packages/cli/src/jacinthreel_cli/_views.py
+++ b/packages/cli/src/jacinthreel_cli/_views.py
@@ -42,14 +42,26 @@
     >>> draw_change(ChangeAnswer(7, "c1", True))
     'accepted as version 7'
     """
+    text = f"accepted as version {answer.version}"
     if not answer.changed:
-        return f"in force already at version {answer.version}"
-    return f"accepted as version {answer.version}"
+        text = f"in force already at version {answer.version}"
+    return f"{text}\n{draw_unheld(answer.unheld)}".rstrip()
+
+
+def draw_unheld(unheld: str) -> str:
+    """A warning about guarantees that can't be held now, or nothing.
+
+    >>> draw_unheld("no room for 1 x rack of workspace press")
+    'guarantees not held while zones are out: no room for 1 x rack of workspace press'
+    """
+    return f"guarantees not held while zones are out: {unheld}" if unheld else ""
 
 
 def draw_status(status: SystemStatus) -> RenderableType:
     """The state of a region."""
     parts: list[RenderableType] = [_draw_heading(status)]
+    if status.unheld:
+        parts.append(draw_unheld(status.unheld))
     parts.append(_draw_processes(status.processes))
     parts.append(draw_zones(status.zones))
     if status.shard is not None:
--- a/packages/common/src/jacinthreel_common/_operator_messages.py
+++ b/packages/common/src/jacinthreel_common/_operator_messages.py
@@ -42,11 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeAnswer:
-    """The answer to an accepted change; `changed` is false if it was in force before."""
+    """The answer to an accepted change; `changed` is false if it was in force before.
+
+    `unheld` names the guaranteed cells that have no room while zones are out of service.
+    """
 
     version: int
     change_id: str
     changed: bool
+    unheld: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +141,7 @@
     """All that `GET /v1/status` answers.
 
     `config` is None where the answering router has seen none, `shard` where no owner answered.
+    `unheld` names the guaranteed cells that have no room while zones are out of service.
     """
 
     region: str
@@ -145,3 +150,4 @@
     shard: ShardStatusReply | None
     processes: list[ProcessLine] = field(default_factory=list)
     zones: list[ZoneLine] = field(default_factory=list)
+    unheld: str = ""
--- a/packages/daemon/src/jacinthreel_daemon/_config_rules.py
+++ b/packages/daemon/src/jacinthreel_daemon/_config_rules.py
@@ -166,6 +166,13 @@
     return Success(config)
 
 
+def find_unheld(config: Config, hosts: Iterable[Host]) -> str:
+    """The guaranteed cells that have no room in the zones in service; empty if all have."""
+    in_service = [host for host in hosts if host.zone not in config.zones_out]
+    fitting = check_guarantees(config.workspaces.values(), in_service)
+    return fitting.failure().detail if isinstance(fitting, Failure) else ""
+
+
 def read_item(config: Config, change: Change) -> Any:
     """The part of a configuration that a change is about.
 
--- a/packages/daemon/src/jacinthreel_daemon/_operator_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_operator_api.py
@@ -28,6 +28,7 @@
     Fault,
     HistoryLine,
     HistoryList,
+    Host,
     JobSpec,
     JobState,
     ListJobs,
@@ -57,6 +58,7 @@
     SetPreset,
     SetWorkspace,
     TakeZoneOut,
+    find_unheld,
 )
 from jacinthreel_daemon._context import RouterContext
 from jacinthreel_daemon._http_server import JsonHandler, Route, write_fault
@@ -156,7 +158,8 @@
             self.respond(request)
             return
         accepted = await self.parts.changer.change(request.unwrap())
-        self.respond(accepted.map(_answer_of))
+        hosts = list(self.parts.context.hosts.by_id().values())
+        self.respond(accepted.map(lambda done: _answer_of(done, hosts)))
 
     def _request_of(self, change: Change) -> Result[ChangeRequest, Fault]:
         headers = self.request.headers
@@ -344,5 +347,6 @@
     return Success(PresetName(name))
 
 
-def _answer_of(accepted: ChangeAccepted) -> ChangeAnswer:
-    return ChangeAnswer(accepted.version, accepted.change_id, accepted.changed)
+def _answer_of(accepted: ChangeAccepted, hosts: list[Host]) -> ChangeAnswer:
+    unheld = find_unheld(accepted.config, hosts)
+    return ChangeAnswer(accepted.version, accepted.change_id, accepted.changed, unheld)
--- a/packages/daemon/tests/test_operator_api.py
+++ b/packages/daemon/tests/test_operator_api.py
@@ -114,6 +114,23 @@
     assert (answers[2][0], answers[2][1]["code"]) == (409, 4007)
 
 
+def test_guarantees_that_an_outage_leaves_without_room_are_named() -> None:
+    two_workers = {"guarantee": [{"cell": "worker", "count": 2}]}
+    answers = serve(
+        FakeProcess(),
+        ("PUT", "/v1/workspaces/labels", two_workers, {}),
+        ("POST", "/v1/zones/a/out", {}, {}),
+        ("GET", "/v1/status", None, {}),
+        ("POST", "/v1/zones/a/in", None, {}),
+    )
+    assert [body["unheld"] for _, body in answers] == [
+        "",
+        "no room for 1 x worker of workspace labels",
+        "no room for 1 x worker of workspace labels",
+        "",
+    ]
+
+
 def test_before_the_first_configuration() -> None:
     answers = serve(FakeProcess(), ("GET", "/v1/config", None, {}), INIT, INIT)
     assert (answers[0][0], answers[0][1]["code"]) == (503, 4008)
