--- a/packages/bench/src/jacinthreel_bench/__main__.py
+++ b/packages/bench/src/jacinthreel_bench/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the measurements: `python -m jacinthreel_bench measure|slopes`."""
+"""Command line of the measurements: `python -m jacinthreel_bench measure`."""
 
 from __future__ import annotations
 
@@ -28,13 +28,5 @@
     run_measurements([int(seed) for seed in seeds.split()], BUILD, tuple(parts.split()))
 
 
-@app.command
-def slopes() -> None:
-    """Measures the cost of each role over growing sizes; writes build/slopes.json."""
-    from jacinthreel_bench._slopes import run_slopes
-
-    run_slopes(BUILD)
-
-
 if __name__ == "__main__":
     app()
