--- a/packages/daemon/src/jacinthreel_daemon/_executor_client.py
+++ b/packages/daemon/src/jacinthreel_daemon/_executor_client.py
@@ -22,7 +22,11 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream
 from tornado.netutil import Resolver
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.simple_httpclient import (
+    HTTPStreamClosedError,
+    SimpleAsyncHTTPClient,
+    _HTTPConnection,
+)
 from tornado.tcpclient import TCPClient
 
 from jacinthreel_common import (
@@ -73,11 +77,27 @@
         return stream
 
 
+class _PromptConnection(_HTTPConnection):
+    """Ends a request at once when its connection is reset while the reply arrives.
+
+    The library raises the socket's error there, which its reader drops, and the request would wait
+    for its time limit.
+    """
+
+    def on_connection_close(self) -> None:
+        if self.final_callback is not None:
+            error = self.stream.error or HTTPStreamClosedError("connection closed")
+            self._handle_exception(type(error), error, None)
+
+
 class _SingleUseClient(SimpleAsyncHTTPClient):
     """An HTTP client for one request."""
 
     recorder: _RecordingTcpClient
 
+    def _connection_class(self) -> type:
+        return _PromptConnection
+
     @classmethod
     def open(cls) -> _SingleUseClient:
         """Makes a client with the limits and the resolver of this module."""
