--- a/packages/daemon/src/jacinthreel_daemon/_clock.py
+++ b/packages/daemon/src/jacinthreel_daemon/_clock.py
@@ -12,9 +12,10 @@
 from typing import Final
 
 from jacinthreel_common import Subscription, TimerService
-from jacinthreel_common._timers import TimerCallback
 from jacinthreel_daemon._ports import Clock
 
+TimerCallback = Callable[[int], None]
+
 MIN_SLEEP_MS: Final = 5  # Timers that are due closer together than this share one wake-up.
 
 
--- a/packages/daemon/src/jacinthreel_daemon/_ownership.py
+++ b/packages/daemon/src/jacinthreel_daemon/_ownership.py
@@ -42,7 +42,7 @@
     to_plain,
 )
 from jacinthreel_daemon._owner_view import EpochValue
-from jacinthreel_jobs._events import WriteOutcome
+from jacinthreel_jobs import WriteOutcome
 
 LEASE_MS: Final = 4_000
 RENEW_PERIOD_MS: Final = 1_000
