--- a/packages/jobs/src/jacinthreel_jobs/_reports.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reports.py
@@ -2,6 +2,7 @@
 
 A reply whose report version moved on lists all tasks of the shard on the worker, so a task that
 is missing from it is not there.  A task that no gang explains is stopped, and released once ended.
+Stops are repeated with each heartbeat until the task is gone.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
     TaskReport,
     TaskState,
 )
-from jacinthreel_jobs._context import ShardContext, WorkerLink
+from jacinthreel_jobs._context import SentBatch, ShardContext, WorkerLink
 from jacinthreel_jobs._events import WorkerReplied, WorkerUnreachable
 from jacinthreel_jobs._gang import (
     SETTLED_TASK_PHASES,
@@ -36,7 +37,7 @@
     task_finished_on,
     worker_answered,
 )
-from jacinthreel_jobs._worker_links import enqueue, take_outstanding
+from jacinthreel_jobs._worker_links import command_key, enqueue, take_outstanding
 
 UNSENT = frozenset({TaskPhase.PLANNED, TaskPhase.RESERVING})
 
@@ -47,7 +48,7 @@
     if sent is None:
         return
     link = ctx.links_by_id[event.worker_id]
-    batch_lost(ctx, link, sent, event.delivered, event.sent_ms)
+    batch_lost(ctx, link, sent, event.delivered)
 
 
 def take_reply(ctx: ShardContext, event: WorkerReplied) -> list[Gang]:
@@ -61,16 +62,15 @@
         return []
     link = ctx.links_by_id[event.worker_id]
     if reply.code is not ResultCode.OK or len(reply.results) != len(sent.commands):
-        batch_lost(ctx, link, sent, True, event.sent_ms)
+        batch_lost(ctx, link, sent, delivered=True)
         return []
-    link.worker.last_renewal_sent_ms = max(link.worker.last_renewal_sent_ms, event.sent_ms)
     worker_answered(ctx, link)
     for command, result in zip(sent.commands, reply.results, strict=True):
         _apply_result(ctx, link, command, result)
     moved_on = reply.version != sent.seen_version
     if not moved_on and not sent.commands:
         return []
-    return _apply_reports(ctx, link, reply, moved_on)
+    return _apply_reports(ctx, link, reply, sent)
 
 
 def _apply_result(
@@ -94,9 +94,10 @@
 
 
 def _apply_reports(
-    ctx: ShardContext, link: WorkerLink, reply: CommandReply, moved_on: bool
+    ctx: ShardContext, link: WorkerLink, reply: CommandReply, sent: SentBatch
 ) -> list[Gang]:
     worker = link.worker
+    moved_on = reply.version != sent.seen_version
     reports_by_key: dict[TaskKey, TaskReport] = {}
     if moved_on:
         worker.seen_version = reply.version
@@ -115,7 +116,9 @@
             _apply_absence(ctx, gang, task)
         elif key in reports_by_key:
             _apply_report(ctx, gang, task, reports_by_key[key])
-    _stop_unexplained(ctx, link)
+        if gang.phase is GangPhase.DOWN and task.phase not in SETTLED_TASK_PHASES:
+            _repeat(ctx, link, sent, CommandKind.STOP, key)
+    _stop_unexplained(ctx, link, sent)
     if moved_on:
         throttle_overuse(ctx, link)
     adopted: list[Gang] = []
@@ -186,14 +189,14 @@
     return adopted
 
 
-def _stop_unexplained(ctx: ShardContext, link: WorkerLink) -> None:
+def _stop_unexplained(ctx: ShardContext, link: WorkerLink, sent: SentBatch) -> None:
     """Stops tasks that no gang explains, and releases them once they have ended."""
     for key, state in link.state_by_key.items():
         gang = ctx.gangs_by_id.get(key[0])
         if gang is not None and gang.attempt == key[1]:
             continue
         if state in ENDED_TASK_STATES:
-            enqueue(ctx, CommandKind.RELEASE, link.worker.worker_id, key)
+            _repeat(ctx, link, sent, CommandKind.RELEASE, key)
             continue
         ctx.log(
             "stop_unexplained_task",
@@ -202,4 +205,12 @@
             attempt=key[1],
             task_index=key[2],
         )
-        enqueue(ctx, CommandKind.STOP, link.worker.worker_id, key)
+        _repeat(ctx, link, sent, CommandKind.STOP, key)
+
+
+def _repeat(
+    ctx: ShardContext, link: WorkerLink, sent: SentBatch, kind: CommandKind, key: TaskKey
+) -> None:
+    """Sends a command at once, or with the next heartbeat if the last batch had it already."""
+    had_it = any(command.kind is kind and command_key(command) == key for command in sent.commands)
+    enqueue(ctx, kind, link.worker.worker_id, key, at_once=not had_it)
--- a/packages/jobs/src/jacinthreel_jobs/_worker_health.py
+++ b/packages/jobs/src/jacinthreel_jobs/_worker_health.py
@@ -67,7 +67,7 @@
     sent = link.outstanding
     if sent is not None and ctx.now_ms - sent.sent_ms >= BATCH_TIMEOUT_MS:
         link.outstanding = None
-        batch_lost(ctx, link, sent, delivered=True, sent_ms=ctx.now_ms)
+        batch_lost(ctx, link, sent, delivered=True)
     age_ms = ctx.now_ms - worker.last_reply_ms
     if age_ms >= SUSPECT_AFTER_MS and worker.health is not WorkerHealth.LOST:
         set_health(ctx, worker, WorkerHealth.SUSPECT, "no answer")
@@ -119,6 +119,7 @@
     """Notes an answer: the worker is reachable, and its guard knows this epoch."""
     worker = link.worker
     worker.last_reply_ms = ctx.now_ms
+    worker.last_renewal_sent_ms = ctx.now_ms
     worker.confirmed_epoch = ctx.epoch
     link.silent = False
     link.paused_until_ms = 0
@@ -126,19 +127,14 @@
         set_health(ctx, worker, resting_health(ctx, worker.worker_id), "answers")
 
 
-def batch_lost(
-    ctx: ShardContext, link: WorkerLink, sent: SentBatch, delivered: bool, sent_ms: int
-) -> None:
+def batch_lost(ctx: ShardContext, link: WorkerLink, sent: SentBatch, delivered: bool) -> None:
     """A batch got no answer: what it could have started is doubtful, and stops go out again.
 
-    `sent_ms` is when the driver sent it, at the latest.
+    Its renewal counts from now, because the driver may have been paused before it sent the batch.
     """
     worker = link.worker
     link.paused_until_ms = ctx.now_ms + 1
-    if delivered:
-        worker.last_renewal_sent_ms = max(worker.last_renewal_sent_ms, sent_ms)
-    else:
-        worker.last_renewal_sent_ms = sent.renewal_before_ms
+    worker.last_renewal_sent_ms = ctx.now_ms if delivered else sent.renewal_before_ms
     for command in sent.commands:
         key = command_key(command)
         gang = ctx.gangs_by_id.get(command.job_id)
--- a/packages/jobs/src/jacinthreel_jobs/_worker_links.py
+++ b/packages/jobs/src/jacinthreel_jobs/_worker_links.py
@@ -36,9 +36,17 @@
 
 
 def enqueue(
-    ctx: ShardContext, kind: CommandKind, worker_id: str, key: TaskKey, resume_s: float = 0.0
+    ctx: ShardContext,
+    kind: CommandKind,
+    worker_id: str,
+    key: TaskKey,
+    resume_s: float = 0.0,
+    at_once: bool = True,
 ) -> None:
-    """Queues a command for the worker's next batch; repeats are merged."""
+    """Queues a command for the worker's next batch; repeats are merged.
+
+    The batch leaves at once, or with the next heartbeat.
+    """
     link = ctx.links_by_id.get(worker_id)
     if link is None:
         return
@@ -61,7 +69,8 @@
         for dropped in (CommandKind.RESERVE, CommandKind.START, CommandKind.CHECKPOINT):
             link.queue.pop((key, dropped), None)
     link.queue[(key, kind)] = command
-    ctx.due_links[worker_id] = link
+    if at_once:
+        ctx.due_links[worker_id] = link
 
 
 def drop_queued(ctx: ShardContext, worker_id: str, key: TaskKey) -> None:
--- a/packages/jobs/tests/features/shard_owners.feature
+++ b/packages/jobs/tests/features/shard_owners.feature
@@ -30,6 +30,19 @@
     Then job "a" becomes finished within 45000 ms
     And job "a" took 1 attempt
 
+  Scenario: A cancellation that was stored is carried out by the next owner
+    When job "a" with 4 tasks of 8 accelerators runs for 300 s
+    And 1000 ms pass
+    And worker "w1" loses requests
+    And job "a" is cancelled
+    And 20 ms pass
+    And the owner crashes
+    And another process starts
+    And 8000 ms pass
+    And worker "w1" answers again
+    Then job "a" becomes cancelled within 5000 ms
+    And nothing is held or left on any worker
+
   Scenario Outline: An owner that was paused does nothing twice
     Given another process starts
     When the owner <pause>
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -268,6 +268,11 @@
     assert any(line.event == event for line in cluster.logs) is (count == "a")
 
 
+@then('no decision "worker_health" tells of a quarantine')
+def _no_quarantine(cluster: Cluster) -> None:
+    assert not any(line.fields.get("health") == "quarantined" for line in cluster.logs)
+
+
 @then(parsers.parse('no task of job "{job_id}" ever started'))
 def _none_started(cluster: Cluster, job_id: str) -> None:
     for worker in cluster.workers.values():
