--- a/packages/daemon/src/jacinthreel_daemon/_scheduler.py
+++ b/packages/daemon/src/jacinthreel_daemon/_scheduler.py
@@ -21,6 +21,7 @@
     ShardStatus,
     StreamReply,
     SubmitJob,
+    Subscription,
     job_prefix,
     to_plain,
 )
@@ -83,6 +84,7 @@
             election, self.shard, self.store, self.clock, self.spawn, self._on_ownership
         )
         self._calls_in_progress = 0
+        self._ticks: Subscription | None = None
 
     def start(self) -> None:
         """Serves calls and stands for election."""
@@ -94,7 +96,6 @@
         self.hosts.subscribe(self._on_hosts)
         self.rows.follow(self.election)
         self.timers.every(RENEW_PERIOD_MS, self.election.renewal_due)
-        self.timers.every(TICK_MS, self._tick)
 
     async def shutdown(self, http: HttpService) -> None:
         """Hands the shard over and finishes the calls in progress."""
@@ -136,8 +137,16 @@
         self.metrics.gauge("jobs_active", len(tables.active_by_id))
 
     def _tick(self, now_ms: int) -> None:
-        if self.driver.core.epoch:
-            self.driver.feed(Tick(self.clock.unix_ms()))
+        if not self.driver.core.epoch:
+            self._stop_ticks()
+            return
+        self.driver.feed(Tick(self.clock.unix_ms()))
+
+    def _stop_ticks(self) -> None:
+        """A candidate needs no ticks."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+            self._ticks = None
 
     def _step_down(self, reason: str) -> None:
         self.election.step_down(reason)
@@ -173,6 +182,8 @@
             self.clock.unix_ms(),
         )
         self.driver.feed(event)
+        self._stop_ticks()
+        self._ticks = self.timers.every(TICK_MS, self._tick)
         self.log.decision("shard_loaded", {"epoch": gained.epoch, "job_rows": len(rows)})
         self.hub.notify_all(self._owner_notice())
 
--- a/packages/daemon/src/jacinthreel_daemon/_streams.py
+++ b/packages/daemon/src/jacinthreel_daemon/_streams.py
@@ -27,8 +27,8 @@
 from jacinthreel_daemon._ports import CallHandler, Clock
 
 HELLO_TIMEOUT_MS: Final = 3_000
-HEARTBEAT_MS: Final = 5_000
-IDLE_LIMIT_MS: Final = 15_000
+HEARTBEAT_MS: Final = 10_000
+IDLE_LIMIT_MS: Final = 30_000
 MAX_BACKLOG_BYTES: Final = 2 * MAX_FRAME_BYTES
 MAX_CALLS_PER_CONNECTION: Final = 256
 OVERLOAD_RETRY_AFTER_MS: Final = 500
