--- a/packages/daemon/src/jacinthreel_daemon/_executor_client.py
+++ b/packages/daemon/src/jacinthreel_daemon/_executor_client.py
@@ -125,11 +125,11 @@
         client = _SingleUseClient.open()
         try:
             response = await client.fetch(self._request(dispatch, body), raise_error=False)
-            outcome = _classify(response, client.recorder.connected)
+            outcome = _classify(response)
             busy = _busy_slots(response.headers)
         except asyncio.CancelledError:
             raise
-        except Exception as error:  # The library may raise anything; the request may have run.
+        except Exception as error:  # All failures of a connection, whatever the library raises.
             busy = None
             sent = client.recorder.connected
             outcome = Lost(repr(error)) if sent else NotSent(repr(error))
@@ -156,16 +156,14 @@
         )
 
 
-def _classify(response: HTTPResponse, connected: bool) -> AttemptOutcome:
-    """What became of the request, given whether a connection was made."""
-    if not connected:
-        return NotSent(str(response.error))
+def _classify(response: HTTPResponse) -> AttemptOutcome:
+    """What a reply that was read to its end says of the request."""
     if response.code == 503 and response.headers.get(NOT_RUN_HEADER) == "true":
         return Refused(leaving=response.headers.get(REFUSAL_HEADER) == RefusalReason.LEAVING)
     whole = "Content-Length" in response.headers or "Transfer-Encoding" in response.headers
     answered = 200 <= response.code < 300 or 400 <= response.code < 500
     if not (whole and answered):
-        return Lost(str(response.error or f"status {response.code} without a whole body"))
+        return Lost(f"status {response.code}" if whole else "a reply of unknown length")
     content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
     return WholeAnswer(response.code, content_type, response.body)
 
--- a/packages/requests/src/jacinthreel_requests/_choice.py
+++ b/packages/requests/src/jacinthreel_requests/_choice.py
@@ -29,8 +29,6 @@
 LATENCY_STEP: Final = 1.25  # Averages within one step of each other count as equal.
 LEAVING_MEMORY_MS: Final = 30_000
 NEEDY_BELOW_SHARE: Final = 0.8
-MAX_PROBES: Final = 2
-PROBE_REASON: Final = "below slot share"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +71,7 @@
         return Room([], [], only_trials=False)
     return Room(
         healthy=[e for e in serving if has_room(tables, e, now_ms)],
-        trials=[e for e in serving if _has_trial_room(e)],
+        trials=[e for e in serving if _has_trial_room(e, now_ms)],
         only_trials=all(e.health is ExecutorHealth.TRIAL for e in serving),
     )
 
@@ -120,32 +118,6 @@
     )
 
 
-def choose_probe(
-    tables: Tables, zones_out: Collection[str], rng: random.Random, now_ms: int
-) -> Choice | None:
-    """Picks an executor that seems to be full, for a router with less than its share of slots.
-
-    A router hands a slot that falls free to its own queue before others hear of it, so under
-    lasting overload a router that has just joined would never see a free slot.  It tries its luck
-    in the moment between two requests; an executor that is full refuses at no cost to anyone.
-    """
-    serving = in_service(tables, zones_out, now_ms)
-    if len(tables.attempts_by_id) >= NEEDY_BELOW_SHARE * slot_share(tables, serving):
-        return None
-    if sum(attempt.probe for attempt in tables.attempts_by_id.values()) >= MAX_PROBES:
-        return None
-    open_to_probe = [
-        executor
-        for executor in serving
-        if executor.health is ExecutorHealth.HEALTHY
-        and executor.in_flight < executor.share
-        and now_ms >= executor.full_until_ms
-    ]
-    if not open_to_probe:
-        return None
-    return Choice(rng.choice(open_to_probe), len(open_to_probe), PROBE_REASON)
-
-
 def has_room(tables: Tables, executor: ExecutorEntry, now_ms: int) -> bool:
     """Whether a healthy executor has a slot and a connection left for this router."""
     if executor.health is not ExecutorHealth.HEALTHY or now_ms < executor.full_until_ms:
@@ -169,8 +141,10 @@
     return executor.health is not ExecutorHealth.EJECTED
 
 
-def _has_trial_room(executor: ExecutorEntry) -> bool:
-    return executor.health is ExecutorHealth.TRIAL and executor.trial_attempt is None
+def _has_trial_room(executor: ExecutorEntry, now_ms: int) -> bool:
+    if executor.health is not ExecutorHealth.TRIAL or executor.trial_attempt is not None:
+        return False
+    return now_ms >= executor.full_until_ms
 
 
 def _preference(
--- a/packages/requests/src/jacinthreel_requests/_router.py
+++ b/packages/requests/src/jacinthreel_requests/_router.py
@@ -25,33 +25,29 @@
 import heapq
 import random
 from collections.abc import Collection
-from dataclasses import asdict
 from typing import Final
 
-from jacinthreel_common import Config, Host, HostKind, HostState, ResultCode
-from jacinthreel_requests._admission import (
-    DrainRate,
-    estimate_wait_ms,
-    refuse_early,
-    retry_after_ms,
-)
+from jacinthreel_common import Config, ResultCode
+from jacinthreel_requests._admission import Admission, Load
 from jacinthreel_requests._budget import RetryBudget
 from jacinthreel_requests._choice import (
-    PROBE_REASON,
     Choice,
     choose,
-    choose_probe,
-    connection_share,
     find_room,
     in_service,
 )
 from jacinthreel_requests._claims import ClaimDecision, ClaimDenied, ClaimGranted, ClaimKeeper
+from jacinthreel_requests._decision_lines import (
+    answer_line,
+    health_line,
+    refusal_line,
+    route_line,
+)
 from jacinthreel_requests._effects import (
     Answer,
     Answered,
     Dispatch,
     Effect,
-    LogDecision,
     NotRun,
     Outcome,
     Unknown,
@@ -73,20 +69,25 @@
     WholeAnswer,
     WriteDone,
 )
-from jacinthreel_requests._health import HealthChange, on_answer, on_failure, refresh
+from jacinthreel_requests._fleet import (
+    FULL_HOLD_MS,
+    drop_unlisted,
+    hear_peer,
+    judge_executor,
+    list_hosts,
+)
+from jacinthreel_requests._health import refresh
 from jacinthreel_requests._queue import DeadlineQueue
 from jacinthreel_requests._tables import (
     AttemptEntry,
     ExecutorEntry,
     ExecutorHealth,
-    PeerEntry,
     RequestEntry,
     RequestState,
     Tables,
 )
 
 MAX_FAILURES: Final = 3
-FULL_HOLD_MS: Final = 10
 QUEUE_SCAN: Final = 8
 HEALTH_PERIOD_MS: Final = 250
 NO_EXECUTOR_GRACE_MS: Final = 1_000
@@ -107,12 +108,11 @@
         self._zone = zone
         self._rng = rng
         self._budget = RetryBudget()
-        self._drain = DrainRate()
+        self._admission = Admission(rng)
         self._deadlines: list[tuple[int, int]] = []
         self._next_attempt = 1
         self._next_health_ms = 0
         self._in_service_ms: int | None = None
-        self._empty_ms = 0
         self._effects: list[Effect] = []
 
     def handle(self, event: Event, now_ms: int) -> list[Effect]:
@@ -128,9 +128,9 @@
             case ConfigApplied():
                 self.config = event.config
             case HostsListed():
-                self._on_hosts(event.hosts)
+                list_hosts(self.tables, event.hosts)
             case PeerInFlight():
-                self._on_peer(event, now_ms)
+                hear_peer(self.tables, event, now_ms)
             case DrainStarted():
                 self.draining = True
             case WriteDone():
@@ -142,7 +142,7 @@
         self._expire(now_ms)
         self._dispatch_queue(now_ms)
         if not len(self.queue):
-            self._empty_ms = now_ms
+            self._admission.empty_ms = now_ms
         return self._effects
 
     def next_due_ms(self, now_ms: int) -> int:
@@ -178,7 +178,9 @@
     def _on_arrival(self, event: RequestArrived, now_ms: int) -> None:
         refusal = self._refusal(event, now_ms)
         if refusal is not None:
-            self._log_refusal(event, refusal)
+            queued = len(self.queue)
+            line = refusal_line(event, refusal.code, refusal.detail, self.config, queued)
+            self._effects.append(line)
             self._effects.append(Answer(event.call_id, refusal))
             return
         assert self.config is not None
@@ -212,17 +214,9 @@
             return NotRun(ResultCode.UNKNOWN_WORKSPACE, detail)
         if not self._in_service(now_ms):
             return self._no_executor()
-        return refuse_early(
-            self.queue,
-            self._waiting(),
-            self.config.settings.request_queue,
-            event.deadline_ms,
-            self._rate(now_ms),
-            self._drain.latency_ms,
-            now_ms - self._empty_ms,
-            self._rng,
-            now_ms,
-        )
+        in_flight = len(self.tables.attempts_by_id)
+        load = Load(self._unsent(), self.config.settings.request_queue, in_flight)
+        return self._admission.refuse(self.queue, load, event.deadline_ms, now_ms)
 
     def _on_claim_step(self, step: tuple[ClaimDecision | None, list[Effect]], now_ms: int) -> None:
         decision, effects = step
@@ -254,7 +248,6 @@
         while len(self.queue):
             room = find_room(self.tables, self._zones_out(), now_ms)
             if not room:
-                self._probe(now_ms)
                 return
             for entry in self.queue.first(QUEUE_SCAN):
                 choice = choose(self.tables, entry, room, self._zone, self._rng, now_ms)
@@ -264,22 +257,13 @@
             else:
                 return
 
-    def _probe(self, now_ms: int) -> None:
-        """Tries for a slot while this router has less than its share of them."""
-        choice = choose_probe(self.tables, self._zones_out(), self._rng, now_ms)
-        if choice is not None:
-            self._dispatch(self.queue.first(1)[0], choice, now_ms)
-
     def _dispatch(self, entry: RequestEntry, choice: Choice, now_ms: int) -> None:
         executor = choice.executor
         self.queue.remove(entry)
         entry.state = RequestState.IN_FLIGHT
         entry.attempts += 1
         executor.in_flight += 1
-        probe = choice.reason == PROBE_REASON
-        attempt = AttemptEntry(
-            self._next_attempt, entry.call_id, executor.executor_id, now_ms, probe
-        )
+        attempt = AttemptEntry(self._next_attempt, entry.call_id, executor.executor_id, now_ms)
         self._next_attempt += 1
         self.tables.attempts_by_id[attempt.attempt_id] = attempt
         if executor.health is ExecutorHealth.TRIAL:
@@ -296,15 +280,8 @@
                 entry.deadline_ms - now_ms,
             )
         )
-        self._log(
-            "route",
-            entry,
-            reason=choice.reason,
-            candidates=choice.candidates,
-            executor=executor.executor_id,
-            attempt=entry.attempts,
-            waited_ms=now_ms - entry.arrived_ms,
-        )
+        line = route_line(entry, choice, self.config, len(self.queue), now_ms)
+        self._effects.append(line)
 
     def _on_attempt_ended(self, event: AttemptEnded, now_ms: int) -> None:
         attempt = self.tables.attempts_by_id.pop(event.attempt_id, None)
@@ -312,11 +289,8 @@
             return
         executor = self.tables.executors_by_id[attempt.executor_id]
         executor.in_flight -= 1
-        if event.busy_slots is not None:
-            executor.header_others = max(0, event.busy_slots - executor.in_flight)
-            executor.header_ms = now_ms
-        self._judge_executor(executor, attempt, event, now_ms)
-        self._drop_unlisted(executor)
+        self._judge(executor, attempt, event, now_ms)
+        drop_unlisted(self.tables, executor)
         entry = self.tables.requests_by_call[attempt.call_id]
         match event.outcome:
             case WholeAnswer():
@@ -333,26 +307,14 @@
                 entry.may_have_run = True
                 self._on_lost(entry, event.outcome, now_ms)
 
-    def _judge_executor(
+    def _judge(
         self, executor: ExecutorEntry, attempt: AttemptEntry, event: AttemptEnded, now_ms: int
     ) -> None:
-        """Learns from an attempt what it says of the executor."""
-        change: HealthChange | None = None
-        match event.outcome:
-            case WholeAnswer():
-                latency_ms = now_ms - attempt.sent_ms
-                self._drain.observe(latency_ms, now_ms)
-                change = on_answer(executor, latency_ms, now_ms)
-            case Refused(leaving=True):
-                executor.refused_leaving_ms = now_ms
-            case Refused():
-                executor.full_until_ms = now_ms + FULL_HOLD_MS
-            case NotSent() | Lost():
-                change = on_failure(self.tables, executor, self._rng, now_ms)
-        if executor.trial_attempt == attempt.attempt_id:
-            executor.trial_attempt = None
+        if isinstance(event.outcome, WholeAnswer):
+            self._admission.observe(now_ms - attempt.sent_ms, now_ms)
+        change = judge_executor(self.tables, executor, attempt, event, self._rng, now_ms)
         if change is not None:
-            self._log_health(change)
+            self._effects.append(health_line(change))
 
     def _on_whole_answer(self, entry: RequestEntry, answer: WholeAnswer, now_ms: int) -> None:
         self._effects.extend(self.claims.finish(entry.call_id, answer))
@@ -395,9 +357,10 @@
                 unknown = Unknown(ResultCode.OUTCOME_UNKNOWN, "no answer before the deadline")
                 self._finish(entry, unknown, "deadline", now_ms)
                 continue
-            wait_ms = estimate_wait_ms(self._waiting(), self._rate(now_ms))
+            in_flight = len(self.tables.attempts_by_id)
+            wait_ms = self._admission.wait_ms(self._unsent(), in_flight, now_ms)
+            retry_ms = self._admission.retry_after_ms(wait_ms)
             detail = "the deadline passed before the request could be sent"
-            retry_ms = retry_after_ms(wait_ms, self._rng)
             refusal = NotRun(ResultCode.DEADLINE_UNREACHABLE, detail, retry_ms)
             self._give_up(entry, refusal, now_ms)
 
@@ -420,10 +383,9 @@
         if not entry.answered:
             entry.answered = True
             self._effects.append(Answer(entry.call_id, outcome))
-            kind = type(outcome).__name__
-            code = ResultCode.OK if isinstance(outcome, Answered) else outcome.code
-            latency_ms = now_ms - entry.arrived_ms
-            self._log("answer", entry, outcome=kind, code=code, reason=reason, took_ms=latency_ms)
+            queued = len(self.queue)
+            line = answer_line(entry, outcome, reason, self.config, queued, now_ms)
+            self._effects.append(line)
         if isinstance(outcome, Answered):
             del self.tables.requests_by_call[entry.call_id]
 
@@ -439,44 +401,6 @@
 
     # Executors.
 
-    def _on_hosts(self, hosts: list[Host]) -> None:
-        listed: set[str] = set()
-        entry_hosts = 0
-        for host in hosts:
-            if host.kind is HostKind.ENTRY:
-                entry_hosts += 1
-            if host.kind is not HostKind.EXECUTOR:
-                continue
-            listed.add(host.host_id)
-            self._list_executor(host)
-        self.tables.entry_hosts = max(1, entry_hosts)
-        for executor in list(self.tables.executors_by_id.values()):
-            executor.listed = executor.executor_id in listed
-            executor.share = connection_share(executor, self.tables.entry_hosts)
-            self._drop_unlisted(executor)
-
-    def _on_peer(self, event: PeerInFlight, now_ms: int) -> None:
-        in_flight = sum(event.by_executor.values())
-        peer = PeerEntry(event.by_executor, in_flight, event.waiting, now_ms)
-        self.tables.peers_by_host[event.host_id] = peer
-        self.tables.count_peers(now_ms)
-
-    def _list_executor(self, host: Host) -> None:
-        executor = self.tables.executors_by_id.get(host.host_id)
-        if executor is None or (executor.address, executor.port) != (host.address, host.port):
-            in_flight = executor.in_flight if executor else 0
-            executor = ExecutorEntry(
-                host.host_id, host.zone, host.address, host.port, host.slots, host.connections
-            )
-            executor.in_flight = in_flight
-            self.tables.executors_by_id[host.host_id] = executor
-        executor.zone = host.zone
-        executor.leaving = host.state is HostState.LEAVING
-
-    def _drop_unlisted(self, executor: ExecutorEntry) -> None:
-        if not executor.listed and not executor.in_flight:
-            self.tables.executors_by_id.pop(executor.executor_id, None)
-
     def _on_tick(self, now_ms: int) -> None:
         self._effects.extend(self.claims.due(now_ms))
         if now_ms < self._next_health_ms:
@@ -484,7 +408,7 @@
         self._next_health_ms = now_ms + HEALTH_PERIOD_MS
         self.tables.count_peers(now_ms)
         for change in refresh(self.tables, self._rng, now_ms):
-            self._log_health(change)
+            self._effects.append(health_line(change))
         if self._in_service(now_ms):
             self._in_service_ms = now_ms
         elif now_ms - (self._in_service_ms or 0) > NO_EXECUTOR_GRACE_MS:
@@ -498,38 +422,9 @@
         return in_service(self.tables, self._zones_out(), now_ms)
 
     def _no_executor(self) -> NotRun:
-        retry_ms = retry_after_ms(0, self._rng)
+        retry_ms = self._admission.retry_after_ms(0)
         return NotRun(ResultCode.NO_EXECUTOR, "no executor takes work", retry_ms)
 
-    def _waiting(self) -> int:
+    def _unsent(self) -> int:
         """Requests that have not been sent: queued or being claimed."""
         return len(self.tables.requests_by_call) - len(self.tables.attempts_by_id)
-
-    def _rate(self, now_ms: int) -> float | None:
-        return self._drain.per_ms(len(self.tables.attempts_by_id), now_ms)
-
-    # Log lines.
-
-    def _log(self, event: str, entry: RequestEntry, **fields: object) -> None:
-        line: dict[str, object] = {
-            "request": entry.request_id,
-            "workspace": entry.workspace,
-            "config_version": self.config.version if self.config else None,
-            "queued": len(self.queue),
-        }
-        line.update(fields)
-        self._effects.append(LogDecision(event, line))
-
-    def _log_refusal(self, event: RequestArrived, refusal: NotRun) -> None:
-        fields = {
-            "request": event.request_id,
-            "workspace": event.workspace,
-            "config_version": self.config.version if self.config else None,
-            "queued": len(self.queue),
-            "code": refusal.code,
-            "reason": refusal.detail,
-        }
-        self._effects.append(LogDecision("refuse", fields))
-
-    def _log_health(self, change: HealthChange) -> None:
-        self._effects.append(LogDecision("executor_health", asdict(change)))
--- a/packages/requests/src/jacinthreel_requests/_tables.py
+++ b/packages/requests/src/jacinthreel_requests/_tables.py
@@ -121,16 +121,12 @@
 
 @dataclass(slots=True)
 class AttemptEntry:
-    """A request on its way to an executor and back.
-
-    `probe` is true where it was sent although the executor seemed to be full.
-    """
+    """A request on its way to an executor and back."""
 
     attempt_id: int
     call_id: int
     executor_id: str
     sent_ms: int
-    probe: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/requests/tests/features/requests.feature
+++ b/packages/requests/tests/features/requests.feature
@@ -213,10 +213,31 @@
     When 5 queries are sent to each router
     Then 6 requests are on the way to x1
 
-  Scenario: A router that joins under overload gets its share of slots
+  Scenario: A router that has its share leaves freed slots to one that is short
     Given 2 routers and 2 executors with 4 slots
     When 40 queries are sent to h1
     And every request reaches its executor
     And 8 queries are sent to h2
     And 12 requests finish while the routers tell each other
-    Then h2 has at least 3 requests in flight
+    Then h1 has at most 4 requests in flight
+    And h2 has at least 3 requests in flight
+
+  Scenario: An executor that answers nothing is ejected
+    Given 1 routers and 10 executors with 1 slots
+    When 30 queries are sent to h1
+    And everything but the work of x1 is delivered
+    And 1500 ms pass
+    Then 1 executors are ejected
+
+  Scenario: An executor that lags far behind the others is ejected
+    Given 1 routers and 5 executors with 1 slots
+    When x1 takes 600 ms and the others 50 ms for 25 requests each
+    And 300 ms pass
+    Then 1 executors are ejected
+
+  Scenario: Requests that allow much time are not starved by others
+    Given 1 routers and 1 executors with 1 slots
+    When query A is sent to h1
+    And query B is sent to h1 within 60000 ms
+    And 40 urgent queries arrive while the slot is passed on
+    Then B is answered
--- a/packages/requests/tests/test_request_scenarios.py
+++ b/packages/requests/tests/test_request_scenarios.py
@@ -197,6 +197,33 @@
         cluster.advance(120)
 
 
+@when(parsers.parse("everything but the work of {executor} is delivered"))
+def _settle_others(cluster: Any, executor: str) -> None:
+    for _ in range(20):
+        _reach(cluster)
+        for message in list(cluster.on_the_way):
+            if message.dispatch.executor_id != executor:
+                cluster.reply(message)
+        cluster.advance(10)
+
+
+@when("x1 takes 600 ms and the others 50 ms for 25 requests each")
+def _lag(cluster: Any) -> None:
+    router = cluster.routers[1]
+    for executor in router.tables.executors_by_id.values():
+        for _ in range(25):
+            executor.observe_latency(600.0 if executor.executor_id == "x1" else 50.0)
+
+
+@when(parsers.parse("{count:d} urgent queries arrive while the slot is passed on"))
+def _pass_on(cluster: Any, count: int) -> None:
+    for _ in range(count):
+        cluster.send(1, None, idempotent=True, within_ms=1_000)
+        cluster.advance(50)
+        _reach(cluster)
+        _reply_reversed(cluster)
+
+
 @then("A, B and C have their own answers")
 def _own_answers(cluster: Any, keys: Any) -> None:
     for name in "ABC":
@@ -267,6 +294,11 @@
     assert sum(cluster.routers[router].in_flight_by_executor().values()) >= count
 
 
+@then(parsers.parse("h{router:d} has at most {count:d} requests in flight"))
+def _in_flight_at_most(cluster: Any, router: int, count: int) -> None:
+    assert sum(cluster.routers[router].in_flight_by_executor().values()) <= count
+
+
 @then(parsers.parse("{count:d} executors are ejected"))
 def _ejected(cluster: Any, count: int) -> None:
     executors = cluster.routers[1].tables.executors_by_id.values()
