Wait for a renewal on its way before releasing a shard

Cause: a renewal is conditional on the epoch row only, so one that landed after the release wrote the deleted lease row anew, and candidates waited a whole lease. The new test finds the row there without the wait, and no row with it. A takeover on its way is waited for as well.

--- a/packages/daemon/src/jacinthreel_daemon/_election_driver.py
+++ b/packages/daemon/src/jacinthreel_daemon/_election_driver.py
@@ -85,6 +85,8 @@
         self._clock = clock
         self._spawn = spawn
         self._on_change = on_change
+        self._writing: asyncio.Task[None] | None = None
+        self._releasing = False
 
     def lease_valid(self) -> bool:
         """Whether this process owns the shard and its lease has not run out."""
@@ -92,14 +94,22 @@
 
     def renewal_due(self, now_ms: int) -> None:
         """Renews the lease, where there is one; called each `RENEW_PERIOD_MS`."""
-        self._feed(RenewalDue())
+        if not self._releasing:
+            self._feed(RenewalDue())
 
     def step_down(self, reason: str) -> None:
         """Gives the shard up without releasing it."""
         self._feed(StepDownAsked(reason))
 
     async def release(self) -> None:
-        """Gives the shard up for good, so that a candidate takes over at once."""
+        """Gives the shard up for good, so that a candidate takes over at once.
+
+        A renewal on its way is waited for, since it would write the deleted lease row anew; so is
+        a takeover, since nobody would hold the shard after it.
+        """
+        self._releasing = True
+        if self._writing is not None and not self._writing.done():
+            await asyncio.wait({self._writing}, timeout=RELEASE_TIMEOUT_S)
         for effect in self.election.handle(StopAsked(), self._clock.now_ms()):
             match effect:
                 case SendRelease(transaction=transaction):
@@ -129,9 +139,9 @@
     def _perform(self, effect: ElectionEffect) -> None:
         match effect:
             case SendClaim(transaction=transaction):
-                self._spawn(self._claim(transaction))
+                self._writing = self._spawn(self._claim(transaction))
             case SendRenewal(transaction=transaction):
-                self._spawn(self._renew(transaction))
+                self._writing = self._spawn(self._renew(transaction))
             case SendRelease(transaction=transaction):
                 self._spawn(self._release(transaction))
             case Gained() | Renewed() | Lost():
--- a/packages/daemon/tests/test_scheduler_driver.py
+++ b/packages/daemon/tests/test_scheduler_driver.py
@@ -218,6 +218,50 @@
     assert [reply.body for reply in asyncio.run(run())] == [{"job": job} for job in "abc"]
 
 
+class GatedStore(MemoryStore):
+    """Holds transactions back while the gate is closed, and lets the newest through first."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.held = 0
+
+    async def transact(self, transaction: Transaction, priority: int) -> Any:
+        self.held += 1
+        place = self.held
+        await self.gate.wait()
+        for _ in range(10 * (self.held - place)):
+            await asyncio.sleep(0)
+        return await super().transact(transaction, priority)
+
+
+def test_a_renewal_on_its_way_does_not_bring_a_released_lease_back() -> None:
+    async def run() -> None:
+        clock, store = ManualClock(), GatedStore()
+        loop = asyncio.get_running_loop()
+        election = Election("r", "h1", "127.0.0.1", 9, "boot")
+        driver = ElectionDriver(election, "r", store, clock, loop.create_task, lambda change: None)
+        poller = RowPoller(store, clock)
+        poller.follow(driver)
+        await poller.poll()
+        while not election.is_owner:
+            await asyncio.sleep(0)
+        store.gate.clear()
+        driver.renewal_due(2_000)
+        release = asyncio.create_task(driver.release())
+        while store.held < 2:
+            await asyncio.sleep(0)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        store.gate.set()
+        await release
+        await asyncio.sleep(0.01)
+        assert not (await store.read(ReadQuery([lease_key("r")]))).unwrap().rows
+
+    asyncio.run(run())
+
+
 def test_the_election_driver_takes_over_renews_and_releases() -> None:
     async def run() -> None:
         clock, store = ManualClock(), MemoryStore()
