--- a/packages/daemon/tests/test_executor_client.py
+++ b/packages/daemon/tests/test_executor_client.py
@@ -166,6 +166,8 @@
             ended = await execute(executor.port, remaining_ms)
             assert isinstance(ended.outcome, expected), ended
             assert ended.attempt_id == 7
+            if isinstance(ended.outcome, Lost) and script is not never_reply:
+                assert "Timeout" not in ended.outcome.detail, "waited for the time limit"
             assert executor.connections == 1, "sent a second time"
 
     asyncio.run(scenario())
