Keep markers of old history rows, so that a process far behind finds the newest version

A process asks for the history row of the version after its own. Rows older than 3000 versions were deleted, so a process further behind found none and took its configuration for the newest. Those rows are now cut down to markers and deleted 100 000 versions later; a change then costs four row writes in place of three.

--- a/packages/daemon/src/jacinthreel_daemon/_config_changes.py
+++ b/packages/daemon/src/jacinthreel_daemon/_config_changes.py
@@ -15,7 +15,8 @@
    effect after the conflict.
 
 Invariants: versions form one chain without branches; each accepted version is in the history,
-until `HISTORY_KEPT_VERSIONS` newer ones exist; an accepted change is never taken back.
+until `HISTORY_KEPT_VERSIONS` newer ones exist, and its row exists until `HISTORY_MARKED_VERSIONS`
+newer ones do; an accepted change is never taken back.
 """
 
 from __future__ import annotations
@@ -56,6 +57,9 @@
 RESEND_PAUSE_LIMIT_MS: Final = 1_000
 RETRY_AFTER_MS: Final = 2_000
 HISTORY_KEPT_VERSIONS: Final = 3_000
+HISTORY_MARKED_VERSIONS: Final = 100_000
+"""Older history rows are cut down to markers for this long, because a process that is behind asks
+for the row of the version after its own and must find that there is one."""
 HISTORY_LOOKBACK: Final = 16
 CHANGE_PRIORITY: Final = 0
 """Operators' changes spend the budget of table operations before all other writes."""
@@ -231,7 +235,10 @@
     key = config_history_key(following.version)
     value = to_plain(following)
     writes = [RowWrite(CONFIG_KEY, value), RowWrite(key, value)]
-    expired = following.version - HISTORY_KEPT_VERSIONS
+    cut = following.version - HISTORY_KEPT_VERSIONS
+    if cut > 0:
+        writes.append(RowWrite(config_history_key(cut), {"version": cut}))
+    expired = following.version - HISTORY_MARKED_VERSIONS
     if expired > 0:
         writes.append(RowWrite(config_history_key(expired), None))
     conditions = [Condition(CONFIG_KEY, row_version), Condition(key, 0)]
--- a/packages/daemon/tests/features/operators.feature
+++ b/packages/daemon/tests/features/operators.feature
@@ -26,10 +26,22 @@
 
   Scenario: A router that gets no pushes learns of a change by its poll
     Given pushes to router 3 are held back
-    When router 1 takes zone "a" out
+    When router 3 polls the table service
+    And router 1 takes zone "a" out
     And router 3 polls the table service
     Then every router has version 2 in force
 
+  Scenario: A router that was away for longer than the history is kept
+    Given the history keeps 2 versions
+    And pushes to router 3 are held back
+    When router 3 polls the table service
+    And router 1 activates "peak"
+    And router 1 activates "ordinary"
+    And router 1 activates "maintenance"
+    And router 1 takes zone "a" out
+    And router 3 polls the table service
+    Then every router has version 5 in force
+
   Scenario Outline: An answer of the table service is lost
     Given the next transaction ends as "<outcome>"
     When router 1 activates "peak"
--- a/packages/daemon/tests/test_operator_scenarios.py
+++ b/packages/daemon/tests/test_operator_scenarios.py
@@ -21,6 +21,7 @@
     ReadReply,
     ResultCode,
 )
+from jacinthreel_daemon import _config_changes
 from jacinthreel_daemon._config_changes import ChangeAccepted, ConfigChanger
 from jacinthreel_daemon._config_rules import (
     ActivatePreset,
@@ -133,6 +134,11 @@
     region.routers[number].held_pushes = []
 
 
+@given(parsers.parse("the history keeps {count:d} versions"))
+def _short_history(monkeypatch: pytest.MonkeyPatch, count: int) -> None:
+    monkeypatch.setattr(_config_changes, "HISTORY_KEPT_VERSIONS", count)
+
+
 @given(parsers.parse('the next transaction ends as "{outcome}"'))
 def _next_outcome(region: Region, outcome: str) -> None:
     region.store.outcomes = deque([StoreOutcome(outcome)])
