--- a/packages/jobs/tests/features/shard_store.feature
+++ b/packages/jobs/tests/features/shard_store.feature
@@ -27,7 +27,7 @@
     When job "a" with 1 task of 8 accelerators runs for 1 s
     And 6 ms pass
     And the store applies writes late
-    And 6 ms pass
+    And 150 ms pass
     And the owner crashes
     And the store is back
     And worker "w0" refuses connections
--- a/packages/jobs/tests/features/shard_zones.feature
+++ b/packages/jobs/tests/features/shard_zones.feature
@@ -21,9 +21,9 @@
     Then nothing started in a closed zone too late
 
   Scenario: A zone is closed while a start is on its way
-    Given worker "w0" answers after 1500 ms
+    Given worker "w0" answers after 600 ms
     When job "a" with 3 tasks of 8 accelerators runs for 5 s
-    And 20 ms pass
+    And 200 ms pass
     And zone "z0" is closed, which the owner hears after 50 ms
     And 12000 ms pass
     Then no task of job "a" ever started
@@ -38,6 +38,14 @@
     Then nothing started in a closed zone too late
     And no task ran twice at once
 
+  Scenario: An older configuration that arrives late changes nothing
+    When zone "z0" is closed, which the owner hears after 50 ms
+    And 100 ms pass
+    And the owner hears of the configuration before that again
+    And job "a" with 2 tasks of 8 accelerators runs for 2 s
+    Then job "a" becomes finished within 10000 ms
+    And nothing ever started on "w0"
+
   Scenario: Running gangs keep a checkpoint and go on in the other zone
     When checkpointable job "a" with 2 tasks of 4 accelerators runs for 30 s
     And 10000 ms pass
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -275,7 +275,7 @@
         if not node.alive:
             return
         self.at(RENEW_MS, lambda: self._elect(node))
-        if self.store != "up" or self.now_ms < node.frozen_until_ms:
+        if self.store not in ("up", "slow") or self.now_ms < node.frozen_until_ms:
             return
         rows = {
             row.key: row
--- a/packages/jobs/tests/test_shard_machine.py
+++ b/packages/jobs/tests/test_shard_machine.py
@@ -40,7 +40,9 @@
         super().__init__()
         self.cluster = Cluster(workers=4, zones=2, nodes=2)
         self.cluster.run(2_000)
-        self.calls_by_job_id: dict[str, int] = {}
+        first = JobSpec("first", "lab", 2, 4, declared_run_s=120, command="run=120")
+        self.calls_by_job_id = {"first": self.cluster.submit(first)}
+        self.cluster.run(1_000)
 
     @rule(
         tasks=st.integers(1, 4),
@@ -78,7 +80,7 @@
         job_id = data.draw(st.sampled_from(sorted(self.calls_by_job_id)))
         self.cluster.planner.preempts.append(Preempt(job_id, "other", mode, "test"))
 
-    @rule(duration_ms=st.sampled_from([10, 300, 1_000, 3_000, 12_000, 30_000]))
+    @rule(duration_ms=st.sampled_from([300, 1_000, 5_000, 15_000]))
     def pass_time(self, duration_ms: int) -> None:
         self.cluster.run(duration_ms)
 
@@ -93,7 +95,7 @@
     @rule(
         worker_id=WORKER_IDS,
         fault=LINK_FAULTS,
-        duration_ms=st.sampled_from([1_000, 8_000, 40_000]),
+        duration_ms=st.sampled_from([1_000, 25_000]),
     )
     def break_link(self, worker_id: str, fault: Link, duration_ms: int) -> None:
         self.cluster.links[worker_id] = fault
@@ -128,7 +130,7 @@
             self.cluster.crash(owner)
             self.cluster.add_node(f"n{len(self.cluster.nodes)}")
 
-    @rule(zone=ZONES, after_ms=st.sampled_from([0, 50, 2_000, 6_000]))
+    @rule(zone=ZONES, after_ms=st.sampled_from([50, 2_000, 20_000]))
     def close_zone(self, zone: str, after_ms: int) -> None:
         if self.cluster.store != "down":
             self.cluster.close_zone(zone, after_ms=after_ms)
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -20,6 +20,7 @@
     Workspace,
 )
 from jacinthreel_jobs import (
+    ConfigApplied,
     Effect,
     GuaranteePlanner,
     Preempt,
@@ -224,6 +225,12 @@
     cluster.close_zone(zone, after_ms=after_ms)
 
 
+@when("the owner hears of the configuration before that again")
+def _stale_config(cluster: Cluster) -> None:
+    older = replace(cluster.config, version=cluster.config.version - 1, zones_out={})
+    cluster.feed(cluster.owner(), ConfigApplied(older, 1))
+
+
 @when(parsers.parse('zone "{zone}" is opened'))
 def _open(cluster: Cluster, zone: str) -> None:
     cluster.open_zone(zone)
