--- a/scripts/_local_cluster.py
+++ b/scripts/_local_cluster.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from jacinthreel_common import Host, HostKind, to_plain
+from jacinthreel_common import RACK_WORKERS, Host, HostKind, to_plain
 
 ADDRESS: Final = "127.0.0.1"
 FIRST_PORT: Final = 12_000
@@ -257,41 +257,42 @@
         ports = iter(find_free_ports(1 + per_zone * len(shape.zones) + 4 * shape.entry_hosts))
         self.platform_port = next(ports)
         for zone in shape.zones:
-            for number in range(shape.workers):
-                self._add(
-                    Host(
-                        f"worker-{zone}-{number + 1}",
-                        HostKind.WORKER,
-                        ADDRESS,
-                        next(ports),
-                        zone,
-                        shape.region,
-                        rack=f"{zone}-rack-{number // 8 + 1}",
-                        cores=130,
-                        memory_gb=500,
-                        accelerators=shape.accelerators,
-                    )
-                )
-            for number in range(shape.executors):
-                self._add(
-                    Host(
-                        f"executor-{zone}-{number + 1}",
-                        HostKind.EXECUTOR,
-                        ADDRESS,
-                        next(ports),
-                        zone,
-                        shape.region,
-                        slots=8,
-                        connections=60,
-                    )
-                )
+            for number in range(1, shape.workers + 1):
+                self._add_worker(zone, number, next(ports))
+            for number in range(1, shape.executors + 1):
+                self._add_executor(zone, number, next(ports))
         for number in range(shape.entry_hosts):
             self._add_entry_host(number, [next(ports) for _ in range(4)])
         plain = to_plain(list(self.hosts_by_id.values()))
         (self.directory / "hosts.json").write_text(json.dumps(plain, indent=1))
 
-    def _add(self, host: Host) -> None:
-        self.hosts_by_id[host.host_id] = host
+    def _add_worker(self, zone: str, number: int, port: int) -> None:
+        host_id = f"worker-{zone}-{number}"
+        self.hosts_by_id[host_id] = Host(
+            host_id,
+            HostKind.WORKER,
+            ADDRESS,
+            port,
+            zone,
+            self.shape.region,
+            rack=f"{zone}-rack-{(number - 1) // RACK_WORKERS + 1}",
+            cores=130,
+            memory_gb=500,
+            accelerators=self.shape.accelerators,
+        )
+
+    def _add_executor(self, zone: str, number: int, port: int) -> None:
+        host_id = f"executor-{zone}-{number}"
+        self.hosts_by_id[host_id] = Host(
+            host_id,
+            HostKind.EXECUTOR,
+            ADDRESS,
+            port,
+            zone,
+            self.shape.region,
+            slots=8,
+            connections=60,
+        )
 
     def _add_entry_host(self, number: int, ports: list[int]) -> None:
         zone = self.shape.zones[number % len(self.shape.zones)]
@@ -308,7 +309,7 @@
             stream_port=stream_port,
             scheduler_port=scheduler_port,
         )
-        self._add(host)
+        self.hosts_by_id[host_id] = host
         text = self._settings_text(host, scheduler_http_port)
         (self.directory / f"{host_id}.toml").write_text(text)
 
