--- a/packages/daemon/src/jacinthreel_daemon/_request_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_request_api.py
@@ -253,6 +253,7 @@
         """Receives the service that is shared by all requests."""
         self._service = service
         self._call_id: int | None = None
+        self._taken = False
 
     def set_default_headers(self) -> None:
         """Replies made before a request is taken say that it did not run."""
@@ -272,6 +273,7 @@
             case Failure(fault):
                 self._refuse(fault)
                 return
+        self._taken = True
         self._call_id, waiter = self._service.begin(workspace, headers, body)
         outcome = await waiter
         self._service.count_outcome(outcome, started_ms)
@@ -284,7 +286,7 @@
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Says `unknown` where something unexpected happened after a request was taken."""
-        if status_code >= 500 and self._call_id is not None:
+        if self._taken:
             self.set_header(OUTCOME_HEADER, "unknown")
         super().write_error(status_code, **kwargs)
 
--- a/packages/requests/tests/features/requests.feature
+++ b/packages/requests/tests/features/requests.feature
@@ -23,6 +23,22 @@
     Then A is answered from the record
     And A ran 1 times
 
+  Scenario Outline: Claim rows are removed after their retention
+    Given 2 routers and 2 executors with 2 slots
+    When order A is sent to h1
+    And every request reaches its executor
+    And <end>
+    And everything is delivered
+    Then the table has 1 rows
+    When 2 hours pass
+    And everything is delivered
+    Then the table has 0 rows
+
+    Examples:
+      | end                                |
+      | the answers arrive, the last first |
+      | every reply is lost                |
+
   Scenario: A repeat at another router while the first still runs
     Given 2 routers and 2 executors with 2 slots
     When order A is sent to h1
--- a/packages/requests/tests/test_request_scenarios.py
+++ b/packages/requests/tests/test_request_scenarios.py
@@ -150,6 +150,17 @@
     cluster.advance(duration)
 
 
+@when(parsers.parse("{hours:d} hours pass"))
+def _hours(cluster: Any, hours: int) -> None:
+    cluster.now_ms += hours * 3_600_000
+    cluster.advance(300)
+
+
+@then(parsers.parse("the table has {count:d} rows"))
+def _rows(cluster: Any, count: int) -> None:
+    assert len(cluster.table.rows_by_key) == count
+
+
 @when(parsers.parse("h{router:d} dies"))
 def _kill(cluster: Any, router: int) -> None:
     cluster.kill_router(router)
