Pass an executor's answer on whatever its status

The command line took an executor's answer with an error status for a balancer's error, and would have sent an idempotent request again.

--- a/packages/cli/src/jacinthreel_cli/_routers.py
+++ b/packages/cli/src/jacinthreel_cli/_routers.py
@@ -31,6 +31,9 @@
 ROUTERS_VARIABLE: Final = "JACINTHREEL_ROUTERS"
 CONNECT_TIMEOUT_S: Final = 2.0
 REQUEST_TIMEOUT_S: Final = 20.0
+OUTCOME_HEADER: Final = "X-Outcome"
+ANSWERED: Final = "answered"
+"""Marks an executor's answer, which is passed on whatever its status."""
 
 _NEXT_ROUTER_CODES: Final = frozenset(
     {ResultCode.SHUTTING_DOWN, ResultCode.NO_CONFIG, ResultCode.NO_OWNER}
@@ -172,7 +175,7 @@
 
 
 def _read_answer(response: HTTPResponse) -> ApiAnswer | Refused | NoAnswer:
-    if response.code < 300:
+    if response.code < 300 or response.headers.get(OUTCOME_HEADER) == ANSWERED:
         return ApiAnswer(response.code, response.body)
     match decode_json(ErrorBody, response.body):
         case Success(ErrorBody(code, _, detail, retry_after_ms)):
--- a/packages/cli/tests/test_routers.py
+++ b/packages/cli/tests/test_routers.py
@@ -167,3 +167,26 @@
     answer = asyncio.run(run())
     assert isinstance(answer, NoAnswer)
     assert answer.sent == sent
+
+
+@pytest.mark.parametrize(
+    ("head", "kind"),
+    [
+        (b"HTTP/1.1 500 X\r\nX-Outcome: answered\r\n", ApiAnswer),
+        (b"HTTP/1.1 500 X\r\n", NoAnswer),
+        (b"HTTP/1.1 302 X\r\nLocation: http://127.0.0.1:9/\r\n", NoAnswer),
+    ],
+)
+def test_an_executors_answer_is_passed_on_whatever_its_status(head: bytes, kind: type) -> None:
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + b"Content-Length: 4\r\n\r\nbody")
+        await writer.drain()
+        writer.close()
+
+    async def run() -> ApiAnswer | Refused | NoAnswer:
+        async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            return await _routers._send(f"127.0.0.1:{port}", ApiCall("GET", "/v1/x"))
+
+    assert isinstance(asyncio.run(run()), kind)
