Answer each caller once and repeat lost releases

A cancellation whose write was not answered was told that its outcome is unknown, and answered again once the write was resolved. A release in a lost batch was not repeated while the worker's report version stood still, so the ended task stayed on the worker. Each has a scenario that is red without the mend.

--- a/packages/jobs/src/jacinthreel_jobs/__init__.py
+++ b/packages/jobs/src/jacinthreel_jobs/__init__.py
@@ -37,6 +37,7 @@
     PlanTrigger,
     Preempt,
     PreemptMode,
+    Promote,
 )
 from jacinthreel_jobs._shard import ShardCore
 from jacinthreel_jobs._tables import (
@@ -68,6 +69,7 @@
     "Planner",
     "Preempt",
     "PreemptMode",
+    "Promote",
     "ReadRows",
     "Reply",
     "RowsRead",
--- a/packages/jobs/src/jacinthreel_jobs/_backfill.py
+++ b/packages/jobs/src/jacinthreel_jobs/_backfill.py
@@ -43,6 +43,7 @@
     """The reservations of one plan, in the order in which they were made."""
 
     now_ms: int
+    kept_workers: dict[str, frozenset[str]] = field(default_factory=dict)
     by_worker: dict[str, Reservation] = field(default_factory=dict)
     count: int = 0
     _ends: list[tuple[float, JobEntry]] = field(default_factory=list)
@@ -57,12 +58,27 @@
     def add(self, reservation: Reservation) -> None:
         """Keeps the workers of a reservation; those kept already stay with the earlier one."""
         self.count += 1
+        self.kept_workers[reservation.job_id] = reservation.worker_ids
         for worker_id in reservation.worker_ids:
             self.by_worker.setdefault(worker_id, reservation)
 
     def earliest(self, job: JobEntry, view: ClusterView) -> Reservation | None:
-        """The earliest reservation for a gang beside the others, or None if none is in sight."""
-        search = _Search(job, view, frozenset(self.by_worker))
+        """The earliest reservation for a gang beside the others, or None if none is in sight.
+
+        A gang that had workers kept for it in the plan before (`kept_workers`) stays with them as
+        long as they will hold it, since the room that has gathered there would be lost.
+        """
+        kept = self.kept_workers.get(job.job_id)
+        if kept is not None:
+            found = self._earliest(job, view, kept)
+            if found is not None:
+                return found
+        return self._earliest(job, view, None)
+
+    def _earliest(
+        self, job: JobEntry, view: ClusterView, only: frozenset[str] | None
+    ) -> Reservation | None:
+        search = _Search(job, view, frozenset(self.by_worker), only)
         best = search.best_group()
         if best is not None:
             return self._reservation(job, 0.0, search, best)
@@ -90,13 +106,19 @@
 class _Search:
     """The room for one gang as running gangs end one after another."""
 
-    def __init__(self, job: JobEntry, view: ClusterView, kept: frozenset[str]) -> None:
+    def __init__(
+        self,
+        job: JobEntry,
+        view: ClusterView,
+        kept: frozenset[str],
+        only: frozenset[str] | None,
+    ) -> None:
         self._spec: JobSpec = job.record.spec
         self._tasks_by_group: dict[tuple[str, ...], int] = {}
         self._room_by_worker: dict[str, _FutureRoom] = {}
-        avoided = frozenset(job.record.failed_workers) | kept
+        avoided = view.avoided_by(job) | kept
         for worker in view.placeable():
-            if worker.worker_id in avoided:
+            if worker.worker_id in avoided or (only is not None and worker.worker_id not in only):
                 continue
             room = _FutureRoom(worker, self._spec)
             self._room_by_worker[worker.worker_id] = room
--- a/packages/jobs/src/jacinthreel_jobs/_cells.py
+++ b/packages/jobs/src/jacinthreel_jobs/_cells.py
@@ -264,5 +264,15 @@
     return builder.layout
 
 
+def fits_guarantees(workspaces: Iterable[Workspace], bound_tasks: Iterable[BoundTask]) -> bool:
+    """Whether the tasks occupy no more cells than their workspaces are guaranteed."""
+    counts = _LayoutBuilder(()).bind(bound_tasks)
+    guaranteed = {workspace.name: guaranteed_counts(workspace) for workspace in workspaces}
+    return all(
+        name in guaranteed and count <= guaranteed[name][level]
+        for (name, level), count in counts.items()
+    )
+
+
 def _negated(cost: ClearingCost) -> ClearingCost:
     return lambda worker_id, units: -cost(worker_id, units)
--- a/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
+++ b/packages/jobs/src/jacinthreel_jobs/_cluster_view.py
@@ -12,7 +12,7 @@
 
 from jacinthreel_common import JobRecord, JobSpec, JobState, TaskPlacement
 from jacinthreel_jobs._cells import BoundTask, CellWorker, RackKey
-from jacinthreel_jobs._fit import tasks_that_fit
+from jacinthreel_jobs._fit import adjacency_group, tasks_that_fit
 from jacinthreel_jobs._tables import JobEntry, Tables, WorkerEntry, WorkerHealth
 
 UNLIMITED_TASKS: Final = 1 << 30
@@ -104,6 +104,30 @@
             if worker.in_service and worker.task_limit > 0:
                 yield worker
 
+    def free_by_rack(self) -> dict[RackKey, int]:
+        """Free accelerators of each rack on workers that take tasks."""
+        free: dict[RackKey, int] = {}
+        for worker in self.placeable():
+            free[worker.rack] = free.get(worker.rack, 0) + max(0, worker.free_accelerators)
+        return free
+
+    def avoided_by(self, job: JobEntry) -> frozenset[str]:
+        """Workers on which a gang failed, unless it can't go anywhere without them."""
+        failed = frozenset(job.record.failed_workers)
+        if not failed:
+            return failed
+        spec = job.record.spec
+        tasks_by_group: dict[tuple[str, ...], int] = {}
+        for worker in self.placeable():
+            if worker.worker_id in failed:
+                continue
+            group = adjacency_group(spec.adjacency, worker.zone, worker.rack[1], worker.worker_id)
+            fit = worker.fits_when_empty(spec)
+            tasks_by_group[group] = tasks_by_group.get(group, 0) + fit
+            if tasks_by_group[group] >= spec.tasks:
+                return failed
+        return frozenset()
+
     def take(self, spec: JobSpec, placement: Iterable[TaskPlacement]) -> None:
         """Claims the room of a placement."""
         for task in placement:
--- a/packages/jobs/src/jacinthreel_jobs/_packing.py
+++ b/packages/jobs/src/jacinthreel_jobs/_packing.py
@@ -1,9 +1,9 @@
 """Arrangements of gangs in free room, which keep whole workers and racks free.
 
 Ways weighed are in docs/PLACEMENT.md.  A gang goes to the adjacency group with the least free
-room that holds it; within the group, tasks fill the workers that are broken already, then whole
-workers of the racks with the fewest whole workers.  Room set aside for guarantees that are not in
-use comes last, since whoever borrows it may have to make room.
+room that holds it; within the group, tasks fill the workers that are broken already, in the rack
+with the least free room first, and then whole workers in the same order of racks.  Room set aside
+for guarantees that are not in use comes last, since whoever borrows it may have to make room.
 """
 
 from __future__ import annotations
@@ -68,7 +68,7 @@
             best = candidate
     if best is None:
         return None
-    placement = _fill(spec, groups[best[1]].workers, set_aside, _whole_workers_by_rack(view))
+    placement = _fill(spec, groups[best[1]].workers, set_aside, view.free_by_rack())
     return Arrangement(placement, candidates)
 
 
@@ -81,15 +81,15 @@
     spec: JobSpec,
     workers: list[tuple[WorkerView, int]],
     set_aside: dict[str, int],
-    whole_by_rack: dict[RackKey, int],
+    free_by_rack: dict[RackKey, int],
 ) -> list[TaskPlacement]:
     def order(item: tuple[WorkerView, int]) -> tuple[bool, bool, int, int, str]:
         worker, fit = item
         used = min(fit, spec.tasks) * spec.accelerators_per_task
         borrowed = worker.free_accelerators - used < set_aside.get(worker.worker_id, 0)
         whole = worker.free_accelerators == worker.accelerators
-        rack_whole = whole_by_rack.get(worker.rack, 0) if whole else 0
-        return borrowed, whole, rack_whole, worker.free_accelerators, worker.worker_id
+        rack_free = free_by_rack.get(worker.rack, 0)
+        return borrowed, whole, rack_free, worker.free_accelerators, worker.worker_id
 
     placement: list[TaskPlacement] = []
     for worker, fit in sorted(workers, key=order):
@@ -98,11 +98,3 @@
         if len(placement) == spec.tasks:
             break
     return placement
-
-
-def _whole_workers_by_rack(view: ClusterView) -> dict[RackKey, int]:
-    counts: dict[RackKey, int] = {}
-    for worker in view.placeable():
-        if worker.free_accelerators == worker.accelerators:
-            counts[worker.rack] = counts.get(worker.rack, 0) + 1
-    return counts
--- a/packages/jobs/src/jacinthreel_jobs/_planning.py
+++ b/packages/jobs/src/jacinthreel_jobs/_planning.py
@@ -53,7 +53,19 @@
     reason: str
 
 
-Decision = Place | Preempt
+@dataclass(frozen=True, slots=True)
+class Promote:
+    """Count a running gang that borrows as within its workspace's guarantee, where it stands.
+
+    `placement` names the same workers with the cells that the tasks occupy from now on.
+    """
+
+    job_id: str
+    placement: list[TaskPlacement]
+    reason: str
+
+
+Decision = Place | Preempt | Promote
 
 
 class Planner(Protocol):
--- a/packages/jobs/src/jacinthreel_jobs/_reclaim.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -21,13 +21,27 @@
     TaskPlacement,
     Workspace,
 )
-from jacinthreel_jobs._cells import LEVELS_LARGEST_FIRST, LaidCell, added_cost, lay_out
+from jacinthreel_jobs._cells import (
+    LEVELS_LARGEST_FIRST,
+    WORKER_UNITS,
+    ClearingCost,
+    LaidCell,
+    added_cost,
+    lay_out,
+)
 from jacinthreel_jobs._cluster_view import ClusterView, WorkerView
 from jacinthreel_jobs._fit import adjacency_group
 from jacinthreel_jobs._tables import JobEntry
 
 CHECKPOINT_COST_S: Final = 5.0
 PREEMPTION_COST_S: Final = 1.0
+CROWDING_COST: Final = 1.0
+"""Accelerator seconds for each free accelerator of a rack, so that full racks fill up first."""
+RESERVED_COST: Final = 400.0
+"""Accelerator seconds that free room is worth while it is kept for a gang that waits."""
+FAR_COST: Final = 1e9
+MAX_GROUPS: Final = 8
+"""The most racks or zones that are tried for a gang that spans cells."""
 
 LossOf = Callable[[JobEntry], float]
 """The work lost when a gang is taken down, in accelerator seconds."""
@@ -45,13 +59,16 @@
     room: int
 
 
-def work_lost(job: JobEntry, now_ms: int) -> float:
-    """The accelerator seconds lost when a running gang is taken down now."""
+def work_lost(job: JobEntry, now_ms: int, stopped: bool = False) -> float:
+    """The accelerator seconds lost when a running gang is taken down now.
+
+    `stopped` means without the time for a checkpoint.
+    """
     spec = job.record.spec
     size = max(1, spec.accelerators)
     if job.state is JobState.PLACED:
         return size * PREEMPTION_COST_S
-    if spec.checkpointable:
+    if spec.checkpointable and not stopped:
         return size * (CHECKPOINT_COST_S + PREEMPTION_COST_S)
     return size * (max(0.0, (now_ms - job.started_ms) / 1000) + PREEMPTION_COST_S)
 
@@ -59,11 +76,14 @@
 class ClearingCosts:
     """What clearing room on a worker costs; gangs that are leaving cost nothing.
 
-    A gang that spans several workers costs its whole loss on each of them.
+    A gang that spans several workers costs its whole loss on each of them.  Free room on workers
+    that are `reserved` for a waiting gang is not free of cost either.
     """
 
-    def __init__(self, view: ClusterView, loss_of: LossOf) -> None:
+    def __init__(self, view: ClusterView, loss_of: LossOf, reserved: Container[str] = ()) -> None:
         self._view = view
+        self._reserved = reserved
+        self._free_by_rack = view.free_by_rack()
         self._loss_of = loss_of
         self._steps_by_worker: dict[str, list[tuple[int, float]]] = {}
 
@@ -95,8 +115,10 @@
             loss = self._loss_of(job) if running is not None else 0.0
             borrowers.append((loss, job.record.spec, tasks))
         borrowers.sort(key=lambda item: (item[0], item[1].job_id))
-        steps = [(room.units(worker), 0.0)]
-        cost = 0.0
+        cost = CROWDING_COST * self._free_by_rack.get(worker.rack, 0)
+        if worker.worker_id in self._reserved:
+            cost += RESERVED_COST
+        steps = [(room.units(worker), cost)]
         for loss, spec, tasks in borrowers:
             cost += loss
             room.add(spec, tasks)
@@ -132,46 +154,114 @@
 def place_in_cells(
     spec: JobSpec,
     view: ClusterView,
-    workspaces: Iterable[Workspace],
+    workspaces: list[Workspace],
     costs: ClearingCosts,
-    avoid: Iterable[str] = (),
+    avoid: frozenset[str] = frozenset(),
+    below: CellLevel | None = None,
 ) -> list[TaskPlacement] | None:
     """An arrangement within the guarantee of the gang's workspace, or None if there is none.
 
-    Borrowers may stand in its place.  Workers in `avoid` are not used.
+    Borrowers may stand in its place.  Workers in `avoid` are not used, nor cells of the level
+    `below` and larger ones.  The layout promises adjacency only inside a cell, so a gang that
+    spans cells of one rack or zone is tried with its cells drawn to each of them.
     """
-    layout = lay_out(
-        workspaces,
-        view.cell_workers,
-        view.bound_tasks,
-        asker=spec.workspace,
-        asked_levels=(natural_level(spec),),
-        cost=costs.cost,
+    search = _CellSearch(spec, view, workspaces, costs, avoid, below)
+    placement = search.place((natural_level(spec),), costs.cost)
+    if placement is not None or spec.adjacency not in (Adjacency.RACK, Adjacency.ZONE):
+        return placement
+    task_level = smallest_level(max(1, spec.accelerators_per_task))
+    levels = tuple(
+        level
+        for level in LEVELS_LARGEST_FIRST
+        if CELL_ACCELERATORS[task_level] <= CELL_ACCELERATORS[level] <= WORKER_UNITS
     )
-    avoided = frozenset(avoid)
-    slots_by_group: dict[tuple[str, ...], list[_Slot]] = {}
-    cleared: dict[str, int] = {}
-    for cell in layout.cells_by_workspace.get(spec.workspace, []):
-        for slot in _slots(spec, cell, view, costs, cleared):
-            worker = slot.worker
-            if worker.worker_id in avoided:
+    for group in search.groups():
+        placement = search.place(levels, search.drawn_to(group))
+        if placement is not None:
+            return placement
+    return None
+
+
+class _CellSearch:
+    """The search for a gang's place in the cells of its workspace."""
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        view: ClusterView,
+        workspaces: list[Workspace],
+        costs: ClearingCosts,
+        avoid: frozenset[str],
+        below: CellLevel | None,
+    ) -> None:
+        self._spec = spec
+        self._view = view
+        self._workspaces = workspaces
+        self._costs = costs
+        self._avoid = avoid
+        self._below_units = CELL_ACCELERATORS[below] if below is not None else 1 << 30
+
+    def groups(self) -> list[tuple[str, ...]]:
+        """The racks or zones that could hold the gang if they were empty, cheapest first."""
+        tasks: dict[tuple[str, ...], int] = {}
+        prices: dict[tuple[str, ...], float] = {}
+        for worker in self._view.placeable():
+            group = self._group(worker)
+            tasks[group] = tasks.get(group, 0) + worker.fits_when_empty(self._spec)
+            price = min(self._costs.cost(worker.worker_id, 1), FAR_COST)
+            prices[group] = prices.get(group, 0.0) + price
+        holding = [group for group, count in tasks.items() if count >= self._spec.tasks]
+        return sorted(holding, key=lambda group: (prices[group], group))[:MAX_GROUPS]
+
+    def drawn_to(self, group: tuple[str, ...]) -> ClearingCost:
+        """Costs that draw cells to a rack or zone."""
+
+        def cost(worker_id: str, units: int) -> float:
+            far = self._group(self._view.workers_by_id[worker_id]) != group
+            return self._costs.cost(worker_id, units) + (FAR_COST if far else 0.0)
+
+        return cost
+
+    def place(
+        self, levels: tuple[CellLevel, ...], cost: ClearingCost
+    ) -> list[TaskPlacement] | None:
+        """The cheapest arrangement in a layout where cells of `levels` go where `cost` is low."""
+        spec = self._spec
+        layout = lay_out(
+            self._workspaces,
+            self._view.cell_workers,
+            self._view.bound_tasks,
+            asker=spec.workspace,
+            asked_levels=levels,
+            cost=cost,
+        )
+        slots_by_group: dict[tuple[str, ...], list[_Slot]] = {}
+        cleared: dict[str, int] = {}
+        for cell in layout.cells_by_workspace.get(spec.workspace, []):
+            if CELL_ACCELERATORS[cell.level] >= self._below_units:
                 continue
-            group = adjacency_group(spec.adjacency, worker.zone, worker.rack[1], worker.worker_id)
-            slots_by_group.setdefault(group, []).append(slot)
-    best: tuple[float, int, list[TaskPlacement]] | None = None
-    for slots in slots_by_group.values():
-        filled = _fill(spec, slots)
-        if filled is None:
-            continue
-        if best is None or filled[:2] < best[:2]:
-            best = filled
-    return None if best is None else best[2]
+            for slot in _slots(spec, cell, self._view, self._costs, cleared):
+                if slot.worker.worker_id not in self._avoid:
+                    slots_by_group.setdefault(self._group(slot.worker), []).append(slot)
+        best: tuple[float, int, list[TaskPlacement]] | None = None
+        for slots in slots_by_group.values():
+            filled = _fill(spec, slots)
+            if filled is not None and (best is None or filled[:2] < best[:2]):
+                best = filled
+        return None if best is None else best[2]
+
+    def _group(self, worker: WorkerView) -> tuple[str, ...]:
+        return adjacency_group(self._spec.adjacency, worker.zone, worker.rack[1], worker.worker_id)
 
 
 def natural_level(spec: JobSpec) -> CellLevel:
     """The smallest cell that holds the gang, or a task of it where its tasks may be apart."""
     together = spec.adjacency in (Adjacency.WORKER, Adjacency.RACK)
-    units = max(1, spec.accelerators if together else spec.accelerators_per_task)
+    return smallest_level(max(1, spec.accelerators if together else spec.accelerators_per_task))
+
+
+def smallest_level(units: int) -> CellLevel:
+    """The smallest level whose cells have so many units."""
     for level in reversed(LEVELS_LARGEST_FIRST):
         if CELL_ACCELERATORS[level] >= units:
             return level
--- a/packages/jobs/src/jacinthreel_jobs/_settlement.py
+++ b/packages/jobs/src/jacinthreel_jobs/_settlement.py
@@ -103,14 +103,18 @@
 
 def _unsettled(ctx: ShardContext, job: JobEntry, gang: Gang | None, settled: SettledChange) -> None:
     """A change of a known job failed or is doubtful; callers are told."""
+    answered = list(settled.change.calls)
     answer_unsettled(ctx, settled)
+    if job.job_id in ctx.cancel_calls_by_id:
+        calls = ctx.cancel_calls_by_id[job.job_id]
+        ctx.cancel_calls_by_id[job.job_id] = [call for call in calls if call not in answered]
     if gang is not None and gang.phase is GangPhase.PLACING:
         drop_cancel_calls(ctx, job.job_id)
         return
     if settled.outcome is not ChangeOutcome.DROPPED:
         return
     if gang is not None:
-        ctx.cancel_calls_by_id.pop(job.job_id, None)
+        drop_cancel_calls(ctx, job.job_id)
         sync_row(ctx, gang)
         return
     ctx.enqueue_job(job)
--- a/packages/jobs/src/jacinthreel_jobs/_shard.py
+++ b/packages/jobs/src/jacinthreel_jobs/_shard.py
@@ -43,7 +43,8 @@
 from jacinthreel_jobs._hosts import apply_hosts
 from jacinthreel_jobs._leaving import drain_adopted, drain_closed_zones, preempt
 from jacinthreel_jobs._limits import PLAN_PERIOD_MS, REPLAN_MS, RETENTION_CHECK_MS
-from jacinthreel_jobs._planning import Place, Planner, PlanTrigger, Preempt
+from jacinthreel_jobs._planning import Place, Planner, PlanTrigger, Preempt, Promote
+from jacinthreel_jobs._promotion import promote
 from jacinthreel_jobs._recovery import load_rows
 from jacinthreel_jobs._reports import take_reply, take_unreachable
 from jacinthreel_jobs._rows import flush_writes, take_rows_read, take_write_done
@@ -163,6 +164,8 @@
                     refusal = place(ctx, decision)
                 case Preempt():
                     refusal = preempt(ctx, decision)
+                case Promote():
+                    refusal = promote(ctx, decision)
             if refusal:
                 kind = type(decision).__name__.lower()
                 ctx.log("decision_refused", kind=kind, job_id=decision.job_id, reason=refusal)
--- a/packages/jobs/src/jacinthreel_jobs/_submission.py
+++ b/packages/jobs/src/jacinthreel_jobs/_submission.py
@@ -251,13 +251,16 @@
 
 
 def answer_all_on_loss(ctx: ShardContext) -> None:
-    """Answers every waiting caller when the shard is lost."""
+    """Answers every waiting caller once when the shard is lost."""
+    detail = "the shard has a new owner"
+    answered: set[int] = set()
     for change in ctx.changes_by_job_id.values():
         sent = change.in_flight or change.maybe_applied
         code = ResultCode.JOB_OUTCOME_UNKNOWN if sent else ResultCode.NO_OWNER
-        _reply_all(ctx, change.calls, code, "the shard has a new owner", RETRY_AFTER_MS)
+        _reply_all(ctx, change.calls, code, detail, RETRY_AFTER_MS)
+        answered.update(change.calls)
         change.calls = []
     for calls in ctx.cancel_calls_by_id.values():
-        detail = "the shard has a new owner"
-        _reply_all(ctx, calls, ResultCode.NO_OWNER, detail, RETRY_AFTER_MS)
+        left = [call for call in calls if call not in answered]
+        _reply_all(ctx, left, ResultCode.NO_OWNER, detail, RETRY_AFTER_MS)
     ctx.cancel_calls_by_id.clear()
--- a/packages/jobs/src/jacinthreel_jobs/_waiting.py
+++ b/packages/jobs/src/jacinthreel_jobs/_waiting.py
@@ -19,7 +19,7 @@
 from jacinthreel_jobs._guaranteed_pass import ShapeKey, shape_key
 from jacinthreel_jobs._tables import JobEntry, Tables
 
-WORK_DELAY: Final = 4.0  # Seconds of delay for each second that the whole shard would work.
+WORK_DELAY: Final = 20.0  # Seconds of delay for each second that the whole shard would work.
 BACKLOG_DELAY: Final = 0.5  # The same for work that the workspace had waiting.
 PRIORITY_DELAY_S: Final = 60.0  # Each step of priority is worth this much.
 DEFAULT_PRIORITY: Final = 5
--- a/packages/jobs/src/jacinthreel_jobs/_worker_health.py
+++ b/packages/jobs/src/jacinthreel_jobs/_worker_health.py
@@ -128,7 +128,7 @@
 
 
 def batch_lost(ctx: ShardContext, link: WorkerLink, sent: SentBatch, delivered: bool) -> None:
-    """A batch got no answer: what it could have started is doubtful, and stops go out again.
+    """A batch got no answer: what it could have started is doubtful; the rest goes out again.
 
     Its renewal counts from now, because the driver may have been paused before it sent the batch.
     """
@@ -137,6 +137,9 @@
     worker.last_renewal_sent_ms = ctx.now_ms if delivered else sent.renewal_before_ms
     for command in sent.commands:
         key = command_key(command)
+        if command.kind in (CommandKind.STOP, CommandKind.RELEASE):
+            enqueue(ctx, command.kind, worker.worker_id, key, at_once=False)
+            continue
         gang = ctx.gangs_by_id.get(command.job_id)
         if gang is None or gang.attempt != command.attempt:
             continue
@@ -148,9 +151,8 @@
             take_down(ctx, gang, DownCause.DOUBTFUL, f"{command.kind.value} at {worker.worker_id}")
             sync_row(ctx, gang)
             continue
-        if command.kind is CommandKind.RELEASE or task.phase in SETTLED_TASK_PHASES:
-            continue
-        enqueue(ctx, command.kind, worker.worker_id, key)
+        if task.phase not in SETTLED_TASK_PHASES:
+            enqueue(ctx, command.kind, worker.worker_id, key, at_once=False)
 
 
 def task_failed_on(ctx: ShardContext, gang: Gang, worker_id: str) -> None:
--- a/packages/jobs/tests/features/shard_gangs.feature
+++ b/packages/jobs/tests/features/shard_gangs.feature
@@ -81,6 +81,15 @@
     When 1500 ms pass
     Then worker "w3" holds no task
 
+  Scenario: A release that is lost is repeated
+    Given worker "w0" loses releases
+    When job "a" with 1 task of 8 accelerators runs for 2 s
+    And 5000 ms pass
+    Then job "a" becomes finished within 1 ms
+    When worker "w0" answers again
+    And 3000 ms pass
+    Then worker "w0" holds no task
+
   Scenario: Cancelling a running gang stops all of it
     When job "a" with 4 tasks of 8 accelerators runs for 60 s
     And 1000 ms pass
--- a/packages/jobs/tests/features/shard_store.feature
+++ b/packages/jobs/tests/features/shard_store.feature
@@ -14,6 +14,16 @@
     Then the last call is answered with OK
     And job "a" becomes finished within 10000 ms
 
+  Scenario: A cancellation whose write is not answered is answered once, and carried out
+    When job "a" with 2 tasks of 8 accelerators runs for 60 s
+    And 1000 ms pass
+    And the store loses replies
+    And job "a" is cancelled
+    And 50 ms pass
+    Then the last call is answered with JOB_OUTCOME_UNKNOWN
+    Given the store is back
+    Then job "a" becomes cancelled within 10000 ms
+
   Scenario: A write that takes effect late changes nothing that was written since
     Given the store applies writes late
     When job "a" with 1 task of 8 accelerators runs for 1 s
