--- a/packages/bench/src/jacinthreel_bench/_baselines.py
+++ b/packages/bench/src/jacinthreel_bench/_baselines.py
@@ -158,7 +158,7 @@
 ) -> list[TaskPlacement] | None:
     """The first adjacency group that holds a gang, filled in the order of its workers."""
     spec = job.record.spec
-    avoided = frozenset(job.record.failed_workers)
+    avoided = view.avoided_by(job)
     fits: dict[tuple[str, ...], list[tuple[WorkerView, int]]] = {}
     for worker in sorted(view.placeable(), key=order):
         tasks = worker.fits(spec)
--- a/packages/bench/src/jacinthreel_bench/_job_records.py
+++ b/packages/bench/src/jacinthreel_bench/_job_records.py
@@ -34,10 +34,12 @@
     runs: list[TaskRun] = field(default_factory=list)
     running_by_key: dict[TaskKey, TaskRun] = field(default_factory=dict)
     _starts_seen: int = 0
+    _replied_ms: int = 0
 
     def handle(self, batch: CommandBatch, now_ms: int) -> CommandReply:
         """Passes a batch to the model and records what changed."""
         reply = self.model.handle(batch, now_ms)
+        self._replied_ms = now_ms
         self.record(now_ms)
         return reply
 
@@ -47,8 +49,15 @@
         self.record(now_ms)
 
     def restart(self, now_ms: int) -> None:
-        """Loses all tasks."""
+        """Loses all tasks, and with them every finish that was not reported yet.
+
+        Nobody can know of such a finish, so its run counts as lost.
+        """
         self.advance(now_ms)
+        for run in self.runs:
+            if run.state is TaskState.FINISHED and run.end_ms > self._replied_ms:
+                run.state = TaskState.LAPSED
+                run.kept_s = 0.0
         self.model.restart()
         self.record(now_ms)
 
