--- a/packages/cli/src/jacinthreel_cli/_config_commands.py
+++ b/packages/cli/src/jacinthreel_cli/_config_commands.py
@@ -41,7 +41,6 @@
 )
 
 WAIT_POLL_S: Final = 0.3
-DEFAULT_WAIT_S: Final = 30.0
 
 workspace_app = cyclopts.App(name="workspace", help="Workspaces and their guarantees.")
 zone_app = cyclopts.App(name="zone", help="Availability zones.")
@@ -51,7 +50,7 @@
 def init(*, common: Common | None = None, options: ChangeOptions | None = None) -> None:
     """Accepts the first configuration; changes nothing where there is one."""
     session = Session(common)
-    session.show(session.change("POST", "/v1/config", None, options), draw_change)
+    _finish_change(session, session.change("POST", "/v1/config", None, options), options)
 
 
 @workspace_app.command(name="set")
@@ -76,12 +75,12 @@
     common
         Which routers to call and how to print.
     options
-        How the change is identified.
+        How the change is identified, and whether to wait for it.
     """
     session = Session(common)
     body = WorkspaceBody([_parse_shape(text) for text in guarantee or []], weight)
     answer = session.change("PUT", f"/v1/workspaces/{quote(name, safe='')}", body, options)
-    session.show(answer, draw_change)
+    _finish_change(session, answer, options)
 
 
 @workspace_app.command(name="list")
@@ -102,7 +101,7 @@
     """Deletes a workspace that has no jobs left."""
     session = Session(common)
     answer = session.change("DELETE", f"/v1/workspaces/{quote(name, safe='')}", None, options)
-    session.show(answer, draw_change)
+    _finish_change(session, answer, options)
 
 
 @zone_app.command(name="list")
@@ -118,8 +117,6 @@
     *,
     reason: str,
     drain_s: float = 60.0,
-    wait: bool = False,
-    timeout_s: float = DEFAULT_WAIT_S,
     common: Common | None = None,
     options: ChangeOptions | None = None,
 ) -> None:
@@ -133,27 +130,21 @@
         Why, for the other operators.
     drain_s
         How long its running tasks may go on to reach a checkpoint, in seconds.
-    wait
-        Wait until the change is in force in every process.
-    timeout_s
-        How long to wait, in seconds.
     common
         Which routers to call and how to print.
     options
-        How the change is identified.
+        How the change is identified, and whether to wait for it.
     """
     session = Session(common)
     body = ZoneOutBody(reason, int(drain_s * 1000))
     answer = session.change("POST", f"/v1/zones/{quote(zone, safe='')}/out", body, options)
-    _finish_change(session, answer, wait, timeout_s)
+    _finish_change(session, answer, options)
 
 
 @zone_app.command(name="in")
 def bring_zone_in(
     zone: str,
     *,
-    wait: bool = False,
-    timeout_s: float = DEFAULT_WAIT_S,
     common: Common | None = None,
     options: ChangeOptions | None = None,
 ) -> None:
@@ -163,18 +154,14 @@
     ----------
     zone
         The availability zone.
-    wait
-        Wait until the change is in force in every process.
-    timeout_s
-        How long to wait, in seconds.
     common
         Which routers to call and how to print.
     options
-        How the change is identified.
+        How the change is identified, and whether to wait for it.
     """
     session = Session(common)
     answer = session.change("POST", f"/v1/zones/{quote(zone, safe='')}/in", None, options)
-    _finish_change(session, answer, wait, timeout_s)
+    _finish_change(session, answer, options)
 
 
 @preset_app.command(name="list")
@@ -210,7 +197,7 @@
     common
         Which routers to call and how to print.
     options
-        How the change is identified.
+        How the change is identified, and whether to wait for it.
     """
     session = Session(common)
     presets = session.get(PresetList, "/v1/presets")
@@ -218,15 +205,14 @@
     chosen = options or ChangeOptions()
     if chosen.expect is None:
         chosen.expect = presets.version
-    session.show(session.change("PUT", f"/v1/presets/{name.value}", body, chosen), draw_change)
+    answer = session.change("PUT", f"/v1/presets/{name.value}", body, chosen)
+    _finish_change(session, answer, chosen)
 
 
 @preset_app.command(name="activate")
 def activate_preset(
     name: PresetName,
     *,
-    wait: bool = False,
-    timeout_s: float = DEFAULT_WAIT_S,
     common: Common | None = None,
     options: ChangeOptions | None = None,
 ) -> None:
@@ -236,18 +222,14 @@
     ----------
     name
         The preset.
-    wait
-        Wait until the change is in force in every process.
-    timeout_s
-        How long to wait, in seconds.
     common
         Which routers to call and how to print.
     options
-        How the change is identified.
+        How the change is identified, and whether to wait for it.
     """
     session = Session(common)
     answer = session.change("POST", f"/v1/presets/{name.value}/activate", None, options)
-    _finish_change(session, answer, wait, timeout_s)
+    _finish_change(session, answer, options)
 
 
 @preset_app.command(name="history")
@@ -257,9 +239,10 @@
     session.show(session.get(HistoryList, f"/v1/config/history?limit={limit}"), draw_history)
 
 
-def _finish_change(session: Session, answer: ChangeAnswer, wait: bool, timeout_s: float) -> None:
-    if wait:
-        _wait_in_force(session, answer.version, timeout_s)
+def _finish_change(session: Session, answer: ChangeAnswer, options: ChangeOptions | None) -> None:
+    """Waits until the change is in force everywhere, if asked to, and shows the answer."""
+    if options is not None and options.wait:
+        _wait_in_force(session, answer.version, options.timeout_s)
     session.show(answer, draw_change)
 
 
--- a/packages/cli/src/jacinthreel_cli/_session.py
+++ b/packages/cli/src/jacinthreel_cli/_session.py
@@ -52,6 +52,12 @@
     change_id: str = ""
     """Identifies the change; repeat an unknown outcome with the same id."""
 
+    wait: bool = False
+    """Wait until the change is in force in every process."""
+
+    timeout_s: float = 30.0
+    """How long to wait, in seconds."""
+
 
 class Progress:
     """Tells how far a wait has come, on stderr: a spinner on a terminal, else a line a change."""
