Keep a caller's unsent change when another change of the row is wanted

A promotion in the same step as a cancellation could have replaced the cancellation's row change and answered its caller; found by reading.

--- a/packages/jobs/src/jacinthreel_jobs/_rows.py
+++ b/packages/jobs/src/jacinthreel_jobs/_rows.py
@@ -61,14 +61,17 @@
 def request_change(ctx: ShardContext, change: RowChange) -> bool:
     """Asks for a change; False while another change of the row is on its way.
 
-    A change that has not been sent yet is replaced.
+    A change that has not been sent yet is replaced, unless callers wait for it and the new one is
+    not what they asked for.
     """
     current = ctx.changes_by_job_id.get(change.job_id)
     if current is not None:
         if current.in_flight or current.maybe_applied or current.tries:
             return False
+        if current.calls and not (change.record and change.record.cancel_requested):
+            return False
         ctx.unsent_by_priority[current.priority].pop(change.job_id, None)
-        change.calls = current.calls + change.calls
+        change.calls = list(dict.fromkeys(current.calls + change.calls))
     ctx.changes_by_job_id[change.job_id] = change
     ctx.unsent_by_priority[change.priority][change.job_id] = change
     return True
