--- a/packages/daemon/tests/test_config_watch.py
+++ b/packages/daemon/tests/test_config_watch.py
@@ -33,9 +33,9 @@
 from jacinthreel_standins import MemoryStore
 
 
+@dataclass
 class ManualClock:
-    def __init__(self) -> None:
-        self.time_ms = 0
+    time_ms: int = 0
 
     def now_ms(self) -> int:
         return self.time_ms
--- a/packages/daemon/tests/test_ownership.py
+++ b/packages/daemon/tests/test_ownership.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthreel_common import ReadQuery, Row, Transaction, epoch_key, lease_key
+from jacinthreel_common import ReadQuery, Row, Transaction, TransactionReply, epoch_key, lease_key
 from jacinthreel_daemon._ownership import (
     LEASE_MS,
     WATCH_MARGIN_MS,
@@ -184,17 +184,16 @@
 KEYS = (epoch_key(SHARD), lease_key(SHARD))
 
 
-def done(sent: Transaction, renewal: bool, reply: object) -> ClaimDone | RenewalDone:
+def done(
+    sent: Transaction, renewal: bool, reply: TransactionReply | WriteOutcome
+) -> ClaimDone | RenewalDone:
     versions: dict[str, int] = {}
-    if isinstance(reply, WriteOutcome):
-        outcome = reply
-    else:
-        committed = getattr(reply, "committed")  # noqa: B009
-        outcome = WriteOutcome.COMMITTED if committed else WriteOutcome.CONFLICT
-        versions = getattr(reply, "versions")  # noqa: B009
+    if isinstance(reply, TransactionReply):
+        versions = reply.versions
+        reply = WriteOutcome.COMMITTED if reply.committed else WriteOutcome.CONFLICT
     if renewal:
-        return RenewalDone(sent.write_id, outcome)
-    return ClaimDone(sent.write_id, outcome, versions)
+        return RenewalDone(sent.write_id, reply)
+    return ClaimDone(sent.write_id, reply, versions)
 
 
 def make_world(seed: int, faults: Faults, count: int) -> World:
--- a/packages/daemon/tests/test_scheduler_driver.py
+++ b/packages/daemon/tests/test_scheduler_driver.py
@@ -8,6 +8,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
@@ -55,9 +56,9 @@
 REPLY = CommandReply("w1", ResultCode.OK, 1, 1)
 
 
+@dataclass
 class ManualClock:
-    def __init__(self) -> None:
-        self.time_ms = 1_000
+    time_ms: int = 1_000
 
     def now_ms(self) -> int:
         return self.time_ms
@@ -236,24 +237,33 @@
         return await super().transact(transaction, priority)
 
 
+def make_driver(
+    host_id: str, store: MemoryStore, clock: ManualClock, changes: list[OwnershipChange]
+) -> tuple[ElectionDriver, RowPoller]:
+    election = Election("r", host_id, "127.0.0.1", 9, f"{host_id}-boot")
+    spawn = asyncio.get_running_loop().create_task
+    driver = ElectionDriver(election, "r", store, clock, spawn, changes.append)
+    poller = RowPoller(store, clock)
+    poller.follow(driver)
+    return driver, poller
+
+
+async def settle() -> None:
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
 def test_a_renewal_on_its_way_does_not_bring_a_released_lease_back() -> None:
     async def run() -> None:
         clock, store = ManualClock(), GatedStore()
-        loop = asyncio.get_running_loop()
-        election = Election("r", "h1", "127.0.0.1", 9, "boot")
-        driver = ElectionDriver(election, "r", store, clock, loop.create_task, lambda change: None)
-        poller = RowPoller(store, clock)
-        poller.follow(driver)
+        driver, poller = make_driver("h1", store, clock, [])
         await poller.poll()
-        while not election.is_owner:
-            await asyncio.sleep(0)
+        await settle()
+        assert driver.election.is_owner
         store.gate.clear()
         driver.renewal_due(2_000)
         release = asyncio.create_task(driver.release())
-        while store.held < 2:
-            await asyncio.sleep(0)
-        for _ in range(20):
-            await asyncio.sleep(0)
+        await settle()
         store.gate.set()
         await release
         await asyncio.sleep(0.01)
@@ -266,33 +276,21 @@
     async def run() -> None:
         clock, store = ManualClock(), MemoryStore()
         changes: list[OwnershipChange] = []
-        tasks: list[asyncio.Task[None]] = []
-
-        def spawn(coroutine: Any) -> asyncio.Task[None]:
-            tasks.append(asyncio.get_running_loop().create_task(coroutine))
-            return tasks[-1]
-
-        def make(host_id: str) -> tuple[ElectionDriver, RowPoller]:
-            election = Election("r", host_id, "127.0.0.1", 9, f"{host_id}-boot")
-            driver = ElectionDriver(election, "r", store, clock, spawn, changes.append)
-            poller = RowPoller(store, clock)
-            poller.follow(driver)
-            return driver, poller
-
-        (first, first_poll), (second, second_poll) = make("h1"), make("h2")
+        first, first_poll = make_driver("h1", store, clock, changes)
+        second, second_poll = make_driver("h2", store, clock, changes)
         await first_poll.poll()
-        await asyncio.gather(*tasks)
+        await settle()
         await second_poll.poll()
         assert changes == [Gained(1, 1, 1_000 + LEASE_MS)]
         clock.time_ms += 1_000
         first.renewal_due(clock.time_ms)
-        await asyncio.gather(*tasks)
+        await settle()
         assert changes[1:] == [Renewed(2_000 + LEASE_MS)]
         assert first.lease_valid() and not second.election.is_owner
         await first.release()
         assert not first.lease_valid() and isinstance(changes[2], Lost)
         await second_poll.poll()
-        await asyncio.gather(*tasks)
+        await settle()
         assert second.lease_valid() and second.election.epoch == 2
         await first_poll.poll()
         assert (await store.read(ReadQuery([lease_key("r")]))).unwrap().rows
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -63,15 +63,12 @@
     assert load_settings(str(ROOT / "examples" / f"{name}.toml")).unwrap().router.http_port == 8080
 
 
-def run_check(file: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "jacinthreel_daemon", "check-config", file]
-    return subprocess.run(command, capture_output=True, text=True, timeout=60)
-
-
 def test_the_binary_ends_with_status_2_and_one_line() -> None:
-    checked = run_check(str(EXAMPLE))
-    assert (checked.returncode, checked.stdout) == (0, f"{EXAMPLE}: ok\n")
-    missing = run_check("/nonexistent.toml")
-    assert (missing.returncode, missing.stdout) == (2, "")
+    def check(file: str) -> tuple[int, str, str]:
+        command = [sys.executable, "-m", "jacinthreel_daemon", "check-config", file]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        return ended.returncode, ended.stdout, ended.stderr
+
+    assert check(str(EXAMPLE)) == (0, f"{EXAMPLE}: ok\n", "")
     expected = "/nonexistent.toml: file: No such file or directory (1008 BAD_SETTINGS)\n"
-    assert missing.stderr == expected
+    assert check("/nonexistent.toml") == (2, "", expected)
--- a/packages/daemon/tests/test_store_client.py
+++ b/packages/daemon/tests/test_store_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import pytest
 from returns.pipeline import is_successful
@@ -24,9 +25,9 @@
 Script = Callable[[IOStream], Awaitable[None]]
 
 
+@dataclass
 class ManualClock:
-    def __init__(self) -> None:
-        self.time_ms = 1_000
+    time_ms: int = 1_000
 
     def now_ms(self) -> int:
         return self.time_ms
--- a/packages/daemon/tests/test_streams.py
+++ b/packages/daemon/tests/test_streams.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -30,9 +31,9 @@
 CAP_S = 20.0
 
 
+@dataclass
 class ManualClock:
-    def __init__(self) -> None:
-        self.time_ms = 1_000
+    time_ms: int = 1_000
 
     def now_ms(self) -> int:
         return self.time_ms
