--- a/Makefile
+++ b/Makefile
@@ -21,13 +21,13 @@
 	$(BIN)/python scripts/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages scripts
-	$(BIN)/ruff check --quiet packages scripts
+	$(BIN)/black --check --quiet packages scripts tests
+	$(BIN)/ruff check --quiet packages scripts tests
 	$(BIN)/mypy packages/*/src scripts
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages scripts
-	$(BIN)/ruff check --quiet --fix packages scripts
+	$(BIN)/black --quiet packages scripts tests
+	$(BIN)/ruff check --quiet --fix packages scripts tests
 
 demo: $(STAMP)
 	$(BIN)/python scripts/demo.py $(if $(KEEP),--keep)
