Take rows of newer versions over without stopping their tasks

An owner that could not read a row ignored the job, and then stopped its tasks as unexplained: a rolling upgrade that adds a field would have stopped every gang. Unknown fields are now passed over, and the tasks of a job whose row can't be read are left alone. Two scenarios, red before.

--- a/packages/common/src/jacinthreel_common/__init__.py
+++ b/packages/common/src/jacinthreel_common/__init__.py
@@ -6,6 +6,7 @@
 )
 from jacinthreel_common._codec import (
     convert,
+    convert_stored,
     decode_json,
     encode_json,
     pack,
@@ -219,6 +220,7 @@
     "ZoneOutage",
     "config_history_key",
     "convert",
+    "convert_stored",
     "decode_json",
     "default_presets",
     "encode_json",
--- a/packages/common/src/jacinthreel_common/_codec.py
+++ b/packages/common/src/jacinthreel_common/_codec.py
@@ -47,6 +47,18 @@
         return Failure(Fault(code, detail))
 
 
+def convert_stored(kind: type[T], data: object) -> T | None:
+    """Builds a record from a stored row, or None if it can't be read.
+
+    Fields that this version does not know are passed over, because a newer process may have
+    written the row.
+    """
+    try:
+        return msgspec.convert(data, kind, strict=True)
+    except msgspec.ValidationError:
+        return None
+
+
 def decode_json(kind: type[T], body: bytes) -> Result[T, Fault]:
     """Reads a record from a JSON body.  Errors: MALFORMED_BODY and those of `convert`."""
     try:
--- a/packages/jobs/src/jacinthreel_jobs/_context.py
+++ b/packages/jobs/src/jacinthreel_jobs/_context.py
@@ -118,6 +118,7 @@
     writes_in_flight: dict[WritePriority, int] = field(
         default_factory=lambda: dict.fromkeys(WritePriority, 0)
     )
+    unreadable_job_ids: set[str] = field(default_factory=set)
     cancel_calls_by_id: dict[str, list[int]] = field(default_factory=dict)
     hosts: list[Host] = field(default_factory=list)
     fit_fault_by_shape: dict[tuple[object, ...], Fault | None] = field(default_factory=dict)
--- a/packages/jobs/src/jacinthreel_jobs/_hosts.py
+++ b/packages/jobs/src/jacinthreel_jobs/_hosts.py
@@ -8,6 +8,7 @@
 
 from jacinthreel_common import Host, HostKind, HostState
 from jacinthreel_jobs._context import ShardContext, WorkerEvidence, WorkerLink
+from jacinthreel_jobs._gang import SETTLED_TASK_PHASES, Gang, GangTask
 from jacinthreel_jobs._gang_start import task_resources
 from jacinthreel_jobs._leaving import leave_worker
 from jacinthreel_jobs._limits import HEARTBEAT_MS
@@ -26,11 +27,12 @@
     ctx.fit_fault_by_shape.clear()
     if not ctx.owns:
         return
+    tasks_by_worker = _tasks_by_worker(ctx)
     listed = {host.host_id: host for host in shard_workers(ctx.hosts, ctx.tables.shard)}
     for host in listed.values():
         worker = ctx.tables.workers_by_id.get(host.host_id)
         if worker is None:
-            worker = _add_worker(ctx, host)
+            worker = _add_worker(ctx, host, tasks_by_worker.get(host.host_id, []))
         else:
             _update_worker(ctx, worker, host)
         _set_leaving(ctx, worker, host.state is HostState.LEAVING)
@@ -53,7 +55,17 @@
     ctx.want_plan()
 
 
-def _add_worker(ctx: ShardContext, host: Host) -> WorkerEntry:
+def _tasks_by_worker(ctx: ShardContext) -> dict[str, list[tuple[Gang, GangTask]]]:
+    """The tasks of gangs on each worker, which a worker that is listed again takes up."""
+    tasks: dict[str, list[tuple[Gang, GangTask]]] = {}
+    for gang in ctx.gangs_by_id.values():
+        for task in gang.tasks:
+            if task.phase not in SETTLED_TASK_PHASES:
+                tasks.setdefault(task.worker_id, []).append((gang, task))
+    return tasks
+
+
+def _add_worker(ctx: ShardContext, host: Host, tasks: list[tuple[Gang, GangTask]]) -> WorkerEntry:
     worker = WorkerEntry(
         host.host_id,
         host.zone,
@@ -71,10 +83,8 @@
     )
     ctx.tables.workers_by_id[host.host_id] = worker
     ctx.evidence_by_id[host.host_id] = WorkerEvidence()
-    for gang in ctx.gangs_by_id.values():
-        for task in gang.tasks:
-            if task.worker_id == host.host_id:
-                worker.hold(gang.key(task), task_resources(gang.job.record))
+    for gang, task in tasks:
+        worker.hold(gang.key(task), task_resources(gang.job.record))
     link = add_link(ctx, worker)
     _start_heartbeat(ctx, link)
     return worker
--- a/packages/jobs/src/jacinthreel_jobs/_recovery.py
+++ b/packages/jobs/src/jacinthreel_jobs/_recovery.py
@@ -8,10 +8,7 @@
 
 from __future__ import annotations
 
-from returns.pipeline import is_successful
-from returns.result import Result
-
-from jacinthreel_common import ENDED_STATES, Fault, JobRecord, JobState, Row, convert
+from jacinthreel_common import ENDED_STATES, JobRecord, JobState, Row, convert_stored, job_prefix
 from jacinthreel_jobs._context import ShardContext
 from jacinthreel_jobs._gang import SETTLED_TASK_PHASES, DownCause, Gang
 from jacinthreel_jobs._gang_down import mark_gone, sync_row, take_down
@@ -23,8 +20,7 @@
 
 def read_record(row: Row) -> JobRecord | None:
     """The record in a row, or None if it can't be read."""
-    result: Result[JobRecord, Fault] = convert(JobRecord, row.value)
-    return result.unwrap() if is_successful(result) else None
+    return convert_stored(JobRecord, row.value)
 
 
 def load_rows(ctx: ShardContext, planner: Planner, rows: list[Row]) -> None:
@@ -34,6 +30,7 @@
         record = read_record(row)
         if record is None:
             ctx.log("row_unreadable", key=row.key, row_version=row.version)
+            ctx.unreadable_job_ids.add(row.key.removeprefix(job_prefix(ctx.tables.shard)))
             continue
         counts[record.state] += 1
         add_job(ctx, planner, record, row.version)
--- a/packages/jobs/src/jacinthreel_jobs/_reports.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reports.py
@@ -193,7 +193,8 @@
     """Stops tasks that no gang explains, and releases them once they have ended."""
     for key, state in link.state_by_key.items():
         gang = ctx.gangs_by_id.get(key[0])
-        if gang is not None and gang.attempt == key[1]:
+        explained = gang is not None and gang.attempt == key[1]
+        if explained or key[0] in ctx.unreadable_job_ids:
             continue
         if state in ENDED_TASK_STATES:
             _repeat(ctx, link, sent, CommandKind.RELEASE, key)
--- a/packages/jobs/tests/features/shard_owners.feature
+++ b/packages/jobs/tests/features/shard_owners.feature
@@ -30,6 +30,20 @@
     Then job "a" becomes finished within 45000 ms
     And job "a" took 1 attempt
 
+  Scenario Outline: A row that a newer version wrote is no reason to stop its tasks
+    When job "a" with 2 tasks of 8 accelerators runs for 30 s
+    And 2000 ms pass
+    And the row of job "a" has <change>
+    And the owner crashes
+    And another process starts
+    And 10000 ms pass
+    Then 2 tasks of job "a" run
+
+    Examples:
+      | change           |
+      | an unknown field |
+      | an unknown state |
+
   Scenario: A cancellation that was stored is carried out by the next owner
     When job "a" with 4 tasks of 8 accelerators runs for 300 s
     And 1000 ms pass
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -18,6 +18,7 @@
     ResultCode,
     TaskCommand,
     Workspace,
+    job_key,
 )
 from jacinthreel_jobs import (
     ConfigApplied,
@@ -245,6 +246,12 @@
     cluster.add_node(f"n{len(cluster.nodes)}")
 
 
+@when(parsers.parse('the row of job "{job_id}" has an unknown {part}'))
+def _newer_row(cluster: Cluster, job_id: str, part: str) -> None:
+    row = cluster.table.rows_by_key[job_key(SHARD, job_id)]
+    row.value = {**row.value, {"field": "color", "state": "state"}[part]: "blue"}
+
+
 @when("the owner crashes")
 def _crash(cluster: Cluster) -> None:
     cluster.crash(cluster.owner())
