--- a/packages/jobs/tests/features/shard_store.feature
+++ b/packages/jobs/tests/features/shard_store.feature
@@ -88,3 +88,22 @@
     And the store is back
     Then job "a" becomes finished within 5000 ms
     And job "a" took 1 attempt
+
+  Scenario: Submissions and cancellations in waves are stored in groups
+    When 40 jobs with 1 task of 8 accelerators run for 900 s
+    And 1000 ms pass
+    And all queued jobs are cancelled
+    And 1000 ms pass
+    Then 36 jobs are cancelled, in at most 3 transactions
+
+  Scenario: A full queue refuses more jobs
+    Given at most 3 jobs may be queued
+    When 4 jobs with 1 task of 8 accelerators run for 900 s
+    And 1000 ms pass
+    And 3 jobs with 1 task of 8 accelerators run for 900 s
+    And job "a" with 1 task of 8 accelerators runs for 2 s
+    Then the last call is answered with JOB_QUEUE_FULL
+
+  Scenario: An urgent job starts without waiting for a tick
+    When urgent job "a" with 4 tasks of 8 accelerators runs for 2 s
+    Then job "a" becomes running within 40 ms
--- a/packages/jobs/tests/features/shard_zones.feature
+++ b/packages/jobs/tests/features/shard_zones.feature
@@ -54,6 +54,18 @@
     Then no task runs in zone "z0"
     And job "a" becomes finished within 25000 ms
 
+  Scenario: Where there is room for one, the gang with more work at risk moves first
+    When checkpointable job "b" with 1 tasks of 8 accelerators runs for 90 s
+    And 200 ms pass
+    And checkpointable job "c" with 1 tasks of 8 accelerators runs for 90 s
+    And 10000 ms pass
+    And checkpointable job "a" with 1 tasks of 8 accelerators runs for 90 s
+    And 7000 ms pass
+    And zone "z0" is closed, which the owner hears after 50 ms
+    And 3000 ms pass
+    Then job "b" is placed on "w3"
+    And job "a" is placed on "w2"
+
   Scenario: A gang that is about to finish is left alone
     When job "a" with 1 task of 8 accelerators runs for 12 s
     And 8000 ms pass
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -175,6 +175,7 @@
         self.nodes: list[Node] = []
         self.replies: dict[int, Reply] = {}
         self.logs: list[LogDecision] = []
+        self.writes: list[Write] = []
         self.closed_since: dict[str, int] = {}
         self.closures: list[tuple[str, int, int]] = []
         self.stop_before: Callable[[Effect], bool] | None = None
@@ -326,6 +327,7 @@
     def _perform(self, node: Node, effect: Effect) -> None:
         match effect:
             case Write():
+                self.writes.append(effect)
                 self.at(STORE_MS, lambda: self._write(node, effect))
             case ReadRows():
                 self.at(STORE_MS, lambda: self._read(node, effect))
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -125,6 +125,35 @@
     cluster.submit(replace(job_spec(job_id, tasks, accelerators, run_s), checkpointable=True))
 
 
+@when(parsers.re("urgent " + JOB), converters=NUMBERS)
+def _submit_urgent(
+    cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int
+) -> None:
+    cluster.submit(replace(job_spec(job_id, tasks, accelerators, run_s), urgent=True))
+
+
+@given(parsers.parse("at most {count:d} jobs may be queued"))
+def _limit_queue(cluster: Cluster, count: int) -> None:
+    settings = replace(cluster.config.settings, max_queued_jobs=count)
+    cluster.change_config(presets={**cluster.config.presets, cluster.config.preset: settings})
+    cluster.run(100)
+
+
+@when("all queued jobs are cancelled")
+def _cancel_all(cluster: Cluster) -> None:
+    cluster.writes.clear()
+    for job_id in list(cluster.owner().core.tables.queued_by_id):
+        cluster.cancel(job_id)
+
+
+@then(parsers.parse("{jobs:d} jobs are cancelled, in at most {limit:d} transactions"))
+def _cancelled_in_groups(cluster: Cluster, jobs: int, limit: int) -> None:
+    counts = cluster.owner().core.status()["jobs_by_state"]
+    assert counts["cancelled"] == jobs
+    cancelling = [write for write in cluster.writes if stores(JobState.CANCELLED, write)]
+    assert len(cancelling) <= limit
+
+
 @when(parsers.re("failing " + JOB), converters=NUMBERS)
 def _submit_failing(
     cluster: Cluster, job_id: str, tasks: int, accelerators: int, run_s: int
