Keep cells only where they are whole; write down how placement works

Cells are now kept only while their workers take tasks.

Baselines now reclaim guarantees at once from the cheapest borrowers, as an operator would write it, without the product's ways to save borrowed work.

--- a/packages/bench/src/jacinthreel_bench/_baselines.py
+++ b/packages/bench/src/jacinthreel_bench/_baselines.py
@@ -1,6 +1,7 @@
 """Baseline planners: what an operator would write with the same duty towards guarantees.
 
-Both place gangs within guarantees exactly as the product does, urgent jobs first, and stay off
+Both reclaim guaranteed cells as the product does, from the cheapest borrowers and at once, but
+without its ways to save borrowed work (`sparing`).  Both take urgent jobs first and stay off
 workers on which a job failed.  They differ in how everyone else is served:
 
 - `FifoFirstFit` serves in order of arrival whatever fits; what does not fit is passed over.
@@ -43,7 +44,9 @@
             return []
         view = build_view(tables)
         jobs = waiting_in_order(tables, trigger, now_ms)
-        guaranteed = GuaranteedPass(tables, tables.config, view, self._claims, now_ms)
+        guaranteed = GuaranteedPass(
+            tables, tables.config, view, self._claims, now_ms, sparing=False
+        )
         guaranteed.run(job for job in jobs if job.job_id not in guaranteed.handled)
         others = [job for job in jobs if job.job_id not in guaranteed.handled]
         if tables.config.settings.borrowing:
--- a/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
+++ b/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
@@ -13,13 +13,14 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from jacinthreel_common import Adjacency, CellLevel, Config, JobSpec, TaskPlacement
+from jacinthreel_common import RACK_WORKERS, Adjacency, CellLevel, Config, JobSpec, TaskPlacement
 from jacinthreel_jobs._backfill import left_s
-from jacinthreel_jobs._cells import Layout, guaranteed_counts, lay_out
-from jacinthreel_jobs._cluster_view import ClusterView
+from jacinthreel_jobs._cells import LaidCell, Layout, lay_out
+from jacinthreel_jobs._cluster_view import PROBATION_TASKS, ClusterView
 from jacinthreel_jobs._packing import arrange
 from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
 from jacinthreel_jobs._reclaim import (
+    CROWDING_COST,
     PREEMPTION_COST_S,
     ClearingCosts,
     choose_victims,
@@ -89,7 +90,11 @@
 
 
 class GuaranteedPass:
-    """Places gangs in cells; `handled` holds the ids of those placed or waiting for room."""
+    """Places gangs in cells; `handled` holds the ids of those placed or waiting for room.
+
+    `sparing` saves borrowed work: full racks first, free room rather than cells that have to be
+    cleared, and gangs about to end may end.  Without it, the cheapest borrowers leave at once.
+    """
 
     def __init__(
         self,
@@ -99,6 +104,7 @@
         claims: Claims,
         now_ms: int,
         reserved: Container[str] = (),
+        sparing: bool = True,
     ) -> None:
         self.decisions: list[Decision] = []
         self.handled: set[str] = set()
@@ -106,8 +112,9 @@
         self._workspaces = list(config.workspaces.values())
         self._view = view
         self._now_ms = now_ms
-        self._grace_ms = config.settings.checkpoint_grace_ms * GRACE_SHARE
-        self._costs = ClearingCosts(view, self._loss, reserved)
+        self._grace_ms = config.settings.checkpoint_grace_ms * GRACE_SHARE if sparing else 0.0
+        self._sparing = sparing
+        self._costs = ClearingCosts(view, self._loss, reserved, CROWDING_COST if sparing else 0.0)
         self._claims = claims
         self._kept_levels: dict[str, CellLevel] = {}
         self._layout = self._lay_out()
@@ -150,7 +157,7 @@
         needed = Counter(task.worker_id for task in placement)
         if all(view.workers_by_id[w].fits(spec) >= tasks for w, tasks in needed.items()):
             return False
-        if not self._settings.borrowing:
+        if not self._settings.borrowing or not self._sparing:
             return False
         if not spec.checkpointable and job.expected_run_s > BORROW_MAX_RUN_S:
             return False
@@ -170,11 +177,21 @@
         Without this, smaller gangs of the workspace would hold a large cell open for ever.
         """
         level = natural_level(spec)
-        workspace = next((w for w in self._workspaces if w.name == spec.workspace), None)
-        if workspace is None or level not in KEPT_LEVELS:
+        if level not in KEPT_LEVELS or spec.workspace in self._kept_levels:
             return
-        if guaranteed_counts(workspace)[level] and spec.workspace not in self._kept_levels:
-            self._kept_levels[spec.workspace] = level
+        for cell in self._layout.cells_by_workspace.get(spec.workspace, ()):
+            if cell.level is level and self._is_whole(cell):
+                self._kept_levels[spec.workspace] = level
+                return
+
+    def _is_whole(self, cell: LaidCell) -> bool:
+        """Whether all workers of a cell are there and take tasks; else keeping it is no use."""
+        wanted = RACK_WORKERS if cell.level is CellLevel.RACK else 1
+        usable = 0
+        for worker_id in cell.room_by_worker:
+            worker = self._view.workers_by_id[worker_id]
+            usable += worker.in_service and worker.task_limit > PROBATION_TASKS
+        return usable >= wanted
 
     def _relocate(self, spec: JobSpec) -> list[TaskPlacement] | None:
         """Asks guaranteed gangs to move where a lost shape left a cell without room."""
@@ -268,7 +285,8 @@
     def _clear(self, spec: JobSpec, placement: list[TaskPlacement]) -> None:
         """Asks borrowers to make room; those expected to end within the grace may do so."""
         waited_ms = self._now_ms - self._claims.since_ms_by_id[spec.job_id]
-        grace_ms = 0 if spec.urgent else self._settings.checkpoint_grace_ms - waited_ms
+        at_once = spec.urgent or not self._sparing
+        grace_ms = 0 if at_once else self._settings.checkpoint_grace_ms - waited_ms
         for victim in choose_victims(placement, self._view, self._loss) or ():
             checkpointable = victim.record.spec.checkpointable
             if not checkpointable and self._ends_within(victim, grace_ms):
--- a/packages/jobs/src/jacinthreel_jobs/_reclaim.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -80,9 +80,16 @@
     that are `reserved` for a waiting gang is not free of cost either.
     """
 
-    def __init__(self, view: ClusterView, loss_of: LossOf, reserved: Container[str] = ()) -> None:
+    def __init__(
+        self,
+        view: ClusterView,
+        loss_of: LossOf,
+        reserved: Container[str] = (),
+        crowding: float = 0.0,
+    ) -> None:
         self._view = view
         self._reserved = reserved
+        self._crowding = crowding
         self._free_by_rack = view.free_by_rack()
         self._loss_of = loss_of
         self._steps_by_worker: dict[str, list[tuple[int, float]]] = {}
@@ -115,7 +122,7 @@
             loss = self._loss_of(job) if running is not None else 0.0
             borrowers.append((loss, job.record.spec, tasks))
         borrowers.sort(key=lambda item: (item[0], item[1].job_id))
-        cost = CROWDING_COST * self._free_by_rack.get(worker.rack, 0)
+        cost = self._crowding * self._free_by_rack.get(worker.rack, 0)
         if worker.worker_id in self._reserved:
             cost += RESERVED_COST
         steps = [(room.units(worker), cost)]
