--- a/packages/requests/src/jacinthreel_requests/_admission.py
+++ b/packages/requests/src/jacinthreel_requests/_admission.py
@@ -19,7 +19,7 @@
 
 RATE_WINDOW_MS: Final = 1_000
 LATENCY_SMOOTHING: Final = 0.02
-BURST_MS: Final = 1_000
+BURST_MS: Final = 500
 STANDING_WAIT_MS: Final = 200
 MIN_RETRY_AFTER_MS: Final = 1_000
 MAX_RETRY_AFTER_MS: Final = 60_000
