--- a/packages/requests/tests/test_request_scenarios.py
+++ b/packages/requests/tests/test_request_scenarios.py
@@ -17,6 +17,17 @@
 KINDS = {"not run": NotRun, "unknown": Unknown}
 
 
+when("everything is delivered")(lambda cluster: cluster.settle())
+when("the table answers")(lambda cluster: cluster.settle_store())
+when(parsers.parse("the claim is {fate}"))(
+    lambda cluster, fate: cluster.store(cluster.store_messages[0], fate)
+)
+when(parsers.parse("{duration:d} ms pass"))(lambda cluster, duration: cluster.advance(duration))
+when(parsers.parse("h{router:d} dies"))(lambda cluster, router: cluster.kill_router(router))
+when(parsers.parse("h{router:d} is told to stop"))(lambda cluster, router: cluster.drain(router))
+when(parsers.parse("{zone} is taken out"))(lambda cluster, zone: cluster.take_zone_out(zone))
+
+
 @pytest.fixture
 def keys() -> dict[str, tuple[int, int]]:
     """The latest sending of each named request."""
@@ -120,21 +131,6 @@
         _lose(cluster)
 
 
-@when("everything is delivered")
-def _settle(cluster: Any) -> None:
-    cluster.settle()
-
-
-@when("the table answers")
-def _settle_store(cluster: Any) -> None:
-    cluster.settle_store()
-
-
-@when(parsers.parse("the claim is {fate}"))
-def _claim_fate(cluster: Any, fate: str) -> None:
-    cluster.store(cluster.store_messages[0], fate)
-
-
 @when("the table goes out")
 def _store_out(cluster: Any) -> None:
     cluster.store_out = True
@@ -145,11 +141,6 @@
     cluster.store_out = False
 
 
-@when(parsers.parse("{duration:d} ms pass"))
-def _advance(cluster: Any, duration: int) -> None:
-    cluster.advance(duration)
-
-
 @when(parsers.parse("{hours:d} hours pass"))
 def _hours(cluster: Any, hours: int) -> None:
     cluster.now_ms += hours * 3_600_000
@@ -161,16 +152,6 @@
     assert len(cluster.table.rows_by_key) == count
 
 
-@when(parsers.parse("h{router:d} dies"))
-def _kill(cluster: Any, router: int) -> None:
-    cluster.kill_router(router)
-
-
-@when(parsers.parse("h{router:d} is told to stop"))
-def _drain(cluster: Any, router: int) -> None:
-    cluster.drain(router)
-
-
 @when(parsers.parse("{executor} is listed as leaving"))
 def _list_leaving(cluster: Any, executor: str) -> None:
     cluster.leave(executor, listed=True)
@@ -181,11 +162,6 @@
     cluster.leave(executor, listed=False)
 
 
-@when(parsers.parse("{zone} is taken out"))
-def _zone_out(cluster: Any, zone: str) -> None:
-    cluster.take_zone_out(zone)
-
-
 @when("x1, x2, x3, x4 and x5 fail every attempt for a while")
 def _fail_five(cluster: Any) -> None:
     failing = {"x1", "x2", "x3", "x4", "x5"}
