Lay cells of the asker on workers that take tasks

Cause: full racks go first, and a rack whose workers are all suspect looked full, so an asker's cells were laid there and its gang borrowed instead of being placed within its guarantee (new test of a lost rack). Workers that take no tasks now cost most.

The tests of relocation and of urgent gangs fail with their mechanisms taken out.

--- a/packages/jobs/src/jacinthreel_jobs/_reclaim.py
+++ b/packages/jobs/src/jacinthreel_jobs/_reclaim.py
@@ -112,6 +112,8 @@
 
     def _steps(self, worker: WorkerView) -> list[tuple[int, float]]:
         """Pairs of units free and cost, cheapest borrowers first."""
+        if not worker.in_service or worker.task_limit <= 0:
+            return [(worker.accelerators, FAR_COST)]
         room = Room(worker.free_accelerators, worker.free_cores, worker.free_memory_gb)
         borrowers: list[tuple[float, JobSpec, int]] = []
         for job_id, tasks in worker.tasks_by_gang.items():
--- a/packages/jobs/tests/test_planner_properties.py
+++ b/packages/jobs/tests/test_planner_properties.py
@@ -33,6 +33,7 @@
     Place,
     PlanTrigger,
     Preempt,
+    PreemptMode,
     Promote,
     check_guarantees,
 )
@@ -235,3 +236,50 @@
         for job_id in sorted(world.tables.active_by_id):
             if rng.random() < 0.2:
                 world.end(job_id)
+
+
+def filled_world(guarantee: list[GuaranteedShape]) -> World:
+    """A world in which one gang of the workspace `borrower` holds every accelerator."""
+    world = World([Workspace("borrower", guarantee), Workspace("other")], GuaranteePlanner())
+    world.submit(JobSpec("filler", "borrower", len(WORKERS), 8, checkpointable=True))
+    world.plan()
+    assert world.is_running("filler")
+    return world
+
+
+def test_urgent_gang_stops_a_borrower_on_the_event() -> None:
+    world = filled_world([])
+    world.submit(JobSpec("now", "other", 1, 1, urgent=True))
+    decisions = world.planner.plan(world.tables, PlanTrigger.URGENT, world.now_ms)
+    assert [(d.job_id, d.mode) for d in decisions if isinstance(d, Preempt)] == [
+        ("filler", PreemptMode.STOP)
+    ]
+
+
+def test_urgent_gang_does_not_stop_a_guaranteed_one() -> None:
+    world = filled_world([GuaranteedShape(CellLevel.WORKER, len(WORKERS))])
+    world.submit(JobSpec("now", "other", 1, 1, urgent=True))
+    assert world.planner.plan(world.tables, PlanTrigger.URGENT, world.now_ms) == []
+
+
+def test_lost_rack_moves_guaranteed_gangs_out_of_the_last_whole_one() -> None:
+    shapes = [GuaranteedShape(CellLevel.WORKER, 2)]
+    holder_shape = [GuaranteedShape(CellLevel.RACK, 1)]
+    world = World(
+        [Workspace("small", shapes), Workspace("large", holder_shape)], GuaranteePlanner()
+    )
+    for worker_id, worker in world.tables.workers_by_id.items():
+        if worker_id.startswith("r1"):
+            worker.health = WorkerHealth.SUSPECT
+        elif worker_id.startswith("r3"):
+            worker.health = WorkerHealth.QUARANTINED
+    world.submit(JobSpec("mover", "small", 2, 8, checkpointable=True))
+    world.plan()
+    assert not world.tables.active_by_id["mover"].record.borrowed
+    for worker_id, worker in world.tables.workers_by_id.items():
+        if worker_id.startswith("r1"):
+            worker.health = WorkerHealth.HEALTHY
+    world.tables.workers_by_id["r1-w0"].health = WorkerHealth.QUARANTINED
+    world.submit(holder("large", CellLevel.RACK, 1, 1))
+    decisions = world.planner.plan(world.tables, PlanTrigger.TICK, world.now_ms)
+    assert [d.job_id for d in decisions if isinstance(d, Preempt)] == ["mover"]
