Tell the peers how many requests wait

Cause: routers told each other what they had in flight but not what waited, so the yielding of slots under overload, measured with the core, was off in the processes. The pacing of notices moved to a module of its own, which sends the waiting count too.

--- a/packages/daemon/src/jacinthreel_daemon/_router.py
+++ b/packages/daemon/src/jacinthreel_daemon/_router.py
@@ -15,6 +15,7 @@
 from jacinthreel_common import Hello, Host, InFlight, OwnerNotice
 from jacinthreel_daemon._context import RouterContext
 from jacinthreel_daemon._http_server import HttpService
+from jacinthreel_daemon._in_flight import InFlightPacer
 from jacinthreel_daemon._operator_api import OperatorService
 from jacinthreel_daemon._owner_view import OwnerWatch
 from jacinthreel_daemon._process import DaemonProcess
@@ -23,7 +24,6 @@
 
 IN_FLIGHT_MS: Final = 200
 LINK_CHECK_MS: Final = 3_000
-IN_FLIGHT_REPEATS: Final = 5  # An unchanged notice is repeated once a second.
 
 
 class RouterProcess(DaemonProcess):
@@ -51,8 +51,7 @@
         self.requests = RequestService(self.context)
         self.operators = OperatorService(self.context)
         self.state.not_ready["hosts"] = "no host list has been read"
-        self._told: dict[str, int] = {}
-        self._quiet_periods = 0
+        self._pacer = InFlightPacer()
 
     def start(self) -> None:
         """Begins the exchange with the peers."""
@@ -110,15 +109,11 @@
         self._set_peers(list(self.hosts.by_id().values()))
 
     def _tell_in_flight(self, now_ms: int) -> None:
-        in_flight = {k: n for k, n in self.requests.in_flight_by_executor().items() if n}
-        self._quiet_periods += 1
-        repeat = bool(in_flight) and self._quiet_periods >= IN_FLIGHT_REPEATS
-        if in_flight == self._told and not repeat:
+        notice = self._pacer.next_notice(self.requests.in_flight_notice())
+        if notice is None:
             return
-        self._told = in_flight
-        self._quiet_periods = 0
         for connection in self.hub.connections("router"):
-            connection.notify(InFlight(in_flight))
+            connection.notify(notice)
 
     def _take_in_flight(self, peer: Hello, notice: InFlight) -> None:
         self.requests.on_in_flight(peer.host_id, notice)
