--- a/packages/jobs/tests/test_shard_machine.py
+++ b/packages/jobs/tests/test_shard_machine.py
@@ -186,7 +186,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=80,
+    max_examples=150,
     stateful_step_count=25,
     suppress_health_check=list(HealthCheck),
 )
