--- a/packages/jobs/tests/test_planner_properties.py
+++ b/packages/jobs/tests/test_planner_properties.py
@@ -54,7 +54,7 @@
     for i in range(count)
 ]
 GRACE_MS = PresetSettings().checkpoint_grace_ms
-CHECKED = settings(derandomize=True, deadline=None, database=None, max_examples=15)
+CHECKED = settings(derandomize=True, deadline=None, database=None, max_examples=25)
 
 
 class World:
@@ -187,7 +187,7 @@
             key = (workspace.name, shape.cell)
             unused[key] = unused.get(key, 0) + shape.count
     running: dict[str, tuple[tuple[str, CellLevel], int]] = {}
-    for step in range(30):
+    for step in range(40):
         for extra in range(3):
             world.submit(borrower(rng, 10 * step + extra))
         world.plan()
@@ -217,7 +217,7 @@
     shapes = [GuaranteedShape(CellLevel.WORKER, 3), GuaranteedShape(CellLevel.QUAD, 2)]
     world = World([Workspace("w0", shapes), Workspace("borrower")], GuaranteePlanner())
     zones = sorted({zone for zone, _ in RACKS.values()})
-    for step in range(30):
+    for step in range(40):
         for extra in range(3):
             world.submit(borrower(rng, 10 * step + extra))
         if rng.random() < 0.5:
