--- a/packages/jobs/src/jacinthreel_jobs/_borrowing_pass.py
+++ b/packages/jobs/src/jacinthreel_jobs/_borrowing_pass.py
@@ -22,11 +22,11 @@
 from jacinthreel_common import JobSpec, JobState, PresetSettings, TaskPlacement
 from jacinthreel_jobs._backfill import Reservation, Reservations
 from jacinthreel_jobs._clearing import ClearedRoom, find_clearable
+from jacinthreel_jobs._clearing_costs import work_lost
 from jacinthreel_jobs._cluster_view import ClusterView, WorkerView
 from jacinthreel_jobs._guaranteed_pass import Claims
 from jacinthreel_jobs._packing import arrange
 from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
-from jacinthreel_jobs._reclaim import work_lost
 from jacinthreel_jobs._tables import JobEntry, Tables
 
 MAX_RESERVATIONS: Final = 1
--- a/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
+++ b/packages/jobs/src/jacinthreel_jobs/_guaranteed_pass.py
@@ -16,20 +16,19 @@
 from jacinthreel_common import RACK_WORKERS, Adjacency, CellLevel, Config, JobSpec, TaskPlacement
 from jacinthreel_jobs._backfill import left_s
 from jacinthreel_jobs._cells import LaidCell, Layout, lay_out
-from jacinthreel_jobs._cluster_view import PROBATION_TASKS, ClusterView
-from jacinthreel_jobs._packing import arrange
-from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
-from jacinthreel_jobs._reclaim import (
+from jacinthreel_jobs._clearing_costs import (
     CROWDING_COST,
     PREEMPTION_COST_S,
     ClearingCosts,
-    choose_victims,
-    natural_level,
-    place_in_cells,
     work_lost,
 )
+from jacinthreel_jobs._cluster_view import PROBATION_TASKS, ClusterView
+from jacinthreel_jobs._packing import arrange
+from jacinthreel_jobs._planning import Decision, Place, Preempt, PreemptMode
+from jacinthreel_jobs._reclaim import natural_level, place_in_cells
 from jacinthreel_jobs._relocation import find_relocation, missing_count
 from jacinthreel_jobs._tables import JobEntry, Tables
+from jacinthreel_jobs._victims import choose_victims
 
 GRACE_SHARE: Final = 0.8
 """The share of the grace within which a gang's end is waited for, by estimate."""
--- a/packages/jobs/src/jacinthreel_jobs/_relocation.py
+++ b/packages/jobs/src/jacinthreel_jobs/_relocation.py
@@ -12,8 +12,9 @@
 
 from jacinthreel_common import CellLevel, JobSpec, TaskPlacement, Workspace
 from jacinthreel_jobs._cells import BoundTask, Layout, lay_out
+from jacinthreel_jobs._clearing_costs import ClearingCosts, LossOf
 from jacinthreel_jobs._cluster_view import ClusterView
-from jacinthreel_jobs._reclaim import ClearingCosts, LossOf, natural_level, place_in_cells
+from jacinthreel_jobs._reclaim import natural_level, place_in_cells
 from jacinthreel_jobs._tables import JobEntry
 
 
