--- a/packages/bench/src/jacinthreel_bench/_job_world.py
+++ b/packages/bench/src/jacinthreel_bench/_job_world.py
@@ -32,6 +32,7 @@
     ResultCode,
     RowWrite,
     Transaction,
+    WriteOutcome,
     ZoneOutage,
     epoch_key,
     to_plain,
@@ -57,7 +58,6 @@
     WorkerUnreachable,
     Write,
     WriteDone,
-    WriteOutcome,
 )
 from jacinthreel_standins import TableModel, WorkerModel
 
--- a/packages/bench/src/jacinthreel_bench/_request_world.py
+++ b/packages/bench/src/jacinthreel_bench/_request_world.py
@@ -26,6 +26,7 @@
     RowWrite,
     Transaction,
     Workspace,
+    WriteOutcome,
 )
 from jacinthreel_requests import (
     Answer,
@@ -48,7 +49,6 @@
     Unknown,
     WholeAnswer,
     WriteDone,
-    WriteOutcome,
     WriteRow,
 )
 from jacinthreel_standins import ExecutorModel, ExecutorRefusal, ExecutorRun, TableModel
--- a/packages/bench/src/jacinthreel_bench/_slopes_shard.py
+++ b/packages/bench/src/jacinthreel_bench/_slopes_shard.py
@@ -31,6 +31,7 @@
     TaskCommand,
     TaskPlacement,
     Workspace,
+    WriteOutcome,
     encode_json,
     job_key,
     to_plain,
@@ -49,7 +50,6 @@
     WorkerReplied,
     Write,
     WriteDone,
-    WriteOutcome,
 )
 from jacinthreel_standins import WorkerModel
 
--- a/packages/common/src/jacinthreel_common/__init__.py
+++ b/packages/common/src/jacinthreel_common/__init__.py
@@ -101,6 +101,7 @@
     TaskState,
     Transaction,
     TransactionReply,
+    WriteOutcome,
 )
 from jacinthreel_common._streams import (
     MAX_FRAME_BYTES,
@@ -212,6 +213,7 @@
     "WORKSPACE_HEADER",
     "WorkerStatus",
     "Workspace",
+    "WriteOutcome",
     "WorkspaceBody",
     "WorkspaceStatus",
     "ZoneLine",
--- a/packages/common/src/jacinthreel_common/_platform.py
+++ b/packages/common/src/jacinthreel_common/_platform.py
@@ -58,6 +58,19 @@
     versions: dict[str, int] = field(default_factory=dict)
 
 
+class WriteOutcome(StrEnum):
+    """What became of a transaction.
+
+    `failed` means that it certainly did not take effect and never will; `unknown` that the store
+    did not answer, so that it may or may not take effect.
+    """
+
+    COMMITTED = "committed"
+    CONFLICT = "conflict"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True, slots=True)
 class ReadQuery:
     """Rows by exact key and by key prefix."""
--- a/packages/daemon/src/jacinthreel_daemon/_election_driver.py
+++ b/packages/daemon/src/jacinthreel_daemon/_election_driver.py
@@ -6,14 +6,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final, assert_never
 
-from returns.result import Failure, Result, Success
-
 from jacinthreel_common import (
-    Fault,
-    ResultCode,
     Row,
     Transaction,
-    TransactionReply,
     epoch_key,
     lease_key,
 )
@@ -37,33 +32,13 @@
     StopAsked,
 )
 from jacinthreel_daemon._ports import Clock, TableStore
-from jacinthreel_jobs import WriteOutcome
+from jacinthreel_daemon._write_outcomes import reply_versions, write_outcome
 
 RELEASE_TIMEOUT_S: Final = 3.0
 
 OwnershipChange = Gained | Renewed | Lost
 
 
-def write_outcome(result: Result[TransactionReply, Fault]) -> WriteOutcome:
-    """What became of a transaction."""
-    match result:
-        case Success(TransactionReply(committed=True)):
-            return WriteOutcome.COMMITTED
-        case Success(TransactionReply()):
-            return WriteOutcome.CONFLICT
-        case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
-            return WriteOutcome.UNKNOWN
-    return WriteOutcome.FAILED
-
-
-def reply_versions(result: Result[TransactionReply, Fault]) -> dict[str, int]:
-    """The versions in a reply; empty where there is none."""
-    match result:
-        case Success(TransactionReply(versions=versions)):
-            return versions
-    return {}
-
-
 class ElectionDriver:
     """Feeds the election and carries out its effects; a `RowFollower`.
 
--- a/packages/daemon/src/jacinthreel_daemon/_ownership.py
+++ b/packages/daemon/src/jacinthreel_daemon/_ownership.py
@@ -36,13 +36,13 @@
     Row,
     RowWrite,
     Transaction,
+    WriteOutcome,
     convert,
     epoch_key,
     lease_key,
     to_plain,
 )
 from jacinthreel_daemon._owner_view import EpochValue
-from jacinthreel_jobs import WriteOutcome
 
 LEASE_MS: Final = 4_000
 RENEW_PERIOD_MS: Final = 1_000
--- a/packages/daemon/src/jacinthreel_daemon/_request_claims.py
+++ b/packages/daemon/src/jacinthreel_daemon/_request_claims.py
@@ -12,21 +12,23 @@
 from collections.abc import Callable, Coroutine
 from typing import Final
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
     Condition,
+    Fault,
     ReadQuery,
-    ResultCode,
     RowWrite,
     Transaction,
+    TransactionReply,
+    WriteOutcome,
 )
 from jacinthreel_daemon._ports import TableStore
+from jacinthreel_daemon._write_outcomes import reply_versions, write_outcome
 from jacinthreel_requests import (
     ReadRow,
     RowRead,
     WriteDone,
-    WriteOutcome,
     WritePriority,
     WriteRow,
 )
@@ -78,32 +80,16 @@
 
     async def _write_one(self, effect: WriteRow) -> None:
         result = await self._store.transact(_transaction([effect]), effect.priority)
-        match result:
-            case Success(reply) if reply.committed:
-                version = reply.versions.get(effect.key, 0)
-                self._listener(WriteDone(effect.write_id, WriteOutcome.COMMITTED, version))
-            case Success():
-                self._listener(WriteDone(effect.write_id, WriteOutcome.CONFLICT))
-            case Failure(fault):
-                unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
-                outcome = WriteOutcome.UNKNOWN if unknown else WriteOutcome.FAILED
-                self._listener(WriteDone(effect.write_id, outcome))
+        self._listener(_write_done(effect, result))
 
     async def _write_group(self, group: list[WriteRow]) -> None:
         result = await self._store.transact(_transaction(group), WritePriority.BOOKKEEPING)
-        match result:
-            case Success(reply) if reply.committed:
-                for effect in group:
-                    version = reply.versions.get(effect.key, 0)
-                    self._listener(WriteDone(effect.write_id, WriteOutcome.COMMITTED, version))
-            case Success():
-                for effect in group:
-                    await self._write_one(effect)
-            case Failure(fault):
-                unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
-                outcome = WriteOutcome.UNKNOWN if unknown else WriteOutcome.FAILED
-                for effect in group:
-                    self._listener(WriteDone(effect.write_id, outcome))
+        conflicts = write_outcome(result) is WriteOutcome.CONFLICT
+        for effect in group:
+            if conflicts:
+                await self._write_one(effect)
+                continue
+            self._listener(_write_done(effect, result))
 
     async def _read(self, effect: ReadRow) -> None:
         result = await self._store.read(ReadQuery(keys=[effect.key]))
@@ -115,6 +101,13 @@
                 self._listener(RowRead(effect.write_id, None, store_out=True))
 
 
+def _write_done(effect: WriteRow, result: Result[TransactionReply, Fault]) -> WriteDone:
+    outcome = write_outcome(result)
+    if outcome is not WriteOutcome.COMMITTED:
+        return WriteDone(effect.write_id, outcome)
+    return WriteDone(effect.write_id, outcome, reply_versions(result).get(effect.key, 0))
+
+
 def _transaction(group: list[WriteRow]) -> Transaction:
     """One transaction for all rows; a group is named after its first row's write."""
     return Transaction(
--- a/packages/daemon/src/jacinthreel_daemon/_shard_driver.py
+++ b/packages/daemon/src/jacinthreel_daemon/_shard_driver.py
@@ -25,14 +25,15 @@
     Row,
     StreamReply,
     Transaction,
+    WriteOutcome,
     to_plain,
 )
 from jacinthreel_daemon._backoff import Backoff
-from jacinthreel_daemon._election_driver import reply_versions, write_outcome
 from jacinthreel_daemon._http_pool import HttpFailure
 from jacinthreel_daemon._logs import EventLog
 from jacinthreel_daemon._ports import Clock, TableStore, Telemetry
 from jacinthreel_daemon._worker_client import WorkerClients
+from jacinthreel_daemon._write_outcomes import reply_versions, write_outcome
 from jacinthreel_jobs import (
     Effect,
     Event,
@@ -49,7 +50,6 @@
     WorkerUnreachable,
     Write,
     WriteDone,
-    WriteOutcome,
 )
 
 READ_RETRY_BASE_MS: Final = 200
--- a/packages/daemon/tests/test_config_changes.py
+++ b/packages/daemon/tests/test_config_changes.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from returns.result import Failure, Result, Success
+from router_fakes import FakeProcess, make_hosts
 
 from jacinthreel_common import (
     CONFIG_HISTORY_PREFIX,
@@ -37,8 +38,6 @@
 from jacinthreel_jobs import check_guarantees
 from jacinthreel_standins import MemoryStore, StoreOutcome
 
-from .router_fakes import FakeProcess, make_hosts
-
 
 def make_changer(process: FakeProcess) -> ConfigChanger:
     return ConfigChanger(process.context(), process.sleep)
--- a/packages/daemon/tests/test_operator_api.py
+++ b/packages/daemon/tests/test_operator_api.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from router_fakes import FakeProcess
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
@@ -23,8 +24,6 @@
 )
 from jacinthreel_daemon._operator_api import OperatorService
 
-from .router_fakes import FakeProcess
-
 Call = tuple[str, str, Any, dict[str, str]]
 
 
--- a/packages/daemon/tests/test_operator_job_calls.py
+++ b/packages/daemon/tests/test_operator_job_calls.py
@@ -8,6 +8,7 @@
 
 import pytest
 from returns.result import Failure, Result, Success
+from router_fakes import NO_REPLY, NOT_REACHED, FakeProcess, answered
 
 from jacinthreel_common import (
     Fault,
@@ -24,8 +25,6 @@
 )
 from jacinthreel_daemon._job_calls import CALL_LIMIT_MS, JobCalls
 
-from .router_fakes import NO_REPLY, NOT_REACHED, FakeProcess, answered
-
 SPEC = JobSpec("j1", "labels", 2, 8)
 RECORD = JobRecord(SPEC, JobState.QUEUED, 1_000)
 OTHER = replace(RECORD, spec=replace(SPEC, tasks=3))
--- a/packages/daemon/tests/test_operator_scenarios.py
+++ b/packages/daemon/tests/test_operator_scenarios.py
@@ -10,6 +10,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 from returns.result import Failure, Result, Success
+from router_fakes import FakeProcess
 
 from jacinthreel_common import (
     CONFIG_HISTORY_PREFIX,
@@ -34,8 +35,6 @@
 from jacinthreel_daemon._ports import AppliedConfig
 from jacinthreel_standins import MemoryStore, StoreOutcome
 
-from .router_fakes import FakeProcess
-
 scenarios("features/operators.feature")
 
 
--- a/packages/daemon/tests/test_ownership.py
+++ b/packages/daemon/tests/test_ownership.py
@@ -11,7 +11,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from jacinthreel_common import ReadQuery, Row, Transaction, TransactionReply, epoch_key, lease_key
+from jacinthreel_common import (
+    ReadQuery,
+    Row,
+    Transaction,
+    TransactionReply,
+    WriteOutcome,
+    epoch_key,
+    lease_key,
+)
 from jacinthreel_daemon._ownership import (
     LEASE_MS,
     WATCH_MARGIN_MS,
@@ -32,7 +40,6 @@
     SendRenewal,
     StopAsked,
 )
-from jacinthreel_jobs import WriteOutcome
 from jacinthreel_standins import TableModel
 
 SHARD = "r"
--- a/packages/daemon/tests/test_request_claims.py
+++ b/packages/daemon/tests/test_request_claims.py
@@ -7,13 +7,19 @@
 import pytest
 from returns.result import Result
 
-from jacinthreel_common import Condition, Fault, RowWrite, Transaction, TransactionReply
+from jacinthreel_common import (
+    Condition,
+    Fault,
+    RowWrite,
+    Transaction,
+    TransactionReply,
+    WriteOutcome,
+)
 from jacinthreel_daemon._request_claims import ClaimStore
 from jacinthreel_requests import (
     ReadRow,
     RowRead,
     WriteDone,
-    WriteOutcome,
     WritePriority,
     WriteRow,
 )
--- a/packages/daemon/tests/test_scheduler_driver.py
+++ b/packages/daemon/tests/test_scheduler_driver.py
@@ -24,6 +24,7 @@
     RowWrite,
     StreamReply,
     Transaction,
+    WriteOutcome,
     lease_key,
 )
 from jacinthreel_daemon._election_driver import ElectionDriver, OwnershipChange
@@ -47,7 +48,6 @@
     WorkerUnreachable,
     Write,
     WriteDone,
-    WriteOutcome,
     WritePriority,
 )
 from jacinthreel_standins import MemoryStore, StoreOutcome
--- a/packages/jobs/src/jacinthreel_jobs/__init__.py
+++ b/packages/jobs/src/jacinthreel_jobs/__init__.py
@@ -25,7 +25,6 @@
     WorkerReplied,
     WorkerUnreachable,
     WriteDone,
-    WriteOutcome,
 )
 from jacinthreel_jobs._fit import check_job_fits
 from jacinthreel_jobs._guarantees import check_guarantees
@@ -86,7 +85,6 @@
     "WorkerUnreachable",
     "Write",
     "WriteDone",
-    "WriteOutcome",
     "WritePriority",
     "check_guarantees",
     "check_job_fits",
--- a/packages/jobs/src/jacinthreel_jobs/_events.py
+++ b/packages/jobs/src/jacinthreel_jobs/_events.py
@@ -6,9 +6,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
 
-from jacinthreel_common import CommandReply, Config, Host, JobSpec, Row
+from jacinthreel_common import CommandReply, Config, Host, JobSpec, Row, WriteOutcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,19 +69,6 @@
     job_id: str
 
 
-class WriteOutcome(StrEnum):
-    """What became of a transaction.
-
-    `failed` means that it certainly did not take effect and never will; `unknown` that the store
-    did not answer.
-    """
-
-    COMMITTED = "committed"
-    CONFLICT = "conflict"
-    FAILED = "failed"
-    UNKNOWN = "unknown"
-
-
 @dataclass(frozen=True, slots=True)
 class WriteDone:
     """A `Write` effect ended; `versions` has the new row versions where it committed.
--- a/packages/jobs/src/jacinthreel_jobs/_rows.py
+++ b/packages/jobs/src/jacinthreel_jobs/_rows.py
@@ -23,13 +23,14 @@
     JobState,
     Row,
     RowWrite,
+    WriteOutcome,
     epoch_key,
     job_key,
     to_plain,
 )
 from jacinthreel_jobs._context import RowChange, ShardContext
 from jacinthreel_jobs._effects import ReadRows, Write, WritePriority
-from jacinthreel_jobs._events import RowsRead, WriteDone, WriteOutcome
+from jacinthreel_jobs._events import RowsRead, WriteDone
 from jacinthreel_jobs._limits import GROUP_ROWS, WRITE_RETRY_LIMIT_MS, WRITE_RETRY_MS
 
 
--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -31,6 +31,7 @@
     TaskPlacement,
     Transaction,
     Workspace,
+    WriteOutcome,
     ZoneOutage,
     convert,
     epoch_key,
@@ -67,7 +68,6 @@
     WorkerUnreachable,
     Write,
     WriteDone,
-    WriteOutcome,
 )
 from jacinthreel_standins import TableModel, WorkerModel
 
--- a/packages/jobs/tests/test_shard_machine.py
+++ b/packages/jobs/tests/test_shard_machine.py
@@ -9,12 +9,11 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from shard_cluster import Cluster, Link
 
 from jacinthreel_common import ENDED_STATES, CommandKind, JobSpec, ResultCode
 from jacinthreel_jobs import Preempt, PreemptMode
 
-from .shard_cluster import Cluster, Link
-
 WORKER_IDS = st.sampled_from(["w0", "w1", "w2", "w3"])
 ZONES = st.sampled_from(["z0", "z1"])
 STORE_FAULTS = st.sampled_from(["down", "loses_requests", "loses_replies", "late", "slow"])
--- a/packages/jobs/tests/test_shard_scenarios.py
+++ b/packages/jobs/tests/test_shard_scenarios.py
@@ -6,6 +6,7 @@
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
+from shard_cluster import SHARD, Cluster, Link, has_command
 
 from jacinthreel_common import (
     ENDED_STATES,
@@ -30,8 +31,6 @@
     Write,
 )
 
-from .shard_cluster import SHARD, Cluster, Link, has_command
-
 scenarios("features")
 
 LINKS = {
--- a/packages/jobs/tests/test_shard_smoke.py
+++ b/packages/jobs/tests/test_shard_smoke.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from jacinthreel_common import JobSpec, JobState, ResultCode
+from shard_cluster import Cluster
 
-from .shard_cluster import Cluster
+from jacinthreel_common import JobSpec, JobState, ResultCode
 
 
 def test_gang_runs_and_finishes() -> None:
--- a/packages/requests/src/jacinthreel_requests/__init__.py
+++ b/packages/requests/src/jacinthreel_requests/__init__.py
@@ -30,7 +30,6 @@
     Tick,
     WholeAnswer,
     WriteDone,
-    WriteOutcome,
 )
 from jacinthreel_requests._router import RequestRouter
 
@@ -61,7 +60,6 @@
     "Unknown",
     "WholeAnswer",
     "WriteDone",
-    "WriteOutcome",
     "WritePriority",
     "WriteRow",
 ]
--- a/packages/requests/src/jacinthreel_requests/_claims.py
+++ b/packages/requests/src/jacinthreel_requests/_claims.py
@@ -35,7 +35,7 @@
 
 from returns.result import Success
 
-from jacinthreel_common import ResultCode, Row, convert, request_key, to_plain
+from jacinthreel_common import ResultCode, Row, WriteOutcome, convert, request_key, to_plain
 from jacinthreel_requests._effects import (
     Answered,
     Effect,
@@ -46,7 +46,7 @@
     WritePriority,
     WriteRow,
 )
-from jacinthreel_requests._events import RowRead, WholeAnswer, WriteDone, WriteOutcome
+from jacinthreel_requests._events import RowRead, WholeAnswer, WriteDone
 from jacinthreel_requests._tables import RequestEntry
 
 MAX_RECORDED_BODY_BYTES: Final = 16 * 1024
--- a/packages/requests/src/jacinthreel_requests/_events.py
+++ b/packages/requests/src/jacinthreel_requests/_events.py
@@ -6,9 +6,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
 
-from jacinthreel_common import Config, Host, Row
+from jacinthreel_common import Config, Host, Row, WriteOutcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,19 +113,6 @@
     unix_ms: int
 
 
-class WriteOutcome(StrEnum):
-    """What became of a write.
-
-    `failed` means that it certainly did not take effect and never will; `unknown` that the store
-    did not answer.
-    """
-
-    COMMITTED = "committed"
-    CONFLICT = "conflict"
-    FAILED = "failed"
-    UNKNOWN = "unknown"
-
-
 @dataclass(frozen=True, slots=True)
 class WriteDone:
     """A `WriteRow` effect ended; `version` is the row's new version where it committed."""
--- a/packages/requests/tests/conftest.py
+++ b/packages/requests/tests/conftest.py
@@ -23,6 +23,7 @@
     RowWrite,
     Transaction,
     Workspace,
+    WriteOutcome,
     ZoneOutage,
 )
 from jacinthreel_requests import (
@@ -49,7 +50,6 @@
     Tick,
     WholeAnswer,
     WriteDone,
-    WriteOutcome,
     WriteRow,
 )
 from jacinthreel_standins import (
