Remove a method that nothing calls and one that only a test called

WorkerModel.next_end_ms had no caller. RequestService.in_flight_by_executor lost its last caller when routers began to send in_flight_notice; the test reads the same counts from the notice.

--- a/packages/daemon/src/jacinthreel_daemon/_request_api.py
+++ b/packages/daemon/src/jacinthreel_daemon/_request_api.py
@@ -129,10 +129,6 @@
         """What the other routers should hear of this one, several times a second."""
         return InFlight(self.core.in_flight_by_executor(), self.core.waiting())
 
-    def in_flight_by_executor(self) -> dict[str, int]:
-        """Requests in flight at each executor, for notices to the others."""
-        return self.core.in_flight_by_executor()
-
     def tick(self, now_ms: int) -> None:
         """Lets time-outs, health checks and retries take effect."""
         self.feed(Tick(self._context.clock.unix_ms()))
--- a/packages/daemon/tests/test_request_service.py
+++ b/packages/daemon/tests/test_request_service.py
@@ -132,7 +132,7 @@
             await asyncio.sleep(0.005)
 
     def in_flight(self) -> int:
-        return sum(self.service.in_flight_by_executor().values())
+        return sum(self.service.in_flight_notice().by_executor.values())
 
     def runs(self, request_id: str) -> int:
         return sum(model.runs_of(request_id) for model in self.models)
--- a/packages/standins/src/jacinthreel_standins/_worker_model.py
+++ b/packages/standins/src/jacinthreel_standins/_worker_model.py
@@ -139,15 +139,6 @@
             if any(task.state is TaskState.RUNNING for task in self.tasks_by_key.values()):
                 self.version += 1
 
-    def next_end_ms(self) -> int | None:
-        """When the next running task finishes or fails if nothing intervenes, or None."""
-        ends = [
-            task.advanced_ms + int(self._work_left_s(task) / task.speed * 1000) + 1
-            for task in self.tasks_by_key.values()
-            if task.state is TaskState.RUNNING
-        ]
-        return min(ends, default=None)
-
     def restart(self) -> None:
         """Loses all tasks, as a reboot does; the guards' epochs are kept."""
         self.tasks_by_key.clear()
