--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(sort $(wildcard packages/*))
+PACKAGES := $(sort $(wildcard packages/*)) platform
 STAMP := $(VENV)/.installed
 SEEDS ?= 1 2 3
 
@@ -8,7 +8,7 @@
 
 all: lint test
 
-$(STAMP): constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): constraints.txt requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/pip install --quiet -c constraints.txt setuptools
 	$(BIN)/pip install --quiet -c constraints.txt -r requirements.txt
@@ -21,13 +21,13 @@
 	$(BIN)/python scripts/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/black --check --quiet packages scripts tests
-	$(BIN)/ruff check --quiet packages scripts tests
-	$(BIN)/mypy packages/*/src scripts
+	$(BIN)/black --check --quiet packages platform scripts tests
+	$(BIN)/ruff check --quiet packages platform scripts tests
+	$(BIN)/mypy packages/*/src platform/src scripts
 
 format: $(STAMP)
-	$(BIN)/black --quiet packages scripts tests
-	$(BIN)/ruff check --quiet --fix packages scripts tests
+	$(BIN)/black --quiet packages platform scripts tests
+	$(BIN)/ruff check --quiet --fix packages platform scripts tests
 
 demo: $(STAMP)
 	$(BIN)/python scripts/demo.py $(if $(KEEP),--keep)
--- a/packages/common/src/jacinthreel_common/_codes.py
+++ b/packages/common/src/jacinthreel_common/_codes.py
@@ -27,6 +27,8 @@
     BAD_SETTINGS = 1008
     NO_SUCH_RESOURCE = 1009
     INTERNAL = 1010
+    UNKNOWN_KEY = 1011
+    BAD_JOB_ID = 1012
     OVERLOADED = 2001
     NO_EXECUTOR = 2002
     DEADLINE_UNREACHABLE = 2003
@@ -44,6 +46,7 @@
     JOB_FAILS_EVERYWHERE = 3007
     JOB_QUEUE_FULL = 3008
     JOB_OUTCOME_UNKNOWN = 3009
+    JOB_KIND_UNSUPPORTED = 3010
     CONFIG_CONFLICT = 4001
     GUARANTEES_DO_NOT_FIT = 4002
     UNKNOWN_ZONE = 4003
@@ -56,6 +59,7 @@
     STORE_CONFLICT = 5002
     STORE_OUTCOME_UNKNOWN = 5003
     STORE_BUDGET_SPENT = 5004
+    STORE_HISTORY_LOST = 5005
     STALE_EPOCH = 6001
     NO_CAPACITY = 6002
     RESERVATION_EXPIRED = 6003
@@ -63,6 +67,7 @@
     TASK_FAILED = 6005
     WORKER_UNREACHABLE = 6006
     TASK_EXISTS = 6007
+    WORKER_RESTARTED = 6008
     NOT_OWNER = 7001
     PEER_UNREACHABLE = 7002
     BAD_FRAME = 7003
@@ -110,6 +115,12 @@
     ResultCode.INTERNAL: ResultEntry(
         500, "An unexpected error; the process goes on.", "Report it with the log line."
     ),
+    ResultCode.UNKNOWN_KEY: ResultEntry(
+        401, "The key belongs to no workspace.", "Ask the operator for a key."
+    ),
+    ResultCode.BAD_JOB_ID: ResultEntry(
+        400, "The job id is not 16 hexadecimal digits.", "Choose another id."
+    ),
     ResultCode.OVERLOADED: ResultEntry(
         503, "Not run: the request queue is full.", "Come back after Retry-After."
     ),
@@ -167,6 +178,11 @@
         "It is not known whether the change to the job was stored.",
         "Repeat it with the same job id.",
     ),
+    ResultCode.JOB_KIND_UNSUPPORTED: ResultEntry(
+        503,
+        "Not accepted: the job asks for an option that is not built.",
+        "The reason names the option; submit the job without it.",
+    ),
     ResultCode.CONFIG_CONFLICT: ResultEntry(
         409, "Not accepted: another change was accepted first.", "Read the new version and retry."
     ),
@@ -203,6 +219,9 @@
     ResultCode.STORE_BUDGET_SPENT: ResultEntry(
         503, "This host's share of table operations is spent.", "Come back after Retry-After."
     ),
+    ResultCode.STORE_HISTORY_LOST: ResultEntry(
+        503, "The changes asked for are no longer kept.", "The reader reads the table anew."
+    ),
     ResultCode.STALE_EPOCH: ResultEntry(
         409, "A worker has seen a newer owner of the shard.", "The older owner steps down."
     ),
@@ -222,6 +241,9 @@
     ResultCode.TASK_EXISTS: ResultEntry(
         409, "The worker holds another attempt of this task.", "The older attempt is stopped first."
     ),
+    ResultCode.WORKER_RESTARTED: ResultEntry(
+        409, "The worker has started a new life.", "What ran there is placed again."
+    ),
     ResultCode.NOT_OWNER: ResultEntry(
         503, "This host does not own the shard.", "The sender looks up the owner again."
     ),
--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -173,6 +173,32 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobStateQuery:
+    """Asks the owner for the state of a job; the reply's body is a `JobStateAnswer`."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobStateAnswer:
+    """The stored state of a job as a number, or 0 where the owner doesn't know the job."""
+
+    state: int
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerHeartbeat:
+    """Says that the sender owns the jobs under `epoch`, and how many jobs wait in each queue.
+
+    `resigned` is set on the last one of an owner that gives the jobs up.
+    """
+
+    epoch: int
+    waiting_by_queue: dict[str, int] = field(default_factory=dict)
+    resigned: bool = False
+
+
 MESSAGES_BY_KIND: Final[dict[str, type]] = {
     kind.__name__: kind
     for kind in (
@@ -187,5 +213,8 @@
         ConfigPull,
         InFlight,
         OwnerNotice,
+        JobStateQuery,
+        JobStateAnswer,
+        OwnerHeartbeat,
     )
 }
--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -9,18 +9,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
-from jacinthreel_common import join_address, parse_ip
+from jacinthreel_common import join_address
+from jacinthreel_daemon._dial import dial
 
 MAX_REPLY_BYTES: Final = 64 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 64 * 1024
@@ -78,7 +77,6 @@
         self._address = address
         self._port = port
         self._connect_timeout_s = connect_timeout_ms / 1000
-        self._client = TCPClient()
         self._idle: list[IOStream] = []
         self._params = HTTP1ConnectionParameters(
             max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_REPLY_BYTES, decompress=False
@@ -90,12 +88,14 @@
         body: bytes,
         timeout_ms: int,
         may_send: Callable[[], bool] = _always,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpReply, HttpFailure]:
         """Posts a JSON body once.
 
-        `may_send` is asked last, right before the first byte is written.
+        `may_send` is asked last, right before the first byte is written.  `headers` are sent
+        besides those that every request has.
         """
-        return await self._request("POST", path, body, timeout_ms, may_send)
+        return await self._request("POST", path, body, timeout_ms, may_send, headers)
 
     async def get(self, path: str, timeout_ms: int) -> Result[HttpReply, HttpFailure]:
         """Gets a path."""
@@ -108,7 +108,13 @@
         self._idle.clear()
 
     async def _request(
-        self, method: str, path: str, body: bytes, timeout_ms: int, may_send: Callable[[], bool]
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_ms: int,
+        may_send: Callable[[], bool],
+        headers: Mapping[str, str] | None = None,
     ) -> Result[HttpReply, HttpFailure]:
         try:
             stream = self._take_idle() or await self._connect()
@@ -121,7 +127,7 @@
             return Failure(HttpFailure(False, "too late to send"))
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                return await self._exchange(stream, method, path, body)
+                return await self._exchange(stream, method, path, body, headers or {})
         except TimeoutError:
             return Failure(HttpFailure(True, "no reply in time"))
         except (OSError, StreamClosedError, httputil.HTTPInputError) as error:
@@ -130,11 +136,17 @@
             self._give_back(stream)
 
     async def _exchange(
-        self, stream: IOStream, method: str, path: str, body: bytes
+        self,
+        stream: IOStream,
+        method: str,
+        path: str,
+        body: bytes,
+        extra_headers: Mapping[str, str],
     ) -> Result[HttpReply, HttpFailure]:
         connection = HTTP1Connection(stream, True, self._params)
         collector = _ReplyCollector()
         headers = httputil.HTTPHeaders({"Host": join_address(self._address, self._port)})
+        headers.update(extra_headers)
         if method == "POST":
             headers["Content-Type"] = "application/json"
             headers["Content-Length"] = str(len(body))
@@ -154,14 +166,8 @@
         return Success(HttpReply(collector.status, b"".join(collector.chunks)))
 
     async def _connect(self) -> IOStream:
-        if not is_successful(parse_ip(self._address)):
-            raise OSError("the address is not an IP number")  # Names are never looked up.
         async with asyncio.timeout(self._connect_timeout_s):
-            stream = await self._client.connect(
-                self._address, self._port, max_buffer_size=MAX_REPLY_BYTES
-            )
-        stream.set_nodelay(True)
-        return stream
+            return await dial(self._address, self._port, MAX_REPLY_BYTES)
 
     def _take_idle(self) -> IOStream | None:
         while self._idle:
--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -12,14 +12,13 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from returns.pipeline import is_successful
 from returns.result import Failure, Result
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from jacinthreel_common import Fault, Hello, ResultCode, StreamReply, parse_ip
+from jacinthreel_common import Fault, Hello, ResultCode, StreamReply
 from jacinthreel_daemon._backoff import Backoff
+from jacinthreel_daemon._dial import dial
 from jacinthreel_daemon._ports import CallHandler, Clock
 from jacinthreel_daemon._streams import (
     MAX_BACKLOG_BYTES,
@@ -134,7 +133,6 @@
         self._clock = clock
         self._rng = rng
         self._handlers = StreamHandlers({}, {}, log)
-        self._client = TCPClient()
         self._listener = _Listener(self._accept)
         self._links_by_address: dict[Address, PeerLink] = {}
         self._peers: set[Address] = set()
@@ -239,11 +237,9 @@
         self._on_open(connection)
 
     async def _connect(self, address: Address) -> StreamConnection | None:
-        if not is_successful(parse_ip(address[0])):
-            return None  # Names are never looked up.
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                stream = await self._client.connect(*address, max_buffer_size=MAX_BACKLOG_BYTES)
+                stream = await dial(*address, MAX_BACKLOG_BYTES)
         except (OSError, StreamClosedError):
             return None
         stream.max_write_buffer_size = MAX_BACKLOG_BYTES
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -0,0 +1,50 @@
+"""When a process takes the ownership of the jobs over.
+
+Ownership is a row that only a takeover changes; everything the owner writes is conditional on it,
+and executors refuse orders of an older epoch.  So a takeover is safe at any moment, and the rules
+here only keep it rare: a candidate takes over where there is no owner, where the owner's row
+names an earlier life of the same host, where the owner has resigned, or where the owner is silent
+on the streams and its lease row has not changed for `LEASE_MS` of the candidate's clock.  A read
+that fails restarts that watch, so that an outage of the store moves nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+LEASE_RENEWAL_MS: Final = 700
+LEASE_MS: Final = 2_000
+HEARTBEAT_MS: Final = 500
+SILENCE_MS: Final = 1_300
+STAGGER_MS: Final = 400
+
+
+@dataclass(slots=True)
+class LeaseWatch:
+    """How long the lease row has been unchanged, by successful reads without a gap."""
+
+    version: int | None = None
+    since_ms: int = 0
+
+    def see(self, version: int, now_ms: int) -> int:
+        """Takes the version that was read; returns for how long it has stood."""
+        if version != self.version:
+            self.version = version
+            self.since_ms = now_ms
+        return now_ms - self.since_ms
+
+    def reset(self) -> None:
+        """Forgets what was seen."""
+        self.version = None
+
+
+def stagger_ms(draw: float, cores: float) -> int:
+    """The pause before a takeover, so that candidates don't collide; larger hosts go first.
+
+    `draw` is uniform between 0 and 1.
+
+    >>> stagger_ms(0.0, 2.0) < stagger_ms(0.0, 0.5)
+    True
+    """
+    return int(STAGGER_MS * (0.5 * draw + 0.5 / (1 + cores)))
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -0,0 +1,248 @@
+"""One executor as its owner sees it: reports, leases, starts and stops.
+
+The link asks for a report again and again; each question renews the leases, and the executor
+answers it as soon as a run ends.  Starts and stops go out beside that, a few at a time.
+
+Clocks: a lease ends at a time on the executor's clock, which may be up to `CLOCK_SLOWNESS` slow.
+From each answer the link knows a time that the executor's clock has certainly reached.  Leases
+are asked for from that time on, and everything on an executor that can't be reached has certainly
+ended once its clock must have passed the latest lease that it can have been sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import Fault, ResultCode
+from jacinthreel_daemon.plumbing import Clock
+from jacinthreel_node._ports import (
+    ExecutorGateway,
+    ExecutorTarget,
+    ReportAnswer,
+    ReportQuestion,
+    StartCommand,
+)
+from jacinthreel_steps import (
+    Executor,
+    ExecutorReport,
+    Run,
+    RunState,
+    Scheduler,
+    StartOutcome,
+    StopOrder,
+)
+
+REPORT_WAIT_MS: Final = 1_000
+STORE_WAIT_MS: Final = 250
+FAILURE_PAUSE_MS: Final = 200
+ORDER_WORKERS: Final = 2
+MAX_STOP_ATTEMPTS: Final = 4
+CLOCK_SLOWNESS: Final = 0.02
+LEASE_MARGIN_MS: Final = 200
+
+
+@dataclass(slots=True)
+class ExecutorClock:
+    """A time that an executor's clock had reached at a time of ours, and the latest lease."""
+
+    their_ms: int = 0
+    our_ms: int | None = None
+    lease_until_ms: int = 0
+
+    def see(self, their_ms: int, our_ms: int) -> None:
+        """Takes the time of an answer that arrived at `our_ms`."""
+        self.their_ms = their_ms
+        self.our_ms = our_ms
+
+    def at_least_ms(self, now_ms: int) -> int | None:
+        """What the clock shows at least now, or None if it was never seen."""
+        if self.our_ms is None:
+            return None
+        return self.their_ms + int((now_ms - self.our_ms) * (1 - CLOCK_SLOWNESS))
+
+    def lease_end_ms(self, default_ms: int) -> int:
+        """When, on our clock, the latest lease has certainly ended."""
+        if self.our_ms is None:
+            return default_ms
+        left_ms = max(0, self.lease_until_ms - self.their_ms)
+        return self.our_ms + int(left_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+
+
+@dataclass(frozen=True, slots=True)
+class LinkContext:
+    """What all links of one ownership share.
+
+    `unreached_end_ms` is when all that an earlier owner started has ended at executors that this
+    owner has never reached.  `wait_stored` waits for the next stored batch.
+    """
+
+    gateway: ExecutorGateway
+    scheduler: Scheduler
+    clock: Clock
+    epoch: int
+    task_lease_ms: int
+    unreached_end_ms: int
+    wait_stored: Callable[[int], Awaitable[None]]
+    changed: Callable[[], None]
+    fenced: Callable[[str], None]
+    log: Callable[[str, dict[str, Any]], None]
+
+
+class ExecutorLink:
+    """The exchange with one executor while this process owns the jobs."""
+
+    def __init__(self, context: LinkContext, executor_id: str) -> None:
+        self._context = context
+        self._executor_id = executor_id
+        self._clock = ExecutorClock()
+        self._incarnation = 0
+        self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
+        self._tasks = [asyncio.create_task(self._poll())]
+        self._tasks += [asyncio.create_task(self._work()) for _ in range(ORDER_WORKERS)]
+        self._is_lost = False
+
+    def close(self) -> None:
+        """Ends the exchange."""
+        for task in self._tasks:
+            task.cancel()
+        self._context.gateway.forget(self._executor_id)
+
+    def send(self, order: Run | StopOrder) -> None:
+        """Queues a start or a stop."""
+        self._orders.put_nowait(order)
+
+    async def _poll(self) -> None:
+        while True:
+            executor = self._executor()
+            if executor is None:
+                return
+            answer = await self._ask(executor)
+            if not answer:
+                await asyncio.sleep(FAILURE_PAUSE_MS / 1000)
+
+    async def _ask(self, executor: Executor) -> bool:
+        context = self._context
+        self._see_incarnation(executor)
+        sent_ms = context.clock.now_ms()
+        unstored = context.scheduler.has_unstored_ends(self._executor_id)
+        question = ReportQuestion(
+            context.epoch,
+            context.scheduler.acknowledged_upto(self._executor_id),
+            self._lease_until_ms(),
+            0 if unstored or not executor.is_reported else REPORT_WAIT_MS,
+        )
+        match await context.gateway.report(self._target(executor), question):
+            case Success(ReportAnswer() as answer):
+                await self._take(answer, sent_ms)
+                return not unstored
+            case Failure(Fault(code=ResultCode.STALE_EPOCH)):
+                context.fenced(self._executor_id)
+                return False
+            case Failure(Fault() as fault):
+                self._note_lost(fault)
+                self._expire(executor)
+        return False
+
+    async def _take(self, answer: ReportAnswer, sent_ms: int) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        if answer.incarnation != self._incarnation:
+            self._incarnation = answer.incarnation
+            self._clock = ExecutorClock()
+        self._clock.see(answer.clock_ms, now_ms)
+        if self._is_lost:
+            self._is_lost = False
+            context.log("executor_regained", {"executor": self._executor_id})
+        report = ExecutorReport(answer.incarnation, sent_ms, answer.running, answer.ended)
+        context.scheduler.take_report(self._executor_id, report, now_ms)
+        context.changed()
+        if context.scheduler.has_unstored_ends(self._executor_id):
+            await context.wait_stored(STORE_WAIT_MS)
+
+    def _see_incarnation(self, executor: Executor) -> None:
+        if executor.listing.incarnation != self._incarnation:
+            self._incarnation = executor.listing.incarnation
+            self._clock = ExecutorClock()
+
+    def _lease_until_ms(self) -> int | None:
+        clock_ms = self._clock.at_least_ms(self._context.clock.now_ms())
+        if clock_ms is None:
+            return None
+        until_ms = clock_ms + self._context.task_lease_ms
+        self._clock.lease_until_ms = max(self._clock.lease_until_ms, until_ms)
+        return until_ms
+
+    def _expire(self, executor: Executor) -> None:
+        """Gives up what runs there once its leases have lapsed."""
+        now_ms = self._context.clock.now_ms()
+        end_ms = self._clock.lease_end_ms(self._context.unreached_end_ms)
+        if now_ms < end_ms or not (executor.runs_by_task or not executor.is_listed):
+            return
+        self._context.scheduler.expire_executor(self._executor_id, now_ms)
+        self._context.changed()
+
+    async def _work(self) -> None:
+        while True:
+            order = await self._orders.get()
+            match order:
+                case Run():
+                    await self._start(order)
+                case StopOrder():
+                    await self._stop(order)
+            self._context.changed()
+
+    async def _start(self, run: Run) -> None:
+        context = self._context
+        executor = self._executor()
+        if executor is None or run.state is not RunState.STARTING:
+            return
+        until_ms = self._lease_until_ms()
+        job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
+        if job is None:
+            return
+        if until_ms is None:  # The executor has started anew since the run was placed.
+            outcome = StartOutcome.REFUSED_INCARNATION
+            context.scheduler.start_answered(run, outcome, context.clock.now_ms())
+            return
+        command = StartCommand(
+            run.run_id, job.record.spec.payload, until_ms, context.epoch, run.checkpoint
+        )
+        answer = await context.gateway.start(self._target(executor), command)
+        if answer.is_fenced:
+            context.fenced(self._executor_id)
+            return
+        context.scheduler.start_answered(run, answer.outcome, context.clock.now_ms())
+
+    async def _stop(self, order: StopOrder) -> None:
+        context = self._context
+        for _ in range(MAX_STOP_ATTEMPTS):
+            executor = self._executor()
+            if executor is None:
+                return
+            match await context.gateway.stop(self._target(executor), order.run_id, context.epoch):
+                case Success(_):
+                    context.scheduler.stop_answered(order, context.clock.now_ms())
+                    return
+                case Failure(Fault(code=ResultCode.STALE_EPOCH)):
+                    context.fenced(self._executor_id)
+                    return
+                case Failure(Fault(code=ResultCode.WORKER_RESTARTED)):
+                    return
+        # The next report repeats the stop while the run is still there.
+
+    def _executor(self) -> Executor | None:
+        return self._context.scheduler.tables.executors_by_id.get(self._executor_id)
+
+    def _target(self, executor: Executor) -> ExecutorTarget:
+        return ExecutorTarget(self._executor_id, executor.listing.address)
+
+    def _note_lost(self, fault: Fault) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        self._context.log("executor_lost", {"executor": self._executor_id, "reason": fault.detail})
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -0,0 +1,241 @@
+"""What a node does for callers: accepting, cancelling and showing jobs.
+
+A job is accepted by inserting its row; whoever owns the jobs finds it there.  An insert without a
+clear answer is repeated until there is one: the row's key makes it idempotent.  After an insert
+that may have taken effect the answer is never "not run".  States are asked of the owner; where it
+can't be reached they are read from the store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import Fault, JobStateAnswer, JobStateQuery, ResultCode, convert
+from jacinthreel_daemon.plumbing import Clock, MetricsRegistry, StreamHub
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._ports import (
+    Committed,
+    Conflict,
+    KeyedStore,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+)
+from jacinthreel_node._records import (
+    CANCEL_PREFIX,
+    INTAKE_TABLE,
+    JOB_PREFIX,
+    PROGRESS_TABLE,
+    encode_record,
+)
+from jacinthreel_node._routing import RoutedCall
+from jacinthreel_steps import JobRecord, JobSpec, JobState, decode_progress_state
+
+COMMIT_TIMEOUT_MS: Final = 900
+READ_TIMEOUT_MS: Final = 900
+OWNER_TIMEOUT_MS: Final = 500
+RETRY_PAUSE_MS: Final = 100
+ANSWER_MARGIN_MS: Final = 150  # Left of a caller's deadline for the answer's way back.
+REFUSE_AFTER_MS: Final = 1_000  # While the store turns calls away, nobody is kept longer.
+STORE_RETRY_AFTER_MS: Final = 1_000
+WAITING_MAX_AGE_MS: Final = 1_900
+JOB_ID_DIGITS: Final = 16
+HEX_DIGITS: Final = frozenset("0123456789abcdefABCDEF")
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored; `is_new` is false where it was before."""
+
+    is_new: bool
+
+
+def check_job_id(job_id: str) -> Result[str, Fault]:
+    """Checks the form of a job id.  Errors: BAD_JOB_ID.
+
+    >>> check_job_id("5c0e7a21d94b36f8").unwrap()
+    '5c0e7a21d94b36f8'
+    >>> check_job_id("5c0e").failure().code.name
+    'BAD_JOB_ID'
+    """
+    if len(job_id) != JOB_ID_DIGITS or not HEX_DIGITS.issuperset(job_id):
+        return Failure(Fault(ResultCode.BAD_JOB_ID, "a job id has 16 hexadecimal digits"))
+    return Success(job_id)
+
+
+class JobService:
+    """Serves the calls of callers; knows nothing of how they arrive."""
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        hub: StreamHub,
+        owner: OwnerView,
+        own_state: Callable[[str], JobState | None],
+        is_owner: Callable[[], bool],
+        own_waiting: Callable[[], dict[str, int]],
+        clock: Clock,
+        metrics: MetricsRegistry,
+        log: Callable[[str, dict[str, Any]], None],
+    ) -> None:
+        self._store = store
+        self._hub = hub
+        self._owner = owner
+        self._own_state = own_state
+        self._is_owner = is_owner
+        self._own_waiting = own_waiting
+        self._clock = clock
+        self._metrics = metrics
+        self._log = log
+
+    async def submit(
+        self, call: RoutedCall, job_id: str, spec: JobSpec, deadline_ms: int
+    ) -> Result[Accepted, Fault]:
+        """Accepts a job once.
+
+        `deadline_ms` is how long the caller waits.  Errors: STORE_UNAVAILABLE (the job never
+        runs), JOB_OUTCOME_UNKNOWN.
+        """
+        started_ms = self._clock.now_ms()
+        record = JobRecord(job_id, call.route.queue, call.workspace, spec, self._clock.unix_ms())
+        key = JOB_PREFIX + job_id
+        outcome = await self._insert(key, encode_record(record), started_ms, deadline_ms)
+        self._metrics.observe_ms("submit_ms", self._clock.now_ms() - started_ms)
+        fields = {
+            "job_id": job_id,
+            "queue": call.route.queue.name,
+            "workspace": call.workspace,
+            "took_ms": self._clock.now_ms() - started_ms,
+        }
+        match outcome:
+            case Success(is_new):
+                self._log("job_accepted", {**fields, "new": is_new})
+                return Success(Accepted(is_new))
+            case Failure(Fault() as fault):
+                self._log(
+                    "job_not_accepted",
+                    {**fields, "code": fault.code.value, "reason": fault.detail},
+                )
+                return Failure(fault)
+            case _:
+                raise AssertionError("a Result is Success or Failure")
+
+    async def cancel(self, job_id: str, deadline_ms: int) -> Result[None, Fault]:
+        """Cancels a job.
+
+        Errors: JOB_NOT_FOUND, STORE_UNAVAILABLE, JOB_OUTCOME_UNKNOWN.
+        """
+        started_ms = self._clock.now_ms()
+        match await self.state(job_id):
+            case Failure(fault):
+                return Failure(fault)
+            case Success(JobState() as state) if state.is_final:
+                return Success(None)
+        outcome = await self._insert(CANCEL_PREFIX + job_id, b"", started_ms, deadline_ms)
+        fields = {"job_id": job_id, "took_ms": self._clock.now_ms() - started_ms}
+        match outcome:
+            case Success(_):
+                self._log("cancel_accepted", fields)
+                return Success(None)
+            case Failure(Fault() as fault):
+                reason = {"code": fault.code.value, "reason": fault.detail}
+                self._log("cancel_not_accepted", {**fields, **reason})
+                return Failure(fault)
+            case _:
+                raise AssertionError("a Result is Success or Failure")
+
+    async def state(self, job_id: str) -> Result[JobState, Fault]:
+        """The state of a job.  Errors: JOB_NOT_FOUND, STORE_UNAVAILABLE."""
+        known = await self._state_from_owner(job_id)
+        if known is not None:
+            return Success(known)
+        return await self._state_from_store(job_id)
+
+    def waiting(self, queue: str) -> Result[int, Fault]:
+        """How many jobs of a queue wait to begin.  Errors: NO_OWNER."""
+        if self._is_owner():
+            return Success(self._own_waiting().get(queue, 0))
+        count = self._owner.waiting_in(queue, WAITING_MAX_AGE_MS)
+        if count is None:
+            detail = "the owner of the jobs has not been heard of"
+            return Failure(Fault(ResultCode.NO_OWNER, detail, STORE_RETRY_AFTER_MS))
+        return Success(count)
+
+    async def _insert(
+        self, key: str, value: bytes, started_ms: int, deadline_ms: int
+    ) -> Result[bool, Fault]:
+        """Inserts a row of the intake; the value says whether it is new."""
+        conditions = [RowCondition(INTAKE_TABLE, key, 0)]
+        writes = [RowWrite(INTAKE_TABLE, key, value)]
+        may_be_stored = False
+        while True:
+            left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
+            timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
+            match await self._store.commit(conditions, writes, timeout_ms):
+                case Success(Committed()):
+                    return Success(True)
+                case Success(Conflict()):
+                    return Success(False)
+                case Failure(Fault() as fault):
+                    may_be_stored = may_be_stored or fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
+                    given_up = self._give_up(fault, may_be_stored, started_ms, deadline_ms)
+                    if given_up is not None:
+                        return Failure(given_up)
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    def _give_up(
+        self, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
+    ) -> Fault | None:
+        spent_ms = self._clock.now_ms() - started_ms
+        if may_be_stored:
+            if spent_ms + RETRY_PAUSE_MS + ANSWER_MARGIN_MS < deadline_ms:
+                return None
+            return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail)
+        if spent_ms + RETRY_PAUSE_MS < min(REFUSE_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS):
+            return None
+        return Fault(ResultCode.STORE_UNAVAILABLE, fault.detail, STORE_RETRY_AFTER_MS)
+
+    async def _state_from_owner(self, job_id: str) -> JobState | None:
+        if self._is_owner():
+            return self._own_state(job_id)
+        row = self._owner.row
+        if row is None:
+            return None
+        reply = await self._hub.call(row.address, row.port, JobStateQuery(job_id), OWNER_TIMEOUT_MS)
+        answered = reply.value_or(None)
+        if answered is None or answered.code is not ResultCode.OK:
+            return None
+        match convert(JobStateAnswer, answered.body):
+            case Success(JobStateAnswer(state=state)) if state:
+                return JobState(state)
+        return None
+
+    async def _state_from_store(self, job_id: str) -> Result[JobState, Fault]:
+        reads = await asyncio.gather(
+            self._store.read(PROGRESS_TABLE, READ_TIMEOUT_MS, job_id),
+            self._store.read(INTAKE_TABLE, READ_TIMEOUT_MS, JOB_PREFIX + job_id),
+            self._store.read(INTAKE_TABLE, READ_TIMEOUT_MS, CANCEL_PREFIX + job_id),
+        )
+        found: list[Snapshot] = []
+        for read in reads:
+            match read:
+                case Success(Snapshot() as snapshot):
+                    found.append(snapshot)
+                case Failure(Fault() as fault):
+                    return Failure(
+                        Fault(ResultCode.STORE_UNAVAILABLE, fault.detail, STORE_RETRY_AFTER_MS)
+                    )
+        progress, job, cancel = found
+        if not job.rows:
+            return Failure(Fault(ResultCode.JOB_NOT_FOUND, "no such job"))
+        state = JobState.QUEUED
+        for row in progress.rows:
+            state = decode_progress_state(row.value or b"") or state
+        if cancel.rows and not state.is_final:
+            state = JobState.CANCELLED
+        return Success(state)
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -0,0 +1,450 @@
+"""The process of an entry host: it serves callers and may own the jobs.
+
+Every node accepts jobs.  All follow the operator's rows and the owner's row; one at a time owns the
+jobs.  Shutdown: the node says that it isn't ready, gives the ownership up, serves what arrives
+until the balancer has turned away, and closes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+from collections.abc import Coroutine
+from typing import Any, Final, Protocol
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import (
+    Fault,
+    Hello,
+    JobStateAnswer,
+    JobStateQuery,
+    OwnerHeartbeat,
+    ResultCode,
+    StreamReply,
+    to_plain,
+)
+from jacinthreel_daemon.plumbing import (
+    LogLevel,
+    LoopTimers,
+    MetricsRegistry,
+    StreamHub,
+    SystemClock,
+    open_log,
+)
+from jacinthreel_node._election import (
+    HEARTBEAT_MS,
+    LEASE_MS,
+    LEASE_RENEWAL_MS,
+    SILENCE_MS,
+    LeaseWatch,
+    stagger_ms,
+)
+from jacinthreel_node._job_service import JobService
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ports import (
+    Committed,
+    Conflict,
+    ExecutorGateway,
+    KeyedStore,
+    PlatformRows,
+    PolicyPut,
+    Row,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+    Unusable,
+    ZoneChanged,
+)
+from jacinthreel_node._records import (
+    LEASE_KEY,
+    LEASE_TABLE,
+    OWNER_KEY,
+    OWNER_TABLE,
+    LeaseRow,
+    OwnerRow,
+    decode_lease,
+    decode_owner,
+    encode_record,
+)
+from jacinthreel_node._routing import PolicyView
+from jacinthreel_node._settings import NodeSettings
+from jacinthreel_node._table_follower import TableFollower
+
+ROLE: Final = "node"
+POLICY_WAIT_MS: Final = 1_500
+OWNER_WAIT_MS: Final = 5_000
+WATCH_PERIOD_MS: Final = 300
+STORE_TIMEOUT_MS: Final = 1_500
+TURN_AWAY_MS: Final = 2_300  # The balancer needs two failed checks to turn away.
+FLUSH_MS: Final = 500
+LIVENESS_MS: Final = 1_000
+
+
+class CallerServer(Protocol):
+    """Serves callers and the balancer on behalf of a node."""
+
+    def start(self) -> None:
+        """Begins to listen."""
+
+    def set_draining(self) -> None:
+        """Answers close their connections from now on."""
+
+    async def stop(self, limit_ms: int) -> None:
+        """Stops listening, finishes calls in progress and closes."""
+
+
+class Node:
+    """One process; `run` serves until a signal and returns the exit status."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyedStore,
+        gateway: ExecutorGateway,
+        rows: PlatformRows,
+        clock: SystemClock,
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.settings = settings
+        self.metrics = metrics
+        self.log = open_log(settings.host_id, ROLE, LogLevel.INFO)
+        self.policy = PolicyView()
+        self.is_draining = False
+        self._store = store
+        self._gateway = gateway
+        self._rows = rows
+        self._clock = clock
+        self._rng = random.Random()
+        self._timers = LoopTimers(clock, lambda error: self.log.error("timer_failed", error))
+        hello = Hello(settings.host_id, ROLE, settings.zone)
+        self._hub = StreamHub(hello, clock, self._rng, self.log.warning)
+        self._owner = OwnerView(clock)
+        self._ownership: Ownership | None = None
+        self._owner_row_version = 0
+        self._lease_count = 0
+        self._renewed_ms = 0
+        self._watch = LeaseWatch()
+        self._taking_over = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stop_asked = asyncio.Event()
+        self.jobs = JobService(
+            store,
+            self._hub,
+            self._owner,
+            self._own_state,
+            self._is_owner,
+            self._own_waiting,
+            clock,
+            metrics,
+            self.log.decision,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should be sent here."""
+        return not self.is_draining and self.policy.current is not None
+
+    async def run(self, server: CallerServer) -> int:
+        """Serves until a signal asks for the end."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._on_signal, signal.SIGTERM)
+        loop.add_signal_handler(signal.SIGINT, self._on_signal, signal.SIGINT)
+        loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        self._hub.on_call(JobStateQuery, self._serve_state)
+        self._hub.on_notice(OwnerHeartbeat, self._owner.take_heartbeat)
+        self._hub.listen(*self.settings.stream_address)
+        server.start()
+        self._follow()
+        self._timers.every(HEARTBEAT_MS, lambda now_ms: self._send_heartbeat())
+        self._timers.every(LEASE_RENEWAL_MS, lambda now_ms: self._renew())
+        self._timers.every(WATCH_PERIOD_MS, lambda now_ms: self._watch_owner())
+        self._timers.every(LIVENESS_MS, self._hub.check_liveness)
+        self.log.decision("started", {"pid": os.getpid(), "zone": self.settings.zone})
+        await self._stop_asked.wait()
+        await self._shutdown(server)
+        self.log.decision("stopped", {})
+        return 0
+
+    async def _shutdown(self, server: CallerServer) -> None:
+        server.set_draining()
+        started_ms = self._clock.now_ms()
+        await self._resign()
+        spent_ms = self._clock.now_ms() - started_ms
+        await asyncio.sleep(max(0, TURN_AWAY_MS - spent_ms) / 1000)
+        spent_ms = self._clock.now_ms() - started_ms
+        await server.stop(self.settings.stop_grace_ms - spent_ms)
+        for task in self._tasks:
+            task.cancel()
+        self._hub.close()
+        self._timers.stop()
+
+    def _follow(self) -> None:
+        operator = TableFollower(
+            self._store,
+            self._rows.operator_table,
+            POLICY_WAIT_MS,
+            self._take_operator_snapshot,
+            self._take_operator_rows,
+            self.log.warning,
+        )
+        owner = TableFollower(
+            self._store,
+            OWNER_TABLE,
+            OWNER_WAIT_MS,
+            self._take_owner_snapshot,
+            self._take_owner_rows,
+            self.log.warning,
+        )
+        self._spawn(operator.run())
+        self._spawn(owner.run())
+
+    def _take_operator_snapshot(self, rows: tuple[Row, ...]) -> None:
+        zones_out: set[str] = set()
+        for row in rows:
+            match self._rows.operator_event(row):
+                case ZoneChanged(zone=zone, is_out=True):
+                    zones_out.add(zone)
+        self.policy.set_zones_out(frozenset(zones_out))
+        self._take_operator_rows(rows)
+
+    def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            match self._rows.operator_event(row):
+                case PolicyPut(policy=policy):
+                    applied = self.policy.put(policy)
+                    self.log.decision(
+                        "policy_seen",
+                        {
+                            "version": policy.version,
+                            "applied": applied,
+                            "row_version": row.version,
+                        },
+                    )
+                case ZoneChanged(zone=zone, is_out=is_out):
+                    self.policy.set_zone(zone, is_out)
+                    fields = {"zone": zone, "out": is_out, "row_version": row.version}
+                    self.log.decision("zone_changed", fields)
+                case Unusable(reason=reason) if reason:
+                    self.log.warning("operator_row_unusable", {"key": row.key, "reason": reason})
+        if self._ownership is not None:
+            self._ownership.policy_changed()
+
+    def _take_owner_snapshot(self, rows: tuple[Row, ...]) -> None:
+        self._owner.is_row_known = True
+        self._take_owner_rows(rows)
+
+    def _take_owner_rows(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.key != OWNER_KEY:
+                continue
+            owner = decode_owner(row.value) if row.value is not None else None
+            self._see_owner(owner, row.version)
+
+    def _see_owner(self, owner: OwnerRow | None, version: int) -> None:
+        if not self._owner.put_row(owner, version):
+            return
+        if owner is None:
+            return
+        self.log.decision(
+            "owner_seen",
+            {"epoch": owner.epoch, "owner": owner.host_id, "row_version": version},
+        )
+        self._watch.reset()
+        own = self._ownership
+        if own is not None and own.epoch < owner.epoch:
+            self._lose_ownership("another node has taken over")
+        if owner.host_id == self.settings.host_id:
+            self._hub.set_peers(set())
+            return
+        self._hub.set_peers({(owner.address, owner.port)})
+
+    def _is_owner(self) -> bool:
+        return self._ownership is not None and self._ownership.is_loaded
+
+    def _own_state(self, job_id: str) -> Any:
+        return self._ownership.state_of(job_id) if self._ownership is not None else None
+
+    def _own_waiting(self) -> dict[str, int]:
+        if self._ownership is None:
+            return {}
+        return self._ownership.scheduler.waiting_by_queue()
+
+    async def _serve_state(self, query: JobStateQuery) -> StreamReply:
+        if not self._is_owner():
+            return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
+        state = self._own_state(query.job_id)
+        answer = JobStateAnswer(int(state) if state is not None else 0)
+        return StreamReply(ResultCode.OK, body=to_plain(answer))
+
+    def _send_heartbeat(self) -> None:
+        own = self._ownership
+        if own is None or not own.is_loaded:
+            return
+        self._hub.notify_all(OwnerHeartbeat(own.epoch, own.scheduler.waiting_by_queue()))
+
+    def _renew(self) -> None:
+        if self._ownership is not None:
+            self._spawn(self._renew_lease(self._ownership))
+
+    async def _renew_lease(self, own: Ownership) -> None:
+        self._lease_count += 1
+        lease = LeaseRow(own.epoch, self._lease_count)
+        outcome = await self._store.commit(
+            [RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_row_version)],
+            [RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(lease))],
+            STORE_TIMEOUT_MS,
+        )
+        if self._ownership is not own:
+            return
+        match outcome:
+            case Success(Committed()):
+                self._renewed_ms = self._clock.now_ms()
+            case Success(Conflict()):
+                self._lose_ownership("the owner's row has changed")
+            case Failure(Fault() as fault):
+                fields = {"reason": fault.detail, "code": fault.code.value}
+                self.log.warning("lease_not_renewed", fields)
+
+    def _watch_owner(self) -> None:
+        if self.is_draining or self._ownership is not None or self._taking_over:
+            return
+        if not self._owner.is_row_known:
+            return
+        row = self._owner.row
+        if row is None or row.host_id == self.settings.host_id:
+            self._begin_takeover("no owner" if row is None else "own earlier life")
+            return
+        silent_ms = self._owner.silent_ms()
+        if silent_ms is not None and silent_ms < SILENCE_MS:
+            self._watch.reset()
+            return
+        self._spawn(self._look_at_lease())
+
+    async def _look_at_lease(self) -> None:
+        match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, LEASE_KEY):
+            case Success(Snapshot(rows=rows)):
+                self._judge_lease(rows)
+            case Failure(Fault()):
+                self._watch.reset()
+
+    def _judge_lease(self, rows: tuple[Row, ...]) -> None:
+        version = rows[0].version if rows else 0
+        lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
+        stood_ms = self._watch.see(version, self._clock.now_ms())
+        if lease is not None and lease.is_resigned:
+            self._begin_takeover("the owner has resigned")
+        elif stood_ms >= LEASE_MS:
+            self._begin_takeover("the owner's lease has lapsed")
+
+    def _begin_takeover(self, reason: str) -> None:
+        if self._taking_over or self._ownership is not None or self.is_draining:
+            return
+        self._taking_over = True
+        self._spawn(self._take_over(reason))
+
+    async def _take_over(self, reason: str) -> None:
+        try:
+            seen_version = self._owner.row_version if self._owner.row is not None else 0
+            await asyncio.sleep(stagger_ms(self._rng.random(), self.settings.cores) / 1000)
+            if self.is_draining or self._owner.row_version > seen_version:
+                return
+            await self._claim(reason, seen_version)
+        finally:
+            self._taking_over = False
+
+    async def _claim(self, reason: str, seen_version: int) -> None:
+        epoch = self._owner.row.epoch + 1 if self._owner.row is not None else 1
+        address, port = self.settings.stream_address
+        nonce = f"{self._rng.getrandbits(64):016x}"
+        owner = OwnerRow(epoch, self.settings.host_id, address, port, nonce)
+        outcome = await self._store.commit(
+            [RowCondition(OWNER_TABLE, OWNER_KEY, seen_version)],
+            [
+                RowWrite(OWNER_TABLE, OWNER_KEY, encode_record(owner)),
+                RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(LeaseRow(epoch, 0))),
+            ],
+            STORE_TIMEOUT_MS,
+        )
+        match outcome:
+            case Success(Committed(version=version)):
+                self._own(owner, version, reason)
+            case Success(Conflict(rows=rows)):
+                self._take_owner_rows(rows)
+            case Failure(Fault() as fault):
+                fields = {"reason": fault.detail, "code": fault.code.value}
+                self.log.warning("takeover_failed", fields)
+
+    def _own(self, owner: OwnerRow, version: int, reason: str) -> None:
+        if self._owner.row_version > version:
+            return  # Somebody else has taken over meanwhile.
+        self._see_owner(owner, version)
+        self._owner_row_version = version
+        self._renewed_ms = self._clock.now_ms()
+        self.log.decision("took_over", {"epoch": owner.epoch, "reason": reason})
+        self._ownership = Ownership(
+            self.settings,
+            self._store,
+            self._gateway,
+            self._rows,
+            self.policy,
+            owner,
+            version,
+            self._clock,
+            self._timers,
+            self.metrics,
+            self.log.decision,
+            self._lose_ownership,
+        )
+        self._ownership.start()
+
+    def _lose_ownership(self, reason: str) -> None:
+        own = self._ownership
+        if own is None:
+            return
+        self._ownership = None
+        own.stop()
+        self._watch.reset()
+        self.log.decision("ownership_lost", {"epoch": own.epoch, "reason": reason})
+
+    async def _resign(self) -> None:
+        own = self._ownership
+        if own is None:
+            return
+        await own.flush(FLUSH_MS)
+        if self._ownership is not own:
+            return
+        self._ownership = None
+        own.stop()
+        lease = LeaseRow(own.epoch, self._lease_count + 1, True)
+        outcome = await self._store.commit(
+            [RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_row_version)],
+            [RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(lease))],
+            STORE_TIMEOUT_MS,
+        )
+        self._hub.notify_all(OwnerHeartbeat(own.epoch, resigned=True))
+        self.log.decision("resigned", {"epoch": own.epoch, "outcome": type(outcome).__name__})
+
+    def _on_signal(self, number: int) -> None:
+        if self._stop_asked.is_set():
+            return
+        self.log.decision("shutdown_started", {"signal": number})
+        self.is_draining = True
+        self._stop_asked.set()
+
+    def _on_reload(self) -> None:
+        self.log.decision("reload", {"outcome": "settings are read at the start only"})
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(self._guard(coroutine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            self.log.error("task_failed", error)
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -0,0 +1,337 @@
+"""The work of the owner: it loads all jobs, follows what changes and keeps the scheduler going.
+
+Phases: all tables are read; the scheduler is filled; then followers, the progress writer and a
+link for each executor run until the ownership ends.  Planning is coalesced: whatever happens asks
+for a pass, and passes are at least `PLAN_GAP_MS` apart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import Fault
+from jacinthreel_daemon.plumbing import Clock, LoopTimers, MetricsRegistry
+from jacinthreel_node._executor_link import ExecutorLink, LinkContext
+from jacinthreel_node._ports import (
+    ExecutorGateway,
+    KeyedStore,
+    PlatformRows,
+    Row,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+)
+from jacinthreel_node._progress_writer import ProgressWriter
+from jacinthreel_node._records import (
+    CANCEL_PREFIX,
+    INTAKE_TABLE,
+    JOB_PREFIX,
+    OWNER_KEY,
+    OWNER_TABLE,
+    PROGRESS_TABLE,
+    OwnerRow,
+    decode_job,
+)
+from jacinthreel_node._routing import PolicyView
+from jacinthreel_node._settings import NodeSettings
+from jacinthreel_node._table_follower import TableFollower
+from jacinthreel_steps import JobState, Scheduler, StoredProgress
+
+PLAN_GAP_MS: Final = 20
+TICK_MS: Final = 250
+FEED_WAIT_MS: Final = 1_500
+LOAD_TIMEOUT_MS: Final = 3_000
+LOAD_RETRY_MS: Final = 200
+OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # An owner without its lease renews tasks no longer.
+FORGET_PERIOD_MS: Final = 10_000
+FORGET_BATCH: Final = 40
+FORGET_MARGIN_MS: Final = 60_000
+
+
+class Ownership:
+    """One ownership of all jobs, from the takeover to its end."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyedStore,
+        gateway: ExecutorGateway,
+        rows: PlatformRows,
+        policy: PolicyView,
+        owner: OwnerRow,
+        owner_version: int,
+        clock: Clock,
+        timers: LoopTimers,
+        metrics: MetricsRegistry,
+        log: Callable[[str, dict[str, Any]], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._rows = rows
+        self._policy = policy
+        self._clock = clock
+        self._timers = timers
+        self._metrics = metrics
+        self._log = log
+        self._on_lost = on_lost
+        self._owner_version = owner_version
+        self.epoch = owner.epoch
+        self.is_loaded = False
+        self.scheduler = Scheduler(log)
+        self._taken_ms = clock.now_ms()
+        self._links_by_id: dict[str, ExecutorLink] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._plan_pending = False
+        self._planned_ms = 0
+        self._writer = ProgressWriter(
+            store,
+            self.scheduler,
+            owner_version,
+            owner.nonce,
+            clock,
+            metrics,
+            self._after_stored,
+            on_lost,
+            log,
+        )
+        self._link_context = LinkContext(
+            gateway,
+            self.scheduler,
+            clock,
+            owner.epoch,
+            settings.task_lease_ms,
+            self._taken_ms + settings.task_lease_ms + OUTAGE_RENEWAL_LIMIT_MS,
+            self._writer.wait_stored,
+            self.request_plan,
+            lambda executor_id: on_lost(f"executor {executor_id} knows a newer owner"),
+            log,
+        )
+
+    def start(self) -> None:
+        """Begins to load."""
+        self._spawn(self._run())
+
+    def stop(self) -> None:
+        """Ends everything; nothing is sent any more."""
+        for task in self._tasks:
+            task.cancel()
+        for link in self._links_by_id.values():
+            link.close()
+        self._links_by_id.clear()
+
+    async def flush(self, timeout_ms: int) -> None:
+        """Waits until what was decided is stored, or the timeout."""
+        end_ms = self._clock.now_ms() + timeout_ms
+        while self.scheduler.tables.unstored_job_ids or not self._writer.is_idle:
+            if self._clock.now_ms() >= end_ms:
+                return
+            self._writer.wake()
+            await self._writer.wait_stored(50)
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """The stored state of a job, or None if it isn't known."""
+        job = self.scheduler.tables.jobs_by_id.get(job_id)
+        return job.visible_state if job is not None else None
+
+    def policy_changed(self) -> None:
+        """A newer policy is in force."""
+        self.scheduler.apply_policy(self._policy.scheduling_policy())
+        self.request_plan()
+
+    def request_plan(self) -> None:
+        """Asks for a planning pass soon."""
+        if self._plan_pending or not self.is_loaded:
+            return
+        self._plan_pending = True
+        delay_ms = max(0, self._planned_ms + PLAN_GAP_MS - self._clock.now_ms())
+        asyncio.get_running_loop().call_later(delay_ms / 1000, self._plan)
+
+    def _plan(self) -> None:
+        self._plan_pending = False
+        if not self.is_loaded:
+            return
+        started_ms = self._clock.now_ms()
+        self._planned_ms = started_ms
+        self.scheduler.plan(started_ms)
+        self._metrics.observe_ms("plan_ms", self._clock.now_ms() - started_ms)
+        self._send_orders()
+        self._writer.wake()
+
+    def _after_stored(self) -> None:
+        self._send_orders()
+        self.request_plan()
+
+    def _send_orders(self) -> None:
+        for stop in self.scheduler.take_stops():
+            link = self._links_by_id.get(stop.executor_id)
+            if link is not None:
+                link.send(stop)
+        for run in self.scheduler.take_starts():
+            link = self._links_by_id.get(run.executor_id)
+            if link is not None:
+                link.send(run)
+
+    async def _run(self) -> None:
+        versions = await self._load()
+        self.is_loaded = True
+        self._metrics.count("takeovers_total")
+        self._log(
+            "owner_ready",
+            {
+                "epoch": self.epoch,
+                "jobs": len(self.scheduler.tables.jobs_by_id),
+                "open": len(self.scheduler.tables.open_jobs_by_id),
+                "executors": len(self.scheduler.tables.executors_by_id),
+                "took_ms": self._clock.now_ms() - self._taken_ms,
+            },
+        )
+        self._spawn(self._writer.run())
+        self._follow(INTAKE_TABLE, self._take_intake, self._take_intake, versions[INTAKE_TABLE])
+        self._follow(
+            self._rows.executor_table,
+            self._take_listings,
+            self._take_listing_changes,
+            versions[self._rows.executor_table],
+        )
+        self._spawn(self._tick())
+        self.request_plan()
+
+    def _follow(
+        self,
+        table: str,
+        take_snapshot: Callable[[tuple[Row, ...]], None],
+        take_changes: Callable[[tuple[Row, ...]], None],
+        version: int,
+    ) -> None:
+        follower = TableFollower(
+            self._store, table, FEED_WAIT_MS, take_snapshot, take_changes, self._log
+        )
+        self._spawn(follower.run(version))
+
+    async def _load(self) -> dict[str, int]:
+        """Reads all tables; returns the version of each."""
+        progress = await self._read(PROGRESS_TABLE)
+        intake = await self._read(INTAKE_TABLE)
+        listings = await self._read(self._rows.executor_table)
+        self.scheduler.apply_policy(self._policy.scheduling_policy())
+        progress_by_id = {
+            row.key: StoredProgress(row.value, row.version)
+            for row in progress.rows
+            if row.value is not None
+        }
+        self._take_jobs(intake.rows, progress_by_id)
+        self._take_listings(listings.rows)
+        return {
+            INTAKE_TABLE: intake.version,
+            self._rows.executor_table: listings.version,
+        }
+
+    async def _read(self, table: str) -> Snapshot:
+        while True:
+            match await self._store.read(table, LOAD_TIMEOUT_MS):
+                case Success(Snapshot() as snapshot):
+                    return snapshot
+                case Failure(Fault() as fault):
+                    self._log("owner_load_failed", {"table": table, "reason": fault.detail})
+            await asyncio.sleep(LOAD_RETRY_MS / 1000)
+
+    def _take_intake(self, rows: tuple[Row, ...]) -> None:
+        self._take_jobs(rows, {})
+        self.request_plan()
+
+    def _take_jobs(self, rows: tuple[Row, ...], progress: dict[str, StoredProgress]) -> None:
+        now_ms = self._clock.now_ms()
+        unix_ms = self._clock.unix_ms()
+        for row in rows:
+            if row.key.startswith(JOB_PREFIX) and row.value is not None:
+                job_id = row.key.removeprefix(JOB_PREFIX)
+                self._take_job(job_id, row.value, progress.get(job_id), now_ms, unix_ms)
+        for row in rows:
+            if row.key.startswith(CANCEL_PREFIX) and row.value is not None:
+                self.scheduler.cancel(row.key.removeprefix(CANCEL_PREFIX), now_ms)
+
+    def _take_job(
+        self,
+        job_id: str,
+        value: bytes,
+        progress: StoredProgress | None,
+        now_ms: int,
+        unix_ms: int,
+    ) -> None:
+        record = decode_job(value)
+        if record is None or record.job_id != job_id:
+            self._log("job_unreadable", {"job_id": job_id})
+            return
+        age_ms = max(0, unix_ms - record.accepted_unix_ms)
+        if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms):
+            self._log(
+                "job_taken_in",
+                {"job_id": job_id, "queue": record.queue.name, "age_ms": age_ms},
+            )
+
+    def _take_listings(self, rows: tuple[Row, ...]) -> None:
+        self._take_listing_changes(rows)
+        listed = {row.key for row in rows}
+        for executor_id in list(self.scheduler.tables.executors_by_id):
+            if executor_id not in listed:
+                self.scheduler.remove_listing(executor_id)
+
+    def _take_listing_changes(self, rows: tuple[Row, ...]) -> None:
+        now_ms = self._clock.now_ms()
+        for row in rows:
+            listing = self._rows.executor_listing(row) if row.value is not None else None
+            if listing is None:
+                self.scheduler.remove_listing(row.key)
+                continue
+            self.scheduler.apply_listing(listing, now_ms)
+            if row.key not in self._links_by_id:
+                self._links_by_id[row.key] = ExecutorLink(self._link_context, row.key)
+        self.request_plan()
+
+    async def _tick(self) -> None:
+        forgot_ms = self._clock.now_ms()
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            now_ms = self._clock.now_ms()
+            self._drop_links()
+            if now_ms >= self._link_context.unreached_end_ms:
+                self.scheduler.expire_orphans(now_ms)
+            self.request_plan()
+            if now_ms - forgot_ms >= FORGET_PERIOD_MS:
+                forgot_ms = now_ms
+                await self._forget_ended(now_ms)
+
+    def _drop_links(self) -> None:
+        for executor_id in list(self._links_by_id):
+            if executor_id not in self.scheduler.tables.executors_by_id:
+                self._links_by_id.pop(executor_id).close()
+
+    async def _forget_ended(self, now_ms: int) -> None:
+        """Deletes the rows of jobs whose state need not be kept any longer."""
+        keep_ms = self._settings.status_keep_ms + FORGET_MARGIN_MS
+        job_ids = self.scheduler.forget_ended(now_ms - keep_ms)
+        condition = RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_version)
+        for start in range(0, len(job_ids), FORGET_BATCH):
+            writes: list[RowWrite] = []
+            for job_id in job_ids[start : start + FORGET_BATCH]:
+                writes.append(RowWrite(PROGRESS_TABLE, job_id, None))
+                writes.append(RowWrite(INTAKE_TABLE, JOB_PREFIX + job_id, None))
+            outcome = await self._store.commit([condition], writes, LOAD_TIMEOUT_MS)
+            match outcome:
+                case Failure(Fault() as fault):
+                    self._log("rows_not_deleted", {"reason": fault.detail})
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.create_task(self._guard(coroutine)))
+
+    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            self._log("owner_failed", {"error": repr(error)})
+            self._on_lost(f"unexpected error: {error!r}")
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -0,0 +1,136 @@
+"""Storing the progress of jobs, one transaction at a time.
+
+Phases of a transaction: up to `MAX_ROWS` rows are taken from the scheduler; it is sent, conditional
+on the owner's row and on the version of each row it replaces; without a clear answer
+exactly the same transaction is sent again until there is one.  Because its conditions hold at most
+once, it takes effect at most once; a conflict with a row that carries the transaction's own write
+id means that an earlier attempt took effect.
+
+Invariant: while the owner's row is as this owner wrote it, nobody else changes the rows.  Any
+other conflict ends the ownership.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from returns.result import Failure, Success
+
+from jacinthreel_common import Fault
+from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
+from jacinthreel_node._ports import Committed, Conflict, KeyedStore, Row, RowCondition, RowWrite
+from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE
+from jacinthreel_steps import Scheduler, UnstoredRow, progress_write_id
+
+MAX_ROWS: Final = 45
+COMMIT_TIMEOUT_MS: Final = 1_500
+RETRY_PAUSE_MS: Final = 60
+MAX_RETRY_PAUSE_MS: Final = 400
+
+
+class ProgressWriter:
+    """Stores what the scheduler has decided, until it is stopped or the ownership is lost."""
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        scheduler: Scheduler,
+        owner_version: int,
+        nonce: str,
+        clock: Clock,
+        metrics: MetricsRegistry,
+        on_stored: Callable[[], None],
+        on_lost: Callable[[str], None],
+        log: Callable[[str, dict[str, Any]], None],
+    ) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._owner_version = owner_version
+        self._nonce = nonce
+        self._clock = clock
+        self._metrics = metrics
+        self._on_stored = on_stored
+        self._on_lost = on_lost
+        self._log = log
+        self._count = 0
+        self._wanted = asyncio.Event()
+        self._stored = asyncio.Event()
+        self.is_idle = True
+
+    def wake(self) -> None:
+        """Says that there may be something to store."""
+        self._wanted.set()
+
+    async def wait_stored(self, timeout_ms: int) -> None:
+        """Returns after the next transaction, or after the timeout."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self._stored.wait()
+        except TimeoutError:
+            return
+
+    async def run(self) -> None:
+        """Stores until cancelled."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            while await self._store_batch():
+                pass
+
+    async def _store_batch(self) -> bool:
+        """Stores one batch; false where there was nothing, or the ownership is lost."""
+        self._count += 1
+        write_id = f"{self._nonce}.{self._count}"
+        rows = self._scheduler.take_unstored(MAX_ROWS, write_id)
+        if not rows:
+            return False
+        self.is_idle = False
+        started_ms = self._clock.now_ms()
+        version = await self._commit(rows, write_id)
+        self._metrics.observe_ms("progress_store_ms", self._clock.now_ms() - started_ms)
+        self.is_idle = True
+        if version is None:
+            return False
+        now_ms = self._clock.now_ms()
+        for row in rows:
+            self._scheduler.mark_stored(row, version, now_ms)
+        self._stored.set()
+        self._stored = asyncio.Event()
+        self._on_stored()
+        return True
+
+    async def _commit(self, rows: list[UnstoredRow], write_id: str) -> int | None:
+        conditions = [RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_version)]
+        conditions += [RowCondition(PROGRESS_TABLE, row.job_id, row.version) for row in rows]
+        writes = [RowWrite(PROGRESS_TABLE, row.job_id, row.value) for row in rows]
+        pause_ms = RETRY_PAUSE_MS
+        while True:
+            match await self._store.commit(conditions, writes, COMMIT_TIMEOUT_MS):
+                case Success(Committed(version=version)):
+                    self._metrics.count("progress_rows_stored_total", len(rows))
+                    return version
+                case Success(Conflict(rows=found)):
+                    return self._settle_conflict(found, write_id)
+                case Failure(Fault() as fault):
+                    self._metrics.count("progress_store_failures_total")
+                    self._log(
+                        "progress_not_stored",
+                        {"rows": len(rows), "reason": fault.detail, "code": fault.code.value},
+                    )
+            await asyncio.sleep(pause_ms / 1000)
+            pause_ms = min(MAX_RETRY_PAUSE_MS, pause_ms * 2)
+
+    def _settle_conflict(self, found: tuple[Row, ...], write_id: str) -> int | None:
+        for row in found:
+            if row.table == OWNER_TABLE and row.version != self._owner_version:
+                self._on_lost("the owner's row has changed")
+                return None
+        for row in found:
+            if row.table != PROGRESS_TABLE or row.value is None:
+                continue
+            if progress_write_id(row.value) == write_id:
+                return row.version
+        self._on_lost("a progress row was changed by somebody else")
+        return None
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -0,0 +1,59 @@
+"""Decisions for jobs of several steps on leased executors.
+
+`Scheduler` takes events and a time, and hands out rows to store and orders to send.  Nothing here
+does I/O, reads a clock or draws random numbers.
+"""
+
+from jacinthreel_steps._context import DecisionLog, StopOrder, run_name
+from jacinthreel_steps._model import (
+    EndReason,
+    ExecutorListing,
+    ExecutorReport,
+    JobRecord,
+    JobSpec,
+    JobState,
+    Policy,
+    QueueTerms,
+    ReportedEnd,
+    ReportedRun,
+    Resources,
+    RunId,
+    StartOutcome,
+    StepSpec,
+    TaskId,
+)
+from jacinthreel_steps._order import objective_ms
+from jacinthreel_steps._progress_rows import decode_progress_state, progress_write_id
+from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
+from jacinthreel_steps._tables import Executor, Job, Run, RunState
+
+__all__ = [
+    "DecisionLog",
+    "EndReason",
+    "Executor",
+    "ExecutorListing",
+    "ExecutorReport",
+    "Job",
+    "JobRecord",
+    "JobSpec",
+    "JobState",
+    "Policy",
+    "QueueTerms",
+    "ReportedEnd",
+    "ReportedRun",
+    "Resources",
+    "Run",
+    "RunId",
+    "RunState",
+    "Scheduler",
+    "StartOutcome",
+    "StepSpec",
+    "StopOrder",
+    "StoredProgress",
+    "TaskId",
+    "UnstoredRow",
+    "decode_progress_state",
+    "objective_ms",
+    "progress_write_id",
+    "run_name",
+]
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -0,0 +1,45 @@
+"""What every part of the scheduler works on: the tables, the orders to send and the log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from jacinthreel_steps._model import RunId
+from jacinthreel_steps._tables import Run, Tables
+
+DecisionLog = Callable[[str, dict[str, Any]], None]
+"""Writes one structured line: the name of the event and its fields."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopOrder:
+    """Tells an executor to end a run and never to start it."""
+
+    executor_id: str
+    incarnation: int
+    run_id: RunId
+
+
+@dataclass(slots=True)
+class Orders:
+    """Orders that the driver takes out and sends."""
+
+    starts: list[Run] = field(default_factory=list)
+    stops: list[StopOrder] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Context:
+    """The tables, pending orders and the log."""
+
+    tables: Tables
+    orders: Orders
+    log: DecisionLog
+
+
+def run_name(run_id: RunId) -> str:
+    """A run in log lines: job, step, task and run number."""
+    task = run_id.task
+    return f"{task.job_id}.{task.step_index}.{task.task_index}#{run_id.number}"
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_progress_rows.py
@@ -0,0 +1,126 @@
+"""The stored progress of a job.
+
+A row holds, for each task, the newest run number, where that run was placed, failures, whether
+it is done and its checkpoint.  Executors are written once a row and referred to by position.  A
+row is enough for a new owner to go on: what else it needs, executors report.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jacinthreel_steps._model import JobState, Resources, RunId
+from jacinthreel_steps._tables import Job, Run, RunState, Task
+
+NOT_PLACED = -1
+
+
+class TaskRow(msgspec.Struct, array_like=True, frozen=True):
+    """A task; `executor` is a position in the row's executors or `NOT_PLACED`."""
+
+    run_number: int
+    executor: int
+    failures: int
+    is_done: bool
+    checkpoint: str
+
+
+class StepRow(msgspec.Struct, array_like=True, frozen=True):
+    """A step's tasks, in order, and the last run whose failure was counted."""
+
+    counted_failure_run: int
+    tasks: list[TaskRow]
+
+
+class ProgressRow(msgspec.Struct, array_like=True, frozen=True):
+    """The progress of a job; `write_id` tells one write from all others."""
+
+    write_id: str
+    state: int
+    executors: list[tuple[str, int]]
+    steps: list[StepRow]
+
+
+_decoder = msgspec.msgpack.Decoder(ProgressRow)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_progress(job: Job, write_id: str) -> bytes:
+    """Writes the progress of a job."""
+    positions: dict[tuple[str, int], int] = {}
+    steps: list[StepRow] = []
+    for step in job.steps:
+        tasks = [_task_row(task, positions) for task in step.tasks]
+        steps.append(StepRow(step.counted_failure_run, tasks))
+    return _encoder.encode(ProgressRow(write_id, int(job.state), list(positions), steps))
+
+
+def decode_progress(value: bytes) -> ProgressRow | None:
+    """Reads a row, or None if it can't be read."""
+    try:
+        return _decoder.decode(value)
+    except msgspec.DecodeError:
+        return None
+
+
+def progress_write_id(value: bytes) -> str | None:
+    """The write id of a stored row, or None if it can't be read."""
+    row = decode_progress(value)
+    return row.write_id if row is not None else None
+
+
+def decode_progress_state(value: bytes) -> JobState | None:
+    """The job state in a stored row, or None if it can't be read."""
+    row = decode_progress(value)
+    return JobState(row.state) if row is not None else None
+
+
+def restore_progress(job: Job, row: ProgressRow, now_ms: int) -> bool:
+    """Sets a fresh job to its stored progress; false where the row doesn't fit the job."""
+    if len(row.steps) != len(job.steps):
+        return False
+    if any(
+        len(stored.tasks) != len(step.tasks)
+        for stored, step in zip(row.steps, job.steps, strict=True)
+    ):
+        return False
+    job.state = JobState(row.state)
+    job.visible_state = job.state
+    job.has_begun = job.state is not JobState.QUEUED
+    for stored, step in zip(row.steps, job.steps, strict=True):
+        step.counted_failure_run = stored.counted_failure_run
+        for task_row, task in zip(stored.tasks, step.tasks, strict=True):
+            _restore_task(task, task_row, row, step.spec.shape, now_ms)
+    return True
+
+
+def _task_row(task: Task, positions: dict[tuple[str, int], int]) -> TaskRow:
+    executor = NOT_PLACED
+    run = task.run
+    if run is not None and run.state is not RunState.CLAIMED:
+        place = (run.executor_id, run.incarnation)
+        executor = positions.setdefault(place, len(positions))
+    return TaskRow(task.run_number, executor, task.failures, task.is_done, task.checkpoint)
+
+
+def _restore_task(
+    task: Task, row: TaskRow, progress: ProgressRow, shape: Resources, now_ms: int
+) -> None:
+    task.run_number = row.run_number
+    task.failures = row.failures
+    task.is_done = row.is_done
+    task.checkpoint = row.checkpoint
+    if row.executor == NOT_PLACED or not 0 <= row.executor < len(progress.executors):
+        return
+    executor_id, incarnation = progress.executors[row.executor]
+    task.run = Run(
+        RunId(task.task_id, row.run_number),
+        executor_id,
+        incarnation,
+        shape,
+        RunState.STARTING,
+        now_ms,
+        is_recovered=True,
+        changed_ms=now_ms,
+        checkpoint=row.checkpoint,
+    )
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_reports.py
@@ -0,0 +1,147 @@
+"""Comparing what an executor reports with what the tables hold.
+
+Ends are applied once each, in order of their sequence.  A run that a report doesn't mention is
+gone if the executor had confirmed its start, or confirmed a stop, before the report was asked
+for; or if an earlier owner placed it, because the executor takes no orders of an earlier owner
+once it has answered this one.  A run that the tables don't hold is stopped.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_steps._context import Context, StopOrder, run_name
+from jacinthreel_steps._lifecycle import end_run, mark_done, send_stop, stop_run
+from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
+from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
+
+STOP_REPEAT_MS: Final = 500
+
+
+def take_report(context: Context, executor: Executor, report: ExecutorReport, now_ms: int) -> None:
+    """Applies a report of the executor's present incarnation."""
+    executor.heard_ms = now_ms
+    ended: set[RunId] = set()
+    for end in sorted(report.ended, key=lambda item: item.sequence):
+        ended.add(end.run_id)
+        if end.sequence > executor.seen_upto:
+            _apply_end(context, executor, end, now_ms)
+    running: set[RunId] = set()
+    for reported in report.running:
+        running.add(reported.run_id)
+        _apply_running(context, executor, reported, now_ms)
+    for run in list(executor.runs_by_task.values()):
+        if run.run_id in running or run.run_id in ended:
+            continue
+        if _is_gone(run, report.sent_ms):
+            _drop(context, run, now_ms)
+    executor.is_reported = True
+
+
+def lose_runs(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
+    """All that the executor held has ended without a word."""
+    for run in list(executor.runs_by_task.values()):
+        lose_run(context, run, reason, now_ms)
+
+
+def lose_run(context: Context, run: Run, reason: str, now_ms: int) -> None:
+    """A run has ended without a word."""
+    context.log(
+        "run_lost",
+        {
+            "job_id": run.run_id.task.job_id,
+            "run": run_name(run.run_id),
+            "executor": run.executor_id,
+            "reason": reason,
+        },
+    )
+    end_run(context, run, EndReason.LAPSED, "", now_ms)
+
+
+def advance_acknowledged(context: Context, executor: Executor) -> int:
+    """The highest end up to which all are stored; those may be forgotten by the executor."""
+    stored = 0
+    for pending in executor.pending_ends:
+        job = context.tables.jobs_by_id.get(pending.job_id)
+        if job is not None and job.stored_revision < pending.revision:
+            break
+        executor.acked_upto = pending.sequence
+        stored += 1
+    del executor.pending_ends[:stored]
+    return executor.acked_upto
+
+
+def _apply_end(context: Context, executor: Executor, end: ReportedEnd, now_ms: int) -> None:
+    executor.seen_upto = end.sequence
+    tables = context.tables
+    task = tables.task(end.run_id.task)
+    job = tables.jobs_by_id.get(end.run_id.task.job_id)
+    if task is None or job is None:
+        executor.pending_ends.append(PendingEnd(end.sequence, end.run_id.task.job_id, 0))
+        return
+    run = task.run
+    if run is not None and run.run_id == end.run_id and run.executor_id == executor.executor_id:
+        end_run(context, run, end.reason, end.checkpoint, now_ms)
+    elif end.reason is EndReason.DONE and not task.is_done and not job.state.is_final:
+        # An older run that was given up on has finished the work after all.
+        step = job.steps[end.run_id.task.step_index]
+        mark_done(context, job, step, task, now_ms)
+        if run is not None:
+            stop_run(context, run, now_ms)
+        tables.touch(job)
+    executor.pending_ends.append(PendingEnd(end.sequence, job.job_id, job.revision))
+
+
+def _apply_running(
+    context: Context, executor: Executor, reported: ReportedRun, now_ms: int
+) -> None:
+    run = executor.runs_by_task.get(reported.run_id.task)
+    if run is None or run.run_id != reported.run_id:
+        _stop_unknown(context, executor, reported.run_id)
+        return
+    run.is_recovered = False
+    run.seen_incarnation = executor.listing.incarnation
+    if reported.percent != run.percent or run.confirmed_ms is None:
+        run.changed_ms = now_ms
+    run.percent = reported.percent
+    run.checkpoint = reported.checkpoint or run.checkpoint
+    run.confirmed_ms = run.confirmed_ms if run.confirmed_ms is not None else now_ms
+    match run.state:
+        case RunState.STARTING:
+            run.state = RunState.RUNNING
+        case RunState.STOPPING:
+            if run.stop_sent_ms is None or now_ms - run.stop_sent_ms >= STOP_REPEAT_MS:
+                send_stop(context, run, now_ms)
+        case _:
+            pass
+
+
+def _stop_unknown(context: Context, executor: Executor, run_id: RunId) -> None:
+    context.log(
+        "unknown_run_stopped",
+        {
+            "job_id": run_id.task.job_id,
+            "run": run_name(run_id),
+            "executor": executor.executor_id,
+        },
+    )
+    context.orders.stops.append(
+        StopOrder(executor.executor_id, executor.listing.incarnation, run_id)
+    )
+
+
+def _is_gone(run: Run, sent_ms: int) -> bool:
+    if run.is_recovered:
+        return True
+    match run.state:
+        case RunState.RUNNING:
+            return run.confirmed_ms is not None and run.confirmed_ms < sent_ms
+        case RunState.STOPPING:
+            return run.stop_confirmed_ms is not None and run.stop_confirmed_ms < sent_ms
+        case _:
+            return False
+
+
+def _drop(context: Context, run: Run, now_ms: int) -> None:
+    reason = EndReason.STOPPED if run.state is RunState.STOPPING else EndReason.LAPSED
+    end_run(context, run, reason, "", now_ms)
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_room.py
@@ -0,0 +1,171 @@
+"""Which executors may run a step, and where its tasks fit.
+
+Placement is best fit: a task goes where the least room is left over, so that whole executors
+stay free for tasks that need one.  A gang that wants one rack goes to the rack whose fitting
+room is the tightest.  Answers the load of many small tasks beside few that fill executors or
+racks: spread out, the small ones would leave no executor whole.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jacinthreel_steps._executor_health import is_suspect
+from jacinthreel_steps._model import Resources, StepSpec
+from jacinthreel_steps._tables import Executor, Step, Tables, Task
+
+CPU_WEIGHT = 0.5  # Of left over processor against accelerators.
+
+Placement = list[tuple[Task, str]]
+"""Tasks with the id of the executor that each is placed on."""
+
+
+@dataclass(slots=True)
+class Candidate:
+    """An executor that may run a step; `slots_left` is its limit on tasks of the step."""
+
+    executor: Executor
+    room: Resources
+    slots_left: int
+    is_second_choice: bool
+
+    def fits(self, shape: Resources) -> int:
+        """How many more tasks of the shape fit."""
+        return min(self.slots_left, shape.times_within(self.room))
+
+    def take(self, shape: Resources) -> None:
+        """Uses the room of one task."""
+        self.room = self.room.minus(shape)
+        self.slots_left -= 1
+
+
+@dataclass(slots=True)
+class UsableExecutors:
+    """The executors that take new work at one moment, by service."""
+
+    by_service: dict[str, list[Executor]] = field(default_factory=dict)
+
+
+def usable_executors(tables: Tables, now_ms: int, silence_limit_ms: int) -> UsableExecutors:
+    """All executors that take new work now."""
+    usable = UsableExecutors()
+    for executor in tables.executors_by_id.values():
+        if not executor.is_listed or not executor.is_reported or executor.listing.is_draining:
+            continue
+        if executor.listing.zone in tables.policy.zones_out_of_service:
+            continue
+        if executor.health.avoid_until_ms > now_ms or now_ms - executor.heard_ms > silence_limit_ms:
+            continue
+        usable.by_service.setdefault(executor.listing.service, []).append(executor)
+    return usable
+
+
+def candidates_for(step: Step, executors: list[Executor], now_ms: int) -> list[Candidate]:
+    """The executors among those given that may run the step."""
+    spec = step.spec
+    placed_by_executor = _placed_by_executor(step) if spec.max_per_executor else {}
+    failed_on = {task.failed_on for task in step.tasks if task.failed_on and not task.is_done}
+    found: list[Candidate] = []
+    for executor in executors:
+        if spec.required_label and spec.required_label not in executor.listing.labels:
+            continue
+        slots_left = spec.count
+        if spec.max_per_executor:
+            placed = placed_by_executor.get(executor.executor_id, 0)
+            slots_left = spec.max_per_executor - placed
+        second = executor.executor_id in failed_on or is_suspect(executor, now_ms)
+        found.append(Candidate(executor, executor.room, slots_left, second))
+    return found
+
+
+def place_singles(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement:
+    """Places as many independent tasks as fit."""
+    placement: Placement = []
+    for task in tasks:
+        best = best_fit(step.spec, candidates)
+        if best is None:
+            break
+        best.take(step.spec.shape)
+        placement.append((task, best.executor.executor_id))
+    return placement
+
+
+def place_gang(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement | None:
+    """Places all tasks, on one rack where the step wants that; None where they don't fit."""
+    shape = step.spec.shape
+    if not step.spec.wants_one_rack:
+        return _place_all(step, tasks, candidates)
+    best: list[Candidate] | None = None
+    best_fits = 0
+    for rack_candidates in by_rack(candidates).values():
+        fits = sum(candidate.fits(shape) for candidate in rack_candidates)
+        if fits < len(tasks):
+            continue
+        if best is None or fits < best_fits:
+            best, best_fits = rack_candidates, fits
+    return _place_all(step, tasks, best) if best is not None else None
+
+
+def by_rack(candidates: list[Candidate]) -> dict[str, list[Candidate]]:
+    """Candidates grouped by rack."""
+    grouped: dict[str, list[Candidate]] = {}
+    for candidate in candidates:
+        grouped.setdefault(candidate.executor.listing.rack, []).append(candidate)
+    return grouped
+
+
+def best_fit(spec: StepSpec, candidates: list[Candidate]) -> Candidate | None:
+    """The candidate that fits a task and has the least left over."""
+    best: Candidate | None = None
+    best_key: tuple[bool, bool, float] | None = None
+    for candidate in candidates:
+        if candidate.fits(spec.shape) < 1:
+            continue
+        is_far = bool(spec.rack_near_data) and (
+            candidate.executor.listing.rack != spec.rack_near_data
+        )
+        key = (candidate.is_second_choice, is_far, _left_over(candidate, spec.shape))
+        if best_key is None or key < best_key:
+            best, best_key = candidate, key
+    return best
+
+
+def fits_when_empty(step: Step, executors: list[Executor], count: int) -> bool:
+    """Whether `count` tasks would fit on one rack if nothing else ran there."""
+    fits_by_rack: dict[str, int] = {}
+    for executor in executors:
+        fits = step.spec.shape.times_within(executor.listing.capacity)
+        if step.spec.max_per_executor:
+            fits = min(fits, step.spec.max_per_executor)
+        rack = executor.listing.rack
+        fits_by_rack[rack] = fits_by_rack.get(rack, 0) + fits
+    return any(fits >= count for fits in fits_by_rack.values())
+
+
+def _place_all(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement | None:
+    total = 0
+    for candidate in candidates:
+        total += candidate.fits(step.spec.shape)
+        if total >= len(tasks):
+            break
+    if total < len(tasks):
+        return None
+    placement = place_singles(step, tasks, candidates)
+    return placement if len(placement) == len(tasks) else None
+
+
+def _left_over(candidate: Candidate, shape: Resources) -> float:
+    """The share of an executor that stays free behind the task; accelerators weigh most."""
+    capacity = candidate.executor.listing.capacity
+    accelerators = candidate.room.accelerators - shape.accelerators
+    cpu = candidate.room.cpu_milli - shape.cpu_milli
+    left = accelerators / max(1, capacity.accelerators)
+    return left + CPU_WEIGHT * cpu / max(1, capacity.cpu_milli)
+
+
+def _placed_by_executor(step: Step) -> dict[str, int]:
+    placed: dict[str, int] = {}
+    for task in step.tasks:
+        if task.run is not None:
+            placed[task.run.executor_id] = placed.get(task.run.executor_id, 0) + 1
+    return placed
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -0,0 +1,336 @@
+"""The scheduler of stepped jobs: events in, orders and rows out.
+
+The scheduler does no I/O and reads no clock.  Its driver hands it events with the time, calls
+`plan` after them, stores the rows that `take_unstored` returns and reports them stored, and sends
+the orders.  Phases of a run: placed in memory, stored, ordered, confirmed, ended, end stored, end
+acknowledged.
+
+Invariants: a start is ordered only after the placement is stored; an end is acknowledged only
+after it is stored; callers see a state only after it is stored.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Final
+
+from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder, run_name
+from jacinthreel_steps._executor_health import NO_ROOM_AVOID_MS, UNHEALTHY_AVOID_MS, avoid
+from jacinthreel_steps._lifecycle import end_run, finish_job, release_run, stop_gang, stop_run
+from jacinthreel_steps._model import (
+    EndReason,
+    ExecutorListing,
+    ExecutorReport,
+    JobRecord,
+    JobState,
+    Policy,
+    StartOutcome,
+)
+from jacinthreel_steps._planner import plan
+from jacinthreel_steps._progress_rows import decode_progress, encode_progress, restore_progress
+from jacinthreel_steps._reports import advance_acknowledged, lose_run, lose_runs, take_report
+from jacinthreel_steps._stalls import stop_stalled
+from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
+
+START_RETRY_LIMIT_MS: Final = 1_500  # Past this an unanswered start is stopped instead.
+
+
+@dataclass(frozen=True, slots=True)
+class UnstoredRow:
+    """Progress of a job to store; `version` is that of the row to replace, 0 for none."""
+
+    job_id: str
+    revision: int
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StoredProgress:
+    """A stored progress row and its version."""
+
+    value: bytes
+    version: int
+
+
+class Scheduler:
+    """Decides for all jobs of one shard."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        self.tables = Tables()
+        self._context = Context(self.tables, Orders(), log)
+
+    def apply_policy(self, policy: Policy) -> None:
+        """Puts a newer policy in force; older ones are passed over."""
+        self.tables.policy = policy
+
+    def add_job(
+        self, record: JobRecord, progress: StoredProgress | None, accepted_ms: int, now_ms: int
+    ) -> bool:
+        """Takes a job in, with its progress after a takeover; false where it is known already."""
+        if record.job_id in self.tables.jobs_by_id:
+            return False
+        job = make_job(record, accepted_ms)
+        if progress is not None:
+            job.stored_version = progress.version
+            row = decode_progress(progress.value)
+            if row is None or not restore_progress(job, row, now_ms):
+                self._context.log("progress_unreadable", {"job_id": record.job_id})
+                return False
+        self.tables.jobs_by_id[job.job_id] = job
+        if not job.state.is_final:
+            self.tables.open_jobs_by_id[job.job_id] = job
+        for run in job.live_runs():
+            if job.state.is_final:
+                run.state = RunState.STOPPING  # The executor's first report sends the stop.
+            self._adopt(run)
+        return True
+
+    def cancel(self, job_id: str, now_ms: int) -> None:
+        """Cancels a job; jobs that have ended stay as they are."""
+        job = self.tables.open_jobs_by_id.get(job_id)
+        if job is not None:
+            finish_job(self._context, job, JobState.CANCELLED, now_ms)
+
+    def apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
+        """Takes note of what an executor says of itself."""
+        executor = self.tables.executors_by_id.get(listing.executor_id)
+        if executor is None:
+            executor = Executor(listing, heard_ms=now_ms)
+            self.tables.executors_by_id[listing.executor_id] = executor
+            self._attach_recovered(executor, now_ms)
+            return
+        executor.is_listed = True
+        if listing.incarnation > executor.listing.incarnation:
+            self._start_new_life(executor, listing, now_ms)
+        elif listing.incarnation == executor.listing.incarnation:
+            executor.listing = listing
+
+    def remove_listing(self, executor_id: str) -> None:
+        """The registry has no entry any more; what runs there may go on for a while."""
+        executor = self.tables.executors_by_id.get(executor_id)
+        if executor is not None:
+            executor.is_listed = False
+
+    def expire_executor(self, executor_id: str, now_ms: int) -> None:
+        """The lease of all that ran there has lapsed, and the executor is out of reach."""
+        executor = self.tables.executors_by_id.get(executor_id)
+        if executor is None:
+            return
+        lose_runs(self._context, executor, "lease lapsed", now_ms)
+        executor.is_reported = False
+        if not executor.is_listed:
+            del self.tables.executors_by_id[executor_id]
+
+    def expire_orphans(self, now_ms: int) -> None:
+        """Ends recovered runs whose executor never came back.
+
+        Called once everything that an earlier owner started has certainly ended.
+        """
+        for job in list(self.tables.jobs_by_id.values()):
+            for run in job.live_runs():
+                if run.is_recovered and run.executor_id not in self.tables.executors_by_id:
+                    end_run(self._context, run, EndReason.LAPSED, "", now_ms)
+
+    def take_report(self, executor_id: str, report: ExecutorReport, now_ms: int) -> None:
+        """Applies what an executor reports."""
+        executor = self.tables.executors_by_id.get(executor_id)
+        if executor is None or report.incarnation < executor.listing.incarnation:
+            return
+        if report.incarnation > executor.listing.incarnation:
+            self._start_new_life(executor, executor.listing, now_ms, report.incarnation)
+        take_report(self._context, executor, report, now_ms)
+        for reported in report.running:
+            job = self.tables.jobs_by_id.get(reported.run_id.task.job_id)
+            if job is not None:
+                job.has_begun = True
+
+    def start_answered(self, run: Run, outcome: StartOutcome, now_ms: int) -> None:
+        """Takes the answer to an order to start `run`."""
+        task = self.tables.task(run.run_id.task)
+        executor = self.tables.executors_by_id.get(run.executor_id)
+        if task is None or executor is None or task.run is not run:
+            return
+        match outcome:
+            case StartOutcome.STARTED:
+                self._confirm(run, now_ms)
+            case StartOutcome.UNKNOWN:
+                self._retry_start(run, now_ms)
+            case _:
+                self._refuse_start(executor, run, outcome, now_ms)
+
+    def stop_answered(self, order: StopOrder, now_ms: int) -> None:
+        """The executor has confirmed a stop: it never starts that run any more."""
+        task = self.tables.task(order.run_id.task)
+        if task is None or task.run is None or task.run.run_id != order.run_id:
+            return
+        task.run.stop_confirmed_ms = now_ms
+
+    def plan(self, now_ms: int) -> None:
+        """Decides on all that is open."""
+        stop_stalled(self._context, now_ms)
+        plan(self._context, now_ms)
+
+    def take_starts(self) -> list[Run]:
+        """The starts to order since the last call; runs that ended meanwhile are left out."""
+        starts = self._context.orders.starts
+        self._context.orders.starts = []
+        return [run for run in starts if run.state is RunState.STARTING]
+
+    def take_stops(self) -> list[StopOrder]:
+        """The stops to order since the last call."""
+        stops = self._context.orders.stops
+        self._context.orders.stops = []
+        return stops
+
+    def take_unstored(self, limit: int, write_id: str) -> list[UnstoredRow]:
+        """Up to `limit` rows to store."""
+        rows: list[UnstoredRow] = []
+        for job_id in list(self.tables.unstored_job_ids)[:limit]:
+            del self.tables.unstored_job_ids[job_id]
+            job = self.tables.jobs_by_id.get(job_id)
+            if job is None or job.stored_revision >= job.revision:
+                continue
+            value = encode_progress(job, write_id)
+            rows.append(UnstoredRow(job_id, job.revision, job.stored_version, value))
+        return rows
+
+    def mark_stored(self, row: UnstoredRow, version: int, now_ms: int) -> None:
+        """A row has been stored: starts that waited for it are ordered."""
+        job = self.tables.jobs_by_id.get(row.job_id)
+        if job is None:
+            return
+        job.stored_revision = row.revision
+        job.stored_version = version
+        if job.revision == row.revision:
+            job.visible_state = job.state
+        elif job.visible_state is JobState.QUEUED:
+            job.visible_state = JobState.RUNNING
+        for run in job.live_runs():
+            if run.state is RunState.PLACED and run.needed_revision <= row.revision:
+                run.state = RunState.STARTING
+                run.placed_ms = now_ms
+                self._context.orders.starts.append(run)
+
+    def mark_unstored(self, row: UnstoredRow) -> None:
+        """A row was certainly not stored; it is handed out again."""
+        self.tables.unstored_job_ids[row.job_id] = None
+
+    def acknowledged_upto(self, executor_id: str) -> int:
+        """The highest end that the executor may forget."""
+        return advance_acknowledged(self._context, self.tables.executors_by_id[executor_id])
+
+    def has_unstored_ends(self, executor_id: str) -> bool:
+        """Whether ends of the executor wait to be stored."""
+        advance_acknowledged(self._context, self.tables.executors_by_id[executor_id])
+        return bool(self.tables.executors_by_id[executor_id].pending_ends)
+
+    def waiting_by_queue(self) -> dict[str, int]:
+        """How many open jobs of each queue have not begun."""
+        counts: dict[str, int] = {}
+        for job in self.tables.open_jobs_by_id.values():
+            if not job.has_begun:
+                name = job.record.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def forget_ended(self, before_ms: int) -> list[str]:
+        """Drops jobs that ended before `before_ms` and are stored; returns their ids."""
+        forgotten: list[str] = []
+        for job in list(self.tables.jobs_by_id.values()):
+            if not job.state.is_final or job.ended_ms >= before_ms or job.live_runs():
+                continue
+            if job.stored_revision < job.revision:
+                continue
+            del self.tables.jobs_by_id[job.job_id]
+            forgotten.append(job.job_id)
+        return forgotten
+
+    def _adopt(self, run: Run) -> None:
+        executor = self.tables.executors_by_id.get(run.executor_id)
+        if executor is not None:
+            executor.add_run(run)
+
+    def _attach_recovered(self, executor: Executor, now_ms: int) -> None:
+        """Lists runs that were restored before their executor was known."""
+        for job in self.tables.jobs_by_id.values():
+            for run in job.live_runs():
+                if run.executor_id == executor.executor_id:
+                    executor.add_run(run)
+        self._drop_older_lives(executor, now_ms)
+
+    def _start_new_life(
+        self,
+        executor: Executor,
+        listing: ExecutorListing,
+        now_ms: int,
+        incarnation: int | None = None,
+    ) -> None:
+        """The executor has started anew and holds nothing of before."""
+        executor.listing = replace(listing, incarnation=incarnation or listing.incarnation)
+        executor.seen_upto = 0
+        executor.acked_upto = 0
+        executor.pending_ends.clear()
+        executor.is_reported = False
+        executor.lease_end_ms = 0
+        self._drop_older_lives(executor, now_ms)
+
+    def _drop_older_lives(self, executor: Executor, now_ms: int) -> None:
+        """Ends what an earlier life was seen to run; a report tells of the rest."""
+        for run in list(executor.runs_by_task.values()):
+            if 0 < run.seen_incarnation < executor.listing.incarnation:
+                lose_run(self._context, run, "executor restarted", now_ms)
+
+    def _confirm(self, run: Run, now_ms: int) -> None:
+        run.confirmed_ms = now_ms
+        if run.state is RunState.STARTING:
+            run.state = RunState.RUNNING
+            run.changed_ms = now_ms
+        self.tables.jobs_by_id[run.run_id.task.job_id].has_begun = True
+
+    def _retry_start(self, run: Run, now_ms: int) -> None:
+        run.is_doubtful = True
+        if run.state is not RunState.STARTING:
+            return
+        if now_ms - run.placed_ms < START_RETRY_LIMIT_MS:
+            self._context.orders.starts.append(run)
+            return
+        self._give_up(run, now_ms)
+
+    def _refuse_start(
+        self, executor: Executor, run: Run, outcome: StartOutcome, now_ms: int
+    ) -> None:
+        self._context.log(
+            "start_refused",
+            {
+                "job_id": run.run_id.task.job_id,
+                "run": run_name(run.run_id),
+                "executor": run.executor_id,
+                "outcome": outcome.name.lower(),
+                "doubtful": run.is_doubtful,
+            },
+        )
+        match outcome:
+            case StartOutcome.REFUSED_NO_ROOM:
+                avoid(executor, NO_ROOM_AVOID_MS, "no room", now_ms, self._context.log)
+            case StartOutcome.REFUSED_UNHEALTHY:
+                avoid(executor, UNHEALTHY_AVOID_MS, "unhealthy", now_ms, self._context.log)
+            case _:
+                pass
+        if run.state is not RunState.STARTING:
+            return
+        self._give_up(run, now_ms)
+
+    def _give_up(self, run: Run, now_ms: int) -> None:
+        """Ends a run whose start failed; its gang can't go on without it."""
+        task = self.tables.task(run.run_id.task)
+        assert task is not None
+        job = self.tables.jobs_by_id[run.run_id.task.job_id]
+        step = job.steps[run.run_id.task.step_index]
+        if run.is_doubtful:
+            stop_run(self._context, run, now_ms)
+        else:
+            release_run(self._context, task, run)
+            self.tables.touch(job)
+        if step.spec.is_gang:
+            stop_gang(self._context, step, run.run_id.number, now_ms)
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_stalls.py
@@ -0,0 +1,40 @@
+"""Finding runs that make no progress.
+
+A run is stalled when its executor goes on reporting it and its progress has not changed for
+`STALL_LIMIT_MS`.  An executor on which every run is stalled is taken out of use, and what runs
+there is stopped, so that it is done elsewhere.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._executor_health import STALLED_AVOID_MS, avoid
+from jacinthreel_steps._lifecycle import stop_run
+from jacinthreel_steps._tables import Executor, Run, RunState
+
+STALL_LIMIT_MS: Final = 2_500
+ESTIMATES_PER_STALL: Final = 0.1  # Progress is reported in whole percent, late on slow executors.
+
+
+def stop_stalled(context: Context, now_ms: int) -> None:
+    """Stops what runs on stalled executors."""
+    for executor in context.tables.executors_by_id.values():
+        if not executor.runs_by_task or executor.health.avoid_until_ms > now_ms:
+            continue
+        runs = [run for run in executor.runs_by_task.values() if run.state is RunState.RUNNING]
+        if not runs or not all(_is_stalled(context, executor, run) for run in runs):
+            continue
+        avoid(executor, STALLED_AVOID_MS, "no progress", now_ms, context.log)
+        for run in runs:
+            stop_run(context, run, now_ms)
+
+
+def _is_stalled(context: Context, executor: Executor, run: Run) -> bool:
+    job = context.tables.jobs_by_id.get(run.run_id.task.job_id)
+    if job is None or run.confirmed_ms is None:
+        return False
+    spec = job.steps[run.run_id.task.step_index].spec
+    limit_ms = max(STALL_LIMIT_MS, ESTIMATES_PER_STALL * spec.estimate_ms)
+    return executor.heard_ms - run.changed_ms > limit_ms
