--- a/packages/steps/src/jacinthreel_steps/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_progress_rows.py
@@ -86,6 +86,7 @@
         return False
     job.state = JobState(row.state)
     job.visible_state = job.state
+    job.ended_ms = now_ms  # The state of an ended job is kept from the takeover on.
     job.has_begun = job.state is not JobState.QUEUED
     for stored, step in zip(row.steps, job.steps, strict=True):
         step.counted_failure_run = stored.counted_failure_run
--- /dev/null
+++ b/packages/steps/tests/steps_world.py
@@ -0,0 +1,165 @@
+"""A small world for the scheduler's tests: jobs by a few words, executors, and a driver."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from jacinthreel_steps import (
+    EndReason,
+    ExecutorListing,
+    ExecutorReport,
+    JobRecord,
+    JobSpec,
+    Policy,
+    QueueTerms,
+    ReportedEnd,
+    ReportedRun,
+    Resources,
+    Run,
+    Scheduler,
+    StartOutcome,
+    StepSpec,
+    StopOrder,
+    StoredProgress,
+    UnstoredRow,
+)
+
+SERVICE = "scan"
+CAPACITY = Resources(128_000, 512_000, 8)
+
+
+def queue(priority: int = 1, max_attempts: int = 3, stretch: float = 3.0) -> QueueTerms:
+    return QueueTerms(f"q{priority}", SERVICE, priority, max_attempts, stretch, 1_000)
+
+
+def step(count: int = 1, accelerators: int = 1, **options: Any) -> StepSpec:
+    return StepSpec(count, Resources(1_000, 1_000, accelerators), 5_000, **options)
+
+
+def listing(name: str, rack: str = "r1", zone: str = "z1", **options: Any) -> ExecutorListing:
+    return ExecutorListing(
+        name,
+        options.pop("incarnation", 1),
+        "10.0.0.1:80",
+        SERVICE,
+        zone,
+        rack,
+        frozenset({"a", rack}),
+        CAPACITY,
+        **options,
+    )
+
+
+class World:
+    """A scheduler whose rows are stored and whose orders are carried out by small executors."""
+
+    def __init__(self, *executors: ExecutorListing, policy: Policy | None = None) -> None:
+        self.now_ms = 1_000_000
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+        self.rows: dict[str, StoredProgress] = {}
+        self.records: dict[str, JobRecord] = {}
+        self.running: dict[str, dict[str, Run]] = {}
+        self.ends: dict[str, list[ReportedEnd]] = {}
+        self.percents: dict[str, int] = {}
+        self.started: list[Run] = []
+        self.version = 0
+        self.policy = policy or Policy(1)
+        self.listings = {executor.executor_id: executor for executor in executors}
+        self.scheduler = self._make()
+        for name in self.listings:
+            self.report(name)
+
+    def _make(self) -> Scheduler:
+        scheduler = Scheduler(lambda event, fields: self.lines.append((event, fields)))
+        scheduler.apply_policy(self.policy)
+        for executor in self.listings.values():
+            scheduler.apply_listing(executor, self.now_ms)
+        return scheduler
+
+    def submit(
+        self, job_id: str, *steps: StepSpec, terms: QueueTerms | None = None, workspace: str = "w"
+    ) -> None:
+        record = JobRecord(job_id, terms or queue(), workspace, JobSpec("x", steps), 0)
+        self.records[job_id] = record
+        self.scheduler.add_job(record, None, self.now_ms, self.now_ms)
+
+    def settle(self, store: bool = True) -> None:
+        """Plans, stores and carries orders out until nothing more follows."""
+        for _ in range(6):
+            self.scheduler.plan(self.now_ms)
+            if store:
+                self.store()
+            self.carry_out()
+            self.now_ms += 1
+
+    def store(self) -> list[UnstoredRow]:
+        rows = self.scheduler.take_unstored(100, f"w{self.version}")
+        self.version += 1
+        for row in rows:
+            self.rows[row.job_id] = StoredProgress(row.value, self.version)
+            self.scheduler.mark_stored(row, self.version, self.now_ms)
+        return rows
+
+    def carry_out(self) -> None:
+        for stop in self.scheduler.take_stops():
+            self.stop(stop)
+        for run in self.scheduler.take_starts():
+            self.started.append(run)
+            held = self.running.setdefault(run.executor_id, {})
+            held[str(run.run_id)] = run
+            self.scheduler.start_answered(run, StartOutcome.STARTED, self.now_ms)
+
+    def stop(self, stop: StopOrder) -> None:
+        held = self.running.get(stop.executor_id, {})
+        if held.pop(str(stop.run_id), None) is not None:
+            self._add_end(stop.executor_id, stop.run_id, EndReason.STOPPED, "")
+        self.scheduler.stop_answered(stop, self.now_ms)
+        self.now_ms += 1
+        self.report(stop.executor_id)
+
+    def end(self, run: Run, reason: EndReason, checkpoint: str = "") -> None:
+        self.running[run.executor_id].pop(str(run.run_id))
+        self._add_end(run.executor_id, run.run_id, reason, checkpoint)
+        self.report(run.executor_id)
+
+    def _add_end(self, name: str, run_id: Any, reason: EndReason, checkpoint: str) -> None:
+        ends = self.ends.setdefault(name, [])
+        ends.append(ReportedEnd(len(ends) + 1, run_id, reason, checkpoint))
+
+    def report(self, name: str, incarnation: int | None = None) -> None:
+        running = tuple(
+            ReportedRun(run.run_id, run.checkpoint, self.percents.get(name, 0))
+            for run in self.running.get(name, {}).values()
+        )
+        ended = tuple(self.ends.get(name, []))
+        life = incarnation or self.listings[name].incarnation
+        report = ExecutorReport(life, self.now_ms, running, ended)
+        self.scheduler.take_report(name, report, self.now_ms)
+
+    def report_all(self) -> None:
+        for name in self.listings:
+            self.report(name)
+
+    def pass_time(self, duration_ms: int, step_ms: int = 250) -> None:
+        """Lets time pass; executors report and the scheduler goes on."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            self.report_all()
+            self.scheduler.plan(self.now_ms)
+            self.store()
+            self.carry_out()
+
+    def take_over(self) -> None:
+        """A new owner reads what is stored; executors keep what they run."""
+        self.scheduler = self._make()
+        for job_id, record in self.records.items():
+            self.scheduler.add_job(record, self.rows.get(job_id), self.now_ms, self.now_ms)
+
+    def runs(self, job_id: str) -> list[Run]:
+        """The runs of a job that executors hold."""
+        held = [run for runs in self.running.values() for run in runs.values()]
+        return [run for run in held if run.run_id.task.job_id == job_id]
+
+    def state(self, job_id: str) -> str:
+        return self.scheduler.tables.jobs_by_id[job_id].visible_state.name.lower()
