--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -6,7 +6,8 @@
 Clocks: a lease ends at a time on the executor's clock, which may be up to `CLOCK_SLOWNESS` slow.
 From each answer the link knows a time that the executor's clock has certainly reached.  Leases
 are asked for from that time on, and everything on an executor that can't be reached has certainly
-ended once its clock must have passed the latest lease that it can have been sent.
+ended once its clock must have passed the latest lease that it can have been sent.  So a question
+that follows one without an answer asks for no lease.
 """
 
 from __future__ import annotations
@@ -44,6 +45,7 @@
 MAX_STOP_ATTEMPTS: Final = 4
 CLOCK_SLOWNESS: Final = 0.02
 LEASE_MARGIN_MS: Final = 200
+DRAINING_LEASE_MS: Final = 2_500  # What runs there is placed again the sooner after it has left.
 
 
 @dataclass(slots=True)
@@ -133,7 +135,7 @@
         question = ReportQuestion(
             context.epoch,
             context.scheduler.acknowledged_upto(self._executor_id),
-            self._lease_until_ms(),
+            None if self._is_lost else self._lease_until_ms(executor),
             0 if unstored or not executor.is_reported else REPORT_WAIT_MS,
         )
         match await context.gateway.report(self._target(executor), question):
@@ -169,11 +171,15 @@
             self._incarnation = executor.listing.incarnation
             self._clock = ExecutorClock()
 
-    def _lease_until_ms(self) -> int | None:
+    def _lease_until_ms(self, executor: Executor) -> int | None:
+        """Until when leases are asked for; short at an executor that is about to leave."""
         clock_ms = self._clock.at_least_ms(self._context.clock.now_ms())
         if clock_ms is None:
             return None
-        until_ms = clock_ms + self._context.task_lease_ms
+        lease_ms = self._context.task_lease_ms
+        if executor.listing.is_draining:
+            lease_ms = min(lease_ms, DRAINING_LEASE_MS)
+        until_ms = clock_ms + lease_ms
         self._clock.lease_until_ms = max(self._clock.lease_until_ms, until_ms)
         return until_ms
 
@@ -201,7 +207,7 @@
         executor = self._executor()
         if executor is None or run.state is not RunState.STARTING:
             return
-        until_ms = self._lease_until_ms()
+        until_ms = self._lease_until_ms(executor)
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
             return
--- /dev/null
+++ b/packages/node/tests/test_executor_link.py
@@ -0,0 +1,126 @@
+"""The exchange with one executor: leases, and what is given up when it can't be reached."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from node_fakes import HandClock, ToldExecutors
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import Fault, ResultCode
+from jacinthreel_node import ReportAnswer, ReportQuestion
+from jacinthreel_node._executor_link import ExecutorClock, ExecutorLink, LinkContext
+from jacinthreel_steps import (
+    ExecutorListing,
+    JobRecord,
+    JobSpec,
+    QueueTerms,
+    Resources,
+    Scheduler,
+    StepSpec,
+)
+
+LEASE_MS = 6_000
+CAPACITY = Resources(8_000, 8_000, 8)
+LISTING = ExecutorListing("e1", 1, "10.0.0.1:80", "s", "z", "r", frozenset(), CAPACITY)
+
+
+class Bench:
+    """A link to one executor that answers while `is_reachable`."""
+
+    def __init__(self, listing: ExecutorListing = LISTING) -> None:
+        self.clock = HandClock()
+        self.is_reachable = True
+        self.scheduler = Scheduler(lambda event, fields: None)
+        self.scheduler.apply_listing(listing, self.clock.now_ms())
+        self.gateway = ToldExecutors(self._report)
+        self.context = LinkContext(
+            self.gateway,
+            self.scheduler,
+            self.clock,
+            1,
+            LEASE_MS,
+            self.clock.now_ms() + 60_000,
+            _no_wait,
+            lambda: None,
+            lambda executor_id: None,
+            lambda event, fields: None,
+        )
+
+    def _report(self, question: ReportQuestion) -> Result[ReportAnswer, Fault]:
+        self.clock.time_ms += 10
+        if not self.is_reachable:
+            return Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply"))
+        return Success(ReportAnswer(self.clock.now_ms() - 900_000, 1, (), ()))
+
+    def place_task(self) -> None:
+        terms = QueueTerms("q", "s", 1, 3, 3.0, 1_000)
+        spec = JobSpec("x", (StepSpec(1, Resources(1, 1, 1)),))
+        now_ms = self.clock.now_ms()
+        self.scheduler.add_job(JobRecord("j1", terms, "w", spec, 0), None, now_ms, now_ms)
+        self.scheduler.plan(now_ms)
+
+    @property
+    def held(self) -> int:
+        return len(self.scheduler.tables.executors_by_id["e1"].runs_by_task)
+
+
+async def _no_wait(timeout_ms: int) -> None:
+    await asyncio.sleep(0)
+
+
+def play(bench: Bench, scenario: Callable[[Bench], Awaitable[None]]) -> None:
+    async def run() -> None:
+        link = ExecutorLink(bench.context, "e1")
+        try:
+            await scenario(bench)
+        finally:
+            link.close()
+
+    asyncio.run(run())
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(20):
+        await _poll(condition)
+
+
+async def _poll(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+def test_silent_executor_is_asked_for_no_lease() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.is_reachable = False
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 2)
+        assert bench.gateway.questions[asked - 1].lease_until_ms is not None
+        assert bench.gateway.questions[-1].lease_until_ms is None
+
+    play(Bench(), scenario)
+
+
+def test_runs_of_a_silent_executor_are_given_up_once_their_lease_has_lapsed() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.place_task()
+        bench.is_reachable = False
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 2)
+        assert bench.held == 1
+        bench.clock.time_ms += 2 * LEASE_MS
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 1)
+        assert bench.held == 0
+
+    play(Bench(), scenario)
+
+
+def test_slow_clock_lengthens_the_time_until_leases_have_lapsed() -> None:
+    clock = ExecutorClock()
+    clock.see(their_ms=500, our_ms=10_000)
+    clock.lease_until_ms = 6_500
+    assert clock.lease_end_ms(default_ms=0) > 10_000 + 6_000 * 1.02
