--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -191,12 +191,62 @@
 class OwnerHeartbeat:
     """Says that the sender owns the jobs under `epoch`, and how many jobs wait in each queue.
 
-    `resigned` is set on the last one of an owner that gives the jobs up.
+    `resigned` is set on the last one of an owner that gives the jobs up.  `lease_age_ms` is how
+    long ago the owner's lease was renewed; `policy_version` is that of the policy in force there.
     """
 
     epoch: int
     waiting_by_queue: dict[str, int] = field(default_factory=dict)
     resigned: bool = False
+    lease_age_ms: int = 0
+    policy_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row of the store, handed from one process to another; `value` is None if deleted."""
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeNotice:
+    """Tells the owner of a row of the intake that the sender has just stored."""
+
+    row: StoredRow
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeInsert:
+    """Asks a process that reaches the store to insert a row of the intake.
+
+    The reply's body is an `IntakeInserted`.
+    """
+
+    key: str
+    value: bytes
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeInserted:
+    """Whether the row is new; false where it was there before."""
+
+    is_new: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyPull:
+    """Asks a process for the operator's rows; the reply's body is a `PolicyRows`."""
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyRows:
+    """The operator's rows as the sender last read them."""
+
+    rows: list[StoredRow]
 
 
 MESSAGES_BY_KIND: Final[dict[str, type]] = {
@@ -216,5 +266,11 @@
         JobStateQuery,
         JobStateAnswer,
         OwnerHeartbeat,
+        StoredRow,
+        IntakeNotice,
+        IntakeInsert,
+        IntakeInserted,
+        PolicyPull,
+        PolicyRows,
     )
 }
--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -183,6 +183,14 @@
         left_ms = max(1, timeout_ms - (self._clock.now_ms() - started_ms))
         return await connection.call(message, left_ms)
 
+    def notify(self, address: str, port: int, message: object) -> bool:
+        """Sends a notice to a peer that is connected; says whether it is."""
+        link = self._links_by_address.get((address, port))
+        if link is None or link.connection is None or not link.connection.is_open:
+            return False
+        link.connection.notify(message)
+        return True
+
     def notify_all(self, message: object) -> None:
         """Sends a notice to every connected peer; never waits."""
         for connection in self.connections():
--- a/packages/node/src/jacinthreel_node/_election.py
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -4,8 +4,9 @@
 and executors refuse orders of an older epoch.  So a takeover is safe at any moment, and the rules
 here only keep it rare: a candidate takes over where there is no owner, where the owner's row
 names an earlier life of the same host, where the owner has resigned, or where the owner is silent
-on the streams and its lease row has not changed for `LEASE_MS` of the candidate's clock.  A read
-that fails restarts that watch, so that an outage of the store moves nothing.
+on the streams and its lease row has not changed for `LEASE_MS` of the candidate's clock.  An owner
+that can't renew its lease says so; the candidate then waits only for `ADMITTED_LAPSE_MS`.  A read
+that fails restarts the watch, so that an outage of the store moves nothing.
 """
 
 from __future__ import annotations
@@ -13,11 +14,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-LEASE_RENEWAL_MS: Final = 700
-LEASE_MS: Final = 2_000
-HEARTBEAT_MS: Final = 500
-SILENCE_MS: Final = 1_300
-STAGGER_MS: Final = 400
+LEASE_RENEWAL_MS: Final = 500
+LEASE_MS: Final = 1_300
+ADMITTED_LAPSE_MS: Final = 200
+HEARTBEAT_MS: Final = 250
+SILENCE_MS: Final = 800
+RENEWAL_OVERDUE_MS: Final = 1_200
+STAGGER_MS: Final = 300
 
 
 @dataclass(slots=True)
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -1,9 +1,10 @@
 """What a node does for callers: accepting, cancelling and showing jobs.
 
 A job is accepted by inserting its row; whoever owns the jobs finds it there.  An insert without a
-clear answer is repeated until there is one: the row's key makes it idempotent.  After an insert
-that may have taken effect the answer is never "not run".  States are asked of the owner; where it
-can't be reached they are read from the store.
+clear answer is repeated until there is one: the row's key makes it idempotent.  Where the store
+turns this host away, the owner is asked to insert.  After an insert that may have taken effect the
+answer is never "not run".  States are asked of the owner; where it can't be reached they are read
+from the store.
 """
 
 from __future__ import annotations
@@ -15,7 +16,18 @@
 
 from returns.result import Failure, Result, Success
 
-from jacinthreel_common import Fault, JobStateAnswer, JobStateQuery, ResultCode, convert
+from jacinthreel_common import (
+    Fault,
+    IntakeInsert,
+    IntakeInserted,
+    IntakeNotice,
+    JobStateAnswer,
+    JobStateQuery,
+    ResultCode,
+    StoredRow,
+    StreamReply,
+    convert,
+)
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry, StreamHub
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ports import (
@@ -38,7 +50,7 @@
 
 COMMIT_TIMEOUT_MS: Final = 900
 READ_TIMEOUT_MS: Final = 900
-OWNER_TIMEOUT_MS: Final = 500
+OWNER_TIMEOUT_MS: Final = 600
 RETRY_PAUSE_MS: Final = 100
 ANSWER_MARGIN_MS: Final = 150  # Left of a caller's deadline for the answer's way back.
 REFUSE_AFTER_MS: Final = 1_000  # While the store turns calls away, nobody is kept longer.
@@ -177,17 +189,49 @@
             left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
             timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
             match await self._store.commit(conditions, writes, timeout_ms):
-                case Success(Committed()):
+                case Success(Committed(version=version)):
+                    self._tell_owner(StoredRow(key, value, version))
                     return Success(True)
                 case Success(Conflict()):
                     return Success(False)
                 case Failure(Fault() as fault):
                     may_be_stored = may_be_stored or fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
-                    given_up = self._give_up(fault, may_be_stored, started_ms, deadline_ms)
-                    if given_up is not None:
-                        return Failure(given_up)
+            relayed = await self._insert_by_owner(key, value, timeout_ms)
+            match relayed:
+                case Success(is_new):
+                    return Success(is_new and not may_be_stored)
+                case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
+                    may_be_stored = True
+            given_up = self._give_up(fault, may_be_stored, started_ms, deadline_ms)
+            if given_up is not None:
+                return Failure(given_up)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
+    def _tell_owner(self, row: StoredRow) -> None:
+        """Spares the owner the wait for the store's feed, which also brings the row."""
+        owner = self._owner.row
+        if owner is not None and not self._is_owner():
+            self._hub.notify(owner.address, owner.port, IntakeNotice(row))
+
+    async def _insert_by_owner(
+        self, key: str, value: bytes, timeout_ms: int
+    ) -> Result[bool, Fault]:
+        """Has the owner insert a row.  Errors: PEER_UNREACHABLE, STORE_OUTCOME_UNKNOWN."""
+        owner = self._owner.row
+        if owner is None or self._is_owner():
+            return Failure(Fault(ResultCode.PEER_UNREACHABLE, "there is no other owner"))
+        call = IntakeInsert(key, value, min(timeout_ms, OWNER_TIMEOUT_MS))
+        match await self._hub.call(owner.address, owner.port, call, OWNER_TIMEOUT_MS):
+            case Success(StreamReply(code=ResultCode.OK, body=body)):
+                inserted = convert(IntakeInserted, body).value_or(None)
+                if inserted is not None:
+                    return Success(inserted.is_new)
+            case Success(StreamReply(code=ResultCode.STORE_UNAVAILABLE | ResultCode.NOT_OWNER)):
+                return Failure(Fault(ResultCode.PEER_UNREACHABLE, "the owner did not insert"))
+            case Failure(Fault(code=ResultCode.PEER_UNREACHABLE) as fault):
+                return Failure(fault)
+        return Failure(Fault(ResultCode.STORE_OUTCOME_UNKNOWN, "the owner's answer is missing"))
+
     def _give_up(
         self, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
     ) -> Fault | None:
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -19,11 +19,18 @@
 from jacinthreel_common import (
     Fault,
     Hello,
+    IntakeInsert,
+    IntakeInserted,
+    IntakeNotice,
     JobStateAnswer,
     JobStateQuery,
     OwnerHeartbeat,
+    PolicyPull,
+    PolicyRows,
     ResultCode,
+    StoredRow,
     StreamReply,
+    convert,
     to_plain,
 )
 from jacinthreel_daemon.plumbing import (
@@ -35,16 +42,18 @@
     open_log,
 )
 from jacinthreel_node._election import (
+    ADMITTED_LAPSE_MS,
     HEARTBEAT_MS,
     LEASE_MS,
     LEASE_RENEWAL_MS,
+    RENEWAL_OVERDUE_MS,
     SILENCE_MS,
     LeaseWatch,
     stagger_ms,
 )
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -60,6 +69,7 @@
     ZoneChanged,
 )
 from jacinthreel_node._records import (
+    INTAKE_TABLE,
     LEASE_KEY,
     LEASE_TABLE,
     OWNER_KEY,
@@ -72,15 +82,17 @@
 )
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
+from jacinthreel_node._store_health import StoreHealth, WatchedStore
 from jacinthreel_node._table_follower import TableFollower
 
 ROLE: Final = "node"
 POLICY_WAIT_MS: Final = 1_500
 OWNER_WAIT_MS: Final = 5_000
-WATCH_PERIOD_MS: Final = 300
+WATCH_PERIOD_MS: Final = 200
 STORE_TIMEOUT_MS: Final = 1_500
 TURN_AWAY_MS: Final = 2_300  # The balancer needs two failed checks to turn away.
 FLUSH_MS: Final = 500
+PULL_TIMEOUT_MS: Final = 800
 LIVENESS_MS: Final = 1_000
 
 
@@ -114,6 +126,9 @@
         self.log = open_log(settings.host_id, ROLE, LogLevel.INFO)
         self.policy = PolicyView()
         self.is_draining = False
+        self._store_health = StoreHealth(clock)
+        store = WatchedStore(store, self._store_health)
+        self._operator_rows: dict[str, Row] = {}
         self._store = store
         self._gateway = gateway
         self._rows = rows
@@ -146,7 +161,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether new callers should be sent here."""
-        return not self.is_draining and self.policy.current is not None
+        if self.is_draining or self.policy.current is None:
+            return False
+        return not self._store_health.is_lost or self._hears_owner()
 
     async def run(self, server: CallerServer) -> int:
         """Serves until a signal asks for the end."""
@@ -155,7 +172,10 @@
         loop.add_signal_handler(signal.SIGINT, self._on_signal, signal.SIGINT)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         self._hub.on_call(JobStateQuery, self._serve_state)
-        self._hub.on_notice(OwnerHeartbeat, self._owner.take_heartbeat)
+        self._hub.on_call(IntakeInsert, self._serve_insert)
+        self._hub.on_call(PolicyPull, self._serve_policy)
+        self._hub.on_notice(OwnerHeartbeat, self._take_heartbeat)
+        self._hub.on_notice(IntakeNotice, self._take_intake_notice)
         self._hub.listen(*self.settings.stream_address)
         server.start()
         self._follow()
@@ -209,10 +229,12 @@
                 case ZoneChanged(zone=zone, is_out=True):
                     zones_out.add(zone)
         self.policy.set_zones_out(frozenset(zones_out))
+        self._operator_rows.clear()
         self._take_operator_rows(rows)
 
     def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
+            self._operator_rows[row.key] = row
             match self._rows.operator_event(row):
                 case PolicyPut(policy=policy):
                     applied = self.policy.put(policy)
@@ -280,15 +302,76 @@
         answer = JobStateAnswer(int(state) if state is not None else 0)
         return StreamReply(ResultCode.OK, body=to_plain(answer))
 
+    async def _serve_insert(self, insert: IntakeInsert) -> StreamReply:
+        own = self._ownership
+        if own is None or not own.is_loaded:
+            return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
+        match await own.insert_intake(insert.key, insert.value, insert.timeout_ms):
+            case Success(is_new):
+                return StreamReply(ResultCode.OK, body=to_plain(IntakeInserted(is_new)))
+            case Failure(Fault() as fault):
+                return StreamReply(fault.code, fault.detail)
+        raise AssertionError("a Result is Success or Failure")
+
+    async def _serve_policy(self, pull: PolicyPull) -> StreamReply:
+        rows = [StoredRow(row.key, row.value, row.version) for row in self._operator_rows.values()]
+        return StreamReply(ResultCode.OK, body=to_plain(PolicyRows(rows)))
+
+    def _take_intake_notice(self, peer: Hello, notice: IntakeNotice) -> None:
+        if self._ownership is not None:
+            row = notice.row
+            self._ownership.take_intake_row(Row(INTAKE_TABLE, row.key, row.value, row.version))
+
+    def _take_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
+        self._owner.take_heartbeat(peer, heartbeat)
+        policy = self.policy.current
+        if self._store_health.is_lost and (
+            policy is None or policy.version < heartbeat.policy_version
+        ):
+            self._spawn(self._pull_policy())
+
+    async def _pull_policy(self) -> None:
+        """Takes the operator's rows from the owner while the store turns this node away."""
+        owner = self._owner.row
+        if owner is None:
+            return
+        reply = await self._hub.call(owner.address, owner.port, PolicyPull(), PULL_TIMEOUT_MS)
+        answered = reply.value_or(None)
+        if answered is None or answered.code is not ResultCode.OK:
+            return
+        match convert(PolicyRows, answered.body):
+            case Success(PolicyRows(rows=rows)):
+                table = self._rows.operator_table
+                found = [Row(table, row.key, row.value, row.version) for row in rows]
+                newer = [row for row in found if self._is_newer(row)]
+                self._take_operator_rows(tuple(newer))
+
+    def _is_newer(self, row: Row) -> bool:
+        known = self._operator_rows.get(row.key)
+        return known is None or known.version < row.version
+
     def _send_heartbeat(self) -> None:
         own = self._ownership
         if own is None or not own.is_loaded:
             return
-        self._hub.notify_all(OwnerHeartbeat(own.epoch, own.scheduler.waiting_by_queue()))
+        policy = self.policy.current
+        self._hub.notify_all(
+            OwnerHeartbeat(
+                own.epoch,
+                own.scheduler.waiting_by_queue(),
+                lease_age_ms=self._clock.now_ms() - self._renewed_ms,
+                policy_version=policy.version if policy is not None else 0,
+            )
+        )
 
     def _renew(self) -> None:
-        if self._ownership is not None:
-            self._spawn(self._renew_lease(self._ownership))
+        own = self._ownership
+        if own is None:
+            return
+        if self._clock.now_ms() - self._renewed_ms > OUTAGE_RENEWAL_LIMIT_MS:
+            self._lose_ownership("the lease could not be renewed for too long")
+            return
+        self._spawn(self._renew_lease(own))
 
     async def _renew_lease(self, own: Ownership) -> None:
         self._lease_count += 1
@@ -318,12 +401,15 @@
         if row is None or row.host_id == self.settings.host_id:
             self._begin_takeover("no owner" if row is None else "own earlier life")
             return
-        silent_ms = self._owner.silent_ms()
-        if silent_ms is not None and silent_ms < SILENCE_MS:
+        if self._hears_owner() and self._owner.lease_age_ms < RENEWAL_OVERDUE_MS:
             self._watch.reset()
             return
         self._spawn(self._look_at_lease())
 
+    def _hears_owner(self) -> bool:
+        silent_ms = self._owner.silent_ms()
+        return silent_ms is not None and silent_ms < SILENCE_MS
+
     async def _look_at_lease(self) -> None:
         match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, LEASE_KEY):
             case Success(Snapshot(rows=rows)):
@@ -337,7 +423,7 @@
         stood_ms = self._watch.see(version, self._clock.now_ms())
         if lease is not None and lease.is_resigned:
             self._begin_takeover("the owner has resigned")
-        elif stood_ms >= LEASE_MS:
+        elif stood_ms >= (ADMITTED_LAPSE_MS if self._hears_owner() else LEASE_MS):
             self._begin_takeover("the owner's lease has lapsed")
 
     def _begin_takeover(self, reason: str) -> None:
--- a/packages/node/src/jacinthreel_node/_owner_view.py
+++ b/packages/node/src/jacinthreel_node/_owner_view.py
@@ -16,6 +16,8 @@
         self.row_version = 0
         self.is_row_known = False
         self.heard_ms: int | None = None
+        self.lease_age_ms = 0
+        self.policy_version = 0
         self._waiting_by_queue: dict[str, int] = {}
 
     def put_row(self, row: OwnerRow | None, version: int) -> bool:
@@ -34,6 +36,8 @@
         if self.row is not None and heartbeat.epoch < self.row.epoch:
             return
         self.heard_ms = None if heartbeat.resigned else self._clock.now_ms()
+        self.lease_age_ms = heartbeat.lease_age_ms
+        self.policy_version = heartbeat.policy_version
         self._waiting_by_queue = heartbeat.waiting_by_queue
 
     def silent_ms(self) -> int | None:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault
 from jacinthreel_daemon.plumbing import Clock, LoopTimers, MetricsRegistry
 from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._ports import (
+    Committed,
+    Conflict,
     ExecutorGateway,
     KeyedStore,
     PlatformRows,
@@ -138,6 +140,30 @@
         job = self.scheduler.tables.jobs_by_id.get(job_id)
         return job.visible_state if job is not None else None
 
+    def take_intake_row(self, row: Row) -> None:
+        """Takes a row that another node has just stored."""
+        if self.is_loaded:
+            self._take_intake((row,))
+
+    async def insert_intake(self, key: str, value: bytes, timeout_ms: int) -> Result[bool, Fault]:
+        """Inserts a row for a node that the store turns away; the value says whether it is new.
+
+        Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN.
+        """
+        outcome = await self._store.commit(
+            [RowCondition(INTAKE_TABLE, key, 0)], [RowWrite(INTAKE_TABLE, key, value)], timeout_ms
+        )
+        match outcome:
+            case Success(Committed(version=version)):
+                self.take_intake_row(Row(INTAKE_TABLE, key, value, version))
+                return Success(True)
+            case Success(Conflict()):
+                return Success(False)
+            case Failure(Fault() as fault):
+                return Failure(fault)
+            case _:
+                raise AssertionError("a Result is Success or Failure")
+
     def policy_changed(self) -> None:
         """A newer policy is in force."""
         self.scheduler.apply_policy(self._policy.scheduling_policy())
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -0,0 +1,75 @@
+"""Whether this process reaches the store, from the outcomes of its own calls."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from returns.result import Failure, Result
+
+from jacinthreel_common import Fault, ResultCode
+from jacinthreel_daemon.plumbing import Clock
+from jacinthreel_node._ports import (
+    Committed,
+    Conflict,
+    KeyedStore,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+)
+
+LOST_AFTER_MS: Final = 700
+
+
+class StoreHealth:
+    """The store is lost once calls have failed for `LOST_AFTER_MS` with no success between."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._failing_since_ms: int | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether calls are expected to fail."""
+        since_ms = self._failing_since_ms
+        return since_ms is not None and self._clock.now_ms() - since_ms >= LOST_AFTER_MS
+
+    def note(self, outcome: Result[object, Fault]) -> None:
+        """Takes the outcome of a call."""
+        match outcome:
+            case Failure(Fault(code=ResultCode.STORE_HISTORY_LOST)):
+                self._failing_since_ms = None
+            case Failure(_):
+                if self._failing_since_ms is None:
+                    self._failing_since_ms = self._clock.now_ms()
+            case _:
+                self._failing_since_ms = None
+
+
+class WatchedStore:
+    """A `KeyedStore` that tells a `StoreHealth` of each outcome."""
+
+    def __init__(self, store: KeyedStore, health: StoreHealth) -> None:
+        self._store = store
+        self._health = health
+
+    async def commit(
+        self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
+    ) -> Result[Committed | Conflict, Fault]:
+        """See the port."""
+        outcome = await self._store.commit(conditions, writes, timeout_ms)
+        self._health.note(outcome)
+        return outcome
+
+    async def read(
+        self, table: str, timeout_ms: int, key: str | None = None
+    ) -> Result[Snapshot, Fault]:
+        """See the port."""
+        outcome = await self._store.read(table, timeout_ms, key)
+        self._health.note(outcome)
+        return outcome
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
+        """See the port."""
+        outcome = await self._store.changes(table, after, wait_ms)
+        self._health.note(outcome)
+        return outcome
