--- a/packages/node/src/jacinthreel_node/__init__.py
+++ b/packages/node/src/jacinthreel_node/__init__.py
@@ -26,6 +26,7 @@
     Unusable,
     ZoneChanged,
 )
+from jacinthreel_node._records import TRANSACTION_GROUPS
 from jacinthreel_node._routing import PolicyView, Route, RoutedCall, RoutingPolicy
 from jacinthreel_node._settings import NodeSettings
 
@@ -55,6 +56,7 @@
     "Snapshot",
     "StartAnswer",
     "StartCommand",
+    "TRANSACTION_GROUPS",
     "Unusable",
     "ZoneChanged",
     "check_job_id",
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -14,7 +14,7 @@
 from collections.abc import Coroutine
 from typing import Any, Final, Protocol
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
     Fault,
@@ -70,7 +70,6 @@
 )
 from jacinthreel_node._records import (
     INTAKE_TABLE,
-    LEASE_KEY,
     LEASE_TABLE,
     OWNER_KEY,
     OWNER_TABLE,
@@ -86,6 +85,8 @@
 from jacinthreel_node._table_follower import TableFollower
 
 ROLE: Final = "node"
+NO_OWNER: Final = "no owner"
+OWN_EARLIER_LIFE: Final = "own earlier life"
 POLICY_WAIT_MS: Final = 1_500
 OWNER_WAIT_MS: Final = 5_000
 WATCH_PERIOD_MS: Final = 200
@@ -281,6 +282,7 @@
             self._lose_ownership("another node has taken over")
         if owner.host_id == self.settings.host_id:
             self._hub.set_peers(set())
+            self._watch_owner()
             return
         self._hub.set_peers({(owner.address, owner.port)})
 
@@ -376,22 +378,22 @@
     async def _renew_lease(self, own: Ownership) -> None:
         self._lease_count += 1
         lease = LeaseRow(own.epoch, self._lease_count)
-        outcome = await self._store.commit(
-            [RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_row_version)],
-            [RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(lease))],
-            STORE_TIMEOUT_MS,
-        )
+        sent_ms = self._clock.now_ms()
+        outcome = await self._write_lease(lease)
         if self._ownership is not own:
             return
         match outcome:
-            case Success(Committed()):
-                self._renewed_ms = self._clock.now_ms()
-            case Success(Conflict()):
-                self._lose_ownership("the owner's row has changed")
+            case Success(_):
+                self._renewed_ms = max(self._renewed_ms, sent_ms)
             case Failure(Fault() as fault):
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self.log.warning("lease_not_renewed", fields)
 
+    async def _write_lease(self, lease: LeaseRow) -> Result[Committed | Conflict, Fault]:
+        """Unconditional: the row is only read as a sign of life of the epoch that it names."""
+        row = RowWrite(LEASE_TABLE, self.settings.host_id, encode_record(lease))
+        return await self._store.commit([], [row], STORE_TIMEOUT_MS)
+
     def _watch_owner(self) -> None:
         if self.is_draining or self._ownership is not None or self._taking_over:
             return
@@ -399,29 +401,29 @@
             return
         row = self._owner.row
         if row is None or row.host_id == self.settings.host_id:
-            self._begin_takeover("no owner" if row is None else "own earlier life")
+            self._begin_takeover(NO_OWNER if row is None else OWN_EARLIER_LIFE)
             return
         if self._hears_owner() and self._owner.lease_age_ms < RENEWAL_OVERDUE_MS:
             self._watch.reset()
             return
-        self._spawn(self._look_at_lease())
+        self._spawn(self._look_at_lease(row))
 
     def _hears_owner(self) -> bool:
         silent_ms = self._owner.silent_ms()
         return silent_ms is not None and silent_ms < SILENCE_MS
 
-    async def _look_at_lease(self) -> None:
-        match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, LEASE_KEY):
+    async def _look_at_lease(self, owner: OwnerRow) -> None:
+        match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, owner.host_id):
             case Success(Snapshot(rows=rows)):
-                self._judge_lease(rows)
+                self._judge_lease(owner, rows)
             case Failure(Fault()):
                 self._watch.reset()
 
-    def _judge_lease(self, rows: tuple[Row, ...]) -> None:
+    def _judge_lease(self, owner: OwnerRow, rows: tuple[Row, ...]) -> None:
         version = rows[0].version if rows else 0
         lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
         stood_ms = self._watch.see(version, self._clock.now_ms())
-        if lease is not None and lease.is_resigned:
+        if lease is not None and lease.is_resigned and lease.epoch == owner.epoch:
             self._begin_takeover("the owner has resigned")
         elif stood_ms >= (ADMITTED_LAPSE_MS if self._hears_owner() else LEASE_MS):
             self._begin_takeover("the owner's lease has lapsed")
@@ -435,7 +437,8 @@
     async def _take_over(self, reason: str) -> None:
         try:
             seen_version = self._owner.row_version if self._owner.row is not None else 0
-            await asyncio.sleep(stagger_ms(self._rng.random(), self.settings.cores) / 1000)
+            if reason != OWN_EARLIER_LIFE:
+                await asyncio.sleep(stagger_ms(self._rng.random(), self.settings.cores) / 1000)
             if self.is_draining or self._owner.row_version > seen_version:
                 return
             await self._claim(reason, seen_version)
@@ -449,10 +452,7 @@
         owner = OwnerRow(epoch, self.settings.host_id, address, port, nonce)
         outcome = await self._store.commit(
             [RowCondition(OWNER_TABLE, OWNER_KEY, seen_version)],
-            [
-                RowWrite(OWNER_TABLE, OWNER_KEY, encode_record(owner)),
-                RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(LeaseRow(epoch, 0))),
-            ],
+            [RowWrite(OWNER_TABLE, OWNER_KEY, encode_record(owner))],
             STORE_TIMEOUT_MS,
         )
         match outcome:
@@ -486,6 +486,7 @@
             self._lose_ownership,
         )
         self._ownership.start()
+        self._renew()
 
     def _lose_ownership(self, reason: str) -> None:
         own = self._ownership
@@ -506,11 +507,7 @@
         self._ownership = None
         own.stop()
         lease = LeaseRow(own.epoch, self._lease_count + 1, True)
-        outcome = await self._store.commit(
-            [RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_row_version)],
-            [RowWrite(LEASE_TABLE, LEASE_KEY, encode_record(lease))],
-            STORE_TIMEOUT_MS,
-        )
+        outcome = await self._write_lease(lease)
         self._hub.notify_all(OwnerHeartbeat(own.epoch, resigned=True))
         self.log.decision("resigned", {"epoch": own.epoch, "outcome": type(outcome).__name__})
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -343,14 +343,18 @@
         job_ids = self.scheduler.forget_ended(now_ms - keep_ms)
         condition = RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_version)
         for start in range(0, len(job_ids), FORGET_BATCH):
-            writes: list[RowWrite] = []
-            for job_id in job_ids[start : start + FORGET_BATCH]:
-                writes.append(RowWrite(PROGRESS_TABLE, job_id, None))
-                writes.append(RowWrite(INTAKE_TABLE, JOB_PREFIX + job_id, None))
-            outcome = await self._store.commit([condition], writes, LOAD_TIMEOUT_MS)
-            match outcome:
-                case Failure(Fault() as fault):
-                    self._log("rows_not_deleted", {"reason": fault.detail})
+            batch = job_ids[start : start + FORGET_BATCH]
+            intake = [RowWrite(INTAKE_TABLE, JOB_PREFIX + job_id, None) for job_id in batch]
+            intake += [RowWrite(INTAKE_TABLE, CANCEL_PREFIX + job_id, None) for job_id in batch]
+            await self._delete([], intake)
+            progress = [RowWrite(PROGRESS_TABLE, job_id, None) for job_id in batch]
+            await self._delete([condition], progress)
+
+    async def _delete(self, conditions: list[RowCondition], writes: list[RowWrite]) -> None:
+        """Deletes rows; those that stay behind cost room and nothing else."""
+        match await self._store.commit(conditions, writes, LOAD_TIMEOUT_MS):
+            case Failure(Fault() as fault):
+                self._log("rows_not_deleted", {"rows": len(writes), "reason": fault.detail})
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(self._guard(coroutine)))
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -13,7 +13,13 @@
 OWNER_TABLE: Final = "owner"
 LEASE_TABLE: Final = "lease"
 OWNER_KEY: Final = "owner"
-LEASE_KEY: Final = "lease"
+TRANSACTION_GROUPS: Final = {
+    INTAKE_TABLE: "intake",
+    PROGRESS_TABLE: "progress",
+    OWNER_TABLE: "progress",
+    LEASE_TABLE: "lease",
+}
+"""Tables with the same name here may be written in one transaction; the others don't queue up."""
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
 
@@ -29,7 +35,10 @@
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
-    """The owner's sign of life; `is_resigned` where it has given the jobs up."""
+    """An owner's sign of life, under the id of its host.
+
+    `is_resigned` is set where it has given the jobs up.
+    """
 
     epoch: int
     count: int
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -16,6 +16,7 @@
 
 from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder, run_name
 from jacinthreel_steps._executor_health import NO_ROOM_AVOID_MS, UNHEALTHY_AVOID_MS, avoid
+from jacinthreel_steps._leaving import stop_leaving
 from jacinthreel_steps._lifecycle import end_run, finish_job, release_run, stop_gang, stop_run
 from jacinthreel_steps._model import (
     EndReason,
@@ -99,12 +100,14 @@
             executor = Executor(listing, heard_ms=now_ms)
             self.tables.executors_by_id[listing.executor_id] = executor
             self._attach_recovered(executor, now_ms)
+            _note_leaving(executor, now_ms)
             return
         executor.is_listed = True
         if listing.incarnation > executor.listing.incarnation:
             self._start_new_life(executor, listing, now_ms)
         elif listing.incarnation == executor.listing.incarnation:
             executor.listing = listing
+        _note_leaving(executor, now_ms)
 
     def remove_listing(self, executor_id: str) -> None:
         """The registry has no entry any more; what runs there may go on for a while."""
@@ -169,6 +172,7 @@
     def plan(self, now_ms: int) -> None:
         """Decides on all that is open."""
         stop_stalled(self._context, now_ms)
+        stop_leaving(self._context, now_ms)
         plan(self._context, now_ms)
 
     def take_starts(self) -> list[Run]:
@@ -272,7 +276,6 @@
         executor.acked_upto = 0
         executor.pending_ends.clear()
         executor.is_reported = False
-        executor.lease_end_ms = 0
         self._drop_older_lives(executor, now_ms)
 
     def _drop_older_lives(self, executor: Executor, now_ms: int) -> None:
@@ -334,3 +337,11 @@
             self.tables.touch(job)
         if step.spec.is_gang:
             stop_gang(self._context, step, run.run_id.number, now_ms)
+
+
+def _note_leaving(executor: Executor, now_ms: int) -> None:
+    listing = executor.listing
+    if not listing.is_draining:
+        executor.leave_ms = None
+    elif listing.remaining_ms is not None and executor.leave_ms is None:
+        executor.leave_ms = now_ms + listing.remaining_ms
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -152,8 +152,8 @@
 class Executor:
     """An executor and the runs that may hold room there.
 
-    `is_listed` is false once the registry no longer has it.  `lease_end_ms` is when everything
-    that the executor holds has certainly ended if it is not heard of again.
+    `is_listed` is false once the registry no longer has it.  `leave_ms` is until when a
+    draining executor stays at least.
     """
 
     listing: ExecutorListing
@@ -164,9 +164,9 @@
     seen_upto: int = 0
     acked_upto: int = 0
     pending_ends: list[PendingEnd] = field(default_factory=list)
-    lease_end_ms: int = 0
     heard_ms: int = 0
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
+    leave_ms: int | None = None
 
     @property
     def executor_id(self) -> str:
