Answer callers at once while the store is lost

Now a lost store is noticed after 0.8 s and probed; callers get a true 503 or 504 at once and come back.

--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -53,7 +53,7 @@
 OWNER_TIMEOUT_MS: Final = 600
 RETRY_PAUSE_MS: Final = 100
 ANSWER_MARGIN_MS: Final = 150  # Left of a caller's deadline for the answer's way back.
-REFUSE_AFTER_MS: Final = 1_000  # While the store turns calls away, nobody is kept longer.
+GIVE_UP_AFTER_MS: Final = 1_000  # A caller is kept no longer while the store doesn't answer.
 STORE_RETRY_AFTER_MS: Final = 1_000
 WAITING_MAX_AGE_MS: Final = 1_900
 JOB_ID_DIGITS: Final = 16
@@ -91,10 +91,12 @@
         own_state: Callable[[str], JobState | None],
         is_owner: Callable[[], bool],
         own_waiting: Callable[[], dict[str, int]],
+        is_store_lost: Callable[[], bool],
         clock: Clock,
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
     ) -> None:
+        self._is_store_lost = is_store_lost
         self._store = store
         self._hub = hub
         self._owner = owner
@@ -188,14 +190,18 @@
         while True:
             left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
             timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
-            match await self._store.commit(conditions, writes, timeout_ms):
-                case Success(Committed(version=version)):
-                    self._tell_owner(StoredRow(key, value, version))
-                    return Success(True)
-                case Success(Conflict()):
-                    return Success(False)
-                case Failure(Fault() as fault):
-                    may_be_stored = may_be_stored or fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
+            fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
+            if not self._is_store_lost():
+                match await self._store.commit(conditions, writes, timeout_ms):
+                    case Success(Committed(version=version)):
+                        self._tell_owner(StoredRow(key, value, version))
+                        return Success(True)
+                    case Success(Conflict()):
+                        return Success(False)
+                    case Failure(Fault() as failed):
+                        fault = failed
+                        unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
+                        may_be_stored = may_be_stored or unknown
             relayed = await self._insert_by_owner(key, value, timeout_ms)
             match relayed:
                 case Success(is_new):
@@ -236,12 +242,11 @@
         self, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
     ) -> Fault | None:
         spent_ms = self._clock.now_ms() - started_ms
+        limit_ms = min(GIVE_UP_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS)
+        if not self._is_store_lost() and spent_ms + RETRY_PAUSE_MS < limit_ms:
+            return None
         if may_be_stored:
-            if spent_ms + RETRY_PAUSE_MS + ANSWER_MARGIN_MS < deadline_ms:
-                return None
             return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail)
-        if spent_ms + RETRY_PAUSE_MS < min(REFUSE_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS):
-            return None
         return Fault(ResultCode.STORE_UNAVAILABLE, fault.detail, STORE_RETRY_AFTER_MS)
 
     async def _state_from_owner(self, job_id: str) -> JobState | None:
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -94,6 +94,8 @@
 TURN_AWAY_MS: Final = 2_300  # The balancer needs two failed checks to turn away.
 FLUSH_MS: Final = 500
 PULL_TIMEOUT_MS: Final = 800
+PROBE_PERIOD_MS: Final = 300
+PROBE_TIMEOUT_MS: Final = 700
 LIVENESS_MS: Final = 1_000
 
 
@@ -130,7 +132,7 @@
         self._store_health = StoreHealth(clock)
         store = WatchedStore(store, self._store_health)
         self._operator_rows: dict[str, Row] = {}
-        self._store = store
+        self._store: KeyedStore = store
         self._gateway = gateway
         self._rows = rows
         self._clock = clock
@@ -154,6 +156,7 @@
             self._own_state,
             self._is_owner,
             self._own_waiting,
+            lambda: self._store_health.is_lost,
             clock,
             metrics,
             self.log.decision,
@@ -184,6 +187,7 @@
         self._timers.every(LEASE_RENEWAL_MS, lambda now_ms: self._renew())
         self._timers.every(WATCH_PERIOD_MS, lambda now_ms: self._watch_owner())
         self._timers.every(LIVENESS_MS, self._hub.check_liveness)
+        self._timers.every(PROBE_PERIOD_MS, lambda now_ms: self._probe_store())
         self.log.decision("started", {"pid": os.getpid(), "zone": self.settings.zone})
         await self._stop_asked.wait()
         await self._shutdown(server)
@@ -203,6 +207,15 @@
         self._hub.close()
         self._timers.stop()
 
+    def _probe_store(self) -> None:
+        """Notices at once that a lost store is back."""
+        if self._store_health.is_lost:
+            self._spawn(self._read_own_lease())
+
+    async def _read_own_lease(self) -> None:
+        # The outcome is noted by the store's health; the row itself doesn't matter.
+        await self._store.read(LEASE_TABLE, PROBE_TIMEOUT_MS, self.settings.host_id)
+
     def _follow(self) -> None:
         operator = TableFollower(
             self._store,
--- a/packages/node/src/jacinthreel_node/_progress_writer.py
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -25,7 +25,7 @@
 from jacinthreel_steps import Scheduler, UnstoredRow, progress_write_id
 
 MAX_ROWS: Final = 45
-COMMIT_TIMEOUT_MS: Final = 1_500
+COMMIT_TIMEOUT_MS: Final = 1_000
 RETRY_PAUSE_MS: Final = 60
 MAX_RETRY_PAUSE_MS: Final = 400
 
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -17,32 +17,36 @@
     Snapshot,
 )
 
-LOST_AFTER_MS: Final = 700
+LOST_AFTER_MS: Final = 800
 
 
 class StoreHealth:
-    """The store is lost once calls have failed for `LOST_AFTER_MS` with no success between."""
+    """The store is lost once calls have waited or failed for `LOST_AFTER_MS` without a success."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._failing_since_ms: int | None = None
+        self._doubtful_since_ms: int | None = None
 
     @property
     def is_lost(self) -> bool:
         """Whether calls are expected to fail."""
-        since_ms = self._failing_since_ms
+        since_ms = self._doubtful_since_ms
         return since_ms is not None and self._clock.now_ms() - since_ms >= LOST_AFTER_MS
 
+    def note_sent(self) -> None:
+        """A call that is answered at once was sent."""
+        if self._doubtful_since_ms is None:
+            self._doubtful_since_ms = self._clock.now_ms()
+
     def note(self, outcome: Result[object, Fault]) -> None:
         """Takes the outcome of a call."""
         match outcome:
             case Failure(Fault(code=ResultCode.STORE_HISTORY_LOST)):
-                self._failing_since_ms = None
+                self._doubtful_since_ms = None
             case Failure(_):
-                if self._failing_since_ms is None:
-                    self._failing_since_ms = self._clock.now_ms()
+                self.note_sent()
             case _:
-                self._failing_since_ms = None
+                self._doubtful_since_ms = None
 
 
 class WatchedStore:
@@ -56,6 +60,7 @@
         self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
     ) -> Result[Committed | Conflict, Fault]:
         """See the port."""
+        self._health.note_sent()
         outcome = await self._store.commit(conditions, writes, timeout_ms)
         self._health.note(outcome)
         return outcome
@@ -64,6 +69,7 @@
         self, table: str, timeout_ms: int, key: str | None = None
     ) -> Result[Snapshot, Fault]:
         """See the port."""
+        self._health.note_sent()
         outcome = await self._store.read(table, timeout_ms, key)
         self._health.note(outcome)
         return outcome
--- a/packages/node/src/jacinthreel_node/_table_follower.py
+++ b/packages/node/src/jacinthreel_node/_table_follower.py
@@ -16,7 +16,7 @@
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_node._ports import KeyedStore, Row, Snapshot
 
-READ_TIMEOUT_MS: Final = 2_000
+READ_TIMEOUT_MS: Final = 1_200
 RETRY_PAUSE_MS: Final = 150
 
 TakeSnapshot = Callable[[tuple[Row, ...]], None]
