--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -91,11 +91,13 @@
         own_state: Callable[[str], JobState | None],
         is_owner: Callable[[], bool],
         own_waiting: Callable[[], dict[str, int]],
+        take_own_row: Callable[[StoredRow], None],
         is_store_lost: Callable[[], bool],
         clock: Clock,
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
     ) -> None:
+        self._take_own_row = take_own_row
         self._is_store_lost = is_store_lost
         self._store = store
         self._hub = hub
@@ -216,7 +218,9 @@
     def _tell_owner(self, row: StoredRow) -> None:
         """Spares the owner the wait for the store's feed, which also brings the row."""
         owner = self._owner.row
-        if owner is not None and not self._is_owner():
+        if self._is_owner():
+            self._take_own_row(row)
+        elif owner is not None:
             self._hub.notify(owner.address, owner.port, IntakeNotice(row))
 
     async def _insert_by_owner(
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -156,6 +156,7 @@
             self._own_state,
             self._is_owner,
             self._own_waiting,
+            self._take_intake_row,
             lambda: self._store_health.is_lost,
             clock,
             metrics,
@@ -333,8 +334,10 @@
         return StreamReply(ResultCode.OK, body=to_plain(PolicyRows(rows)))
 
     def _take_intake_notice(self, peer: Hello, notice: IntakeNotice) -> None:
+        self._take_intake_row(notice.row)
+
+    def _take_intake_row(self, row: StoredRow) -> None:
         if self._ownership is not None:
-            row = notice.row
             self._ownership.take_intake_row(Row(INTAKE_TABLE, row.key, row.value, row.version))
 
     def _take_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
