--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from jacinthreel_steps._headroom import Headroom
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._tables import Run, Tables
 
@@ -32,11 +33,12 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and the log."""
+    """The tables, pending orders, the log, and what was learnt of urgent load."""
 
     tables: Tables
     orders: Orders
     log: DecisionLog
+    headroom: Headroom = field(default_factory=Headroom)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planner.py
@@ -78,6 +78,9 @@
     executors = plan_pass.usable.by_service.get(queue.service, [])
     if not executors or _is_full_for(plan_pass, job, step):
         return
+    if queue.priority > 0:
+        kept_ids = plan_pass.context.headroom.kept_ids(executors, plan_pass.now_ms)
+        executors = [each for each in executors if each.executor_id not in kept_ids]
     candidates = candidates_for(step, executors, plan_pass.now_ms)
     placement: Placement | None
     if step.spec.is_gang:
@@ -174,6 +177,8 @@
             "cost_core_s": round(found.cost, 1),
         },
     )
+    accelerators = len(found.placement) * step.spec.shape.accelerators
+    context.headroom.note_claim(accelerators, plan_pass.now_ms)
     for victim in found.victims:
         for run in victim.runs:
             stop_run(context, run, plan_pass.now_ms)
--- a/packages/steps/tests/steps_world.py
+++ b/packages/steps/tests/steps_world.py
@@ -145,6 +145,8 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.now_ms += step_ms
+            for name in self.listings:
+                self.percents[name] = self.percents.get(name, 0) + 1
             self.report_all()
             self.scheduler.plan(self.now_ms)
             self.store()
