--- a/packages/steps/src/jacinthreel_steps/_stalls.py
+++ b/packages/steps/src/jacinthreel_steps/_stalls.py
@@ -1,7 +1,8 @@
 """Finding runs that make no progress.
 
 A run is stalled when its executor goes on reporting it and its progress has not changed for
-`STALL_LIMIT_MS`.  An executor on which every run is stalled is taken out of use, and what runs
+`STALL_LIMIT_MS`.  A task of a gang that has done its share waits for the others and is not stalled.
+An executor on which every run is stalled is taken out of use, and what runs
 there is stopped, so that it is done elsewhere.
 """
 
@@ -15,6 +16,7 @@
 from jacinthreel_steps._tables import Executor, Run, RunState
 
 STALL_LIMIT_MS: Final = 2_500
+SHARE_DONE_PERCENT: Final = 99
 ESTIMATES_PER_STALL: Final = 0.1  # Progress is reported in whole percent, late on slow executors.
 
 
@@ -36,5 +38,7 @@
     if job is None or run.confirmed_ms is None:
         return False
     spec = job.steps[run.run_id.task.step_index].spec
+    if spec.is_gang and run.percent >= SHARE_DONE_PERCENT:
+        return False
     limit_ms = max(STALL_LIMIT_MS, ESTIMATES_PER_STALL * spec.estimate_ms)
     return executor.heard_ms - run.changed_ms > limit_ms
