--- a/packages/cli/src/jacinthreel_cli/__main__.py
+++ b/packages/cli/src/jacinthreel_cli/__main__.py
@@ -9,6 +9,7 @@
 
 from jacinthreel_cli._config_commands import init, preset_app, workspace_app, zone_app
 from jacinthreel_cli._exit import CommandError, ExitStatus
+from jacinthreel_cli._explain import explain
 from jacinthreel_cli._job_commands import job_app
 from jacinthreel_cli._request_commands import codes_app, request_app
 from jacinthreel_cli._session import Common, Session
@@ -20,6 +21,7 @@
     help="Operates jacinthreel: jobs, workspaces, availability zones and presets.",
 )
 app.command(init)
+app.command(explain)
 for group in (job_app, workspace_app, zone_app, preset_app, request_app, codes_app):
     app.command(group)
 
--- a/packages/daemon/src/jacinthreel_daemon/_logs.py
+++ b/packages/daemon/src/jacinthreel_daemon/_logs.py
@@ -1,4 +1,4 @@
-"""Structured logs: one JSON object a line on standard output.
+"""Structured logs: one JSON object a line on standard output, which is never waited for.
 
 Each line has `time`, `level`, `event`, `host` and `role`, and the fields of the event.
 """
@@ -7,11 +7,13 @@
 
 import logging
 import sys
+import time
 from datetime import UTC, datetime
 from typing import Any, Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from jacinthreel_daemon._line_writer import LineWriter
 from jacinthreel_daemon._settings import LogLevel
 
 LOGGER_NAME: Final = "jacinthreel"
@@ -42,6 +44,21 @@
             log_data["exception"] = self.formatException(record.exc_info)
 
 
+class _LineHandler(logging.Handler):
+    """Hands formatted lines to a writer that never blocks."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a record as one line."""
+        try:
+            self._writer.write(self.format(record))
+        except Exception:
+            self.handleError(record)
+
+
 class EventLog:
     """Writes log lines for one process."""
 
@@ -63,7 +80,11 @@
 
 def open_log(host_id: str, role: str, level: LogLevel, stream: TextIO | None = None) -> EventLog:
     """Sets the logs of the process up, those of libraries included."""
-    handler = logging.StreamHandler(stream or sys.stdout)
+    handler: logging.Handler
+    if stream is not None:
+        handler = logging.StreamHandler(stream)
+    else:
+        handler = _LineHandler(LineWriter(sys.stdout.fileno(), time.monotonic))
     handler.setFormatter(_LineFormatter(host_id, role))
     root = logging.getLogger()
     root.handlers[:] = [handler]
