Refuse truthfully where the owner has no store either; wait less for a former owner that is gone

Cause 2: after a restart of all processes, runs on executors that had left were waited for 17 s although their owner was dead.

--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -250,7 +250,7 @@
         if not self._is_store_lost() and spent_ms + RETRY_PAUSE_MS < limit_ms:
             return None
         if may_be_stored:
-            return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail)
+            return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail, STORE_RETRY_AFTER_MS)
         return Fault(ResultCode.STORE_UNAVAILABLE, fault.detail, STORE_RETRY_AFTER_MS)
 
     async def _state_from_owner(self, job_id: str) -> JobState | None:
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -87,6 +87,7 @@
 ROLE: Final = "node"
 NO_OWNER: Final = "no owner"
 OWN_EARLIER_LIFE: Final = "own earlier life"
+RESIGNED: Final = "the owner has resigned"
 POLICY_WAIT_MS: Final = 1_500
 OWNER_WAIT_MS: Final = 5_000
 WATCH_PERIOD_MS: Final = 200
@@ -322,6 +323,8 @@
         own = self._ownership
         if own is None or not own.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
+        if self._store_health.is_lost:
+            return StreamReply(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
         match await own.insert_intake(insert.key, insert.value, insert.timeout_ms):
             case Success(is_new):
                 return StreamReply(ResultCode.OK, body=to_plain(IntakeInserted(is_new)))
@@ -440,7 +443,7 @@
         lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
         stood_ms = self._watch.see(version, self._clock.now_ms())
         if lease is not None and lease.is_resigned and lease.epoch == owner.epoch:
-            self._begin_takeover("the owner has resigned")
+            self._begin_takeover(RESIGNED)
         elif stood_ms >= (ADMITTED_LAPSE_MS if self._hears_owner() else LEASE_MS):
             self._begin_takeover("the owner's lease has lapsed")
 
@@ -500,6 +503,7 @@
             self.metrics,
             self.log.decision,
             self._lose_ownership,
+            is_former_owner_gone=reason in (OWN_EARLIER_LIFE, RESIGNED),
         )
         self._ownership.start()
         self._renew()
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -15,7 +15,12 @@
 
 from jacinthreel_common import Fault
 from jacinthreel_daemon.plumbing import Clock, LoopTimers, MetricsRegistry
-from jacinthreel_node._executor_link import ExecutorLink, LinkContext
+from jacinthreel_node._executor_link import (
+    CLOCK_SLOWNESS,
+    LEASE_MARGIN_MS,
+    ExecutorLink,
+    LinkContext,
+)
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -71,6 +76,7 @@
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
         on_lost: Callable[[str], None],
+        is_former_owner_gone: bool,
     ) -> None:
         self._settings = settings
         self._store = store
@@ -107,7 +113,7 @@
             clock,
             owner.epoch,
             settings.task_lease_ms,
-            self._taken_ms + settings.task_lease_ms + OUTAGE_RENEWAL_LIMIT_MS,
+            self._taken_ms + _unreached_ms(settings.task_lease_ms, is_former_owner_gone),
             self._writer.wait_stored,
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} knows a newer owner"),
@@ -365,3 +371,12 @@
         except Exception as error:
             self._log("owner_failed", {"error": repr(error)})
             self._on_lost(f"unexpected error: {error!r}")
+
+
+def _unreached_ms(task_lease_ms: int, is_former_owner_gone: bool) -> int:
+    """After how long all that the former owner started has ended where nobody can look.
+
+    A former owner that may still live renews leases for as long as it can do without the store.
+    """
+    lease_ms = int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+    return lease_ms if is_former_owner_gone else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
