Keep ownership steady on hosts with slow links; read large operator rows anew after a failure

Causes: 14 hosts of 10 Mbit/s that the store had turned away asked its feed for six large configurations at once, which never came whole within the time-out; and each new owner sent no heartbeat while it read all jobs over such a link, so that the next one took over (epochs 2 to 8 in 18 s). Ruled out: an overloaded store. Now a reply's time-out is for its beginning, the operator's table is read whole after a failure, an owner is heard while it loads, and small hosts leave a takeover to larger ones.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -193,6 +193,7 @@
 
     `resigned` is set on the last one of an owner that gives the jobs up.  `lease_age_ms` is how
     long ago the owner's lease was renewed; `policy_version` is that of the policy in force there.
+    Before `is_loaded`, the owner knows no jobs yet.
     """
 
     epoch: int
@@ -200,6 +201,7 @@
     resigned: bool = False
     lease_age_ms: int = 0
     policy_version: int = 0
+    is_loaded: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -24,6 +24,7 @@
 MAX_REPLY_BYTES: Final = 64 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_IDLE_CONNECTIONS: Final = 4
+BODY_TIMEOUT_S: Final = 6.0  # A large reply on a slow link takes seconds once it has begun.
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +44,8 @@
 
 
 class _ReplyCollector(httputil.HTTPMessageDelegate):
-    def __init__(self) -> None:
+    def __init__(self, on_headers: Callable[[], None]) -> None:
+        self._on_headers = on_headers
         self.status = 0
         self.chunks: list[bytes] = []
         self.complete = False
@@ -57,6 +59,7 @@
         """Keeps the status; the last one counts, after any interim reply."""
         assert isinstance(start_line, httputil.ResponseStartLine)
         self.status = start_line.code
+        self._on_headers()
         self.last = headers.get("Connection", "").lower() == "close"
 
     def data_received(self, chunk: bytes) -> None:
@@ -93,12 +96,12 @@
         """Posts a JSON body once.
 
         `may_send` is asked last, right before the first byte is written.  `headers` are sent
-        besides those that every request has.
+        besides those that every request has.  `timeout_ms` is for the beginning of the reply.
         """
         return await self._request("POST", path, body, timeout_ms, may_send, headers)
 
     async def get(self, path: str, timeout_ms: int) -> Result[HttpReply, HttpFailure]:
-        """Gets a path."""
+        """Gets a path; `timeout_ms` is for the beginning of the reply."""
         return await self._request("GET", path, b"", timeout_ms, _always)
 
     def close(self) -> None:
@@ -126,8 +129,8 @@
             self._give_back(stream)
             return Failure(HttpFailure(False, "too late to send"))
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
-                return await self._exchange(stream, method, path, body, headers or {})
+            async with asyncio.timeout(timeout_ms / 1000) as limit:
+                return await self._exchange(stream, method, path, body, headers or {}, limit)
         except TimeoutError:
             return Failure(HttpFailure(True, "no reply in time"))
         except (OSError, StreamClosedError, httputil.HTTPInputError) as error:
@@ -142,9 +145,11 @@
         path: str,
         body: bytes,
         extra_headers: Mapping[str, str],
+        limit: asyncio.Timeout,
     ) -> Result[HttpReply, HttpFailure]:
         connection = HTTP1Connection(stream, True, self._params)
-        collector = _ReplyCollector()
+        loop = asyncio.get_running_loop()
+        collector = _ReplyCollector(lambda: limit.reschedule(loop.time() + BODY_TIMEOUT_S))
         headers = httputil.HTTPHeaders({"Host": join_address(self._address, self._port)})
         headers.update(extra_headers)
         if method == "POST":
--- a/packages/node/src/jacinthreel_node/_election.py
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -16,11 +16,14 @@
 
 LEASE_RENEWAL_MS: Final = 500
 LEASE_MS: Final = 1_300
-ADMITTED_LAPSE_MS: Final = 200
+ADMITTED_LAPSE_MS: Final = 700
 HEARTBEAT_MS: Final = 250
 SILENCE_MS: Final = 800
-RENEWAL_OVERDUE_MS: Final = 1_200
+RENEWAL_OVERDUE_MS: Final = 2_000
 STAGGER_MS: Final = 300
+SMALL_HOST_PAUSE_MS: Final = 900
+SMALL_HOST_CORES: Final = 1.0
+SMALL_HOST_LINK_MBPS: Final = 100.0
 
 
 @dataclass(slots=True)
@@ -42,12 +45,15 @@
         self.version = None
 
 
-def stagger_ms(draw: float, cores: float) -> int:
+def stagger_ms(draw: float, cores: float, link_mbps: float) -> int:
     """The pause before a takeover, so that candidates don't collide; larger hosts go first.
 
-    `draw` is uniform between 0 and 1.
+    A new owner reads all jobs: hosts with little processor or a slow link leave it to others that
+    are there.  `draw` is uniform between 0 and 1.
 
-    >>> stagger_ms(0.0, 2.0) < stagger_ms(0.0, 0.5)
+    >>> stagger_ms(0.0, 2.0, 1000) < stagger_ms(0.0, 1.0, 1000) < stagger_ms(0.0, 1.0, 10)
     True
     """
-    return int(STAGGER_MS * (0.5 * draw + 0.5 / (1 + cores)))
+    pause_ms = int(STAGGER_MS * (0.5 * draw + 0.5 / (1 + cores)))
+    is_small = cores < SMALL_HOST_CORES or link_mbps < SMALL_HOST_LINK_MBPS
+    return pause_ms + SMALL_HOST_PAUSE_MS if is_small else pause_ms
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -226,6 +226,7 @@
             self._take_operator_snapshot,
             self._take_operator_rows,
             self.log.warning,
+            rereads_after_failure=True,
         )
         owner = TableFollower(
             self._store,
@@ -373,7 +374,7 @@
 
     def _send_heartbeat(self) -> None:
         own = self._ownership
-        if own is None or not own.is_loaded:
+        if own is None:
             return
         policy = self.policy.current
         self._hub.notify_all(
@@ -382,6 +383,7 @@
                 own.scheduler.waiting_by_queue(),
                 lease_age_ms=self._clock.now_ms() - self._renewed_ms,
                 policy_version=policy.version if policy is not None else 0,
+                is_loaded=own.is_loaded,
             )
         )
 
@@ -457,7 +459,10 @@
         try:
             seen_version = self._owner.row_version if self._owner.row is not None else 0
             if reason != OWN_EARLIER_LIFE:
-                await asyncio.sleep(stagger_ms(self._rng.random(), self.settings.cores) / 1000)
+                pause_ms = stagger_ms(
+                    self._rng.random(), self.settings.cores, self.settings.link_mbps
+                )
+                await asyncio.sleep(pause_ms / 1000)
             if self.is_draining or self._owner.row_version > seen_version:
                 return
             await self._claim(reason, seen_version)
--- a/packages/node/src/jacinthreel_node/_owner_view.py
+++ b/packages/node/src/jacinthreel_node/_owner_view.py
@@ -18,7 +18,7 @@
         self.heard_ms: int | None = None
         self.lease_age_ms = 0
         self.policy_version = 0
-        self._waiting_by_queue: dict[str, int] = {}
+        self._waiting_by_queue: dict[str, int] | None = None
 
     def put_row(self, row: OwnerRow | None, version: int) -> bool:
         """Takes a version of the owner's row; says whether it is newer."""
@@ -38,7 +38,7 @@
         self.heard_ms = None if heartbeat.resigned else self._clock.now_ms()
         self.lease_age_ms = heartbeat.lease_age_ms
         self.policy_version = heartbeat.policy_version
-        self._waiting_by_queue = heartbeat.waiting_by_queue
+        self._waiting_by_queue = heartbeat.waiting_by_queue if heartbeat.is_loaded else None
 
     def silent_ms(self) -> int | None:
         """How long ago the owner was heard, or None if never."""
@@ -47,6 +47,6 @@
     def waiting_in(self, queue: str, max_age_ms: int) -> int | None:
         """How many jobs wait in a queue, or None if the figure is older than `max_age_ms`."""
         silent_ms = self.silent_ms()
-        if silent_ms is None or silent_ms > max_age_ms:
+        if silent_ms is None or silent_ms > max_age_ms or self._waiting_by_queue is None:
             return None
         return self._waiting_by_queue.get(queue, 0)
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -300,7 +300,7 @@
             self._log("job_unreadable", {"job_id": job_id})
             return
         age_ms = max(0, unix_ms - record.accepted_unix_ms)
-        if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms):
+        if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms) and self.is_loaded:
             self._log(
                 "job_taken_in",
                 {"job_id": job_id, "queue": record.queue.name, "age_ms": age_ms},
--- a/packages/node/src/jacinthreel_node/_settings.py
+++ b/packages/node/src/jacinthreel_node/_settings.py
@@ -11,9 +11,9 @@
 class NodeSettings:
     """Settings that the adapter reads from the platform's file.
 
-    `cores` is the processor that the process may use.  `task_lease_ms` is the longest lease that
-    executors grant; `stop_grace_ms` how long a process may take to stop after SIGTERM;
-    `status_keep_ms` how long the state of an ended job is kept.
+    `cores` is the processor that the process may use, `link_mbps` the host's link.
+    `task_lease_ms` is the lease that is asked of executors; `stop_grace_ms` how long a process may
+    take to stop after SIGTERM; `status_keep_ms` how long the state of an ended job is kept.
     """
 
     host_id: str
@@ -24,6 +24,7 @@
     store_address: Address
     metrics_address: Address
     cores: float
+    link_mbps: float
     task_lease_ms: int
     stop_grace_ms: int
     status_keep_ms: int
--- a/packages/node/src/jacinthreel_node/_table_follower.py
+++ b/packages/node/src/jacinthreel_node/_table_follower.py
@@ -1,8 +1,9 @@
 """Following a table of the store.
 
 The follower reads the table whole, then asks for changes with a waiting read, again and again.  A
-lost history, or a version that fell behind, makes it read the table whole again.  A waiting read
-has a timeout a little longer than its wait, so that a connection that went silent is noticed.
+lost history makes it read the table whole again; so does a failure, where the table is small and
+its rows are large, because a feed brings each version that was missed.  A waiting read has a
+timeout a little longer than its wait, so that a connection that went silent is noticed.
 """
 
 from __future__ import annotations
@@ -34,7 +35,9 @@
         take_snapshot: TakeSnapshot,
         take_changes: TakeChanges,
         log: Callable[[str, dict[str, Any]], None],
+        rereads_after_failure: bool = False,
     ) -> None:
+        self._rereads_after_failure = rereads_after_failure
         self._store = store
         self._table = table
         self._wait_ms = wait_ms
@@ -77,6 +80,8 @@
                     return None
                 case Failure(Fault() as fault):
                     self._note_lost(fault)
+                    if self._rereads_after_failure:
+                        return None
                     await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     def _note_lost(self, fault: Fault) -> None:
--- /dev/null
+++ b/packages/node/tests/test_following.py
@@ -0,0 +1,127 @@
+"""Following a table, and who is taken for the owner."""
+
+from __future__ import annotations
+
+import asyncio
+
+from node_fakes import HandClock, MemoryStore
+from returns.result import Failure, Result
+
+from jacinthreel_common import Fault, Hello, OwnerHeartbeat, ResultCode
+from jacinthreel_node import Row, RowWrite, Snapshot
+from jacinthreel_node._election import LeaseWatch
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._records import OwnerRow
+from jacinthreel_node._store_health import LOST_AFTER_MS, StoreHealth
+from jacinthreel_node._table_follower import TableFollower
+
+PEER = Hello("other", "node", "z")
+
+
+class CountingStore(MemoryStore):
+    """Counts whole reads; changes fail as they are told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.whole_reads = 0
+        self.change_faults: list[ResultCode] = []
+
+    async def read(
+        self, table: str, timeout_ms: int, key: str | None = None
+    ) -> Result[Snapshot, Fault]:
+        self.whole_reads += 1
+        return await super().read(table, timeout_ms, key)
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
+        await asyncio.sleep(0.001)
+        if self.change_faults:
+            return Failure(Fault(self.change_faults.pop(0), "told to fail"))
+        return await super().changes(table, after, wait_ms)
+
+
+def follow(store: CountingStore, rereads_after_failure: bool) -> list[Row]:
+    """Follows a table until the row `last` is there; returns what was seen."""
+    seen: list[Row] = []
+
+    async def run() -> None:
+        follower = TableFollower(
+            store, "t", 10, seen.extend, seen.extend, lambda e, f: None, rereads_after_failure
+        )
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(10):
+            await asyncio.sleep(0.05)
+            await store.commit([], [RowWrite("t", "last", b"v")], 100)
+            while not any(row.key == "last" for row in seen):
+                await asyncio.sleep(0.005)
+        task.cancel()
+
+    asyncio.run(run())
+    return seen
+
+
+def test_small_table_is_read_anew_after_a_failure() -> None:
+    store = CountingStore()
+    store.change_faults = [ResultCode.STORE_UNAVAILABLE]
+    follow(store, rereads_after_failure=True)
+    assert store.whole_reads == 2
+
+
+def test_large_table_is_followed_on_from_where_it_failed() -> None:
+    store = CountingStore()
+    store.change_faults = [ResultCode.STORE_UNAVAILABLE]
+    follow(store, rereads_after_failure=False)
+    assert store.whole_reads == 1
+
+
+def test_lost_history_is_read_anew() -> None:
+    store = CountingStore()
+    store.change_faults = [ResultCode.STORE_HISTORY_LOST]
+    follow(store, rereads_after_failure=False)
+    assert store.whole_reads == 2
+
+
+def test_owner_that_has_not_loaded_is_heard_but_counts_nothing() -> None:
+    owner = OwnerView(HandClock())
+    owner.put_row(OwnerRow(1, "other", "10.0.0.2", 7000, "n"), 1)
+    owner.take_heartbeat(PEER, OwnerHeartbeat(1, {}, is_loaded=False))
+    assert owner.silent_ms() == 0
+    assert owner.waiting_in("q", 1_000) is None
+
+    owner.take_heartbeat(PEER, OwnerHeartbeat(1, {"q": 3}))
+    assert owner.waiting_in("q", 1_000) == 3
+
+
+def test_heartbeat_of_an_earlier_owner_is_passed_over() -> None:
+    clock = HandClock()
+    owner = OwnerView(clock)
+    owner.put_row(OwnerRow(2, "other", "10.0.0.2", 7000, "n"), 5)
+    owner.take_heartbeat(PEER, OwnerHeartbeat(1, {"q": 3}))
+    assert owner.silent_ms() is None
+
+
+def test_resigned_owner_is_silent_at_once() -> None:
+    owner = OwnerView(HandClock())
+    owner.put_row(OwnerRow(1, "other", "10.0.0.2", 7000, "n"), 1)
+    owner.take_heartbeat(PEER, OwnerHeartbeat(1))
+    owner.take_heartbeat(PEER, OwnerHeartbeat(1, resigned=True))
+    assert owner.silent_ms() is None
+
+
+def test_failed_read_restarts_the_watch_of_the_lease() -> None:
+    watch = LeaseWatch()
+    watch.see(7, 1_000)
+    assert watch.see(7, 2_500) == 1_500
+    watch.reset()
+    assert watch.see(7, 2_600) == 0
+    assert watch.see(8, 2_700) == 0
+
+
+def test_store_is_lost_only_without_any_success() -> None:
+    clock = HandClock()
+    health = StoreHealth(clock)
+    health.note(Failure(Fault(ResultCode.STORE_UNAVAILABLE, "")))
+    assert not health.is_lost
+    clock.time_ms += LOST_AFTER_MS
+    assert health.is_lost
+    health.note(Failure(Fault(ResultCode.STORE_HISTORY_LOST, "")))
+    assert not health.is_lost
