Split the election's carrying out off the node; test it and the adapter's decoding

No change of behaviour: _elector takes over, keeps and gives up the ownership; _node serves and follows.

--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -14,7 +14,7 @@
 from collections.abc import Coroutine
 from typing import Any, Final, Protocol
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from jacinthreel_common import (
     Fault,
@@ -42,42 +42,27 @@
     open_log,
 )
 from jacinthreel_node._election import (
-    ADMITTED_LAPSE_MS,
     HEARTBEAT_MS,
-    LEASE_MS,
     LEASE_RENEWAL_MS,
-    RENEWAL_OVERDUE_MS,
-    SILENCE_MS,
-    LeaseWatch,
-    stagger_ms,
 )
+from jacinthreel_node._elector import Elector
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
+from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._ports import (
-    Committed,
-    Conflict,
     ExecutorGateway,
     KeyedStore,
     PlatformRows,
     PolicyPut,
     Row,
-    RowCondition,
-    RowWrite,
-    Snapshot,
     Unusable,
     ZoneChanged,
 )
 from jacinthreel_node._records import (
     INTAKE_TABLE,
     LEASE_TABLE,
-    OWNER_KEY,
     OWNER_TABLE,
-    LeaseRow,
     OwnerRow,
-    decode_lease,
-    decode_owner,
-    encode_record,
 )
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
@@ -85,15 +70,10 @@
 from jacinthreel_node._table_follower import TableFollower
 
 ROLE: Final = "node"
-NO_OWNER: Final = "no owner"
-OWN_EARLIER_LIFE: Final = "own earlier life"
-RESIGNED: Final = "the owner has resigned"
 POLICY_WAIT_MS: Final = 1_500
 OWNER_WAIT_MS: Final = 5_000
 WATCH_PERIOD_MS: Final = 200
-STORE_TIMEOUT_MS: Final = 1_500
 TURN_AWAY_MS: Final = 2_300  # The balancer needs two failed checks to turn away.
-FLUSH_MS: Final = 500
 PULL_TIMEOUT_MS: Final = 800
 PROBE_PERIOD_MS: Final = 300
 PROBE_TIMEOUT_MS: Final = 700
@@ -142,12 +122,17 @@
         hello = Hello(settings.host_id, ROLE, settings.zone)
         self._hub = StreamHub(hello, clock, self._rng, self.log.warning)
         self._owner = OwnerView(clock)
-        self._ownership: Ownership | None = None
-        self._owner_row_version = 0
-        self._lease_count = 0
-        self._renewed_ms = 0
-        self._watch = LeaseWatch()
-        self._taking_over = False
+        self._elector = Elector(
+            settings,
+            store,
+            self._hub,
+            self._owner,
+            clock,
+            self._rng,
+            self.log,
+            self._spawn,
+            self._make_ownership,
+        )
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop_asked = asyncio.Event()
         self.jobs = JobService(
@@ -169,7 +154,7 @@
         """Whether new callers should be sent here."""
         if self.is_draining or self.policy.current is None:
             return False
-        return not self._store_health.is_lost or self._hears_owner()
+        return not self._store_health.is_lost or self._elector.hears_owner()
 
     async def run(self, server: CallerServer) -> int:
         """Serves until a signal asks for the end."""
@@ -186,8 +171,8 @@
         server.start()
         self._follow()
         self._timers.every(HEARTBEAT_MS, lambda now_ms: self._send_heartbeat())
-        self._timers.every(LEASE_RENEWAL_MS, lambda now_ms: self._renew())
-        self._timers.every(WATCH_PERIOD_MS, lambda now_ms: self._watch_owner())
+        self._timers.every(LEASE_RENEWAL_MS, lambda now_ms: self._elector.renew())
+        self._timers.every(WATCH_PERIOD_MS, lambda now_ms: self._elector.watch())
         self._timers.every(LIVENESS_MS, self._hub.check_liveness)
         self._timers.every(PROBE_PERIOD_MS, lambda now_ms: self._probe_store())
         self.log.decision("started", {"pid": os.getpid(), "zone": self.settings.zone})
@@ -199,7 +184,7 @@
     async def _shutdown(self, server: CallerServer) -> None:
         server.set_draining()
         started_ms = self._clock.now_ms()
-        await self._resign()
+        await self._elector.resign()
         spent_ms = self._clock.now_ms() - started_ms
         await asyncio.sleep(max(0, TURN_AWAY_MS - spent_ms) / 1000)
         spent_ms = self._clock.now_ms() - started_ms
@@ -232,8 +217,8 @@
             self._store,
             OWNER_TABLE,
             OWNER_WAIT_MS,
-            self._take_owner_snapshot,
-            self._take_owner_rows,
+            self._elector.take_snapshot,
+            self._elector.take_rows,
             self.log.warning,
         )
         self._spawn(operator.run())
@@ -269,49 +254,42 @@
                     self.log.decision("zone_changed", fields)
                 case Unusable(reason=reason) if reason:
                     self.log.warning("operator_row_unusable", {"key": row.key, "reason": reason})
-        if self._ownership is not None:
-            self._ownership.policy_changed()
-
-    def _take_owner_snapshot(self, rows: tuple[Row, ...]) -> None:
-        self._owner.is_row_known = True
-        self._take_owner_rows(rows)
-
-    def _take_owner_rows(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            if row.key != OWNER_KEY:
-                continue
-            owner = decode_owner(row.value) if row.value is not None else None
-            self._see_owner(owner, row.version)
+        if self._elector.ownership is not None:
+            self._elector.ownership.policy_changed()
 
-    def _see_owner(self, owner: OwnerRow | None, version: int) -> None:
-        if not self._owner.put_row(owner, version):
-            return
-        if owner is None:
-            return
-        self.log.decision(
-            "owner_seen",
-            {"epoch": owner.epoch, "owner": owner.host_id, "row_version": version},
+    def _make_ownership(
+        self, owner: OwnerRow, version: int, is_former_owner_gone: bool
+    ) -> Ownership:
+        return Ownership(
+            self.settings,
+            self._store,
+            self._gateway,
+            self._rows,
+            self.policy,
+            owner,
+            version,
+            self._clock,
+            self._timers,
+            self.metrics,
+            self.log.decision,
+            self._elector.lose,
+            is_former_owner_gone,
         )
-        self._watch.reset()
-        own = self._ownership
-        if own is not None and own.epoch < owner.epoch:
-            self._lose_ownership("another node has taken over")
-        if owner.host_id == self.settings.host_id:
-            self._hub.set_peers(set())
-            self._watch_owner()
-            return
-        self._hub.set_peers({(owner.address, owner.port)})
 
     def _is_owner(self) -> bool:
-        return self._ownership is not None and self._ownership.is_loaded
+        return self._elector.ownership is not None and self._elector.ownership.is_loaded
 
     def _own_state(self, job_id: str) -> Any:
-        return self._ownership.state_of(job_id) if self._ownership is not None else None
+        return (
+            self._elector.ownership.state_of(job_id)
+            if self._elector.ownership is not None
+            else None
+        )
 
     def _own_waiting(self) -> dict[str, int]:
-        if self._ownership is None:
+        if self._elector.ownership is None:
             return {}
-        return self._ownership.scheduler.waiting_by_queue()
+        return self._elector.ownership.scheduler.waiting_by_queue()
 
     async def _serve_state(self, query: JobStateQuery) -> StreamReply:
         if not self._is_owner():
@@ -321,7 +299,7 @@
         return StreamReply(ResultCode.OK, body=to_plain(answer))
 
     async def _serve_insert(self, insert: IntakeInsert) -> StreamReply:
-        own = self._ownership
+        own = self._elector.ownership
         if own is None or not own.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
         if self._store_health.is_lost:
@@ -341,8 +319,10 @@
         self._take_intake_row(notice.row)
 
     def _take_intake_row(self, row: StoredRow) -> None:
-        if self._ownership is not None:
-            self._ownership.take_intake_row(Row(INTAKE_TABLE, row.key, row.value, row.version))
+        if self._elector.ownership is not None:
+            self._elector.ownership.take_intake_row(
+                Row(INTAKE_TABLE, row.key, row.value, row.version)
+            )
 
     def _take_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         self._owner.take_heartbeat(peer, heartbeat)
@@ -373,7 +353,7 @@
         return known is None or known.version < row.version
 
     def _send_heartbeat(self) -> None:
-        own = self._ownership
+        own = self._elector.ownership
         if own is None:
             return
         policy = self.policy.current
@@ -381,166 +361,18 @@
             OwnerHeartbeat(
                 own.epoch,
                 own.scheduler.waiting_by_queue(),
-                lease_age_ms=self._clock.now_ms() - self._renewed_ms,
+                lease_age_ms=self._elector.lease_age_ms,
                 policy_version=policy.version if policy is not None else 0,
                 is_loaded=own.is_loaded,
             )
         )
 
-    def _renew(self) -> None:
-        own = self._ownership
-        if own is None:
-            return
-        if self._clock.now_ms() - self._renewed_ms > OUTAGE_RENEWAL_LIMIT_MS:
-            self._lose_ownership("the lease could not be renewed for too long")
-            return
-        self._spawn(self._renew_lease(own))
-
-    async def _renew_lease(self, own: Ownership) -> None:
-        self._lease_count += 1
-        lease = LeaseRow(own.epoch, self._lease_count)
-        sent_ms = self._clock.now_ms()
-        outcome = await self._write_lease(lease)
-        if self._ownership is not own:
-            return
-        match outcome:
-            case Success(_):
-                self._renewed_ms = max(self._renewed_ms, sent_ms)
-            case Failure(Fault() as fault):
-                fields = {"reason": fault.detail, "code": fault.code.value}
-                self.log.warning("lease_not_renewed", fields)
-
-    async def _write_lease(self, lease: LeaseRow) -> Result[Committed | Conflict, Fault]:
-        """Unconditional: the row is only read as a sign of life of the epoch that it names."""
-        row = RowWrite(LEASE_TABLE, self.settings.host_id, encode_record(lease))
-        return await self._store.commit([], [row], STORE_TIMEOUT_MS)
-
-    def _watch_owner(self) -> None:
-        if self.is_draining or self._ownership is not None or self._taking_over:
-            return
-        if not self._owner.is_row_known:
-            return
-        row = self._owner.row
-        if row is None or row.host_id == self.settings.host_id:
-            self._begin_takeover(NO_OWNER if row is None else OWN_EARLIER_LIFE)
-            return
-        if self._hears_owner() and self._owner.lease_age_ms < RENEWAL_OVERDUE_MS:
-            self._watch.reset()
-            return
-        self._spawn(self._look_at_lease(row))
-
-    def _hears_owner(self) -> bool:
-        silent_ms = self._owner.silent_ms()
-        return silent_ms is not None and silent_ms < SILENCE_MS
-
-    async def _look_at_lease(self, owner: OwnerRow) -> None:
-        match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, owner.host_id):
-            case Success(Snapshot(rows=rows)):
-                self._judge_lease(owner, rows)
-            case Failure(Fault()):
-                self._watch.reset()
-
-    def _judge_lease(self, owner: OwnerRow, rows: tuple[Row, ...]) -> None:
-        version = rows[0].version if rows else 0
-        lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
-        stood_ms = self._watch.see(version, self._clock.now_ms())
-        if lease is not None and lease.is_resigned and lease.epoch == owner.epoch:
-            self._begin_takeover(RESIGNED)
-        elif stood_ms >= (ADMITTED_LAPSE_MS if self._hears_owner() else LEASE_MS):
-            self._begin_takeover("the owner's lease has lapsed")
-
-    def _begin_takeover(self, reason: str) -> None:
-        if self._taking_over or self._ownership is not None or self.is_draining:
-            return
-        self._taking_over = True
-        self._spawn(self._take_over(reason))
-
-    async def _take_over(self, reason: str) -> None:
-        try:
-            seen_version = self._owner.row_version if self._owner.row is not None else 0
-            if reason != OWN_EARLIER_LIFE:
-                pause_ms = stagger_ms(
-                    self._rng.random(), self.settings.cores, self.settings.link_mbps
-                )
-                await asyncio.sleep(pause_ms / 1000)
-            if self.is_draining or self._owner.row_version > seen_version:
-                return
-            await self._claim(reason, seen_version)
-        finally:
-            self._taking_over = False
-
-    async def _claim(self, reason: str, seen_version: int) -> None:
-        epoch = self._owner.row.epoch + 1 if self._owner.row is not None else 1
-        address, port = self.settings.stream_address
-        nonce = f"{self._rng.getrandbits(64):016x}"
-        owner = OwnerRow(epoch, self.settings.host_id, address, port, nonce)
-        outcome = await self._store.commit(
-            [RowCondition(OWNER_TABLE, OWNER_KEY, seen_version)],
-            [RowWrite(OWNER_TABLE, OWNER_KEY, encode_record(owner))],
-            STORE_TIMEOUT_MS,
-        )
-        match outcome:
-            case Success(Committed(version=version)):
-                self._own(owner, version, reason)
-            case Success(Conflict(rows=rows)):
-                self._take_owner_rows(rows)
-            case Failure(Fault() as fault):
-                fields = {"reason": fault.detail, "code": fault.code.value}
-                self.log.warning("takeover_failed", fields)
-
-    def _own(self, owner: OwnerRow, version: int, reason: str) -> None:
-        if self._owner.row_version > version:
-            return  # Somebody else has taken over meanwhile.
-        self._see_owner(owner, version)
-        self._owner_row_version = version
-        self._renewed_ms = self._clock.now_ms()
-        self.log.decision("took_over", {"epoch": owner.epoch, "reason": reason})
-        self._ownership = Ownership(
-            self.settings,
-            self._store,
-            self._gateway,
-            self._rows,
-            self.policy,
-            owner,
-            version,
-            self._clock,
-            self._timers,
-            self.metrics,
-            self.log.decision,
-            self._lose_ownership,
-            is_former_owner_gone=reason in (OWN_EARLIER_LIFE, RESIGNED),
-        )
-        self._ownership.start()
-        self._renew()
-
-    def _lose_ownership(self, reason: str) -> None:
-        own = self._ownership
-        if own is None:
-            return
-        self._ownership = None
-        own.stop()
-        self._watch.reset()
-        self.log.decision("ownership_lost", {"epoch": own.epoch, "reason": reason})
-
-    async def _resign(self) -> None:
-        own = self._ownership
-        if own is None:
-            return
-        await own.flush(FLUSH_MS)
-        if self._ownership is not own:
-            return
-        self._ownership = None
-        own.stop()
-        lease = LeaseRow(own.epoch, self._lease_count + 1, True)
-        outcome = await self._write_lease(lease)
-        self._hub.notify_all(OwnerHeartbeat(own.epoch, resigned=True))
-        self.log.decision("resigned", {"epoch": own.epoch, "outcome": type(outcome).__name__})
-
     def _on_signal(self, number: int) -> None:
         if self._stop_asked.is_set():
             return
         self.log.decision("shutdown_started", {"signal": number})
         self.is_draining = True
+        self._elector.is_draining = True
         self._stop_asked.set()
 
     def _on_reload(self) -> None:
--- /dev/null
+++ b/packages/node/tests/test_elector.py
@@ -0,0 +1,269 @@
+"""Standing for the ownership: when it is taken, kept, handed over and lost."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, cast
+
+from node_fakes import HandClock, MemoryStore
+
+from jacinthreel_common import Hello, OwnerHeartbeat, ResultCode
+from jacinthreel_daemon.plumbing import EventLog, StreamHub
+from jacinthreel_node import NodeSettings, Row
+from jacinthreel_node._election import LEASE_MS
+from jacinthreel_node._elector import Elector
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
+from jacinthreel_node._records import (
+    LEASE_TABLE,
+    OWNER_KEY,
+    OWNER_TABLE,
+    LeaseRow,
+    OwnerRow,
+    encode_record,
+)
+
+ADDRESS = ("10.0.0.1", 7000)
+
+
+class SilentLog:
+    """Takes lines and keeps none."""
+
+    def decision(self, event: str, fields: dict[str, Any]) -> None:
+        return
+
+    def warning(self, event: str, fields: dict[str, Any]) -> None:
+        return
+
+
+class SilentHub:
+    """Peers that hear nothing."""
+
+    def set_peers(self, peers: set[tuple[str, int]]) -> None:
+        return
+
+    def notify_all(self, message: object) -> None:
+        return
+
+
+class EmptyOwnership:
+    """An ownership without jobs."""
+
+    def __init__(self, owner: OwnerRow) -> None:
+        self.epoch = owner.epoch
+        self.is_stopped = False
+
+    def start(self) -> None:
+        return
+
+    def stop(self) -> None:
+        self.is_stopped = True
+
+    async def flush(self, timeout_ms: int) -> None:
+        return
+
+
+class Stand:
+    """One candidate with a store in memory; `gone` keeps what was said of each former owner."""
+
+    def __init__(self, store: MemoryStore | None = None, host_id: str = "me") -> None:
+        self.clock = HandClock()
+        self.store = store or MemoryStore()
+        self.owner = OwnerView(self.clock)
+        self.gone: list[bool] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        settings = NodeSettings(
+            host_id, "z", ADDRESS, ADDRESS, ADDRESS, ADDRESS, ADDRESS, 2.0, 1_000, 5_000, 5_000, 1
+        )
+        self.elector = Elector(
+            settings,
+            self.store,
+            cast(StreamHub, SilentHub()),
+            self.owner,
+            self.clock,
+            random.Random(1),
+            cast(EventLog, SilentLog()),
+            self._spawn,
+            self._make,
+        )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(coroutine))
+
+    def _make(self, owner: OwnerRow, version: int, is_former_owner_gone: bool) -> Ownership:
+        self.gone.append(is_former_owner_gone)
+        return cast(Ownership, EmptyOwnership(owner))
+
+    async def read_owner(self) -> None:
+        """Takes the owner's row as the follower would."""
+        snapshot = (await self.store.read(OWNER_TABLE, 100)).unwrap()
+        self.elector.take_snapshot(snapshot.rows)
+
+    async def watch(self, passing_ms: int = 0) -> None:
+        """Looks after the owner, with everything that follows."""
+        self.clock.time_ms += passing_ms
+        self.elector.watch()
+        while self.tasks:
+            await self.tasks.pop(0)
+
+
+def other_owner(store: MemoryStore, epoch: int = 1, resigned: bool = False) -> None:
+    row = OwnerRow(epoch, "other", "10.0.0.2", 7000, "n")
+    store.version += 1
+    store.rows[(OWNER_TABLE, OWNER_KEY)] = Row(
+        OWNER_TABLE, OWNER_KEY, encode_record(row), store.version
+    )
+    lease = encode_record(LeaseRow(epoch, 1, resigned))
+    store.rows[(LEASE_TABLE, "other")] = Row(LEASE_TABLE, "other", lease, store.version)
+
+
+def play(scenario: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await scenario()
+
+    asyncio.run(run())
+
+
+def test_first_node_takes_the_jobs() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        await stand.read_owner()
+        await stand.watch()
+        assert stand.elector.ownership is not None
+        assert stand.elector.ownership.epoch == 1
+
+    play(scenario)
+
+
+def test_silent_owner_is_followed_only_after_its_lease() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        await stand.watch()
+        await stand.watch(LEASE_MS - 100)
+        assert stand.elector.ownership is None
+        await stand.watch(200)
+        assert stand.elector.ownership is not None
+        assert stand.elector.ownership.epoch == 2
+        assert stand.gone == [False]
+
+    play(scenario)
+
+
+def test_outage_of_the_store_moves_nothing() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        await stand.watch()
+        stand.store.read_faults = [ResultCode.STORE_UNAVAILABLE]
+        await stand.watch(LEASE_MS)
+        await stand.watch(100)
+        assert stand.elector.ownership is None
+
+    play(scenario)
+
+
+def test_owner_that_is_heard_and_renews_keeps_the_jobs() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        for _ in range(10):
+            stand.owner.take_heartbeat(Hello("other", "node", "z"), OwnerHeartbeat(1))
+            await stand.watch(500)
+        assert stand.elector.ownership is None
+
+    play(scenario)
+
+
+def test_owner_that_says_its_lease_is_overdue_is_followed() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        for _ in range(4):
+            overdue = OwnerHeartbeat(1, lease_age_ms=5_000)
+            stand.owner.take_heartbeat(Hello("other", "node", "z"), overdue)
+            await stand.watch(300)
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
+def test_resigned_owner_is_followed_at_once() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store, resigned=True)
+        await stand.read_owner()
+        await stand.watch()
+        assert stand.elector.ownership is not None
+        assert stand.gone == [True]
+
+    play(scenario)
+
+
+def test_own_earlier_life_is_followed_at_once() -> None:
+    async def scenario() -> None:
+        stand = Stand(host_id="other")
+        other_owner(stand.store, epoch=4)
+        await stand.read_owner()
+        await stand.watch()
+        assert stand.elector.ownership is not None
+        assert stand.elector.ownership.epoch == 5
+
+    play(scenario)
+
+
+def test_takeover_with_an_outdated_row_finds_the_newer_owner() -> None:
+    async def scenario() -> None:
+        stand = Stand(host_id="other")
+        other_owner(stand.store, epoch=4)
+        await stand.read_owner()
+        other_owner(stand.store, epoch=7)
+        stand.store.rows[(OWNER_TABLE, OWNER_KEY)] = _renamed(stand.store, "third")
+        await stand.watch()
+        assert stand.elector.ownership is None
+        assert stand.owner.row is not None
+        assert stand.owner.row.host_id == "third"
+
+    play(scenario)
+
+
+def test_owner_without_its_lease_for_too_long_gives_up() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        await stand.read_owner()
+        await stand.watch()
+        own = stand.elector.ownership
+        stand.store.faults = [ResultCode.STORE_UNAVAILABLE] * 5
+        stand.clock.time_ms += OUTAGE_RENEWAL_LIMIT_MS + 1
+        stand.elector.renew()
+        assert stand.elector.ownership is None
+        assert cast(EmptyOwnership, own).is_stopped
+
+    play(scenario)
+
+
+def test_stopping_owner_leaves_word_that_it_has_resigned() -> None:
+    async def scenario() -> None:
+        first = Stand(host_id="first")
+        await first.read_owner()
+        await first.watch()
+        await first.elector.resign()
+        second = Stand(first.store, host_id="second")
+        await second.read_owner()
+        await second.watch()
+        assert second.elector.ownership is not None
+        assert second.gone == [True]
+
+    play(scenario)
+
+
+def _renamed(store: MemoryStore, host_id: str) -> Any:
+    owner = OwnerRow(7, host_id, "10.0.0.3", 7000, "m")
+    store.version += 1
+    return Row(OWNER_TABLE, OWNER_KEY, encode_record(owner), store.version)
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT / "tests" / "soak"), str(ROOT / "platform" / "tests")]
+sys.path.insert(0, str(ROOT / "tests" / "soak"))
 
 from soak_run import SoakRun, SoakSize  # noqa: E402
 
--- /dev/null
+++ b/tests/adapter/test_translation.py
@@ -0,0 +1,174 @@
+"""What the adapter makes of the platform's messages, good and bad."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from returns.result import Success
+
+from jacinthreel_common import ResultCode
+from jacinthreel_daemon.plumbing import HttpReply
+from jacinthreel_node import PolicyPut, Row, Unusable, ZoneChanged
+from jacinthreel_platform._boot_file import decode_settings
+from jacinthreel_platform._executors import _decode_report, _start_answer
+from jacinthreel_platform._job_bodies import decode_job_body
+from jacinthreel_platform._platform_rows import RowTranslator
+from jacinthreel_steps import EndReason, StartOutcome
+
+ROUTE = {"name": "r", "host": "h", "path_prefix": "/q/", "service": "s", "priority": 0}
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [ROUTE],
+    "tenants": [{"name": "w", "api_keys": ["k1", "k2"], "guaranteed": {"gpu": 32}}],
+    "limits": {"max_body_bytes": 1000},
+    "a_new_field": {},
+}
+SERVER: dict[str, Any] = {
+    "service": "s",
+    "addr": "10.0.0.9:8080",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 8},
+    "labels": ["a", "r1-3"],
+    "born": 99,
+}
+JOB: dict[str, Any] = {"spec": "x", "steps": [{"count": 2, "cpu": 500, "gpu": 1, "gang": True}]}
+
+
+def row(key: str, value: object) -> Row:
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return Row("t", key, data, 3)
+
+
+def test_configuration_is_decoded_and_unknown_fields_are_passed_over() -> None:
+    event = RowTranslator().operator_event(row("config", CONFIG))
+    assert isinstance(event, PolicyPut)
+    assert event.policy.version == 7
+    assert event.policy.workspace_by_key == {"k1": "w", "k2": "w"}
+    assert event.policy.guaranteed_accelerators_by_workspace == {"w": 32}
+    assert event.policy.max_body_bytes == 1000
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"{}", b"[1]", json.dumps({"version": "x"}).encode()])
+def test_configuration_that_cannot_be_read_changes_nothing(value: bytes) -> None:
+    event = RowTranslator().operator_event(row("config", value))
+    assert isinstance(event, Unusable)
+    assert event.reason
+
+
+def test_zone_goes_out_of_service_and_comes_back() -> None:
+    translator = RowTranslator()
+    assert translator.operator_event(row("evacuate/z1", {})) == ZoneChanged("z1", True)
+    gone = Row("t", "evacuate/z1", None, 4)
+    assert translator.operator_event(gone) == ZoneChanged("z1", False)
+
+
+def test_executor_entry_is_decoded() -> None:
+    listing = RowTranslator().executor_listing(row("i-1", SERVER))
+    assert listing is not None
+    assert (listing.executor_id, listing.incarnation, listing.rack) == ("i-1", 99, "r1-3")
+    assert listing.capacity.accelerators == 8
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"capacity": "much"},
+        {"addr": "nowhere"},
+        {"zone": None},
+        {"labels": "a"},
+    ],
+)
+def test_executor_entry_of_another_writer_names_no_executor(change: dict[str, Any]) -> None:
+    assert RowTranslator().executor_listing(row("i-1", {**SERVER, **change})) is None
+    assert RowTranslator().executor_listing(row("i-1", b"\x00")) is None
+
+
+@pytest.mark.parametrize(
+    ("change", "code"),
+    [
+        ({"spec": 5}, ResultCode.WRONG_TYPE),
+        ({"steps": []}, ResultCode.OUT_OF_RANGE),
+        ({"steps": [{"count": 0}]}, ResultCode.OUT_OF_RANGE),
+        ({"steps": [{"count": 1, "cpu": -1}]}, ResultCode.OUT_OF_RANGE),
+        ({"steps": [{"count": 1, "after": [0]}]}, ResultCode.OUT_OF_RANGE),
+        ({"repeats": 3}, ResultCode.JOB_KIND_UNSUPPORTED),
+        ({"steps": [{"count": 1, "long_running": True}]}, ResultCode.JOB_KIND_UNSUPPORTED),
+        ({"steps": [{"count": 1, "fills": True}]}, ResultCode.JOB_KIND_UNSUPPORTED),
+    ],
+)
+def test_job_that_cannot_be_taken_is_told_why(change: dict[str, Any], code: ResultCode) -> None:
+    body = json.dumps({**JOB, **change}).encode()
+    assert decode_job_body(body).failure().code is code
+
+
+def test_body_that_is_not_json_is_told_so() -> None:
+    assert decode_job_body(b"{").failure().code is ResultCode.MALFORMED_BODY
+
+
+def test_job_is_decoded() -> None:
+    spec = decode_job_body(json.dumps(JOB).encode()).unwrap()
+    assert spec.steps[0].is_gang
+    assert spec.steps[0].shape.cpu_milli == 500
+
+
+def test_report_skips_entries_that_cannot_be_read() -> None:
+    report = {
+        "clock_ms": 5,
+        "born": 9,
+        "running": [["a.0.1.2", 3, "c", 41, 7], ["x", 1, "", 0], [], ["a.0.1.3", "y", "", 0]],
+        "ended": [
+            [1, "a.0.0.0", 1, "done", ""],
+            [2, "a.0.0.1", 1, "vanished", ""],
+            [3, "?", 1, "failed"],
+        ],
+    }
+    answer = _decode_report(json.dumps(report).encode())
+    assert isinstance(answer, Success)
+    found = answer.unwrap()
+    assert [run.run_id.number for run in found.running] == [3]
+    assert [(end.sequence, end.reason) for end in found.ended] == [
+        (1, EndReason.DONE),
+        (3, EndReason.FAILED),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "outcome", "is_fenced"),
+    [
+        (200, b"{}", StartOutcome.STARTED, False),
+        (409, b'{"reason":"room"}', StartOutcome.REFUSED_NO_ROOM, False),
+        (409, b'{"reason":"fence"}', StartOutcome.REFUSED_OTHER, True),
+        (409, b"no json", StartOutcome.REFUSED_OTHER, False),
+        (421, b"", StartOutcome.REFUSED_INCARNATION, False),
+        (503, b"", StartOutcome.REFUSED_UNHEALTHY, False),
+        (429, b"", StartOutcome.REFUSED_UNHEALTHY, False),
+        (500, b"", StartOutcome.UNKNOWN, False),
+    ],
+)
+def test_answers_to_starts(
+    status: int, body: bytes, outcome: StartOutcome, is_fenced: bool
+) -> None:
+    answer = _start_answer(HttpReply(status, body))
+    assert (answer.outcome, answer.is_fenced) == (outcome, is_fenced)
+
+
+def test_settings_file_is_decoded_and_unknown_fields_are_passed_over() -> None:
+    boot = {
+        "node": "n",
+        "ip": "10.0.0.1",
+        "zone": "z",
+        "listen": {"front": "10.0.0.1:8521", "ready": "10.0.0.1:8523"},
+        "port_range": [7000, 7015],
+        "limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10},
+        "bounds": {"hold_max_ms": 10_000, "grace_s": 6, "later": 1},
+        "platform": {"addr": "10.0.0.2:80"},
+        "later": True,
+    }
+    settings = decode_settings(json.dumps(boot).encode())
+    assert settings.stream_address == ("10.0.0.1", 7000)
+    assert settings.cores == 1.0
+    assert settings.task_lease_ms <= 10_000
--- a/platform/tests/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -144,7 +144,7 @@
 class Ledger:
     """What all executors have seen, for the checks; `faults` are broken promises.
 
-    A done task may start again only if its end was lost with its executor before it was acknowledged;
+    A done task may start again only if its end was lost with its executor, not acknowledged;
     `noted_done_tasks` are those whose end was.
     """
 
