--- a/packages/steps/src/jacinthreel_steps/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_reports.py
@@ -67,10 +67,10 @@
         job = context.tables.jobs_by_id.get(pending.job_id)
         if job is not None and job.stored_revision < pending.revision:
             break
-        executor.acked_upto = pending.sequence
+        executor.acknowledged_upto = pending.sequence
         stored += 1
     del executor.pending_ends[:stored]
-    return executor.acked_upto
+    return executor.acknowledged_upto
 
 
 def _apply_end(context: Context, executor: Executor, end: ReportedEnd, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -273,7 +273,7 @@
         """The executor has started anew and holds nothing of before."""
         executor.listing = replace(listing, incarnation=incarnation or listing.incarnation)
         executor.seen_upto = 0
-        executor.acked_upto = 0
+        executor.acknowledged_upto = 0
         executor.pending_ends.clear()
         executor.is_reported = False
         self._drop_older_lives(executor, now_ms)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -162,7 +162,7 @@
     is_listed: bool = True
     is_reported: bool = False
     seen_upto: int = 0
-    acked_upto: int = 0
+    acknowledged_upto: int = 0
     pending_ends: list[PendingEnd] = field(default_factory=list)
     heard_ms: int = 0
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
