End the ownership where a loop of an executor link fails, and say why

The cause of such an exception is not known: open. Now it is logged with its trace and the ownership starts anew from what is stored. Test: test_executor_link.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -80,7 +80,8 @@
     """What all links of one ownership share.
 
     `unreached_end_ms` is when all that an earlier owner started has ended at executors that this
-    owner has never reached.  `wait_stored` waits for the next stored batch.
+    owner has never reached.  `wait_stored` waits for the next stored batch.  `failed` takes an
+    unexpected error.
     """
 
     gateway: ExecutorGateway
@@ -92,6 +93,7 @@
     wait_stored: Callable[[int], Awaitable[None]]
     changed: Callable[[], None]
     fenced: Callable[[str], None]
+    failed: Callable[[Exception], None]
     log: Callable[[str, dict[str, Any]], None]
 
 
@@ -104,8 +106,8 @@
         self._clock = ExecutorClock()
         self._incarnation = 0
         self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
-        self._tasks = [asyncio.create_task(self._poll())]
-        self._tasks += [asyncio.create_task(self._work()) for _ in range(ORDER_WORKERS)]
+        loops = [self._poll(), *(self._work() for _ in range(ORDER_WORKERS))]
+        self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
         self._is_lost = False
 
     def close(self) -> None:
@@ -118,6 +120,13 @@
         """Queues a start or a stop."""
         self._orders.put_nowait(order)
 
+    async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
+        """Without its loops the executor would be forgotten, so an error ends the ownership."""
+        try:
+            await loop
+        except Exception as error:
+            self._context.failed(error)
+
     async def _poll(self) -> None:
         while True:
             executor = self._executor()
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -117,6 +118,7 @@
             self._writer.wait_stored,
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} knows a newer owner"),
+            self._fail,
             log,
         )
 
@@ -369,8 +371,13 @@
         try:
             await coroutine
         except Exception as error:
-            self._log("owner_failed", {"error": repr(error)})
-            self._on_lost(f"unexpected error: {error!r}")
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        """An invariant is broken: what is stored is right, so a new ownership starts from it."""
+        lines = traceback.format_exception(error)
+        self._log("owner_failed", {"error": repr(error), "trace": "".join(lines)[-2_000:]})
+        self._on_lost(f"unexpected error: {error!r}")
 
 
 def _unreached_ms(task_lease_ms: int, is_former_owner_gone: bool) -> int:
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -32,6 +32,7 @@
     def __init__(self, listing: ExecutorListing = LISTING) -> None:
         self.clock = HandClock()
         self.is_reachable = True
+        self.errors: list[Exception] = []
         self.scheduler = Scheduler(lambda event, fields: None)
         self.scheduler.apply_listing(listing, self.clock.now_ms())
         self.gateway = ToldExecutors(self._report)
@@ -45,6 +46,7 @@
             _no_wait,
             lambda: None,
             lambda executor_id: None,
+            self.errors.append,
             lambda event, fields: None,
         )
 
@@ -124,3 +126,17 @@
     clock.see(their_ms=500, our_ms=10_000)
     clock.lease_until_ms = 6_500
     assert clock.lease_end_ms(default_ms=0) > 10_000 + 6_000 * 1.02
+
+
+def test_unexpected_error_is_handed_on() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 1)
+        bench.scheduler.take_report = _raise  # type: ignore[assignment,method-assign]
+        await until(lambda: bool(bench.errors))
+        assert isinstance(bench.errors[0], RuntimeError)
+
+    play(Bench(), scenario)
+
+
+def _raise(*arguments: object) -> None:
+    raise RuntimeError("told to fail")
