Acknowledge no ends to an executor that may have started anew

Cause: an executor crashed and came back under its id behind a path that swallowed its answers; questions went on carrying the acknowledgement of its earlier life, and the new life, which counts from 1, forgot an end that nobody had seen. Now a question after a silence acknowledges nothing. Test: test_executor_link, red before. The soak's listening ports now lie below those of outgoing connections: with eight runs at a time, a restarted node found its port taken.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -7,7 +7,8 @@
 From each answer the link knows a time that the executor's clock has certainly reached.  Leases
 are asked for from that time on, and everything on an executor that can't be reached has certainly
 ended once its clock must have passed the latest lease that it can have been sent.  So a question
-that follows one without an answer asks for no lease.
+that follows one without an answer asks for no lease.  It acknowledges no ends either, because a
+new life of the executor may take it.
 """
 
 from __future__ import annotations
@@ -45,6 +46,7 @@
 MAX_STOP_ATTEMPTS: Final = 4
 CLOCK_SLOWNESS: Final = 0.02
 LEASE_MARGIN_MS: Final = 200
+SAME_LIFE_MS: Final = 600  # No executor stops and starts again within this.
 DRAINING_LEASE_MS: Final = 2_500  # What runs there is placed again the sooner after it has left.
 
 
@@ -109,6 +111,7 @@
         loops = [self._poll(), *(self._work() for _ in range(ORDER_WORKERS))]
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
         self._is_lost = False
+        self._answered_ms = 0
 
     def close(self) -> None:
         """Ends the exchange."""
@@ -143,7 +146,7 @@
         unstored = context.scheduler.has_unstored_ends(self._executor_id)
         question = ReportQuestion(
             context.epoch,
-            context.scheduler.acknowledged_upto(self._executor_id),
+            self._acknowledged_upto(sent_ms),
             None if self._is_lost else self._lease_until_ms(executor),
             0 if unstored or not executor.is_reported else REPORT_WAIT_MS,
         )
@@ -166,6 +169,7 @@
             self._incarnation = answer.incarnation
             self._clock = ExecutorClock()
         self._clock.see(answer.clock_ms, now_ms)
+        self._answered_ms = now_ms
         if self._is_lost:
             self._is_lost = False
             context.log("executor_regained", {"executor": self._executor_id})
@@ -175,6 +179,15 @@
         if context.scheduler.has_unstored_ends(self._executor_id):
             await context.wait_stored(STORE_WAIT_MS)
 
+    def _acknowledged_upto(self, now_ms: int) -> int:
+        """The ends to forget; none where the executor may have started anew since its answer.
+
+        A new life counts its ends from 1 again, and would forget ends that nobody has seen.
+        """
+        if self._is_lost or now_ms - self._answered_ms > SAME_LIFE_MS:
+            return 0
+        return self._context.scheduler.acknowledged_upto(self._executor_id)
+
     def _see_incarnation(self, executor: Executor) -> None:
         if executor.listing.incarnation != self._incarnation:
             self._incarnation = executor.listing.incarnation
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -105,6 +105,20 @@
     play(Bench(), scenario)
 
 
+def test_executor_that_may_have_started_anew_is_sent_no_acknowledgement() -> None:
+    async def scenario(bench: Bench) -> None:
+        executor = bench.scheduler.tables.executors_by_id["e1"]
+        executor.acknowledged_upto = 5
+        await until(lambda: len(bench.gateway.questions) > 2)
+        assert bench.gateway.questions[-1].acknowledged_upto == 5
+        bench.is_reachable = False
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 2)
+        assert bench.gateway.questions[-1].acknowledged_upto == 0
+
+    play(Bench(), scenario)
+
+
 def test_runs_of_a_silent_executor_are_given_up_once_their_lease_has_lapsed() -> None:
     async def scenario(bench: Bench) -> None:
         await until(lambda: len(bench.gateway.questions) > 2)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -37,6 +37,7 @@
 TRIES = 8
 SETTLE_S = 60.0
 STOP_S = 8.0
+LISTEN_PORTS = (12_000, 30_000)
 REFUSALS = frozenset({429, 503})
 
 
@@ -126,7 +127,7 @@
         await asyncio.sleep(1.5)
 
     def _make_node(self, index: int, proxy: LoopbackProxy) -> NodeProcess:
-        front, ready, stream = free_port(), free_port(), free_port_pair()
+        front, ready, stream = free_port(), free_port(), free_port(2)
         name = f"n{index}"
         boot = self.folder / f"{name}.json"
         settings = {
@@ -368,21 +369,19 @@
                 node.process.wait()
 
 
-def free_port() -> int:
-    """A port of loopback that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
-def free_port_pair() -> int:
-    """A free port whose next one is free as well."""
+def free_port(count: int = 1) -> int:
+    """The first of `count` neighbouring free ports, below those that outgoing connections take."""
     while True:
-        port = free_port()
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port + 1))
-            except OSError:
-                continue
+        port = random.randrange(*LISTEN_PORTS)
+        if all(_is_free(port + offset) for offset in range(count)):
             return port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+        return True
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,8 +10,13 @@
 
 CI_SEEDS = [1, 2]
 
-FAILED_BEFORE: dict[int, str] = {}
-"""Seeds that failed once, with a line on the cause."""
+FAILED_BEFORE: dict[int, str] = {
+    62: "a new life of an executor was sent the acknowledgement of the earlier one",
+}
+"""Seeds that failed once and are not run above, with a line on the cause.
+
+Seed 1: a stop without an answer was not repeated; and the same acknowledgement as seed 62.
+"""
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *FAILED_BEFORE])
