--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -38,6 +38,25 @@
     assert events == ["call_refused", "job_accepted", "room_claimed", "job_ended"]
 
 
+def test_recorded_refusal_and_its_retries_are_explained(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    assert run(["explain", "37e6ff218c7a59de", str(LOG)]) is ExitStatus.DONE
+
+    lines = _output(capsys)
+    assert len(lines) == 5
+    assert all("job_not_accepted" in line and "code=5001" in line for line in lines)
+
+
+def test_recorded_job_is_told_from_refusal_to_end(capsys: pytest.CaptureFixture[str]) -> None:
+    assert run(["explain", "2c579b365e65fc9e", str(LOG)]) is ExitStatus.DONE
+
+    events = [line.split()[2] for line in _output(capsys)]
+    assert events[0] == "job_not_accepted"
+    assert events.index("job_accepted") < events.index("job_ended")
+    assert "tasks_placed" in events
+
+
 def test_unknown_job_is_said_to_be_unknown(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
