--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -162,6 +162,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._on_signal, signal.SIGTERM)
         loop.add_signal_handler(signal.SIGINT, self._on_signal, signal.SIGINT)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        loop.add_signal_handler(signal.SIGUSR1, self._log_tasks)
         self._hub.on_call(JobStateQuery, self._serve_state)
         self._hub.on_call(IntakeInsert, self._serve_insert)
         self._hub.on_call(PolicyPull, self._serve_policy)
@@ -378,6 +379,20 @@
     def _on_reload(self) -> None:
         self.log.decision("reload", {"outcome": "settings are read at the start only"})
 
+    def _log_tasks(self) -> None:
+        """Says what each task waits for and what executors hold, for a process that hangs."""
+        for task in asyncio.all_tasks():
+            frames = task.get_stack(limit=1)
+            place = f"{frames[0].f_code.co_qualname}:{frames[0].f_lineno}" if frames else ""
+            self.log.decision("task_waits", {"task": str(task.get_coro()), "at": place})
+        own = self._elector.ownership
+        if own is None:
+            return
+        for executor in own.scheduler.tables.executors_by_id.values():
+            for run in executor.runs_by_task.values():
+                fields = {"executor": executor.executor_id, "run": repr(run)}
+                self.log.decision("run_held", fields)
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(coroutine))
         self._tasks.add(task)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -312,6 +312,10 @@
         while left and now_ms() < end_ms:
             await asyncio.sleep(0.3)
             left = [job for job in left if not await self._has_ended(job)]
+        if left:
+            for node in self.nodes:
+                self._send(node, signal.SIGUSR1)  # The logs then say what the nodes wait for.
+            await asyncio.sleep(1.0)
         self.ledger.faults += [f"{job.job_id} was accepted and never ended" for job in left]
 
     async def _has_ended(self, job: SubmittedJob) -> bool:
