Stop starts that nothing has been heard of for three seconds

Cause, read in the code: a run whose order to start got lost, or waits behind stops for an executor that doesn't answer, stayed in its state for good; nothing looked at its age. Test: test_start_whose_order_got_lost_is_stopped_and_placed_again, red before.

--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -34,6 +34,7 @@
 from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
 
 START_RETRY_LIMIT_MS: Final = 1_500  # Past this an unanswered start is stopped instead.
+START_OVERDUE_MS: Final = 3_000  # Past this a start is stopped although its order may be under way.
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +173,7 @@
 
     def plan(self, now_ms: int) -> None:
         """Decides on all that is open."""
+        self._stop_overdue_starts(now_ms)
         stop_stalled(self._context, now_ms)
         stop_leaving(self._context, now_ms)
         plan(self._context, now_ms)
@@ -325,6 +327,24 @@
             return
         self._give_up(run, now_ms)
 
+    def _stop_overdue_starts(self, now_ms: int) -> None:
+        """Gives up starts that nothing has been heard of; a recovered run waits for a report."""
+        for executor in self.tables.executors_by_id.values():
+            for run in list(executor.runs_by_task.values()):
+                if run.state is not RunState.STARTING or run.is_recovered:
+                    continue
+                if now_ms - run.placed_ms < START_OVERDUE_MS:
+                    continue
+                fields = {
+                    "job_id": run.run_id.task.job_id,
+                    "run": run_name(run.run_id),
+                    "executor": run.executor_id,
+                    "waited_ms": now_ms - run.placed_ms,
+                }
+                self._context.log("start_overdue", fields)
+                run.is_doubtful = True
+                self._give_up(run, now_ms)
+
     def _give_up(self, run: Run, now_ms: int) -> None:
         """Ends a run whose start failed; its gang can't go on without it."""
         task = self.tables.task(run.run_id.task)
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -4,7 +4,7 @@
 
 from steps_world import World, listing, step
 
-from jacinthreel_steps import ExecutorReport, Run, StartOutcome, StopOrder
+from jacinthreel_steps import EndReason, ExecutorReport, Run, StartOutcome, StopOrder
 
 
 def place_without_answer(world: World) -> Run:
@@ -71,3 +71,31 @@
     world.scheduler.start_answered(run, StartOutcome.REFUSED_UNHEALTHY, world.now_ms)
 
     assert [stop.run_id for stop in world.scheduler.take_stops()] == [run.run_id]
+
+
+def test_start_whose_order_got_lost_is_stopped_and_placed_again() -> None:
+    world = World(listing("e1"))
+    world.submit("j1", step())
+    world.scheduler.plan(world.now_ms)
+    world.store()
+    world.scheduler.take_starts()  # Nobody carries them out.
+
+    world.pass_time(6_000)
+
+    assert [run.run_id.number for run in world.runs("j1")] == [2]
+
+
+def test_gang_with_a_member_whose_order_got_lost_is_placed_again() -> None:
+    world = World(listing("e1"))
+    world.submit("j1", step(2, is_gang=True))
+    world.scheduler.plan(world.now_ms)
+    world.store()
+    first, _ = world.scheduler.take_starts()
+    world.running["e1"] = {str(first.run_id): first}
+    world.scheduler.start_answered(first, StartOutcome.STARTED, world.now_ms)
+    world.now_ms += 4_000
+    world.end(first, EndReason.ALONE)
+
+    world.pass_time(6_000)
+
+    assert [run.run_id.number for run in world.runs("j1")] == [2, 2]
