Ask an executor that is listed again, and acknowledge ends only while they are listed

Two causes in the link, each with a test that was red before. 1. The questions ended for good once the executor was given up, and the link was kept if the executor was listed again before the next tick: no work was placed there any more. 2. An acknowledgement travelled with every question, also with those that wait. Taken by a new life of the executor, it forgot ends that nobody had seen. In the product an acknowledgement is sent only while the executor lists ends, by a question that doesn't wait. The test on acknowledgements after silence now plays real ends; it set the number by hand before.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -7,8 +7,11 @@
 From each answer the link knows a time that the executor's clock has certainly reached.  Leases
 are asked for from that time on, and everything on an executor that can't be reached has certainly
 ended once its clock must have passed the latest lease that it can have been sent.  So a question
-that follows one without an answer asks for no lease.  It acknowledges no ends either, because a
-new life of the executor may take it.
+that follows one without an answer asks for no lease.
+
+Acknowledgements: a new life of an executor counts its ends from 1 again, and would forget ends that
+nobody has seen if it took an acknowledgement meant for the earlier life.  So ends are acknowledged
+only while the executor lists them, by a question that doesn't wait, and never after silence.
 """
 
 from __future__ import annotations
@@ -112,6 +115,7 @@
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
         self._is_lost = False
         self._answered_ms = 0
+        self._listed_from: int | None = None
 
     def close(self) -> None:
         """Ends the exchange."""
@@ -133,9 +137,7 @@
     async def _poll(self) -> None:
         while True:
             executor = self._executor()
-            if executor is None:
-                return
-            answer = await self._ask(executor)
+            answer = executor is not None and await self._ask(executor)
             if not answer:
                 await asyncio.sleep(FAILURE_PAUSE_MS / 1000)
 
@@ -144,11 +146,13 @@
         self._see_incarnation(executor)
         sent_ms = context.clock.now_ms()
         unstored = context.scheduler.has_unstored_ends(self._executor_id)
+        acknowledged_upto = self._acknowledged_upto(sent_ms)
+        is_urgent = unstored or acknowledged_upto > 0 or not executor.is_reported
         question = ReportQuestion(
             context.epoch,
-            self._acknowledged_upto(sent_ms),
+            acknowledged_upto,
             None if self._is_lost else self._lease_until_ms(executor),
-            0 if unstored or not executor.is_reported else REPORT_WAIT_MS,
+            0 if is_urgent else REPORT_WAIT_MS,
         )
         match await context.gateway.report(self._target(executor), question):
             case Success(ReportAnswer() as answer):
@@ -170,6 +174,7 @@
             self._clock = ExecutorClock()
         self._clock.see(answer.clock_ms, now_ms)
         self._answered_ms = now_ms
+        self._listed_from = min((end.sequence for end in answer.ended), default=None)
         if self._is_lost:
             self._is_lost = False
             context.log("executor_regained", {"executor": self._executor_id})
@@ -180,13 +185,13 @@
             await context.wait_stored(STORE_WAIT_MS)
 
     def _acknowledged_upto(self, now_ms: int) -> int:
-        """The ends to forget; none where the executor may have started anew since its answer.
-
-        A new life counts its ends from 1 again, and would forget ends that nobody has seen.
-        """
+        """The ends to forget; 0 where the executor lists none of them, or may have started anew."""
         if self._is_lost or now_ms - self._answered_ms > SAME_LIFE_MS:
             return 0
-        return self._context.scheduler.acknowledged_upto(self._executor_id)
+        stored_upto = self._context.scheduler.acknowledged_upto(self._executor_id)
+        if self._listed_from is None or self._listed_from > stored_upto:
+            return 0
+        return stored_upto
 
     def _see_incarnation(self, executor: Executor) -> None:
         if executor.listing.incarnation != self._incarnation:
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -12,17 +12,22 @@
 from jacinthreel_node import ReportAnswer, ReportQuestion
 from jacinthreel_node._executor_link import ExecutorClock, ExecutorLink, LinkContext
 from jacinthreel_steps import (
+    EndReason,
     ExecutorListing,
     JobRecord,
     JobSpec,
     QueueTerms,
+    ReportedEnd,
     Resources,
+    RunId,
     Scheduler,
     StepSpec,
+    TaskId,
 )
 
 LEASE_MS = 6_000
 CAPACITY = Resources(8_000, 8_000, 8)
+END = ReportedEnd(1, RunId(TaskId("0" * 16, 0, 0), 1), EndReason.DONE, "")
 LISTING = ExecutorListing("e1", 1, "10.0.0.1:80", "s", "z", "r", frozenset(), CAPACITY)
 
 
@@ -32,7 +37,9 @@
     def __init__(self, listing: ExecutorListing = LISTING) -> None:
         self.clock = HandClock()
         self.is_reachable = True
+        self.takes_acknowledgements = True
         self.errors: list[Exception] = []
+        self.ends: list[ReportedEnd] = []
         self.scheduler = Scheduler(lambda event, fields: None)
         self.scheduler.apply_listing(listing, self.clock.now_ms())
         self.gateway = ToldExecutors(self._report)
@@ -52,9 +59,13 @@
 
     def _report(self, question: ReportQuestion) -> Result[ReportAnswer, Fault]:
         self.clock.time_ms += 10
-        if not self.is_reachable:
+        if not self.is_reachable or (
+            question.acknowledged_upto and not self.takes_acknowledgements
+        ):
             return Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply"))
-        return Success(ReportAnswer(self.clock.now_ms() - 900_000, 1, (), ()))
+        their_ms = self.clock.now_ms() - 900_000
+        self.ends = [end for end in self.ends if end.sequence > question.acknowledged_upto]
+        return Success(ReportAnswer(their_ms, 1, (), tuple(self.ends)))
 
     def place_task(self) -> None:
         terms = QueueTerms("q", "s", 1, 3, 3.0, 1_000)
@@ -107,14 +118,45 @@
 
 def test_executor_that_may_have_started_anew_is_sent_no_acknowledgement() -> None:
     async def scenario(bench: Bench) -> None:
-        executor = bench.scheduler.tables.executors_by_id["e1"]
-        executor.acknowledged_upto = 5
         await until(lambda: len(bench.gateway.questions) > 2)
-        assert bench.gateway.questions[-1].acknowledged_upto == 5
+        bench.takes_acknowledgements = False
+        bench.ends = [END]
+        await until(lambda: _acknowledged(bench).count(1) > 1)
+        asked = _acknowledged(bench)
+        assert asked[asked.index(1) + 1] == 0
+
+    play(Bench(), scenario)
+
+
+def _acknowledged(bench: Bench) -> list[int]:
+    return [question.acknowledged_upto for question in bench.gateway.questions]
+
+
+def test_ends_are_acknowledged_in_a_question_that_does_not_wait_and_only_while_listed() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.ends = [END]
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 6)
+        later = bench.gateway.questions[asked:]
+        assert [each.wait_ms for each in later if each.acknowledged_upto] == [0]
+        assert later[-1].wait_ms > 0
+
+    play(Bench(), scenario)
+
+
+def test_executor_that_is_listed_again_after_it_was_given_up_is_asked_again() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.scheduler.remove_listing("e1")
         bench.is_reachable = False
+        bench.clock.time_ms += 2 * LEASE_MS
+        await until(lambda: "e1" not in bench.scheduler.tables.executors_by_id)
+        await asyncio.sleep(0.3)  # The link has noticed, and nobody has closed it yet.
+        bench.scheduler.apply_listing(LISTING, bench.clock.now_ms())
+        bench.is_reachable = True
         asked = len(bench.gateway.questions)
         await until(lambda: len(bench.gateway.questions) > asked + 2)
-        assert bench.gateway.questions[-1].acknowledged_upto == 0
 
     play(Bench(), scenario)
 
--- a/tests/soak/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -318,10 +318,14 @@
             case "run-stop":
                 status, reply = executor.stop(body)
             case _:
+                life = executor.born
                 end_ms = now_ms() + body.get("wait_ms", 0)
                 status, reply = executor.report(body)
                 while status == 200 and not reply["ended"] and now_ms() < end_ms:
                     await asyncio.sleep(0.02)
+                    if executor.born != life:  # A life that has ended answers nothing.
+                        self.request.connection.stream.close()  # type: ignore[attr-defined]
+                        return
                     status, reply = executor.report(body)
         self.set_status(status)
         _finish(self, {"clock_ms": now_ms(), **reply})
