--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -68,6 +68,7 @@
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._store_health import StoreHealth, WatchedStore
 from jacinthreel_node._table_follower import TableFollower
+from jacinthreel_steps import Job, Tables
 
 ROLE: Final = "node"
 POLICY_WAIT_MS: Final = 1_500
@@ -386,12 +387,28 @@
             place = f"{frames[0].f_code.co_qualname}:{frames[0].f_lineno}" if frames else ""
             self.log.decision("task_waits", {"task": str(task.get_coro()), "at": place})
         own = self._elector.ownership
-        if own is None:
-            return
-        for executor in own.scheduler.tables.executors_by_id.values():
+        if own is not None:
+            self._log_tables(own.scheduler.tables)
+
+    def _log_tables(self, tables: Tables) -> None:
+        """Says where executors and open jobs stand."""
+        now_ms = self._clock.now_ms()
+        for executor in tables.executors_by_id.values():
+            fields = {
+                "executor": executor.executor_id,
+                "listed": executor.is_listed,
+                "reported": executor.is_reported,
+                "heard_ms_ago": now_ms - executor.heard_ms,
+                "avoided_for_ms": max(0, executor.health.avoid_until_ms - now_ms),
+                "room": repr(executor.room),
+                "pending_ends": repr(executor.pending_ends),
+            }
+            self.log.decision("executor_held", fields)
             for run in executor.runs_by_task.values():
                 fields = {"executor": executor.executor_id, "run": repr(run)}
                 self.log.decision("run_held", fields)
+        for job in tables.open_jobs_by_id.values():
+            self.log.decision("job_open", _open_job_fields(job))
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(coroutine))
@@ -403,3 +420,19 @@
             await coroutine
         except Exception as error:
             self.log.error("task_failed", error)
+
+
+def _open_job_fields(job: Job) -> dict[str, Any]:
+    runs = {
+        f"{run.run_id.task.step_index}.{run.run_id.task.task_index}": run.state.name
+        for run in job.live_runs()
+    }
+    return {
+        "job_id": job.job_id,
+        "state": job.state.name.lower(),
+        "revision": job.revision,
+        "stored_revision": job.stored_revision,
+        "done": [sum(task.is_done for task in step.tasks) for step in job.steps],
+        "tasks": [len(step.tasks) for step in job.steps],
+        "runs": runs,
+    }
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -25,7 +25,7 @@
 from jacinthreel_steps._order import objective_ms
 from jacinthreel_steps._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
-from jacinthreel_steps._tables import Executor, Job, Run, RunState
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
 
 __all__ = [
     "DecisionLog",
@@ -50,6 +50,7 @@
     "StepSpec",
     "StopOrder",
     "StoredProgress",
+    "Tables",
     "TaskId",
     "UnstoredRow",
     "decode_progress_state",
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -278,6 +278,7 @@
             case _:
                 index = self.rng.randrange(len(self.executors))
                 self.executors[index].crash()
+                self.executor_proxies[index].reset_all()
                 self._beat(index)
                 self.config_version += self.rng.randint(1, 3)
                 self._put_config()
@@ -316,7 +317,17 @@
             for node in self.nodes:
                 self._send(node, signal.SIGUSR1)  # The logs then say what the nodes wait for.
             await asyncio.sleep(1.0)
-        self.ledger.faults += [f"{job.job_id} was accepted and never ended" for job in left]
+        for job in left:
+            self.ledger.faults.append(f"{job.job_id} was accepted and never ended")
+            self.ledger.faults += self._evidence(job.job_id)
+
+    def _evidence(self, job_id: str) -> list[str]:
+        """What the nodes' logs say of a job, and of the executors at the end."""
+        lines: list[str] = []
+        for node in self.nodes:
+            text = node.log.read_text(errors="replace")
+            lines += [line for line in text.splitlines() if job_id in line or "_held" in line]
+        return sorted(lines)
 
     async def _has_ended(self, job: SubmittedJob) -> bool:
         node = self.rng.choice(self.nodes)
