Delete the progress of an ended job only once its rows of intake are gone

Cause, read in the code: the rows of intake were deleted first, but a failure there didn't keep the progress from being deleted. A row of intake left alone is a job that nothing has been done for: the next owner, or the next whole read of the table, would have run it again a minute after its end. Dead code goes with it: Step.has_started, a doc line on Job, the timers of Ownership.

--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -271,7 +271,6 @@
             owner,
             version,
             self._clock,
-            self._timers,
             self.metrics,
             self.log.decision,
             self._elector.lose,
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -15,7 +15,8 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault
-from jacinthreel_daemon.plumbing import Clock, LoopTimers, MetricsRegistry
+from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
+from jacinthreel_node._ended_jobs import EndedJobs
 from jacinthreel_node._executor_link import (
     CLOCK_SLOWNESS,
     LEASE_MARGIN_MS,
@@ -38,8 +39,6 @@
     CANCEL_PREFIX,
     INTAKE_TABLE,
     JOB_PREFIX,
-    OWNER_KEY,
-    OWNER_TABLE,
     PROGRESS_TABLE,
     OwnerRow,
     decode_job,
@@ -55,9 +54,6 @@
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # An owner without its lease renews tasks no longer.
-FORGET_PERIOD_MS: Final = 10_000
-FORGET_BATCH: Final = 40
-FORGET_MARGIN_MS: Final = 60_000
 
 
 class Ownership:
@@ -73,22 +69,18 @@
         owner: OwnerRow,
         owner_version: int,
         clock: Clock,
-        timers: LoopTimers,
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
         on_lost: Callable[[str], None],
         is_former_owner_gone: bool,
     ) -> None:
-        self._settings = settings
         self._store = store
         self._rows = rows
         self._policy = policy
         self._clock = clock
-        self._timers = timers
         self._metrics = metrics
         self._log = log
         self._on_lost = on_lost
-        self._owner_version = owner_version
         self.epoch = owner.epoch
         self.is_loaded = False
         self.scheduler = Scheduler(log)
@@ -108,6 +100,9 @@
             on_lost,
             log,
         )
+        self._ended_jobs = EndedJobs(
+            store, self.scheduler, settings.status_keep_ms, owner_version, log
+        )
         self._link_context = LinkContext(
             gateway,
             self.scheduler,
@@ -233,6 +228,7 @@
             versions[self._rows.executor_table],
         )
         self._spawn(self._tick())
+        self._spawn(self._ended_jobs.run(self._clock))
         self.request_plan()
 
     def _follow(
@@ -259,6 +255,8 @@
             if row.value is not None
         }
         self._take_jobs(intake.rows, progress_by_id)
+        accepted = {row.key.removeprefix(JOB_PREFIX) for row in intake.rows}
+        self._ended_jobs.note_orphans(progress_by_id.keys() - accepted)
         self._take_listings(listings.rows)
         return {
             INTAKE_TABLE: intake.version,
@@ -298,6 +296,8 @@
         unix_ms: int,
     ) -> None:
         record = decode_job(value)
+        if self._ended_jobs.is_forgotten(job_id):
+            return
         if record is None or record.job_id != job_id:
             self._log("job_unreadable", {"job_id": job_id})
             return
@@ -328,7 +328,6 @@
         self.request_plan()
 
     async def _tick(self) -> None:
-        forgot_ms = self._clock.now_ms()
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             now_ms = self._clock.now_ms()
@@ -336,34 +335,12 @@
             if now_ms >= self._link_context.unreached_end_ms:
                 self.scheduler.expire_orphans(now_ms)
             self.request_plan()
-            if now_ms - forgot_ms >= FORGET_PERIOD_MS:
-                forgot_ms = now_ms
-                await self._forget_ended(now_ms)
 
     def _drop_links(self) -> None:
         for executor_id in list(self._links_by_id):
             if executor_id not in self.scheduler.tables.executors_by_id:
                 self._links_by_id.pop(executor_id).close()
 
-    async def _forget_ended(self, now_ms: int) -> None:
-        """Deletes the rows of jobs whose state need not be kept any longer."""
-        keep_ms = self._settings.status_keep_ms + FORGET_MARGIN_MS
-        job_ids = self.scheduler.forget_ended(now_ms - keep_ms)
-        condition = RowCondition(OWNER_TABLE, OWNER_KEY, self._owner_version)
-        for start in range(0, len(job_ids), FORGET_BATCH):
-            batch = job_ids[start : start + FORGET_BATCH]
-            intake = [RowWrite(INTAKE_TABLE, JOB_PREFIX + job_id, None) for job_id in batch]
-            intake += [RowWrite(INTAKE_TABLE, CANCEL_PREFIX + job_id, None) for job_id in batch]
-            await self._delete([], intake)
-            progress = [RowWrite(PROGRESS_TABLE, job_id, None) for job_id in batch]
-            await self._delete([condition], progress)
-
-    async def _delete(self, conditions: list[RowCondition], writes: list[RowWrite]) -> None:
-        """Deletes rows; those that stay behind cost room and nothing else."""
-        match await self._store.commit(conditions, writes, LOAD_TIMEOUT_MS):
-            case Failure(Fault() as fault):
-                self._log("rows_not_deleted", {"rows": len(writes), "reason": fault.detail})
-
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(self._guard(coroutine)))
 
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -241,17 +241,20 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
-    def forget_ended(self, before_ms: int) -> list[str]:
-        """Drops jobs that ended before `before_ms` and are stored; returns their ids."""
-        forgotten: list[str] = []
-        for job in list(self.tables.jobs_by_id.values()):
+    def ended_before(self, before_ms: int) -> list[str]:
+        """The jobs that ended before `before_ms`, are stored and hold no room."""
+        found: list[str] = []
+        for job in self.tables.jobs_by_id.values():
             if not job.state.is_final or job.ended_ms >= before_ms or job.live_runs():
                 continue
             if job.stored_revision < job.revision:
                 continue
-            del self.tables.jobs_by_id[job.job_id]
-            forgotten.append(job.job_id)
-        return forgotten
+            found.append(job.job_id)
+        return found
+
+    def forget(self, job_id: str) -> None:
+        """Drops a job that `ended_before` has named."""
+        del self.tables.jobs_by_id[job_id]
 
     def _adopt(self, run: Run) -> None:
         executor = self.tables.executors_by_id.get(run.executor_id)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -85,7 +85,6 @@
     spec: StepSpec
     tasks: list[Task]
     counted_failure_run: int = 0
-    has_started: bool = False
 
     @property
     def is_done(self) -> bool:
@@ -95,10 +94,7 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job.  `state` is the newest decision, `visible_state` what has been stored.
-
-    `waiting_since_ms` is when a step of it last began to wait for room.
-    """
+    """A job.  `state` is the newest decision, `visible_state` what has been stored."""
 
     record: JobRecord
     steps: list[Step]
