Add jacinthreel top: calls, jobs and executors of running nodes from their metrics addresses

Gauges of a node and its owner are set when metrics are read. Victims of a displacement are compared by identity, as was meant; by value they compared all their runs.

--- /dev/null
+++ b/packages/cli/src/jacinthreel_cli/_top.py
@@ -0,0 +1,170 @@
+"""Numbers of running nodes, read from their metrics addresses: `jacinthreel top`.
+
+Two samples are taken some seconds apart.  Rates come from the difference of their counters; gauges
+and quantiles come from the second sample.  A node that doesn't answer is shown as such.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from typing import Annotated, Final
+
+from cyclopts import Parameter
+from rich.console import Console
+from rich.table import Table
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+from jacinthreel_cli._exit import CommandError, ExitStatus, usage_error
+from jacinthreel_cli._views import draw_table
+from jacinthreel_common import Fault, ResultCode
+
+METRICS_PATH: Final = "/metrics"
+FETCH_TIMEOUT_S: Final = 3.0
+DEFAULT_PERIOD_S: Final = 2.0
+COLUMNS: Final = (
+    "node",
+    "owns epoch",
+    "policy",
+    "store",
+    "calls/s",
+    "refused/s",
+    "p99 submit ms",
+    "jobs open",
+    "waiting",
+    "runs",
+    "executors heard",
+    "p99 plan ms",
+)
+
+MetricsSample = dict[str, float]
+"""Values by full name, labels included."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSamples:
+    """Two samples of one node, or None for one that was not answered."""
+
+    address: str
+    first: MetricsSample | None
+    second: MetricsSample | None
+
+
+def top(
+    addresses: list[str],
+    *,
+    seconds: Annotated[float, Parameter(help="Time between the two samples.")] = DEFAULT_PERIOD_S,
+) -> None:
+    """Shows calls, jobs and executors of running nodes.
+
+    Parameters
+    ----------
+    addresses
+        Metrics addresses, each `IP:PORT`.
+    seconds
+        Time between the two samples that rates come from.
+    """
+    if seconds <= 0:
+        raise usage_error(ResultCode.OUT_OF_RANGE, "the time between samples must be positive")
+    nodes = asyncio.run(_sample(addresses, seconds))
+    Console(file=sys.stdout, width=None).print(draw_nodes(nodes, seconds))
+    if all(node.second is None for node in nodes):
+        fault = Fault(ResultCode.PEER_UNREACHABLE, "no metrics address has answered")
+        raise CommandError(ExitStatus.UNKNOWN, fault)
+
+
+def parse_metrics(text: str) -> MetricsSample:
+    """Reads the text format of metrics; lines that hold no value are passed over.
+
+    >>> parse_metrics('# TYPE a counter\\na{code="0"} 3\\nb_ms{quantile="0.99"} 1.5\\nnoise')
+    {'a{code="0"}': 3.0, 'b_ms{quantile="0.99"}': 1.5}
+    """
+    sample: MetricsSample = {}
+    for line in text.splitlines():
+        name, _, value = line.rpartition(" ")
+        if not name or line.startswith("#"):
+            continue
+        try:
+            sample[name] = float(value)
+        except ValueError:
+            continue
+    return sample
+
+
+def draw_nodes(nodes: list[NodeSamples], period_s: float) -> Table:
+    """A row for each node."""
+    return draw_table("nodes", COLUMNS, [_row(node, period_s) for node in nodes])
+
+
+def _row(node: NodeSamples, period_s: float) -> list[str]:
+    sample = node.second
+    if sample is None:
+        return [node.address, "no answer", *[""] * (len(COLUMNS) - 2)]
+    epoch = int(sample.get("owner_epoch", 0))
+    calls = _rate(node, period_s, refused_only=False)
+    refused = _rate(node, period_s, refused_only=True)
+    row = [
+        node.address,
+        str(epoch) if epoch else "-",
+        f"{sample.get('policy_version', 0):.0f}",
+        "lost" if sample.get("store_lost") else "ok",
+        calls,
+        refused,
+        _quantile(sample, "submit_ms"),
+    ]
+    if not epoch:
+        return [*row, *["-"] * (len(COLUMNS) - len(row))]
+    heard = f"{sample.get('executors_heard', 0):.0f}/{sample.get('executors_listed', 0):.0f}"
+    return [
+        *row,
+        f"{sample.get('jobs_open', 0):.0f}",
+        f"{sample.get('jobs_waiting', 0):.0f}",
+        f"{sample.get('runs_held', 0):.0f}",
+        heard,
+        _quantile(sample, "plan_ms"),
+    ]
+
+
+def _rate(node: NodeSamples, period_s: float, refused_only: bool) -> str:
+    """Calls a second between the samples; unknown after a restart or without the first sample."""
+    if node.first is None or node.second is None:
+        return "?"
+    difference = _calls(node.second, refused_only) - _calls(node.first, refused_only)
+    return f"{difference / period_s:.1f}" if difference >= 0 else "?"
+
+
+def _calls(sample: MetricsSample, refused_only: bool) -> float:
+    total = 0.0
+    for name, value in sample.items():
+        if not name.startswith("calls_total{"):
+            continue
+        if refused_only and not any(f'status="{status}"' in name for status in (429, 503)):
+            continue
+        total += value
+    return total
+
+
+def _quantile(sample: MetricsSample, name: str) -> str:
+    value = sample.get(f'{name}{{quantile="0.99"}}')
+    return "-" if value is None else f"{value:.1f}"
+
+
+async def _sample(addresses: list[str], period_s: float) -> list[NodeSamples]:
+    first = await asyncio.gather(*(_fetch(address) for address in addresses))
+    await asyncio.sleep(period_s)
+    second = await asyncio.gather(*(_fetch(address) for address in addresses))
+    return [NodeSamples(*samples) for samples in zip(addresses, first, second, strict=True)]
+
+
+async def _fetch(address: str) -> MetricsSample | None:
+    try:
+        reply = await AsyncHTTPClient().fetch(
+            f"http://{address}{METRICS_PATH}",
+            connect_timeout=FETCH_TIMEOUT_S,
+            request_timeout=FETCH_TIMEOUT_S,
+        )
+    except (HTTPClientError, OSError, ValueError) as error:
+        sys.stderr.write(f"{address}: {error}\n")
+        return None
+    return parse_metrics(reply.body.decode(errors="replace"))
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -0,0 +1,37 @@
+"""Gauges of a node: whether it owns the jobs, and where jobs and executors stand if it does."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_daemon.plumbing import MetricsRegistry
+from jacinthreel_node._ownership import Ownership
+
+HEARD_LIMIT_MS: Final = 2_500
+
+
+def set_gauges(
+    metrics: MetricsRegistry,
+    ownership: Ownership | None,
+    policy_version: int,
+    is_store_lost: bool,
+    now_ms: int,
+) -> None:
+    """Sets all gauges; those of an owner are 0 at other nodes."""
+    metrics.gauge("policy_version", policy_version)
+    metrics.gauge("store_lost", int(is_store_lost))
+    metrics.gauge("owner_epoch", ownership.epoch if ownership is not None else 0)
+    open_jobs = waiting_jobs = runs = listed = heard = 0
+    if ownership is not None:
+        tables = ownership.scheduler.tables
+        open_jobs = len(tables.open_jobs_by_id)
+        waiting_jobs = sum(ownership.scheduler.waiting_by_queue().values())
+        for executor in tables.executors_by_id.values():
+            runs += len(executor.runs_by_task)
+            listed += executor.is_listed
+            heard += now_ms - executor.heard_ms <= HEARD_LIMIT_MS
+    metrics.gauge("jobs_open", open_jobs)
+    metrics.gauge("jobs_waiting", waiting_jobs)
+    metrics.gauge("runs_held", runs)
+    metrics.gauge("executors_listed", listed)
+    metrics.gauge("executors_heard", heard)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -46,6 +46,7 @@
     LEASE_RENEWAL_MS,
 )
 from jacinthreel_node._elector import Elector
+from jacinthreel_node._gauges import set_gauges
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership
@@ -157,6 +158,17 @@
             return False
         return not self._store_health.is_lost or self._elector.hears_owner()
 
+    def refresh_gauges(self) -> None:
+        """Brings the gauges up to date before they are served."""
+        policy = self.policy.current
+        set_gauges(
+            self.metrics,
+            self._elector.ownership,
+            policy.version if policy is not None else 0,
+            self._store_health.is_lost,
+            self._clock.now_ms(),
+        )
+
     async def run(self, server: CallerServer) -> int:
         """Serves until a signal asks for the end."""
         loop = asyncio.get_running_loop()
--- a/packages/steps/src/jacinthreel_steps/_displacing.py
+++ b/packages/steps/src/jacinthreel_steps/_displacing.py
@@ -25,9 +25,9 @@
 MayStop = Callable[[Job], bool]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Victim:
-    """Runs that end together, and the cost of stopping them."""
+    """Runs that end together, and the cost of stopping them; compared by identity."""
 
     runs: list[Run]
     cost: float
