--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -233,10 +233,18 @@
     def _own(self, owner: OwnerRow, version: int, reason: str) -> None:
         if self._owner.row_version > version:
             return  # Somebody else has taken over meanwhile.
+        former = self._owner.row.host_id if self._owner.row is not None else ""
+        silent_ms = self._owner.silent_ms()
         self._see_owner(owner, version)
         self._row_version = version
         self._renewed_ms = self._clock.now_ms()
-        self._log.decision("took_over", {"epoch": owner.epoch, "reason": reason})
+        fields = {
+            "epoch": owner.epoch,
+            "reason": reason,
+            "former_owner": former,
+            "former_owner_silent_ms": silent_ms,
+        }
+        self._log.decision("took_over", fields)
         is_former_owner_gone = reason in (OWN_EARLIER_LIFE, RESIGNED)
         self.ownership = self._make_ownership(owner, version, is_former_owner_gone)
         self.ownership.start()
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -28,11 +28,14 @@
 ADDRESS = ("10.0.0.1", 7000)
 
 
-class SilentLog:
-    """Takes lines and keeps none."""
+class KeptLog:
+    """Keeps the fields of each decision."""
+
+    def __init__(self) -> None:
+        self.decisions: dict[str, dict[str, Any]] = {}
 
     def decision(self, event: str, fields: dict[str, Any]) -> None:
-        return
+        self.decisions[event] = fields
 
     def warning(self, event: str, fields: dict[str, Any]) -> None:
         return
@@ -72,6 +75,7 @@
         self.clock = HandClock()
         self.store = store or MemoryStore()
         self.owner = OwnerView(self.clock)
+        self.log = KeptLog()
         self.gone: list[bool] = []
         self.tasks: list[asyncio.Task[None]] = []
         settings = NodeSettings(
@@ -84,7 +88,7 @@
             self.owner,
             self.clock,
             random.Random(1),
-            cast(EventLog, SilentLog()),
+            cast(EventLog, self.log),
             self._spawn,
             self._make,
         )
@@ -137,6 +141,22 @@
     play(scenario)
 
 
+def test_takeover_says_how_long_the_former_owner_was_silent() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        heartbeat = OwnerHeartbeat(1, {}, lease_age_ms=0, policy_version=1, is_loaded=True)
+        stand.owner.take_heartbeat(Hello("other", "node", "z"), heartbeat)
+        await stand.watch(LEASE_MS)
+        await stand.watch(LEASE_MS)
+        taken = stand.log.decisions["took_over"]
+        assert taken["former_owner"] == "other"
+        assert taken["former_owner_silent_ms"] == 2 * LEASE_MS
+
+    play(scenario)
+
+
 def test_silent_owner_is_followed_only_after_its_lease() -> None:
     async def scenario() -> None:
         stand = Stand()
