--- a/packages/steps/src/jacinthreel_steps/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_lifecycle.py
@@ -10,6 +10,7 @@
 from jacinthreel_steps._context import Context, StopOrder, run_name
 from jacinthreel_steps._executor_health import note_done, note_failure
 from jacinthreel_steps._model import EndReason, JobState
+from jacinthreel_steps._order import objective_ms
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
 
 
@@ -86,6 +87,7 @@
             "queue": job.record.queue.name,
             "workspace": job.record.workspace,
             "age_ms": now_ms - job.accepted_ms,
+            "objective_ms": round(objective_ms(job.record.spec, job.record.queue)),
         },
     )
     for step in job.steps:
