Ask whether the store answers before a job is sent to it

A host that hasn't heard the store for 0.3 s now asks it by a small read first (0.4 s at most), and the job is refused with a true 'not run' if that fails. The owner does the same for the inserts of others. Ruled out: shorter time limits of the insert itself; its outcome stays unknown. Tests: test_silent_store_is_a_refusal_that_has_sent_nothing (red without the question), test_store_is_asked_whether_it_answers_only_after_some_silence.

--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -46,6 +46,7 @@
     encode_record,
 )
 from jacinthreel_node._routing import RoutedCall
+from jacinthreel_node._store_health import StoreState
 from jacinthreel_steps import JobRecord, JobSpec, JobState, decode_progress_state
 
 COMMIT_TIMEOUT_MS: Final = 900
@@ -92,13 +93,13 @@
         is_owner: Callable[[], bool],
         own_waiting: Callable[[], dict[str, int]],
         take_own_row: Callable[[StoredRow], None],
-        is_store_lost: Callable[[], bool],
+        store_state: StoreState,
         clock: Clock,
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
     ) -> None:
         self._take_own_row = take_own_row
-        self._is_store_lost = is_store_lost
+        self._store_state = store_state
         self._store = store
         self._hub = hub
         self._owner = owner
@@ -190,10 +191,11 @@
         writes = [RowWrite(INTAKE_TABLE, key, value)]
         may_be_stored = False
         while True:
+            fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
+            store_answers = await self._store_state.answers()
             left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
             timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
-            fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
-            if not self._is_store_lost():
+            if store_answers:
                 match await self._store.commit(conditions, writes, timeout_ms):
                     case Success(Committed(version=version)):
                         self._tell_owner(StoredRow(key, value, version))
@@ -247,7 +249,7 @@
     ) -> Fault | None:
         spent_ms = self._clock.now_ms() - started_ms
         limit_ms = min(GIVE_UP_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS)
-        if not self._is_store_lost() and spent_ms + RETRY_PAUSE_MS < limit_ms:
+        if not self._store_state.is_lost and spent_ms + RETRY_PAUSE_MS < limit_ms:
             return None
         if may_be_stored:
             return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail, STORE_RETRY_AFTER_MS)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -113,9 +113,8 @@
         self.policy = PolicyView()
         self.is_draining = False
         self._store_health = StoreHealth(clock)
-        store = WatchedStore(store, self._store_health)
         self._operator_rows: dict[str, Row] = {}
-        self._store: KeyedStore = store
+        self._store = store = WatchedStore(store, self._store_health)
         self._gateway = gateway
         self._rows = rows
         self._clock = clock
@@ -145,7 +144,7 @@
             self._is_owner,
             self._own_waiting,
             self._take_intake_row,
-            lambda: self._store_health.is_lost,
+            store,
             clock,
             metrics,
             self.log.decision,
@@ -315,7 +314,7 @@
         own = self._elector.ownership
         if own is None or not own.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
-        if self._store_health.is_lost:
+        if not await self._store.answers():
             return StreamReply(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
         match await own.insert_intake(insert.key, insert.value, insert.timeout_ms):
             case Success(is_new):
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Final, Protocol
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
@@ -16,8 +16,22 @@
     RowWrite,
     Snapshot,
 )
+from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE
 
 LOST_AFTER_MS: Final = 800
+FRESH_MS: Final = 300
+PROBE_TIMEOUT_MS: Final = 400  # Shorter than peers wait for an insert.
+
+
+class StoreState(Protocol):
+    """What callers' calls have to know of the store."""
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether calls are expected to fail."""
+
+    async def answers(self) -> bool:
+        """Whether the store answers now."""
 
 
 class StoreHealth:
@@ -26,6 +40,13 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._doubtful_since_ms: int | None = None
+        self._answered_ms: int | None = None
+
+    @property
+    def has_just_answered(self) -> bool:
+        """Whether a call was answered within `FRESH_MS`."""
+        answered_ms = self._answered_ms
+        return answered_ms is not None and self._clock.now_ms() - answered_ms <= FRESH_MS
 
     @property
     def is_lost(self) -> bool:
@@ -42,11 +63,15 @@
         """Takes the outcome of a call."""
         match outcome:
             case Failure(Fault(code=ResultCode.STORE_HISTORY_LOST)):
-                self._doubtful_since_ms = None
+                self._note_answered()
             case Failure(_):
                 self.note_sent()
             case _:
-                self._doubtful_since_ms = None
+                self._note_answered()
+
+    def _note_answered(self) -> None:
+        self._doubtful_since_ms = None
+        self._answered_ms = self._clock.now_ms()
 
 
 class WatchedStore:
@@ -56,6 +81,23 @@
         self._store = store
         self._health = health
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether calls are expected to fail."""
+        return self._health.is_lost
+
+    async def answers(self) -> bool:
+        """Whether the store answers now: it has just done so, or a small read shows it.
+
+        A write that is sent to a silent store has an unknown outcome; after this, it rarely has.
+        """
+        if self._health.is_lost:
+            return False
+        if self._health.has_just_answered:
+            return True
+        outcome = await self.read(OWNER_TABLE, PROBE_TIMEOUT_MS, OWNER_KEY)
+        return isinstance(outcome, Success)
+
     async def commit(
         self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
     ) -> Result[Committed | Conflict, Fault]:
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -12,7 +12,7 @@
 from jacinthreel_node._election import LeaseWatch
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._records import OwnerRow
-from jacinthreel_node._store_health import LOST_AFTER_MS, StoreHealth
+from jacinthreel_node._store_health import FRESH_MS, LOST_AFTER_MS, StoreHealth, WatchedStore
 from jacinthreel_node._table_follower import TableFollower
 
 PEER = Hello("other", "node", "z")
@@ -125,3 +125,21 @@
     assert health.is_lost
     health.note(Failure(Fault(ResultCode.STORE_HISTORY_LOST, "")))
     assert not health.is_lost
+
+
+def test_store_is_asked_whether_it_answers_only_after_some_silence() -> None:
+    clock = HandClock()
+    counted = CountingStore()
+    store = WatchedStore(counted, StoreHealth(clock))
+
+    assert asyncio.run(store.answers())
+    assert asyncio.run(store.answers())
+    assert counted.whole_reads == 1
+
+    clock.time_ms += FRESH_MS + 1
+    counted.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    assert not asyncio.run(store.answers())
+    clock.time_ms += LOST_AFTER_MS
+    assert store.is_lost
+    assert not asyncio.run(store.answers())
+    assert counted.whole_reads == 2
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -52,7 +52,8 @@
         self.hub = ToldHub(reply)
         self.owner = OwnerView(self.clock)
         self.owner.put_row(OwnerRow(1, "other", "10.0.0.2", 7000, "n"), 1)
-        self.is_store_lost = False
+        self.is_lost = False
+        self.answers_now = True
         self.own_rows: list[Any] = []
         self.is_owner = False
         self.service = JobService(
@@ -63,12 +64,15 @@
             lambda: self.is_owner,
             dict,
             self.own_rows.append,
-            lambda: self.is_store_lost,
+            self,
             self.clock,
             MetricsRegistry(),
             lambda event, fields: None,
         )
 
+    async def answers(self) -> bool:
+        return self.answers_now and not self.is_lost
+
     def submit(self) -> Result[Accepted, Fault]:
         return asyncio.run(self.service.submit(CALL, JOB_ID, SPEC, 3_000))
 
@@ -92,36 +96,51 @@
 
 def test_lost_store_is_a_refusal_at_once_that_sends_nothing() -> None:
     desk = Desk()
-    desk.is_store_lost = True
+    desk.is_lost = True
     fault = desk.submit().failure()
     assert fault.code is ResultCode.STORE_UNAVAILABLE
     assert fault.retry_after_ms is not None
     assert desk.store.commits == 0
 
 
+def test_silent_store_is_a_refusal_that_has_sent_nothing() -> None:
+    desk = Desk()
+    desk.answers_now = False
+
+    async def submit() -> Result[Accepted, Fault]:
+        task = asyncio.create_task(desk.service.submit(CALL, JOB_ID, SPEC, 3_000))
+        await asyncio.sleep(0.01)
+        desk.is_lost = True
+        return await task
+
+    fault = asyncio.run(submit()).failure()
+    assert fault.code is ResultCode.STORE_UNAVAILABLE
+    assert desk.store.commits == 0
+
+
 def test_owner_inserts_for_a_node_that_the_store_turns_away() -> None:
     inserted = to_plain(IntakeInserted(True))
     desk = Desk(Success(StreamReply(ResultCode.OK, body=inserted)))
-    desk.is_store_lost = True
+    desk.is_lost = True
     assert desk.submit() == Success(Accepted(True))
 
 
 def test_owner_without_the_store_leaves_the_refusal_true() -> None:
     desk = Desk(Success(StreamReply(ResultCode.STORE_UNAVAILABLE)))
-    desk.is_store_lost = True
+    desk.is_lost = True
     assert desk.submit().failure().code is ResultCode.STORE_UNAVAILABLE
 
 
 def test_after_an_insert_without_an_answer_nobody_is_told_not_run() -> None:
     desk = Desk()
     desk.store.faults = [ResultCode.STORE_OUTCOME_UNKNOWN] + [ResultCode.STORE_UNAVAILABLE] * 50
-    desk.is_store_lost = False
+    desk.is_lost = False
     desk.clock.time_ms += 0
 
     async def submit() -> Result[Accepted, Fault]:
         task = asyncio.create_task(desk.service.submit(CALL, JOB_ID, SPEC, 3_000))
         await asyncio.sleep(0.01)
-        desk.is_store_lost = True
+        desk.is_lost = True
         return await task
 
     fault = asyncio.run(submit()).failure()
