Count an answer as a sign of the store only from the time its call was sent

Tests: test_answer_to_a_read_that_waited_says_nothing_of_later_calls, red before (is_lost was cleared); test_doubt_is_looked_into_before_the_store_counts_as_lost.

--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -208,8 +208,8 @@
         self._timers.stop()
 
     def _probe_store(self) -> None:
-        """Notices at once that a lost store is back."""
-        if self._store_health.is_lost:
+        """Notices soon that the store answers again, or that it doesn't."""
+        if self._store_health.needs_probe:
             self._spawn(self._read_own_lease())
 
     async def _read_own_lease(self) -> None:
@@ -311,6 +311,18 @@
         return StreamReply(ResultCode.OK, body=to_plain(answer))
 
     async def _serve_insert(self, insert: IntakeInsert) -> StreamReply:
+        started_ms = self._clock.now_ms()
+        reply = await self._insert_for_peer(insert)
+        fields = {
+            "job_id": insert.key.partition("/")[2],
+            "key": insert.key,
+            "code": reply.code.value,
+            "took_ms": self._clock.now_ms() - started_ms,
+        }
+        self.log.decision("inserted_for_peer", fields)
+        return reply
+
+    async def _insert_for_peer(self, insert: IntakeInsert) -> StreamReply:
         own = self._elector.ownership
         if own is None or not own.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -5,14 +5,20 @@
 import asyncio
 
 from node_fakes import HandClock, MemoryStore
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, Hello, OwnerHeartbeat, ResultCode
 from jacinthreel_node import Row, RowWrite, Snapshot
 from jacinthreel_node._election import LeaseWatch
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._records import OwnerRow
-from jacinthreel_node._store_health import FRESH_MS, LOST_AFTER_MS, StoreHealth, WatchedStore
+from jacinthreel_node._store_health import (
+    FRESH_MS,
+    LOST_AFTER_MS,
+    PROBE_AFTER_MS,
+    StoreHealth,
+    WatchedStore,
+)
 from jacinthreel_node._table_follower import TableFollower
 
 PEER = Hello("other", "node", "z")
@@ -119,11 +125,37 @@
 def test_store_is_lost_only_without_any_success() -> None:
     clock = HandClock()
     health = StoreHealth(clock)
-    health.note(Failure(Fault(ResultCode.STORE_UNAVAILABLE, "")))
+    health.note(Failure(Fault(ResultCode.STORE_UNAVAILABLE, "")), clock.now_ms())
     assert not health.is_lost
     clock.time_ms += LOST_AFTER_MS
     assert health.is_lost
-    health.note(Failure(Fault(ResultCode.STORE_HISTORY_LOST, "")))
+    health.note(Failure(Fault(ResultCode.STORE_HISTORY_LOST, "")), clock.now_ms())
+    assert not health.is_lost
+
+
+def test_answer_to_a_read_that_waited_says_nothing_of_later_calls() -> None:
+    clock = HandClock()
+    health = StoreHealth(clock)
+    read_ms = clock.now_ms()
+    clock.time_ms += 1_000
+    sent_ms = health.note_sent()
+    clock.time_ms += LOST_AFTER_MS
+    health.note(Success(None), read_ms)
+    assert health.is_lost
+    assert not health.has_just_answered
+
+    health.note(Success(None), sent_ms)
+    assert not health.is_lost
+    assert not health.has_just_answered  # It took the call, but that was a while ago.
+
+
+def test_doubt_is_looked_into_before_the_store_counts_as_lost() -> None:
+    clock = HandClock()
+    health = StoreHealth(clock)
+    health.note(Failure(Fault(ResultCode.STORE_UNAVAILABLE, "reset")), clock.now_ms())
+    assert not health.needs_probe
+    clock.time_ms += PROBE_AFTER_MS
+    assert health.needs_probe
     assert not health.is_lost
 
 
