Keep the health of the store for each group of tables

The feed of executors, 100 answers a second, kept the owner sure of the store, so that it sent on inserts of jobs whose outcome stayed unknown (traced by a trial that logged the last calls). Whether a job can be stored is now judged by calls for the intake alone; a doubt about other tables makes the intake be read once in a while. Tests: test_answers_for_other_tables_say_nothing_of_the_intake (red before), test_doubt_about_other_tables_makes_the_intake_be_looked_at_for_a_while.

--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -61,13 +61,12 @@
 )
 from jacinthreel_node._records import (
     INTAKE_TABLE,
-    LEASE_TABLE,
     OWNER_TABLE,
     OwnerRow,
 )
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
-from jacinthreel_node._store_health import StoreHealth, WatchedStore
+from jacinthreel_node._store_health import WatchedStore
 from jacinthreel_node._table_follower import TableFollower
 from jacinthreel_steps import Job, Tables
 
@@ -78,7 +77,6 @@
 TURN_AWAY_MS: Final = 2_300  # The balancer needs two failed checks to turn away.
 PULL_TIMEOUT_MS: Final = 800
 PROBE_PERIOD_MS: Final = 300
-PROBE_TIMEOUT_MS: Final = 700
 LIVENESS_MS: Final = 1_000
 
 
@@ -112,9 +110,8 @@
         self.log = open_log(settings.host_id, ROLE, LogLevel.INFO)
         self.policy = PolicyView()
         self.is_draining = False
-        self._store_health = StoreHealth(clock)
         self._operator_rows: dict[str, Row] = {}
-        self._store = store = WatchedStore(store, self._store_health)
+        self._store = WatchedStore(store, clock)
         self._gateway = gateway
         self._rows = rows
         self._clock = clock
@@ -125,7 +122,7 @@
         self._owner = OwnerView(clock)
         self._elector = Elector(
             settings,
-            store,
+            self._store,
             self._hub,
             self._owner,
             clock,
@@ -137,14 +134,14 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop_asked = asyncio.Event()
         self.jobs = JobService(
-            store,
+            self._store,
             self._hub,
             self._owner,
             self._own_state,
             self._is_owner,
             self._own_waiting,
             self._take_intake_row,
-            store,
+            self._store,
             clock,
             metrics,
             self.log.decision,
@@ -155,7 +152,7 @@
         """Whether new callers should be sent here."""
         if self.is_draining or self.policy.current is None:
             return False
-        return not self._store_health.is_lost or self._elector.hears_owner()
+        return not self._store.is_lost or self._elector.hears_owner()
 
     def refresh_gauges(self) -> None:
         """Brings the gauges up to date before they are served."""
@@ -164,7 +161,7 @@
             self.metrics,
             self._elector.ownership,
             policy.version if policy is not None else 0,
-            self._store_health.is_lost,
+            self._store.is_lost,
             self._clock.now_ms(),
         )
 
@@ -209,12 +206,11 @@
 
     def _probe_store(self) -> None:
         """Notices soon that the store answers again, or that it doesn't."""
-        if self._store_health.needs_probe:
-            self._spawn(self._read_own_lease())
+        if self._store.needs_probe:
+            self._spawn(self._probe())
 
-    async def _read_own_lease(self) -> None:
-        # The outcome is noted by the store's health; the row itself doesn't matter.
-        await self._store.read(LEASE_TABLE, PROBE_TIMEOUT_MS, self.settings.host_id)
+    async def _probe(self) -> None:
+        await self._store.probe()  # The store's health takes note of the outcome.
 
     def _follow(self) -> None:
         operator = TableFollower(
@@ -351,7 +347,7 @@
     def _take_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         self._owner.take_heartbeat(peer, heartbeat)
         policy = self.policy.current
-        if self._store_health.is_lost and (
+        if self._store.health_of(self._rows.operator_table).is_lost and (
             policy is None or policy.version < heartbeat.policy_version
         ):
             self._spawn(self._pull_policy())
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -162,7 +162,7 @@
 def test_store_is_asked_whether_it_answers_only_after_some_silence() -> None:
     clock = HandClock()
     counted = CountingStore()
-    store = WatchedStore(counted, StoreHealth(clock))
+    store = WatchedStore(counted, clock)
 
     assert asyncio.run(store.answers())
     assert asyncio.run(store.answers())
@@ -175,3 +175,34 @@
     assert store.is_lost
     assert not asyncio.run(store.answers())
     assert counted.whole_reads == 2
+
+
+def test_answers_for_other_tables_say_nothing_of_the_intake() -> None:
+    clock = HandClock()
+    inner = CountingStore()
+    store = WatchedStore(inner, clock)
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.probe())
+    clock.time_ms += LOST_AFTER_MS
+
+    asyncio.run(store.read("executors", 100))
+
+    assert store.is_lost
+    assert store.needs_probe
+    assert not asyncio.run(store.answers())
+
+
+def test_doubt_about_other_tables_makes_the_intake_be_looked_at_for_a_while() -> None:
+    clock = HandClock()
+    inner = CountingStore()
+    store = WatchedStore(inner, clock)
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.read("executors", 100))
+    assert not store.needs_probe
+
+    clock.time_ms += PROBE_AFTER_MS
+    assert store.needs_probe
+
+    clock.time_ms += LOST_AFTER_MS
+    assert not store.needs_probe
+    assert not store.is_lost
