--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -51,6 +51,7 @@
 PLAN_GAP_MS: Final = 20
 TICK_MS: Final = 250
 FEED_WAIT_MS: Final = 1_500
+LISTING_GAP_MS: Final = 100  # With hundreds of executors an entry is written every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # An owner without its lease renews tasks no longer.
@@ -226,6 +227,7 @@
             self._take_listings,
             self._take_listing_changes,
             versions[self._rows.executor_table],
+            LISTING_GAP_MS,
         )
         self._spawn(self._tick())
         self._spawn(self._ended_jobs.run(self._clock))
@@ -237,9 +239,16 @@
         take_snapshot: Callable[[tuple[Row, ...]], None],
         take_changes: Callable[[tuple[Row, ...]], None],
         version: int,
+        gap_ms: int = 0,
     ) -> None:
         follower = TableFollower(
-            self._store, table, FEED_WAIT_MS, take_snapshot, take_changes, self._log
+            self._store,
+            table,
+            FEED_WAIT_MS,
+            take_snapshot,
+            take_changes,
+            self._log,
+            gap_ms=gap_ms,
         )
         self._spawn(follower.run(version))
 
--- a/packages/node/src/jacinthreel_node/_table_follower.py
+++ b/packages/node/src/jacinthreel_node/_table_follower.py
@@ -3,7 +3,8 @@
 The follower reads the table whole, then asks for changes with a waiting read, again and again.  A
 lost history makes it read the table whole again; so does a failure, where the table is small and
 its rows are large, because a feed brings each version that was missed.  A waiting read has a
-timeout a little longer than its wait, so that a connection that went silent is noticed.
+timeout a little longer than its wait, so that a connection that went silent is noticed.  A table
+that changes all the time is read in steps with a gap between them, each for all changes since.
 """
 
 from __future__ import annotations
@@ -36,7 +37,9 @@
         take_changes: TakeChanges,
         log: Callable[[str, dict[str, Any]], None],
         rereads_after_failure: bool = False,
+        gap_ms: int = 0,
     ) -> None:
+        self._gap_ms = gap_ms
         self._rereads_after_failure = rereads_after_failure
         self._store = store
         self._table = table
@@ -75,6 +78,7 @@
                     if rows:
                         self._take_changes(rows)
                     version = max(version, newer)
+                    await asyncio.sleep(self._gap_ms / 1000)
                 case Failure(Fault(code=ResultCode.STORE_HISTORY_LOST)):
                     self._log("table_history_lost", {"table": self._table, "version": version})
                     return None
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -45,6 +45,30 @@
         return await super().changes(table, after, wait_ms)
 
 
+def test_table_that_changes_all_the_time_is_read_in_steps() -> None:
+    store = CountingStore()
+    calls = 0
+
+    async def changes(table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
+        nonlocal calls
+        calls += 1
+        await asyncio.sleep(0.001)
+        return Success(Snapshot((Row(table, "k", b"v", after + 1),), after + 1))
+
+    store.changes = changes  # type: ignore[method-assign]
+
+    async def run() -> None:
+        follower = TableFollower(
+            store, "t", 10, lambda rows: None, lambda rows: None, lambda e, f: None, gap_ms=10_000
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+
+    asyncio.run(run())
+    assert calls == 1
+
+
 def follow(store: CountingStore, rereads_after_failure: bool) -> list[Row]:
     """Follows a table until the row `last` is there; returns what was seen."""
     seen: list[Row] = []
