Spread the intake over eight parts of the store, and judge each on its own

Seven jobs a second and their retries filled the queue of the intake's one part; callers got 429 turned into 503, and 20 answers 504 that they could not come back from. A job's rows now lie in one of eight parts, by its id. Tests: test_rows_of_a_job_share_a_group_and_jobs_are_spread, test_answers_for_others_say_nothing_of_a_row, test_all_doubtful_groups_are_looked_at_once_one_answers, test_lost_group_is_looked_at_until_it_answers.

--- a/packages/node/src/jacinthreel_node/__init__.py
+++ b/packages/node/src/jacinthreel_node/__init__.py
@@ -26,7 +26,7 @@
     Unusable,
     ZoneChanged,
 )
-from jacinthreel_node._records import TRANSACTION_GROUPS
+from jacinthreel_node._records import transaction_group, transaction_groups
 from jacinthreel_node._routing import PolicyView, Route, RoutedCall, RoutingPolicy
 from jacinthreel_node._settings import NodeSettings
 
@@ -56,8 +56,9 @@
     "Snapshot",
     "StartAnswer",
     "StartCommand",
-    "TRANSACTION_GROUPS",
     "Unusable",
     "ZoneChanged",
     "check_job_id",
+    "transaction_group",
+    "transaction_groups",
 ]
--- a/packages/node/src/jacinthreel_node/_ended_jobs.py
+++ b/packages/node/src/jacinthreel_node/_ended_jobs.py
@@ -26,6 +26,7 @@
     OWNER_KEY,
     OWNER_TABLE,
     PROGRESS_TABLE,
+    transaction_group,
 )
 from jacinthreel_steps import Scheduler
 
@@ -72,8 +73,13 @@
         """Deletes what is due."""
         self._just_forgotten = set()
         job_ids = self._scheduler.ended_before(now_ms - self._keep_ms)
-        for start in range(0, len(job_ids), MAX_JOBS):
-            await self._delete_intake(job_ids[start : start + MAX_JOBS])
+        ids_by_group: dict[str, list[str]] = {}
+        for job_id in job_ids:
+            group = transaction_group(INTAKE_TABLE, JOB_PREFIX + job_id)
+            ids_by_group.setdefault(group, []).append(job_id)
+        for ids in ids_by_group.values():
+            for start in range(0, len(ids), MAX_JOBS):
+                await self._delete_intake(ids[start : start + MAX_JOBS])
         await self._delete_progress()
 
     async def _delete_intake(self, job_ids: list[str]) -> None:
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -192,7 +192,7 @@
         may_be_stored = False
         while True:
             fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
-            store_answers = await self._store_state.answers()
+            store_answers = await self._store_state.answers(key)
             left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
             timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
             if store_answers:
@@ -212,7 +212,7 @@
                     return Success(is_new and not may_be_stored)
                 case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
                     may_be_stored = True
-            given_up = self._give_up(fault, may_be_stored, started_ms, deadline_ms)
+            given_up = self._give_up(key, fault, may_be_stored, started_ms, deadline_ms)
             if given_up is not None:
                 return Failure(given_up)
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
@@ -245,11 +245,11 @@
         return Failure(Fault(ResultCode.STORE_OUTCOME_UNKNOWN, "the owner's answer is missing"))
 
     def _give_up(
-        self, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
+        self, key: str, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
     ) -> Fault | None:
         spent_ms = self._clock.now_ms() - started_ms
         limit_ms = min(GIVE_UP_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS)
-        if not self._store_state.is_lost and spent_ms + RETRY_PAUSE_MS < limit_ms:
+        if not self._store_state.is_lost(key) and spent_ms + RETRY_PAUSE_MS < limit_ms:
             return None
         if may_be_stored:
             return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail, STORE_RETRY_AFTER_MS)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -152,7 +152,7 @@
         """Whether new callers should be sent here."""
         if self.is_draining or self.policy.current is None:
             return False
-        return not self._store.is_lost or self._elector.hears_owner()
+        return not self._store.is_intake_lost or self._elector.hears_owner()
 
     def refresh_gauges(self) -> None:
         """Brings the gauges up to date before they are served."""
@@ -161,7 +161,7 @@
             self.metrics,
             self._elector.ownership,
             policy.version if policy is not None else 0,
-            self._store.is_lost,
+            self._store.is_intake_lost,
             self._clock.now_ms(),
         )
 
@@ -184,7 +184,9 @@
         self._timers.every(LEASE_RENEWAL_MS, lambda now_ms: self._elector.renew())
         self._timers.every(WATCH_PERIOD_MS, lambda now_ms: self._elector.watch())
         self._timers.every(LIVENESS_MS, self._hub.check_liveness)
-        self._timers.every(PROBE_PERIOD_MS, lambda now_ms: self._probe_store())
+        self._timers.every(
+            PROBE_PERIOD_MS, lambda now_ms: self._spawn(self._store.probe_doubtful())
+        )
         self.log.decision("started", {"pid": os.getpid(), "zone": self.settings.zone})
         await self._stop_asked.wait()
         await self._shutdown(server)
@@ -204,14 +206,6 @@
         self._hub.close()
         self._timers.stop()
 
-    def _probe_store(self) -> None:
-        """Notices soon that the store answers again, or that it doesn't."""
-        if self._store.needs_probe:
-            self._spawn(self._probe())
-
-    async def _probe(self) -> None:
-        await self._store.probe()  # The store's health takes note of the outcome.
-
     def _follow(self) -> None:
         operator = TableFollower(
             self._store,
@@ -322,7 +316,7 @@
         own = self._elector.ownership
         if own is None or not own.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
-        if not await self._store.answers():
+        if not await self._store.answers(insert.key):
             return StreamReply(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
         match await own.insert_intake(insert.key, insert.value, insert.timeout_ms):
             case Success(is_new):
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Final
 
 import msgspec
@@ -13,17 +14,40 @@
 OWNER_TABLE: Final = "owner"
 LEASE_TABLE: Final = "lease"
 OWNER_KEY: Final = "owner"
-TRANSACTION_GROUPS: Final = {
-    INTAKE_TABLE: "intake",
+INTAKE_GROUPS: Final = tuple(f"intake-{index}" for index in range(8))
+"""Jobs are spread over these: a slow store takes only a few transactions a second for each."""
+_GROUPS_BY_TABLE: Final = {
     PROGRESS_TABLE: "progress",
     OWNER_TABLE: "progress",
     LEASE_TABLE: "lease",
 }
-"""Tables with the same name here may be written in one transaction; the others don't queue up."""
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
 
 
+def transaction_group(table: str, key: str) -> str:
+    """The group of a row of ours: only rows of one group are written in one transaction.
+
+    All rows of a job in the intake are in one group.
+
+    >>> transaction_group("intake", "job/5c0e7a21d94b36f8")
+    'intake-0'
+    >>> transaction_group("intake", "cancel/5c0e7a21d94b36f8")
+    'intake-0'
+    >>> transaction_group("progress", "5c0e7a21d94b36f8")
+    'progress'
+    """
+    if table != INTAKE_TABLE:
+        return _GROUPS_BY_TABLE[table]
+    job_id = key.rpartition("/")[2]
+    return INTAKE_GROUPS[zlib.crc32(job_id.encode()) % len(INTAKE_GROUPS)]
+
+
+def transaction_groups(table: str) -> tuple[str, ...]:
+    """All groups of a table of ours."""
+    return INTAKE_GROUPS if table == INTAKE_TABLE else (_GROUPS_BY_TABLE[table],)
+
+
 class OwnerRow(msgspec.Struct, frozen=True):
     """Who owns the jobs; `nonce` tells one takeover from all others."""
 
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Final, Protocol
 
 from returns.result import Failure, Result, Success
@@ -20,25 +21,34 @@
     RowWrite,
     Snapshot,
 )
-from jacinthreel_node._records import INTAKE_TABLE, TRANSACTION_GROUPS
+from jacinthreel_node._records import INTAKE_GROUPS, INTAKE_TABLE, transaction_group
 
 LOST_AFTER_MS: Final = 800
 PROBE_AFTER_MS: Final = 200  # So that a single lost connection is cleared up before.
 FRESH_MS: Final = 300
 PROBE_TIMEOUT_MS: Final = 400  # Shorter than peers wait for an insert.
-PROBE_KEY: Final = "probe"
-OTHER_GROUP: Final = "other"
+
+
+def _probe_key(group: str) -> str:
+    """A key that is never there, in a group of the intake."""
+    return next(
+        key
+        for key in (f"probe/{index}" for index in range(1_000))
+        if transaction_group(INTAKE_TABLE, key) == group
+    )
+
+
+PROBE_KEYS: Final = tuple(_probe_key(group) for group in INTAKE_GROUPS)
 
 
 class StoreState(Protocol):
-    """What callers' calls have to know of the store."""
+    """What callers' calls have to know of the store; `key` is that of a row of the intake."""
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether calls are expected to fail."""
+    def is_lost(self, key: str) -> bool:
+        """Whether calls for the row are expected to fail."""
 
-    async def answers(self) -> bool:
-        """Whether the store answers now."""
+    async def answers(self, key: str) -> bool:
+        """Whether the store answers for the row now."""
 
 
 class StoreHealth:
@@ -114,50 +124,65 @@
         self._store = store
         self._clock = clock
         self._health_by_group: dict[str, StoreHealth] = {}
+        self._probes = 0
 
-    def health_of(self, table: str) -> StoreHealth:
-        """The health of a table's group."""
-        group = TRANSACTION_GROUPS.get(table, OTHER_GROUP)
+    def health_of(self, table: str, key: str | None = None) -> StoreHealth:
+        """The health of a row's group, or that of reads and feeds of the whole table."""
+        group = table if key is None else transaction_group(table, key)
         health = self._health_by_group.get(group)
         if health is None:
             health = StoreHealth(self._clock)
             self._health_by_group[group] = health
         return health
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether new jobs can't be stored."""
-        return self.health_of(INTAKE_TABLE).is_lost
+    def is_lost(self, key: str) -> bool:
+        """Whether a row of the intake can't be stored."""
+        return self.health_of(INTAKE_TABLE, key).is_lost
 
     @property
-    def needs_probe(self) -> bool:
-        """Whether calls for the intake have waited or failed for a while, or others just now."""
-        if self.is_lost:
-            return True
-        return any(
-            health.needs_probe and not health.is_lost for health in self._health_by_group.values()
-        )
+    def is_intake_lost(self) -> bool:
+        """Whether new jobs can't be stored, by a group that stands for all."""
+        return self.is_lost(PROBE_KEYS[0])
 
-    async def answers(self) -> bool:
-        """Whether new jobs can be stored: a call has just shown it, or a small read does.
+    async def answers(self, key: str) -> bool:
+        """Whether a row of the intake can be stored: a call has just shown it, or a read does.
 
         A write that is sent to a silent store has an unknown outcome; after this, it rarely has.
         """
-        health = self.health_of(INTAKE_TABLE)
+        health = self.health_of(INTAKE_TABLE, key)
         if health.is_lost:
             return False
-        return health.has_just_answered or await self.probe()
+        return health.has_just_answered or await self._probe(key)
 
-    async def probe(self) -> bool:
-        """Reads a row of the intake that is never there; the health takes note of the outcome."""
-        outcome = await self.read(INTAKE_TABLE, PROBE_TIMEOUT_MS, PROBE_KEY)
+    async def probe_doubtful(self) -> None:
+        """Reads for one group of the intake that is in doubt; and for all of them if that works.
+
+        A doubt about other tables that has just begun makes the intake be looked at.
+        """
+        doubtful = [key for key in PROBE_KEYS if self.health_of(INTAKE_TABLE, key).needs_probe]
+        if not doubtful and self._is_doubt_new():
+            doubtful = [PROBE_KEYS[0]]
+        if not doubtful:
+            return
+        self._probes += 1
+        chosen = doubtful[self._probes % len(doubtful)]
+        if not await self._probe(chosen):
+            return
+        await asyncio.gather(*(self._probe(key) for key in doubtful if key != chosen))
+
+    def _is_doubt_new(self) -> bool:
+        healths = self._health_by_group.values()
+        return any(health.needs_probe and not health.is_lost for health in healths)
+
+    async def _probe(self, key: str) -> bool:
+        outcome = await self.read(INTAKE_TABLE, PROBE_TIMEOUT_MS, key)
         return isinstance(outcome, Success)
 
     async def commit(
         self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
     ) -> Result[Committed | Conflict, Fault]:
         """See the port."""
-        health = self.health_of(writes[0].table)
+        health = self.health_of(writes[0].table, writes[0].key)
         sent_ms = health.note_sent()
         outcome = await self._store.commit(conditions, writes, timeout_ms)
         health.note(outcome, sent_ms)
@@ -167,7 +192,7 @@
         self, table: str, timeout_ms: int, key: str | None = None
     ) -> Result[Snapshot, Fault]:
         """See the port."""
-        health = self.health_of(table)
+        health = self.health_of(table, key)
         sent_ms = health.note_sent()
         outcome = await self._store.read(table, timeout_ms, key)
         health.note(outcome, sent_ms)
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -11,17 +11,27 @@
 from jacinthreel_node import Row, RowWrite, Snapshot
 from jacinthreel_node._election import LeaseWatch
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._records import OwnerRow
+from jacinthreel_node._records import (
+    CANCEL_PREFIX,
+    INTAKE_GROUPS,
+    INTAKE_TABLE,
+    JOB_PREFIX,
+    OwnerRow,
+    transaction_group,
+)
 from jacinthreel_node._store_health import (
     FRESH_MS,
     LOST_AFTER_MS,
     PROBE_AFTER_MS,
+    PROBE_KEYS,
     StoreHealth,
     WatchedStore,
 )
 from jacinthreel_node._table_follower import TableFollower
 
 PEER = Hello("other", "node", "z")
+JOB_KEY, OTHER_KEY = PROBE_KEYS[0], PROBE_KEYS[1]
+KEY_PREFIXES = (JOB_PREFIX, CANCEL_PREFIX)
 
 
 class CountingStore(MemoryStore):
@@ -183,50 +193,92 @@
     assert not health.is_lost
 
 
+def in_doubt(clock: HandClock, key: str = PROBE_KEYS[0]) -> tuple[CountingStore, WatchedStore]:
+    """A store whose last call for a row of the intake has failed."""
+    inner = CountingStore()
+    store = WatchedStore(inner, clock)
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.read(INTAKE_TABLE, 100, key))
+    return inner, store
+
+
 def test_store_is_asked_whether_it_answers_only_after_some_silence() -> None:
     clock = HandClock()
     counted = CountingStore()
     store = WatchedStore(counted, clock)
 
-    assert asyncio.run(store.answers())
-    assert asyncio.run(store.answers())
+    assert asyncio.run(store.answers(JOB_KEY))
+    assert asyncio.run(store.answers(JOB_KEY))
     assert counted.whole_reads == 1
 
     clock.time_ms += FRESH_MS + 1
     counted.read_faults = [ResultCode.STORE_UNAVAILABLE]
-    assert not asyncio.run(store.answers())
+    assert not asyncio.run(store.answers(JOB_KEY))
     clock.time_ms += LOST_AFTER_MS
-    assert store.is_lost
-    assert not asyncio.run(store.answers())
+    assert store.is_lost(JOB_KEY)
+    assert not asyncio.run(store.answers(JOB_KEY))
     assert counted.whole_reads == 2
 
 
-def test_answers_for_other_tables_say_nothing_of_the_intake() -> None:
+def test_answers_for_others_say_nothing_of_a_row() -> None:
     clock = HandClock()
-    inner = CountingStore()
-    store = WatchedStore(inner, clock)
-    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
-    asyncio.run(store.probe())
+    _, store = in_doubt(clock, JOB_KEY)
     clock.time_ms += LOST_AFTER_MS
 
     asyncio.run(store.read("executors", 100))
+    asyncio.run(store.read(INTAKE_TABLE, 100, OTHER_KEY))
 
-    assert store.is_lost
-    assert store.needs_probe
-    assert not asyncio.run(store.answers())
+    assert store.is_lost(JOB_KEY)
+    assert not store.is_lost(OTHER_KEY)
+    assert not asyncio.run(store.answers(JOB_KEY))
 
 
-def test_doubt_about_other_tables_makes_the_intake_be_looked_at_for_a_while() -> None:
+def test_lost_group_is_looked_at_until_it_answers() -> None:
+    clock = HandClock()
+    inner, store = in_doubt(clock, JOB_KEY)
+    clock.time_ms += LOST_AFTER_MS
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.probe_doubtful())
+    assert store.is_lost(JOB_KEY)
+
+    asyncio.run(store.probe_doubtful())
+    assert not store.is_lost(JOB_KEY)
+
+
+def test_all_doubtful_groups_are_looked_at_once_one_answers() -> None:
+    clock = HandClock()
+    inner, store = in_doubt(clock, JOB_KEY)
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.read(INTAKE_TABLE, 100, OTHER_KEY))
+    clock.time_ms += LOST_AFTER_MS
+
+    asyncio.run(store.probe_doubtful())
+
+    assert not store.is_lost(JOB_KEY)
+    assert not store.is_lost(OTHER_KEY)
+
+
+def test_new_doubt_about_other_tables_makes_the_intake_be_looked_at() -> None:
     clock = HandClock()
     inner = CountingStore()
     store = WatchedStore(inner, clock)
-    inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE, ResultCode.STORE_UNAVAILABLE]
     asyncio.run(store.read("executors", 100))
-    assert not store.needs_probe
+    asyncio.run(store.probe_doubtful())
+    assert inner.whole_reads == 1
 
     clock.time_ms += PROBE_AFTER_MS
-    assert store.needs_probe
+    asyncio.run(store.probe_doubtful())
+    assert inner.whole_reads == 2
 
     clock.time_ms += LOST_AFTER_MS
-    assert not store.needs_probe
-    assert not store.is_lost
+    assert store.is_intake_lost
+
+
+def test_rows_of_a_job_share_a_group_and_jobs_are_spread() -> None:
+    ids = [f"{index:016x}" for index in range(200)]
+    groups = {transaction_group(INTAKE_TABLE, JOB_PREFIX + job_id) for job_id in ids}
+    assert groups == set(INTAKE_GROUPS)
+    for job_id in ids:
+        names = {transaction_group(INTAKE_TABLE, prefix + job_id) for prefix in KEY_PREFIXES}
+        assert len(names) == 1
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -52,7 +52,7 @@
         self.hub = ToldHub(reply)
         self.owner = OwnerView(self.clock)
         self.owner.put_row(OwnerRow(1, "other", "10.0.0.2", 7000, "n"), 1)
-        self.is_lost = False
+        self.is_store_lost = False
         self.answers_now = True
         self.own_rows: list[Any] = []
         self.is_owner = False
@@ -70,8 +70,11 @@
             lambda event, fields: None,
         )
 
-    async def answers(self) -> bool:
-        return self.answers_now and not self.is_lost
+    def is_lost(self, key: str) -> bool:
+        return self.is_store_lost
+
+    async def answers(self, key: str) -> bool:
+        return self.answers_now and not self.is_store_lost
 
     def submit(self) -> Result[Accepted, Fault]:
         return asyncio.run(self.service.submit(CALL, JOB_ID, SPEC, 3_000))
@@ -96,7 +99,7 @@
 
 def test_lost_store_is_a_refusal_at_once_that_sends_nothing() -> None:
     desk = Desk()
-    desk.is_lost = True
+    desk.is_store_lost = True
     fault = desk.submit().failure()
     assert fault.code is ResultCode.STORE_UNAVAILABLE
     assert fault.retry_after_ms is not None
@@ -110,7 +113,7 @@
     async def submit() -> Result[Accepted, Fault]:
         task = asyncio.create_task(desk.service.submit(CALL, JOB_ID, SPEC, 3_000))
         await asyncio.sleep(0.01)
-        desk.is_lost = True
+        desk.is_store_lost = True
         return await task
 
     fault = asyncio.run(submit()).failure()
@@ -121,26 +124,26 @@
 def test_owner_inserts_for_a_node_that_the_store_turns_away() -> None:
     inserted = to_plain(IntakeInserted(True))
     desk = Desk(Success(StreamReply(ResultCode.OK, body=inserted)))
-    desk.is_lost = True
+    desk.is_store_lost = True
     assert desk.submit() == Success(Accepted(True))
 
 
 def test_owner_without_the_store_leaves_the_refusal_true() -> None:
     desk = Desk(Success(StreamReply(ResultCode.STORE_UNAVAILABLE)))
-    desk.is_lost = True
+    desk.is_store_lost = True
     assert desk.submit().failure().code is ResultCode.STORE_UNAVAILABLE
 
 
 def test_after_an_insert_without_an_answer_nobody_is_told_not_run() -> None:
     desk = Desk()
     desk.store.faults = [ResultCode.STORE_OUTCOME_UNKNOWN] + [ResultCode.STORE_UNAVAILABLE] * 50
-    desk.is_lost = False
+    desk.is_store_lost = False
     desk.clock.time_ms += 0
 
     async def submit() -> Result[Accepted, Fault]:
         task = asyncio.create_task(desk.service.submit(CALL, JOB_ID, SPEC, 3_000))
         await asyncio.sleep(0.01)
-        desk.is_lost = True
+        desk.is_store_lost = True
         return await task
 
     fault = asyncio.run(submit()).failure()
