--- a/packages/cli/src/jacinthreel_cli/_config_commands.py
+++ b/packages/cli/src/jacinthreel_cli/_config_commands.py
@@ -21,7 +21,6 @@
 )
 from jacinthreel_common import (
     CellLevel,
-    ChangeAnswer,
     Config,
     Fault,
     GuaranteedShape,
@@ -49,8 +48,7 @@
 
 def init(*, common: Common | None = None, options: ChangeOptions | None = None) -> None:
     """Accepts the first configuration; changes nothing where there is one."""
-    session = Session(common)
-    _finish_change(session, session.change("POST", "/v1/config", None, options), options)
+    _change(Session(common), "POST", "/v1/config", None, options)
 
 
 @workspace_app.command(name="set")
@@ -77,10 +75,8 @@
     options
         How the change is identified, and whether to wait for it.
     """
-    session = Session(common)
     body = WorkspaceBody([_parse_shape(text) for text in guarantee or []], weight)
-    answer = session.change("PUT", f"/v1/workspaces/{quote(name, safe='')}", body, options)
-    _finish_change(session, answer, options)
+    _change(Session(common), "PUT", f"/v1/workspaces/{quote(name, safe='')}", body, options)
 
 
 @workspace_app.command(name="list")
@@ -99,9 +95,7 @@
     name: str, *, common: Common | None = None, options: ChangeOptions | None = None
 ) -> None:
     """Deletes a workspace that has no jobs left."""
-    session = Session(common)
-    answer = session.change("DELETE", f"/v1/workspaces/{quote(name, safe='')}", None, options)
-    _finish_change(session, answer, options)
+    _change(Session(common), "DELETE", f"/v1/workspaces/{quote(name, safe='')}", None, options)
 
 
 @zone_app.command(name="list")
@@ -135,10 +129,8 @@
     options
         How the change is identified, and whether to wait for it.
     """
-    session = Session(common)
     body = ZoneOutBody(reason, int(drain_s * 1000))
-    answer = session.change("POST", f"/v1/zones/{quote(zone, safe='')}/out", body, options)
-    _finish_change(session, answer, options)
+    _change(Session(common), "POST", f"/v1/zones/{quote(zone, safe='')}/out", body, options)
 
 
 @zone_app.command(name="in")
@@ -159,9 +151,7 @@
     options
         How the change is identified, and whether to wait for it.
     """
-    session = Session(common)
-    answer = session.change("POST", f"/v1/zones/{quote(zone, safe='')}/in", None, options)
-    _finish_change(session, answer, options)
+    _change(Session(common), "POST", f"/v1/zones/{quote(zone, safe='')}/in", None, options)
 
 
 @preset_app.command(name="list")
@@ -205,8 +195,7 @@
     chosen = options or ChangeOptions()
     if chosen.expect is None:
         chosen.expect = presets.version
-    answer = session.change("PUT", f"/v1/presets/{name.value}", body, chosen)
-    _finish_change(session, answer, chosen)
+    _change(session, "PUT", f"/v1/presets/{name.value}", body, chosen)
 
 
 @preset_app.command(name="activate")
@@ -227,9 +216,7 @@
     options
         How the change is identified, and whether to wait for it.
     """
-    session = Session(common)
-    answer = session.change("POST", f"/v1/presets/{name.value}/activate", None, options)
-    _finish_change(session, answer, options)
+    _change(Session(common), "POST", f"/v1/presets/{name.value}/activate", None, options)
 
 
 @preset_app.command(name="history")
@@ -239,8 +226,11 @@
     session.show(session.get(HistoryList, f"/v1/config/history?limit={limit}"), draw_history)
 
 
-def _finish_change(session: Session, answer: ChangeAnswer, options: ChangeOptions | None) -> None:
-    """Waits until the change is in force everywhere, if asked to, and shows the answer."""
+def _change(
+    session: Session, method: str, path: str, body: object, options: ChangeOptions | None
+) -> None:
+    """Makes a change, waits until it is in force everywhere if asked to, and shows the answer."""
+    answer = session.change(method, path, body, options)
     if options is not None and options.wait:
         _wait_in_force(session, answer.version, options.timeout_s)
     session.show(answer, draw_change)
