Watch an owner's lease at once when its stream has ended

Cause: a killed owner was taken for alive until its stream had been silent for 0.8 s, though the end of the connection shows at once; only a host without power falls silent without a word. The lease is still watched for 1.3 s, so a stream that breaks while the owner lives moves nothing. Test: test_lease_of_an_owner_whose_stream_has_ended_is_watched_at_once, red before.

--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -183,6 +183,11 @@
         left_ms = max(1, timeout_ms - (self._clock.now_ms() - started_ms))
         return await connection.call(message, left_ms)
 
+    def is_connected(self, address: str, port: int) -> bool:
+        """Whether the connection that this process has opened to a peer stands."""
+        link = self._links_by_address.get((address, port))
+        return link is not None and link.connection is not None and link.connection.is_open
+
     def notify(self, address: str, port: int, message: object) -> bool:
         """Sends a notice to a peer that is connected; says whether it is."""
         link = self._links_by_address.get((address, port))
--- a/packages/node/src/jacinthreel_node/_election.py
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -4,9 +4,10 @@
 and executors refuse orders of an older epoch.  So a takeover is safe at any moment, and the rules
 here only keep it rare: a candidate takes over where there is no owner, where the owner's row
 names an earlier life of the same host, where the owner has resigned, or where the owner is silent
-on the streams and its lease row has not changed for `LEASE_MS` of the candidate's clock.  An owner
-that can't renew its lease says so; the candidate then waits only for `ADMITTED_LAPSE_MS`.  A read
-that fails restarts the watch, so that an outage of the store moves nothing.
+on the streams, or its stream has ended, and its lease row has not changed for `LEASE_MS` of the
+candidate's clock.  An owner that can't renew its lease says so; the candidate then waits only for
+`ADMITTED_LAPSE_MS`.  A read that fails restarts the watch, so that an outage of the store moves
+nothing.
 """
 
 from __future__ import annotations
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -171,9 +171,15 @@
         self._spawn(self._look_at_lease(row))
 
     def hears_owner(self) -> bool:
-        """Whether the owner has been heard on the streams just now."""
+        """Whether the owner has been heard just now, on a stream that still stands.
+
+        A process that is killed ends its streams at once; one without power only falls silent.
+        """
+        row = self._owner.row
         silent_ms = self._owner.silent_ms()
-        return silent_ms is not None and silent_ms < SILENCE_MS
+        if row is None or silent_ms is None or silent_ms >= SILENCE_MS:
+            return False
+        return self._hub.is_connected(row.address, row.port)
 
     async def _look_at_lease(self, owner: OwnerRow) -> None:
         match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, owner.host_id):
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -42,7 +42,13 @@
 
 
 class SilentHub:
-    """Peers that hear nothing."""
+    """Peers that hear nothing; the stream to the owner stands or not."""
+
+    def __init__(self) -> None:
+        self.stands = True
+
+    def is_connected(self, address: str, port: int) -> bool:
+        return self.stands
 
     def set_peers(self, peers: set[tuple[str, int]]) -> None:
         return
@@ -76,6 +82,7 @@
         self.store = store or MemoryStore()
         self.owner = OwnerView(self.clock)
         self.log = KeptLog()
+        self.hub = SilentHub()
         self.gone: list[bool] = []
         self.tasks: list[asyncio.Task[None]] = []
         settings = NodeSettings(
@@ -84,7 +91,7 @@
         self.elector = Elector(
             settings,
             self.store,
-            cast(StreamHub, SilentHub()),
+            cast(StreamHub, self.hub),
             self.owner,
             self.clock,
             random.Random(1),
@@ -141,13 +148,35 @@
     play(scenario)
 
 
+def heard(stand: Stand) -> None:
+    """The owner has just been heard."""
+    heartbeat = OwnerHeartbeat(1, {}, lease_age_ms=0, policy_version=1, is_loaded=True)
+    stand.owner.take_heartbeat(Hello("other", "node", "z"), heartbeat)
+
+
+def test_lease_of_an_owner_whose_stream_has_ended_is_watched_at_once() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        heard(stand)
+        await stand.watch()
+        assert stand.elector.hears_owner()
+
+        stand.hub.stands = False
+        await stand.watch(100)
+        await stand.watch(LEASE_MS)
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
 def test_takeover_says_how_long_the_former_owner_was_silent() -> None:
     async def scenario() -> None:
         stand = Stand()
         other_owner(stand.store)
         await stand.read_owner()
-        heartbeat = OwnerHeartbeat(1, {}, lease_age_ms=0, policy_version=1, is_loaded=True)
-        stand.owner.take_heartbeat(Hello("other", "node", "z"), heartbeat)
+        heard(stand)
         await stand.watch(LEASE_MS)
         await stand.watch(LEASE_MS)
         taken = stand.log.decisions["took_over"]
