--- a/packages/jobs/tests/shard_cluster.py
+++ b/packages/jobs/tests/shard_cluster.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from first_fit_planner import FirstFitPlanner
+
 from jacinthreel_common import (
     CONFIG_KEY,
     CommandKind,
@@ -28,7 +30,6 @@
     PresetName,
     ReadQuery,
     RowWrite,
-    TaskPlacement,
     Transaction,
     Workspace,
     WriteOutcome,
@@ -42,7 +43,6 @@
 )
 from jacinthreel_jobs import (
     ConfigApplied,
-    Decision,
     Effect,
     Event,
     HostsListed,
@@ -52,18 +52,13 @@
     LogDecision,
     OwnershipGained,
     OwnershipLost,
-    Place,
-    PlanTrigger,
-    Preempt,
     ReadRows,
     Reply,
     RowsRead,
     SendBatch,
     ShardCore,
     StepDown,
-    Tables,
     Tick,
-    WorkerHealth,
     WorkerReplied,
     WorkerUnreachable,
     Write,
@@ -89,49 +84,6 @@
     return any(command.kind is kind for command in effect.batch.commands)
 
 
-class FirstFitPlanner:
-    """Places queued gangs in order on the first workers that hold them.
-
-    Preempts only what a test puts into `preempts`.
-    """
-
-    def __init__(self) -> None:
-        self.preempts: list[Preempt] = []
-
-    def plan(self, tables: Tables, trigger: PlanTrigger, now_ms: int) -> list[Decision]:
-        free = {
-            worker.worker_id: worker.free_accelerators
-            for worker in tables.workers_by_id.values()
-            if worker.health in (WorkerHealth.HEALTHY, WorkerHealth.PROBATION)
-            and tables.config is not None
-            and worker.zone not in tables.config.zones_out
-        }
-        decisions: list[Decision] = list(self.preempts)
-        self.preempts = []
-        for job in tables.queued_by_id.values():
-            if job.not_before_ms > now_ms:
-                continue
-            spec = job.record.spec
-            chosen: list[TaskPlacement] = []
-            left = dict(free)
-            avoided = set(job.record.failed_workers)
-            for worker_id in sorted(left, key=lambda worker_id: (worker_id in avoided, worker_id)):
-                while len(chosen) < spec.tasks and left[worker_id] >= spec.accelerators_per_task:
-                    left[worker_id] -= spec.accelerators_per_task
-                    chosen.append(TaskPlacement(len(chosen), worker_id))
-            if len(chosen) < spec.tasks:
-                continue
-            free = left
-            decisions.append(Place(spec.job_id, chosen, False, "first fit", len(free)))
-        return decisions
-
-    def observe_finished(self, spec: JobSpec, run_s: float) -> None:
-        pass
-
-    def expect_run_s(self, spec: JobSpec) -> float:
-        return float(spec.declared_run_s)
-
-
 @dataclass(slots=True)
 class Link:
     """How messages to one worker fare."""
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_diagnosis.py
@@ -0,0 +1,58 @@
+"""What a node says of itself on request: what its tasks wait for and where its tables stand.
+
+For a process that seems to hang, and for jobs that never end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from jacinthreel_daemon.plumbing import EventLog
+from jacinthreel_steps import Executor, Job, Tables
+
+
+def log_tasks(log: EventLog) -> None:
+    """Says where each task of the loop waits."""
+    for task in asyncio.all_tasks():
+        frames = task.get_stack(limit=1)
+        place = f"{frames[0].f_code.co_qualname}:{frames[0].f_lineno}" if frames else ""
+        log.decision("task_waits", {"task": str(task.get_coro()), "at": place})
+
+
+def log_tables(log: EventLog, tables: Tables, now_ms: int) -> None:
+    """Says where executors, their runs and open jobs stand."""
+    for executor in tables.executors_by_id.values():
+        log.decision("executor_held", _executor_fields(executor, now_ms))
+        for run in executor.runs_by_task.values():
+            log.decision("run_held", {"executor": executor.executor_id, "run": repr(run)})
+    for job in tables.open_jobs_by_id.values():
+        log.decision("job_open", _open_job_fields(job))
+
+
+def _executor_fields(executor: Executor, now_ms: int) -> dict[str, Any]:
+    return {
+        "executor": executor.executor_id,
+        "listed": executor.is_listed,
+        "reported": executor.is_reported,
+        "heard_ms_ago": now_ms - executor.heard_ms,
+        "avoided_for_ms": max(0, executor.health.avoid_until_ms - now_ms),
+        "room": repr(executor.room),
+        "pending_ends": repr(executor.pending_ends),
+    }
+
+
+def _open_job_fields(job: Job) -> dict[str, Any]:
+    runs = {
+        f"{run.run_id.task.step_index}.{run.run_id.task.task_index}": run.state.name
+        for run in job.live_runs()
+    }
+    return {
+        "job_id": job.job_id,
+        "state": job.state.name.lower(),
+        "revision": job.revision,
+        "stored_revision": job.stored_revision,
+        "done": [sum(task.is_done for task in step.tasks) for step in job.steps],
+        "tasks": [len(step.tasks) for step in job.steps],
+        "runs": runs,
+    }
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -41,6 +41,7 @@
     SystemClock,
     open_log,
 )
+from jacinthreel_node._diagnosis import log_tables, log_tasks
 from jacinthreel_node._election import (
     HEARTBEAT_MS,
     LEASE_RENEWAL_MS,
@@ -48,16 +49,14 @@
 from jacinthreel_node._elector import Elector
 from jacinthreel_node._gauges import set_gauges
 from jacinthreel_node._job_service import JobService
+from jacinthreel_node._operator_rows import OperatorRows
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._ports import (
     ExecutorGateway,
     KeyedStore,
     PlatformRows,
-    PolicyPut,
     Row,
-    Unusable,
-    ZoneChanged,
 )
 from jacinthreel_node._records import (
     INTAKE_TABLE,
@@ -68,7 +67,6 @@
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._store_health import WatchedStore
 from jacinthreel_node._table_follower import TableFollower
-from jacinthreel_steps import Job, Tables
 
 ROLE: Final = "node"
 POLICY_WAIT_MS: Final = 1_500
@@ -110,7 +108,7 @@
         self.log = open_log(settings.host_id, ROLE, LogLevel.INFO)
         self.policy = PolicyView()
         self.is_draining = False
-        self._operator_rows: dict[str, Row] = {}
+        self._operator = OperatorRows(rows, self.policy, self.log, self._policy_changed)
         self._store = WatchedStore(store, clock)
         self._gateway = gateway
         self._rows = rows
@@ -171,7 +169,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._on_signal, signal.SIGTERM)
         loop.add_signal_handler(signal.SIGINT, self._on_signal, signal.SIGINT)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
-        loop.add_signal_handler(signal.SIGUSR1, self._log_tasks)
+        loop.add_signal_handler(signal.SIGUSR1, self._log_diagnosis)
         self._hub.on_call(JobStateQuery, self._serve_state)
         self._hub.on_call(IntakeInsert, self._serve_insert)
         self._hub.on_call(PolicyPull, self._serve_policy)
@@ -211,8 +209,8 @@
             self._store,
             self._rows.operator_table,
             POLICY_WAIT_MS,
-            self._take_operator_snapshot,
-            self._take_operator_rows,
+            self._operator.take_snapshot,
+            self._operator.take_rows,
             self.log.warning,
             rereads_after_failure=True,
         )
@@ -227,36 +225,7 @@
         self._spawn(operator.run())
         self._spawn(owner.run())
 
-    def _take_operator_snapshot(self, rows: tuple[Row, ...]) -> None:
-        zones_out: set[str] = set()
-        for row in rows:
-            match self._rows.operator_event(row):
-                case ZoneChanged(zone=zone, is_out=True):
-                    zones_out.add(zone)
-        self.policy.set_zones_out(frozenset(zones_out))
-        self._operator_rows.clear()
-        self._take_operator_rows(rows)
-
-    def _take_operator_rows(self, rows: tuple[Row, ...]) -> None:
-        for row in rows:
-            self._operator_rows[row.key] = row
-            match self._rows.operator_event(row):
-                case PolicyPut(policy=policy):
-                    applied = self.policy.put(policy)
-                    self.log.decision(
-                        "policy_seen",
-                        {
-                            "version": policy.version,
-                            "applied": applied,
-                            "row_version": row.version,
-                        },
-                    )
-                case ZoneChanged(zone=zone, is_out=is_out):
-                    self.policy.set_zone(zone, is_out)
-                    fields = {"zone": zone, "out": is_out, "row_version": row.version}
-                    self.log.decision("zone_changed", fields)
-                case Unusable(reason=reason) if reason:
-                    self.log.warning("operator_row_unusable", {"key": row.key, "reason": reason})
+    def _policy_changed(self) -> None:
         if self._elector.ownership is not None:
             self._elector.ownership.policy_changed()
 
@@ -326,8 +295,7 @@
         raise AssertionError("a Result is Success or Failure")
 
     async def _serve_policy(self, pull: PolicyPull) -> StreamReply:
-        rows = [StoredRow(row.key, row.value, row.version) for row in self._operator_rows.values()]
-        return StreamReply(ResultCode.OK, body=to_plain(PolicyRows(rows)))
+        return StreamReply(ResultCode.OK, body=to_plain(PolicyRows(self._operator.stored_rows())))
 
     def _take_intake_notice(self, peer: Hello, notice: IntakeNotice) -> None:
         self._take_intake_row(notice.row)
@@ -357,14 +325,7 @@
             return
         match convert(PolicyRows, answered.body):
             case Success(PolicyRows(rows=rows)):
-                table = self._rows.operator_table
-                found = [Row(table, row.key, row.value, row.version) for row in rows]
-                newer = [row for row in found if self._is_newer(row)]
-                self._take_operator_rows(tuple(newer))
-
-    def _is_newer(self, row: Row) -> bool:
-        known = self._operator_rows.get(row.key)
-        return known is None or known.version < row.version
+                self._operator.take_from_peer(rows)
 
     def _send_heartbeat(self) -> None:
         own = self._elector.ownership
@@ -392,35 +353,11 @@
     def _on_reload(self) -> None:
         self.log.decision("reload", {"outcome": "settings are read at the start only"})
 
-    def _log_tasks(self) -> None:
-        """Says what each task waits for and what executors hold, for a process that hangs."""
-        for task in asyncio.all_tasks():
-            frames = task.get_stack(limit=1)
-            place = f"{frames[0].f_code.co_qualname}:{frames[0].f_lineno}" if frames else ""
-            self.log.decision("task_waits", {"task": str(task.get_coro()), "at": place})
-        own = self._elector.ownership
-        if own is not None:
-            self._log_tables(own.scheduler.tables)
-
-    def _log_tables(self, tables: Tables) -> None:
-        """Says where executors and open jobs stand."""
-        now_ms = self._clock.now_ms()
-        for executor in tables.executors_by_id.values():
-            fields = {
-                "executor": executor.executor_id,
-                "listed": executor.is_listed,
-                "reported": executor.is_reported,
-                "heard_ms_ago": now_ms - executor.heard_ms,
-                "avoided_for_ms": max(0, executor.health.avoid_until_ms - now_ms),
-                "room": repr(executor.room),
-                "pending_ends": repr(executor.pending_ends),
-            }
-            self.log.decision("executor_held", fields)
-            for run in executor.runs_by_task.values():
-                fields = {"executor": executor.executor_id, "run": repr(run)}
-                self.log.decision("run_held", fields)
-        for job in tables.open_jobs_by_id.values():
-            self.log.decision("job_open", _open_job_fields(job))
+    def _log_diagnosis(self) -> None:
+        log_tasks(self.log)
+        if self._elector.ownership is not None:
+            tables = self._elector.ownership.scheduler.tables
+            log_tables(self.log, tables, self._clock.now_ms())
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(coroutine))
@@ -432,19 +369,3 @@
             await coroutine
         except Exception as error:
             self.log.error("task_failed", error)
-
-
-def _open_job_fields(job: Job) -> dict[str, Any]:
-    runs = {
-        f"{run.run_id.task.step_index}.{run.run_id.task.task_index}": run.state.name
-        for run in job.live_runs()
-    }
-    return {
-        "job_id": job.job_id,
-        "state": job.state.name.lower(),
-        "revision": job.revision,
-        "stored_revision": job.stored_revision,
-        "done": [sum(task.is_done for task in step.tasks) for step in job.steps],
-        "tasks": [len(step.tasks) for step in job.steps],
-        "runs": runs,
-    }
