Find slow executors by the gangs that run there, and move urgent gangs off them

A trial that logged the progress of all gangs each second showed that members do equal work: the slowest has 0.6 or more of the median, and 0.0 to 0.4 with a slow executor.

--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -30,10 +30,12 @@
 from jacinthreel_steps._planner import plan
 from jacinthreel_steps._progress_rows import decode_progress, encode_progress, restore_progress
 from jacinthreel_steps._reports import advance_acknowledged, lose_run, lose_runs, take_report
+from jacinthreel_steps._slowness import note_slow_executors
 from jacinthreel_steps._stalls import stop_stalled
 from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
 
 START_RETRY_LIMIT_MS: Final = 1_500  # Past this an unanswered start is stopped instead.
+SLOWNESS_PERIOD_MS: Final = 200
 START_OVERDUE_MS: Final = 3_000  # Past this a start is stopped although its order may be under way.
 
 
@@ -61,6 +63,7 @@
     def __init__(self, log: DecisionLog) -> None:
         self.tables = Tables()
         self._context = Context(self.tables, Orders(), log)
+        self._slowness_ms = 0
 
     def apply_policy(self, policy: Policy) -> None:
         """Puts a newer policy in force; older ones are passed over."""
@@ -175,6 +178,9 @@
         """Decides on all that is open."""
         self._stop_overdue_starts(now_ms)
         stop_stalled(self._context, now_ms)
+        if now_ms - self._slowness_ms >= SLOWNESS_PERIOD_MS:
+            self._slowness_ms = now_ms
+            note_slow_executors(self._context, now_ms)
         stop_leaving(self._context, now_ms)
         plan(self._context, now_ms)
 
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -82,11 +82,15 @@
 
 @dataclass(slots=True)
 class Step:
-    """A step with its tasks; a gang counts a failure once for each run number."""
+    """A step with its tasks; a gang counts a failure once for each run number.
+
+    `was_moved` is set once a gang was stopped because of a slow executor.
+    """
 
     spec: StepSpec
     tasks: list[Task]
     counted_failure_run: int = 0
+    was_moved: bool = False
 
     @property
     def is_done(self) -> bool:
