Judge the slowness of executors only by gangs that began from nothing

Cause, found on rereading: a gang that was adopted or resumed has progress from before, so members whose executors reported a second apart seemed to differ in speed. Test: test_gang_that_was_adopted_or_resumed_shows_nothing, red before.

--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planner.py
@@ -204,6 +204,7 @@
             step.spec.shape,
             state,
             plan_pass.now_ms,
+            is_from_zero=not task.checkpoint,
             changed_ms=plan_pass.now_ms,
             checkpoint=task.checkpoint,
         )
--- a/packages/steps/src/jacinthreel_steps/_slowness.py
+++ b/packages/steps/src/jacinthreel_steps/_slowness.py
@@ -4,6 +4,8 @@
 their executors last reported, makes its executor be avoided for a while.  A gang is as late as its
 slowest member, so a gang of priority 0 is stopped, once, and placed again if that ends it sooner.
 
+Gangs that resumed or were adopted tell nothing: when they had how much progress isn't known.
+
 Answers the load of executors that run several times slower than others and look healthy: left
 alone, each makes every urgent gang late that has a member there.
 """
@@ -90,11 +92,11 @@
 
 
 def _members(context: Context, step: Step) -> list[_Member]:
-    """The members that run and have been reported for long enough."""
+    """The members that run, began from nothing, and have been reported for long enough."""
     members: list[_Member] = []
     for task in step.tasks:
         run = task.run
-        if run is None or run.state is not RunState.RUNNING:
+        if run is None or run.state is not RunState.RUNNING or not run.is_from_zero:
             continue
         executor = context.tables.executors_by_id.get(run.executor_id)
         if executor is None or executor.heard_ms - run.placed_ms < MIN_AGE_MS:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -43,9 +43,10 @@
 
     `is_doubtful` is set once an order to start it got no answer: the executor may then still
     start it until it has confirmed a stop.  `is_recovered` is set for a run that an earlier owner
-    placed and the executor has not reported yet.  `seen_incarnation` is the life of the executor
-    that last reported it, 0 before.  `stopping_since_ms` is when it was first told to stop,
-    `stop_sent_ms` when it was last.  `changed_ms` is when `percent` last changed.
+    placed and the executor has not reported yet, `is_from_zero` for one that this owner placed
+    without a checkpoint.  `seen_incarnation` is the life of the executor that last reported it, 0
+    before.  `stopping_since_ms` is when it was first told to stop, `stop_sent_ms` when it was
+    last.  `changed_ms` is when `percent` last changed.
     """
 
     run_id: RunId
@@ -57,6 +58,7 @@
     needed_revision: int = 0
     is_doubtful: bool = False
     is_recovered: bool = False
+    is_from_zero: bool = False
     seen_incarnation: int = 0
     confirmed_ms: int | None = None
     stopping_since_ms: int | None = None
--- a/packages/steps/tests/test_slowness.py
+++ b/packages/steps/tests/test_slowness.py
@@ -72,3 +72,18 @@
     world = gang_with_progress({"a": 40, "b": 38, "c": 45, "d": 2}, priority=2)
     assert len(events(world, "executor_avoided")) == 1
     assert events(world, "gang_moved") == []
+
+
+def test_gang_that_was_adopted_or_resumed_shows_nothing() -> None:
+    world = gang_with_progress({"a": 80, "b": 80, "c": 80, "d": 80})
+    world.take_over()
+    world.report_all()
+    world.now_ms += 600
+    used = [run.executor_id for run in world.runs("j1")]
+    for name in used[:3]:
+        world.report(name)
+    world.now_ms += 1_000
+    world.report(used[3])
+    world.scheduler.plan(world.now_ms)
+    assert events(world, "executor_avoided") == []
+    assert events(world, "gang_moved") == []
