--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -37,7 +37,9 @@
 TRIES = 8
 SETTLE_S = 60.0
 STOP_S = 8.0
-LISTEN_PORTS = (12_000, 30_000)
+FIRST_PORT = 12_000
+PORT_WINDOWS = 30
+WINDOW_PORTS = 600
 REFUSALS = frozenset({429, 503})
 
 
@@ -93,6 +95,7 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        ports.given.clear()
 
     async def play(self) -> list[str]:
         """Plays the run; returns the promises that were broken."""
@@ -108,13 +111,13 @@
         return self._verdict()
 
     async def _set_up(self) -> None:
-        store_port = free_port()
+        store_port = ports.take()
         serve_store(self.store, store_port)
         self._put_config()
         for index in range(self.size.executors):
             work_ms = self.rng.randint(150, 900)
             executor = StandinExecutor(f"e{index}", self.ledger, work_ms)
-            port = free_port()
+            port = ports.take()
             serve_executor(executor, port)
             self.executors.append(executor)
             self.executor_proxies.append(await LoopbackProxy.open(port))
@@ -127,7 +130,7 @@
         await asyncio.sleep(1.5)
 
     def _make_node(self, index: int, proxy: LoopbackProxy) -> NodeProcess:
-        front, ready, stream = free_port(), free_port(), free_port(2)
+        front, ready, stream = ports.take(), ports.take(), ports.take(2)
         name = f"n{index}"
         boot = self.folder / f"{name}.json"
         settings = {
@@ -384,13 +387,42 @@
                 node.process.wait()
 
 
-def free_port(count: int = 1) -> int:
-    """The first of `count` neighbouring free ports, below those that outgoing connections take."""
-    while True:
-        port = random.randrange(*LISTEN_PORTS)
-        if all(_is_free(port + offset) for offset in range(count)):
+class PortWindow:
+    """A range of ports that no other soak on this machine uses while this process lives.
+
+    Without it, a soak beside this one could take the port of a node that is down for a moment.
+    """
+
+    def __init__(self) -> None:
+        self.given: set[int] = set()
+        self._guard = socket.socket()
+        self._first = self._claim()
+
+    def take(self, count: int = 1) -> int:
+        """The first of `count` neighbouring free ports; none is given out twice in a run."""
+        while True:
+            port = random.randrange(self._first + 1, self._first + WINDOW_PORTS - count)
+            wanted = set(range(port, port + count))
+            if wanted & self.given or not all(_is_free(each) for each in wanted):
+                continue
+            self.given.update(wanted)
             return port
 
+    def _claim(self) -> int:
+        """Takes a window by listening on its first port."""
+        for offset in range(PORT_WINDOWS):
+            first = FIRST_PORT + (os.getpid() + offset) % PORT_WINDOWS * WINDOW_PORTS
+            try:
+                self._guard.bind(("127.0.0.1", first))
+            except OSError:
+                continue
+            self._guard.listen()
+            return first
+        raise OSError("all windows of ports are in use")
+
+
+ports = PortWindow()
+
 
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
