--- a/tests/soak/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -324,7 +324,7 @@
                 while status == 200 and not reply["ended"] and now_ms() < end_ms:
                     await asyncio.sleep(0.02)
                     if executor.born != life:  # A life that has ended answers nothing.
-                        self.request.connection.stream.close()  # type: ignore[attr-defined]
+                        self.detach().close()
                         return
                     status, reply = executor.report(body)
         self.set_status(status)
