End the runs of an executor at once where another one answers at its address

Each question to the old id was answered 421 by the new executor at that address meanwhile, which was taken for silence. Now it ends what ran there, unless the executor has been listed elsewhere since. Ruled out: a refused connection as a proof (a cut may refuse); the missing entry alone (executors that are cut from the store run on). Tests: test_runs_end_at_once_where_another_executor_answers_at_the_address (red before), test_answer_from_an_earlier_address_ends_nothing_at_the_new_one (red without its guard).

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -34,6 +34,7 @@
 )
 from jacinthreel_steps import (
     Executor,
+    ExecutorListing,
     ExecutorReport,
     Run,
     RunState,
@@ -154,6 +155,7 @@
             None if self._is_lost else self._lease_until_ms(executor),
             0 if is_urgent else REPORT_WAIT_MS,
         )
+        asked = executor.listing
         match await context.gateway.report(self._target(executor), question):
             case Success(ReportAnswer() as answer):
                 await self._take(answer, sent_ms)
@@ -161,6 +163,9 @@
             case Failure(Fault(code=ResultCode.STALE_EPOCH)):
                 context.fenced(self._executor_id)
                 return False
+            case Failure(Fault(code=ResultCode.WORKER_RESTARTED) as fault):
+                self._note_lost(fault)
+                self._end_replaced(executor, asked)
             case Failure(Fault() as fault):
                 self._note_lost(fault)
                 self._expire(executor)
@@ -216,7 +221,19 @@
         end_ms = self._clock.lease_end_ms(self._context.unreached_end_ms)
         if now_ms < end_ms or not (executor.runs_by_task or not executor.is_listed):
             return
-        self._context.scheduler.expire_executor(self._executor_id, now_ms)
+        self._context.scheduler.expire_executor(self._executor_id, "lease lapsed", now_ms)
+        self._context.changed()
+
+    def _end_replaced(self, executor: Executor, asked: ExecutorListing) -> None:
+        """Ends what ran there: another executor has its address, so its process is gone.
+
+        An answer from an address that the executor has left meanwhile says nothing of its new life.
+        """
+        listing = executor.listing
+        if listing.incarnation != asked.incarnation or listing.address != asked.address:
+            return
+        now_ms = self._context.clock.now_ms()
+        self._context.scheduler.expire_executor(self._executor_id, "executor replaced", now_ms)
         self._context.changed()
 
     async def _work(self) -> None:
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from node_fakes import HandClock, ToldExecutors
 from returns.result import Failure, Result, Success
@@ -14,6 +15,7 @@
 from jacinthreel_steps import (
     EndReason,
     ExecutorListing,
+    ExecutorReport,
     JobRecord,
     JobSpec,
     QueueTerms,
@@ -38,6 +40,8 @@
         self.clock = HandClock()
         self.is_reachable = True
         self.takes_acknowledgements = True
+        self.is_replaced = False
+        self.on_question: Callable[[], None] = lambda: None
         self.errors: list[Exception] = []
         self.ends: list[ReportedEnd] = []
         self.scheduler = Scheduler(lambda event, fields: None)
@@ -59,6 +63,9 @@
 
     def _report(self, question: ReportQuestion) -> Result[ReportAnswer, Fault]:
         self.clock.time_ms += 10
+        if self.is_replaced:
+            self.on_question()
+            return Failure(Fault(ResultCode.WORKER_RESTARTED, "another executor answers"))
         if not self.is_reachable or (
             question.acknowledged_upto and not self.takes_acknowledgements
         ):
@@ -74,6 +81,16 @@
         self.scheduler.add_job(JobRecord("j1", terms, "w", spec, 0), None, now_ms, now_ms)
         self.scheduler.plan(now_ms)
 
+    def move(self, listing: ExecutorListing) -> None:
+        """The executor starts anew at another address, is reported once and gets a task."""
+        self.on_question = lambda: None
+        self.is_replaced = False
+        self.is_reachable = False
+        now_ms = self.clock.now_ms()
+        self.scheduler.apply_listing(listing, now_ms)
+        self.scheduler.take_report("e1", ExecutorReport(2, now_ms, (), ()), now_ms)
+        self.place_task()
+
     @property
     def held(self) -> int:
         return len(self.scheduler.tables.executors_by_id["e1"].runs_by_task)
@@ -177,6 +194,31 @@
     play(Bench(), scenario)
 
 
+def test_runs_end_at_once_where_another_executor_answers_at_the_address() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.place_task()
+        bench.is_replaced = True
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 2)
+        assert bench.held == 0
+
+    play(Bench(), scenario)
+
+
+def test_answer_from_an_earlier_address_ends_nothing_at_the_new_one() -> None:
+    async def scenario(bench: Bench) -> None:
+        await until(lambda: len(bench.gateway.questions) > 2)
+        bench.is_replaced = True
+        moved = replace(LISTING, incarnation=2, address="10.0.0.2:80")
+        bench.on_question = lambda: bench.move(moved)
+        asked = len(bench.gateway.questions)
+        await until(lambda: len(bench.gateway.questions) > asked + 1)
+        assert bench.held == 1
+
+    play(Bench(), scenario)
+
+
 def test_slow_clock_lengthens_the_time_until_leases_have_lapsed() -> None:
     clock = ExecutorClock()
     clock.see(their_ms=500, our_ms=10_000)
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -119,12 +119,12 @@
         if executor is not None:
             executor.is_listed = False
 
-    def expire_executor(self, executor_id: str, now_ms: int) -> None:
-        """The lease of all that ran there has lapsed, and the executor is out of reach."""
+    def expire_executor(self, executor_id: str, reason: str, now_ms: int) -> None:
+        """All that ran there has certainly ended, and the executor is out of reach."""
         executor = self.tables.executors_by_id.get(executor_id)
         if executor is None:
             return
-        lose_runs(self._context, executor, "lease lapsed", now_ms)
+        lose_runs(self._context, executor, reason, now_ms)
         executor.is_reported = False
         if not executor.is_listed:
             del self.tables.executors_by_id[executor_id]
--- /dev/null
+++ b/scripts/random_days.py
@@ -0,0 +1,244 @@
+"""Writes days of random disruptions for the users' bench.
+
+`python scripts/random_days.py FOLDER FIRST_SEED COUNT` writes `random-SEED.toml` for each seed.  The
+hunts of the bench mix the disruptions that a site file lists; these days draw from all kinds and
+variants that the bench knows, several of them overlapping, so that a rule that breaks only under
+a disruption that no site lists is found too.  The same seed always gives the same day.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+DAY_LENGTH_S: Final = 27.0
+MIN_ENTRIES: Final = 4
+MAX_ENTRIES: Final = 9
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """A kind of disruption with its variants and the ranges of its numbers.
+
+    `table` is the list of the day file that it stands in.  A range that is None is left out.
+    `fixed` is written as it is.
+    """
+
+    kind: str
+    table: str = "faults"
+    variants: tuple[str, ...] = ("",)
+    for_s: tuple[float, float] | None = None
+    share: tuple[float, float] | None = None
+    strength: tuple[float, float] | None = None
+    gap_s: tuple[float, float] | None = None
+    count: tuple[int, int] | None = None
+    fixed: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A fault of all machines at the end of the day."""
+
+    kind: str
+    variants: tuple[str, ...] = ("",)
+
+
+DISRUPTIONS: Final = (
+    Disruption("burst", for_s=(3, 7), strength=(1.5, 3)),
+    Disruption("give_up", variants=("", "once", "prompt"), for_s=(3, 8), share=(0.2, 0.5)),
+    Disruption("srv_slow", for_s=(3, 8), share=(0.1, 0.3), strength=(3, 8)),
+    Disruption(
+        "srv_grey",
+        variants=("errors", "shed", "busy", "hang", "reset", "mute", "slow"),
+        for_s=(3, 8),
+        share=(0.1, 0.25),
+        strength=(0.4, 1),
+    ),
+    Disruption("scale_in", "plan", share=(0.06, 0.15)),
+    Disruption("scale_in", "plan", ("spot", "reclaim"), share=(0.1, 0.2), strength=(1, 3)),
+    Disruption("release", "plan", share=(0.3, 0.6), gap_s=(0.5, 1.5)),
+    Disruption(
+        "node_kill",
+        variants=("", "power", "leader", "leader power", "giver", "renewed", "reader"),
+        for_s=(1, 4),
+        count=(1, 2),
+        fixed='on = "core"',
+    ),
+    Disruption(
+        "node_kill",
+        variants=("leader race drain", "meet drain", "leader hard", "leader meet"),
+        for_s=(1, 4),
+        count=(1, 1),
+        fixed='on = "core"',
+    ),
+    Disruption(
+        "node_freeze",
+        variants=("", "renewed", "leader", "giver"),
+        for_s=(1, 6),
+        count=(1, 2),
+        fixed='on = "core"',
+    ),
+    Disruption("node_slow", for_s=(3, 7), share=(0.1, 0.4), strength=(3, 8)),
+    Disruption(
+        "roll_term",
+        "plan",
+        ("", "busy", "leader", "starter", "remove"),
+        share=(0.3, 1),
+        strength=(1, 2),
+        gap_s=(1, 2.5),
+    ),
+    Disruption("herd_kill", variants=("", "power"), for_s=(1, 3), share=(0.3, 0.8)),
+    Disruption(
+        "herd_kill",
+        variants=("", "off", "power", "taken", "taken all"),
+        for_s=(1, 4),
+        share=(1, 1),
+        fixed='on = "core"',
+    ),
+    Disruption("add_nodes", "plan", share=(0.5, 1)),
+    Disruption("replace_core", variants=("", "leader", "oldest", "planned"), strength=(0.5, 3)),
+    Disruption(
+        "after_ack_kill",
+        variants=("", "kill", "timed", "taken", "taken gone"),
+        for_s=(1, 4),
+        count=(1, 2),
+    ),
+    Disruption("reset_conns", share=(0.2, 0.8), strength=(0.3, 1)),
+    Disruption(
+        "core_cut",
+        variants=(
+            "",
+            "leader",
+            "leader refuse",
+            "leader race",
+            "all",
+            "near",
+            "reset",
+            "leader all",
+        ),
+        for_s=(2, 8),
+        count=(1, 2),
+    ),
+    Disruption(
+        "core_cut",
+        variants=("one_way", "both", "lure", "relieve", "split", "leader one_way"),
+        for_s=(2, 8),
+        count=(1, 2),
+    ),
+    Disruption("node_cut", variants=("", "all", "reset", "leader"), for_s=(2, 8), share=(0.1, 0.3)),
+    Disruption(
+        "node_cut",
+        variants=("servers", "servers reborn"),
+        for_s=(2, 9),
+        share=(0.1, 0.3),
+        fixed='service = "@s0"',
+    ),
+    Disruption(
+        "srv_cut",
+        variants=("", "fronts", "some", "one_way", "reset", "reborn", "some lossy"),
+        for_s=(2, 8),
+        share=(0.1, 0.3),
+        strength=(0.3, 0.6),
+    ),
+    Disruption(
+        "platform_down",
+        variants=("silent", "busy", "reset", "silent lapse", "busy lapse"),
+        for_s=(1, 8),
+    ),
+    Disruption(
+        "platform_down",
+        variants=("nodes busy", "nodes many", "nodes reset", "nodes", "nodes leader busy revoke"),
+        for_s=(2, 9),
+        share=(0.2, 0.5),
+    ),
+    Disruption(
+        "platform_down",
+        variants=("tables silent", "tables busy", "tables reset"),
+        for_s=(2, 8),
+        share=(0.3, 0.7),
+    ),
+    Disruption("platform_slow", for_s=(2, 6), strength=(20, 60)),
+    Disruption("platform_lost", variants=("", "late"), for_s=(2, 6), strength=(0.2, 0.5)),
+    Disruption("platform_compact", variants=("", "drain"), for_s=(5, 12), strength=(2, 6)),
+    Disruption("config_change", "plan", ("route", "weights", "timeout", "tenant", "quota", "idle")),
+    Disruption("config_storm", "plan", ("", "idle", "timeout"), for_s=(1, 4), gap_s=(0.06, 0.3)),
+    Disruption("big_config", "plan", count=(200, 800)),
+    Disruption("revoke", "plan", ("", "last"), count=(1, 3), gap_s=(0.1, 1)),
+    Disruption("evacuate", "plan", ("", "warm"), for_s=(4, 10), fixed='zone = "@z0"'),
+    Disruption(
+        "applied_late", variants=("", "orders", "grants", "all"), for_s=(2, 8), strength=(0.05, 0.5)
+    ),
+    Disruption("poison", for_s=(2, 5), share=(0.05, 0.3), fixed='class = "@c0"'),
+    Disruption("clock_step", variants=("", "back", "ahead"), for_s=(2, 6), share=(0.2, 0.6)),
+    Disruption("hup", "plan", share=(0.3, 1), gap_s=(0.5, 3)),
+    Disruption("zone_loss", for_s=(1, 4), fixed='zone = "@z0"'),
+    Disruption("zone_cut", for_s=(2, 7), fixed='zone = "@z0"'),
+)
+CLOSINGS: Final = (
+    Closing("power_off_all", ("", "taken", "all", "timed")),
+    Closing("kill_all", ("", "taken", "timed")),
+)
+
+
+def make_day(seed: int) -> str:
+    """The text of a day file."""
+    draw = random.Random(seed)
+    lines_by_table: dict[str, list[str]] = {"plan": [], "faults": []}
+    for _ in range(draw.randint(MIN_ENTRIES, MAX_ENTRIES)):
+        disruption = draw.choice(DISRUPTIONS)
+        lines_by_table[disruption.table].append(_entry(disruption, draw))
+    lines = ["[[day]]", f'name = "random-{seed}"', 'slot = "trouble"']
+    if draw.random() < 0.6:
+        lines.append(f"closing = {_closing(draw)}")
+    for table, entries in lines_by_table.items():
+        lines += [f"{table} = [", *entries, "]"]
+    return "\n".join(lines) + "\n"
+
+
+def _entry(disruption: Disruption, draw: random.Random) -> str:
+    fields = [f"at = {draw.uniform(1, DAY_LENGTH_S):.2f}", f'kind = "{disruption.kind}"']
+    how = draw.choice(disruption.variants)
+    if how:
+        fields.append(f'how = "{how}"')
+    for name, bounds in (
+        ("for_s", disruption.for_s),
+        ("share", disruption.share),
+        ("x", disruption.strength),
+        ("gap_s", disruption.gap_s),
+    ):
+        if bounds is not None:
+            fields.append(f"{name} = {draw.uniform(*bounds):.2f}")
+    if disruption.count is not None:
+        fields.append(f"count = {draw.randint(*disruption.count)}")
+    if disruption.fixed:
+        fields.append(disruption.fixed)
+    return f"  {{ {', '.join(fields)} }},"
+
+
+def _closing(draw: random.Random) -> str:
+    closing = draw.choice(CLOSINGS)
+    fields = [f'kind = "{closing.kind}"', f"down_s = {draw.uniform(0.8, 2):.2f}"]
+    how = draw.choice(closing.variants)
+    if how:
+        fields.append(f'how = "{how}"')
+    return f"{{ {', '.join(fields)} }}"
+
+
+def main(arguments: list[str]) -> int:
+    """Writes the files; returns the exit status."""
+    if len(arguments) != 3:
+        print(__doc__)
+        return 2
+    folder = Path(arguments[0])
+    first_seed, count = int(arguments[1]), int(arguments[2])
+    folder.mkdir(parents=True, exist_ok=True)
+    for seed in range(first_seed, first_seed + count):
+        (folder / f"random-{seed}.toml").write_text(make_day(seed))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
