Ask the former owner at a takeover how long its leases may stand

Now it is asked: it gives the jobs up, then answers with the time left for each executor and for all others; a process that has followed it at its address answers with one lease from then on. A takeover whose commit is answered late owns nothing once a newer owner has asked. Also mended: took_over named the new owner itself as the former one where the feed showed its row before the commit was answered (test_former_owner_is_known_where_the_own_row_is_read_before_the_commit_is_answered, red before). Ruled out: taking silence or a missing entry as a proof.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -251,6 +251,28 @@
     rows: list[StoredRow]
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseQuery:
+    """Sent by the owner of `epoch` to that of `former_epoch`, which sends no orders from then on.
+
+    The reply's body is a `LeasesLeft`.
+    """
+
+    former_epoch: int
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeasesLeft:
+    """How long leases that the sender gave may stand.
+
+    `others_ms` holds for executors that aren't named.
+    """
+
+    left_ms_by_executor: dict[str, int]
+    others_ms: int
+
+
 MESSAGES_BY_KIND: Final[dict[str, type]] = {
     kind.__name__: kind
     for kind in (
@@ -274,5 +296,7 @@
         IntakeInserted,
         PolicyPull,
         PolicyRows,
+        LeaseQuery,
+        LeasesLeft,
     )
 }
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -9,11 +9,21 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
 
-from jacinthreel_common import Fault, OwnerHeartbeat
+from jacinthreel_common import (
+    Fault,
+    LeaseQuery,
+    LeasesLeft,
+    OwnerHeartbeat,
+    ResultCode,
+    StreamReply,
+    convert,
+    to_plain,
+)
 from jacinthreel_daemon.plumbing import Clock, EventLog, StreamHub
 from jacinthreel_node._election import (
     ADMITTED_LAPSE_MS,
@@ -24,7 +34,7 @@
     stagger_ms,
 )
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
+from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership, longest_lease_ms
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -51,6 +61,18 @@
 RESIGNED: Final = "the owner has resigned"
 STORE_TIMEOUT_MS: Final = 1_500
 FLUSH_MS: Final = 500
+LEASE_QUERY_TIMEOUT_MS: Final = 600
+LEASE_QUERY_PAUSE_MS: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class _EndedOwnership:
+    """What this process knew of leases when it stopped to own the jobs."""
+
+    epoch: int
+    ended_ms: int
+    leases: LeasesLeft
+
 
 MakeOwnership = Callable[[OwnerRow, int, bool], Ownership]
 """Makes the ownership of a row with its version; the flag says that the former owner is gone."""
@@ -88,6 +110,8 @@
         self._renewed_ms = 0
         self._watch = LeaseWatch()
         self._taking_over = False
+        self._ended: _EndedOwnership | None = None
+        self._newer_epoch = 0  # Of an owner that was told that this process gives no leases.
 
     @property
     def lease_age_ms(self) -> int:
@@ -218,7 +242,8 @@
             self._taking_over = False
 
     async def _claim(self, reason: str, seen_version: int) -> None:
-        epoch = self._owner.row.epoch + 1 if self._owner.row is not None else 1
+        former = self._owner.row
+        epoch = former.epoch + 1 if former is not None else 1
         address, port = self._settings.stream_address
         nonce = f"{self._rng.getrandbits(64):016x}"
         owner = OwnerRow(epoch, self._settings.host_id, address, port, nonce)
@@ -229,17 +254,16 @@
         )
         match outcome:
             case Success(Committed(version=version)):
-                self._own(owner, version, reason)
+                self._own(owner, version, former, reason)
             case Success(Conflict(rows=rows)):
                 self.take_rows(rows)
             case Failure(Fault() as fault):
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self._log.warning("takeover_failed", fields)
 
-    def _own(self, owner: OwnerRow, version: int, reason: str) -> None:
-        if self._owner.row_version > version:
+    def _own(self, owner: OwnerRow, version: int, former: OwnerRow | None, reason: str) -> None:
+        if self._owner.row_version > version or owner.epoch < self._newer_epoch:
             return  # Somebody else has taken over meanwhile.
-        former = self._owner.row.host_id if self._owner.row is not None else ""
         silent_ms = self._owner.silent_ms()
         self._see_owner(owner, version)
         self._row_version = version
@@ -247,7 +271,7 @@
         fields = {
             "epoch": owner.epoch,
             "reason": reason,
-            "former_owner": former,
+            "former_owner": former.host_id if former is not None else "",
             "former_owner_silent_ms": silent_ms,
         }
         self._log.decision("took_over", fields)
@@ -255,17 +279,73 @@
         self.ownership = self._make_ownership(owner, version, is_former_owner_gone)
         self.ownership.start()
         self.renew()
+        if former is not None and reason != OWN_EARLIER_LIFE:
+            self._spawn(self._ask_former_owner(former, self.ownership))
+
+    async def _ask_former_owner(self, former: OwnerRow, own: Ownership) -> None:
+        """Asks until it answers, or until its leases have lapsed anyway."""
+        query = LeaseQuery(former.epoch, own.epoch)
+        while self.ownership is own:
+            reply = await self._hub.call(former.address, former.port, query, LEASE_QUERY_TIMEOUT_MS)
+            answered = reply.value_or(None)
+            if answered is not None and answered.code is ResultCode.OK:
+                self._take_leases(own, convert(LeasesLeft, answered.body).value_or(None))
+                return
+            if self._clock.now_ms() >= own.former_leases.latest_end_ms:
+                return
+            await asyncio.sleep(LEASE_QUERY_PAUSE_MS / 1000)
+
+    def _take_leases(self, own: Ownership, answer: LeasesLeft | None) -> None:
+        if answer is None:
+            return
+        own.former_leases.take(answer, self._clock.now_ms())
+        fields = {
+            "epoch": own.epoch,
+            "executors": len(answer.left_ms_by_executor),
+            "longest_ms": max(answer.left_ms_by_executor.values(), default=0),
+            "others_ms": answer.others_ms,
+        }
+        self._log.decision("former_leases_known", fields)
+
+    def serve_lease_query(self, query: LeaseQuery) -> StreamReply:
+        """Tells the next owner of the leases that stand, after giving the jobs up.
+
+        A process that has not owned them under the former epoch has followed one that did, at the
+        same address: that one is gone, and what it gave lapses from now on at the latest.
+        """
+        own = self.ownership
+        if own is not None and own.epoch < query.epoch:
+            self.lose("another node has taken over")
+        elif own is not None:
+            return StreamReply(ResultCode.STALE_EPOCH, "this node has taken over since")
+        self._newer_epoch = max(self._newer_epoch, query.epoch)
+        ended = self._ended
+        if ended is None or ended.epoch != query.former_epoch:
+            leases = LeasesLeft({}, longest_lease_ms(self._settings.task_lease_ms))
+            return StreamReply(ResultCode.OK, body=to_plain(leases))
+        spent_ms = self._clock.now_ms() - ended.ended_ms
+        left = ended.leases.left_ms_by_executor
+        leases = LeasesLeft(
+            {key: max(0, left_ms - spent_ms) for key, left_ms in left.items()},
+            max(0, ended.leases.others_ms - spent_ms),
+        )
+        return StreamReply(ResultCode.OK, body=to_plain(leases))
 
     def lose(self, reason: str) -> None:
         """Ends the ownership at once."""
         own = self.ownership
         if own is None:
             return
-        self.ownership = None
-        own.stop()
+        self._end(own)
         self._watch.reset()
         self._log.decision("ownership_lost", {"epoch": own.epoch, "reason": reason})
 
+    def _end(self, own: Ownership) -> None:
+        self.ownership = None
+        leases = own.leases_left()
+        own.stop()
+        self._ended = _EndedOwnership(own.epoch, self._clock.now_ms(), leases)
+
     async def resign(self) -> None:
         """Gives the ownership up for another node to take, as in a planned stop."""
         own = self.ownership
@@ -274,8 +354,7 @@
         await own.flush(FLUSH_MS)
         if self.ownership is not own:
             return
-        self.ownership = None
-        own.stop()
+        self._end(own)
         lease = LeaseRow(own.epoch, self._lease_count + 1, True)
         outcome = await self._write_lease(lease)
         self._hub.notify_all(OwnerHeartbeat(own.epoch, resigned=True))
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -25,6 +25,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
+from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
     ExecutorTarget,
@@ -85,9 +86,8 @@
 class LinkContext:
     """What all links of one ownership share.
 
-    `unreached_end_ms` is when all that an earlier owner started has ended at executors that this
-    owner has never reached.  `wait_stored` waits for the next stored batch.  `failed` takes an
-    unexpected error.
+    `former_leases` are those at executors that this owner has never reached.  `wait_stored` waits
+    for the next stored batch.  `failed` takes an unexpected error.
     """
 
     gateway: ExecutorGateway
@@ -95,7 +95,7 @@
     clock: Clock
     epoch: int
     task_lease_ms: int
-    unreached_end_ms: int
+    former_leases: FormerLeases
     wait_stored: Callable[[int], Awaitable[None]]
     changed: Callable[[], None]
     fenced: Callable[[str], None]
@@ -128,6 +128,11 @@
         """Queues a start or a stop."""
         self._orders.put_nowait(order)
 
+    def lease_end_ms(self) -> int:
+        """When everything that runs there has ended if the executor is not reached any more."""
+        former_end_ms = self._context.former_leases.end_ms(self._executor_id)
+        return self._clock.lease_end_ms(former_end_ms)
+
     async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
         """Without its loops the executor would be forgotten, so an error ends the ownership."""
         try:
@@ -218,8 +223,7 @@
     def _expire(self, executor: Executor) -> None:
         """Gives up what runs there once its leases have lapsed."""
         now_ms = self._context.clock.now_ms()
-        end_ms = self._clock.lease_end_ms(self._context.unreached_end_ms)
-        if now_ms < end_ms or not (executor.runs_by_task or not executor.is_listed):
+        if now_ms < self.lease_end_ms() or not (executor.runs_by_task or not executor.is_listed):
             return
         self._context.scheduler.expire_executor(self._executor_id, "lease lapsed", now_ms)
         self._context.changed()
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -24,6 +24,7 @@
     IntakeNotice,
     JobStateAnswer,
     JobStateQuery,
+    LeaseQuery,
     OwnerHeartbeat,
     PolicyPull,
     PolicyRows,
@@ -173,6 +174,7 @@
         self._hub.on_call(JobStateQuery, self._serve_state)
         self._hub.on_call(IntakeInsert, self._serve_insert)
         self._hub.on_call(PolicyPull, self._serve_policy)
+        self._hub.on_call(LeaseQuery, self._serve_lease_query)
         self._hub.on_notice(OwnerHeartbeat, self._take_heartbeat)
         self._hub.on_notice(IntakeNotice, self._take_intake_notice)
         self._hub.listen(*self.settings.stream_address)
@@ -294,6 +296,9 @@
                 return StreamReply(fault.code, fault.detail)
         raise AssertionError("a Result is Success or Failure")
 
+    async def _serve_lease_query(self, query: LeaseQuery) -> StreamReply:
+        return self._elector.serve_lease_query(query)
+
     async def _serve_policy(self, pull: PolicyPull) -> StreamReply:
         return StreamReply(ResultCode.OK, body=to_plain(PolicyRows(self._operator.stored_rows())))
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -14,7 +14,7 @@
 
 from returns.result import Failure, Result, Success
 
-from jacinthreel_common import Fault
+from jacinthreel_common import Fault, LeasesLeft
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
 from jacinthreel_node._ended_jobs import EndedJobs
 from jacinthreel_node._executor_link import (
@@ -23,6 +23,7 @@
     ExecutorLink,
     LinkContext,
 )
+from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -86,8 +87,11 @@
         self.is_loaded = False
         self.scheduler = Scheduler(log)
         self._taken_ms = clock.now_ms()
+        unreached_ms = _unreached_ms(settings.task_lease_ms, is_former_owner_gone)
+        self.former_leases = FormerLeases(self._taken_ms + unreached_ms)
         self._links_by_id: dict[str, ExecutorLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
+        self._orphans_ended = False
         self._plan_pending = False
         self._planned_ms = 0
         self._writer = ProgressWriter(
@@ -110,7 +114,7 @@
             clock,
             owner.epoch,
             settings.task_lease_ms,
-            self._taken_ms + _unreached_ms(settings.task_lease_ms, is_former_owner_gone),
+            self.former_leases,
             self._writer.wait_stored,
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} knows a newer owner"),
@@ -130,6 +134,11 @@
             link.close()
         self._links_by_id.clear()
 
+    def leases_left(self) -> LeasesLeft:
+        """How long leases may stand once no orders are sent any more; asked before `stop`."""
+        ends = {key: link.lease_end_ms() for key, link in self._links_by_id.items()}
+        return self.former_leases.left(ends, self._clock.now_ms())
+
     async def flush(self, timeout_ms: int) -> None:
         """Waits until what was decided is stored, or the timeout."""
         end_ms = self._clock.now_ms() + timeout_ms
@@ -341,8 +350,9 @@
             await asyncio.sleep(TICK_MS / 1000)
             now_ms = self._clock.now_ms()
             self._drop_links()
-            if now_ms >= self._link_context.unreached_end_ms:
-                self.scheduler.expire_orphans(now_ms)
+            if not self._orphans_ended:
+                self.scheduler.expire_orphans(self.former_leases.end_ms, now_ms)
+                self._orphans_ended = now_ms >= self.former_leases.latest_end_ms
             self.request_plan()
 
     def _drop_links(self) -> None:
@@ -366,10 +376,15 @@
         self._on_lost(f"unexpected error: {error!r}")
 
 
+def longest_lease_ms(task_lease_ms: int) -> int:
+    """How long, on our clock, a lease that is given now may stand."""
+    return int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+
+
 def _unreached_ms(task_lease_ms: int, is_former_owner_gone: bool) -> int:
     """After how long all that the former owner started has ended where nobody can look.
 
     A former owner that may still live renews leases for as long as it can do without the store.
     """
-    lease_ms = int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+    lease_ms = longest_lease_ms(task_lease_ms)
     return lease_ms if is_former_owner_gone else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -8,12 +8,31 @@
 from typing import Any, cast
 
 from node_fakes import HandClock, MemoryStore
-
-from jacinthreel_common import Hello, OwnerHeartbeat, ResultCode
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    Fault,
+    Hello,
+    LeaseQuery,
+    LeasesLeft,
+    OwnerHeartbeat,
+    ResultCode,
+    StreamReply,
+    convert,
+    to_plain,
+)
 from jacinthreel_daemon.plumbing import EventLog, StreamHub
-from jacinthreel_node import NodeSettings, Row
+from jacinthreel_node import (
+    Committed,
+    Conflict,
+    NodeSettings,
+    Row,
+    RowCondition,
+    RowWrite,
+)
 from jacinthreel_node._election import LEASE_MS
 from jacinthreel_node._elector import Elector
+from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
 from jacinthreel_node._records import (
@@ -26,6 +45,9 @@
 )
 
 ADDRESS = ("10.0.0.1", 7000)
+TASK_LEASE_MS = 5_000
+LONGEST_MS = 20_000
+LEFT = LeasesLeft({"e1": 3_000, "e2": 400}, 9_000)
 
 
 class KeptLog:
@@ -42,10 +64,23 @@
 
 
 class SilentHub:
-    """Peers that hear nothing; the stream to the owner stands or not."""
+    """Peers that hear nothing; the stream to the owner stands or not.
+
+    `replies` are taken off one by one; without any, the former owner has given no leases.
+    """
 
     def __init__(self) -> None:
         self.stands = True
+        self.replies: list[Result[StreamReply, Fault]] = []
+        self.queries: list[object] = []
+
+    async def call(
+        self, address: str, port: int, message: object, timeout_ms: int
+    ) -> Result[StreamReply, Fault]:
+        self.queries.append(message)
+        if self.replies:
+            return self.replies.pop(0)
+        return Success(StreamReply(ResultCode.OK, body=to_plain(LeasesLeft({}, 0))))
 
     def is_connected(self, address: str, port: int) -> bool:
         return self.stands
@@ -60,9 +95,13 @@
 class EmptyOwnership:
     """An ownership without jobs."""
 
-    def __init__(self, owner: OwnerRow) -> None:
+    def __init__(self, owner: OwnerRow, now_ms: int) -> None:
         self.epoch = owner.epoch
         self.is_stopped = False
+        self.former_leases = FormerLeases(now_ms + LONGEST_MS)
+
+    def leases_left(self) -> LeasesLeft:
+        return LEFT
 
     def start(self) -> None:
         return
@@ -74,6 +113,21 @@
         return
 
 
+class FedStore(MemoryStore):
+    """A store whose feed shows a row before the commit that wrote it is answered."""
+
+    feed: Callable[[Row], None]
+
+    async def commit(
+        self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
+    ) -> Result[Committed | Conflict, Fault]:
+        outcome = await super().commit(conditions, writes, timeout_ms)
+        for write in writes:
+            if write.table == OWNER_TABLE:
+                self.feed(self.rows[(OWNER_TABLE, write.key)])
+        return outcome
+
+
 class Stand:
     """One candidate with a store in memory; `gone` keeps what was said of each former owner."""
 
@@ -86,7 +140,18 @@
         self.gone: list[bool] = []
         self.tasks: list[asyncio.Task[None]] = []
         settings = NodeSettings(
-            host_id, "z", ADDRESS, ADDRESS, ADDRESS, ADDRESS, ADDRESS, 2.0, 1_000, 5_000, 5_000, 1
+            host_id,
+            "z",
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            2.0,
+            1_000,
+            TASK_LEASE_MS,
+            5_000,
+            1,
         )
         self.elector = Elector(
             settings,
@@ -105,7 +170,7 @@
 
     def _make(self, owner: OwnerRow, version: int, is_former_owner_gone: bool) -> Ownership:
         self.gone.append(is_former_owner_gone)
-        return cast(Ownership, EmptyOwnership(owner))
+        return cast(Ownership, EmptyOwnership(owner, self.clock.now_ms()))
 
     async def read_owner(self) -> None:
         """Takes the owner's row as the follower would."""
@@ -312,6 +377,90 @@
     play(scenario)
 
 
+def test_former_owner_is_asked_for_its_leases_until_it_answers() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store, epoch=4)
+        await stand.read_owner()
+        stand.hub.replies = [
+            Failure(Fault(ResultCode.PEER_UNREACHABLE, "no answer")),
+            Success(StreamReply(ResultCode.OK, body=to_plain(LEFT))),
+        ]
+        await stand.watch()
+        await stand.watch(LEASE_MS)
+        assert stand.hub.queries == [LeaseQuery(4, 5)] * 2
+        own = stand.elector.ownership
+        assert own is not None
+        now_ms = stand.clock.now_ms()
+        ends = {key: own.former_leases.end_ms(key) - now_ms for key in ("e1", "e2", "e3")}
+        assert ends == {"e1": 3_000, "e2": 400, "e3": 9_000}
+
+    play(scenario)
+
+
+def test_former_owner_is_known_where_the_own_row_is_read_before_the_commit_is_answered() -> None:
+    async def scenario() -> None:
+        store = FedStore()
+        stand = Stand(store)
+        store.feed = lambda row: stand.elector.take_rows((row,))
+        other_owner(store, epoch=4)
+        await stand.read_owner()
+        await stand.watch()
+        await stand.watch(LEASE_MS)
+        assert stand.hub.queries == [LeaseQuery(4, 5)]
+        assert stand.log.decisions["took_over"]["former_owner"] == "other"
+
+    play(scenario)
+
+
+def test_owner_gives_the_jobs_up_before_it_tells_of_its_leases() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        await stand.read_owner()
+        await stand.watch()
+        own = stand.elector.ownership
+        reply = stand.elector.serve_lease_query(LeaseQuery(1, 2))
+        assert stand.elector.ownership is None
+        assert cast(EmptyOwnership, own).is_stopped
+        assert convert(LeasesLeft, reply.body).unwrap() == LEFT
+        stand.clock.time_ms += 1_000
+        later = stand.elector.serve_lease_query(LeaseQuery(1, 2))
+        assert convert(LeasesLeft, later.body).unwrap() == LeasesLeft({"e1": 2_000, "e2": 0}, 8_000)
+
+    play(scenario)
+
+
+def test_process_that_never_owned_the_jobs_says_that_its_earlier_life_has_ended() -> None:
+    stand = Stand()
+    reply = stand.elector.serve_lease_query(LeaseQuery(1, 2))
+    left = convert(LeasesLeft, reply.body).unwrap()
+    assert not left.left_ms_by_executor
+    assert TASK_LEASE_MS < left.others_ms < 2 * TASK_LEASE_MS
+
+
+def test_takeover_that_is_answered_after_a_newer_owner_has_asked_owns_nothing() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        await stand.read_owner()
+        stand.elector.serve_lease_query(LeaseQuery(1, 2))
+        await stand.watch()
+        assert stand.elector.ownership is None
+
+    play(scenario)
+
+
+def test_owner_tells_an_earlier_one_nothing() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        await stand.read_owner()
+        await stand.watch()
+        reply = stand.elector.serve_lease_query(LeaseQuery(0, 1))
+        assert reply.code is ResultCode.STALE_EPOCH
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
 def _renamed(store: MemoryStore, host_id: str) -> Any:
     owner = OwnerRow(7, host_id, "10.0.0.3", 7000, "m")
     store.version += 1
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -12,6 +12,7 @@
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_node import ReportAnswer, ReportQuestion
 from jacinthreel_node._executor_link import ExecutorClock, ExecutorLink, LinkContext
+from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_steps import (
     EndReason,
     ExecutorListing,
@@ -53,7 +54,7 @@
             self.clock,
             1,
             LEASE_MS,
-            self.clock.now_ms() + 60_000,
+            FormerLeases(self.clock.now_ms() + 60_000),
             _no_wait,
             lambda: None,
             lambda executor_id: None,
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -129,14 +130,16 @@
         if not executor.is_listed:
             del self.tables.executors_by_id[executor_id]
 
-    def expire_orphans(self, now_ms: int) -> None:
+    def expire_orphans(self, lease_end_ms: Callable[[str], int], now_ms: int) -> None:
         """Ends recovered runs whose executor never came back.
 
-        Called once everything that an earlier owner started has certainly ended.
+        `lease_end_ms` says when what earlier owners started at an executor has certainly ended.
         """
         for job in list(self.tables.jobs_by_id.values()):
             for run in job.live_runs():
-                if run.is_recovered and run.executor_id not in self.tables.executors_by_id:
+                if not run.is_recovered or run.executor_id in self.tables.executors_by_id:
+                    continue
+                if now_ms >= lease_end_ms(run.executor_id):
                     end_run(self._context, run, EndReason.LAPSED, "", now_ms)
 
     def take_report(self, executor_id: str, report: ExecutorReport, now_ms: int) -> None:
--- a/scripts/random_days.py
+++ b/scripts/random_days.py
@@ -1,9 +1,9 @@
 """Writes days of random disruptions for the users' bench.
 
-`python scripts/random_days.py FOLDER FIRST_SEED COUNT` writes `random-SEED.toml` for each seed.  The
-hunts of the bench mix the disruptions that a site file lists; these days draw from all kinds and
-variants that the bench knows, several of them overlapping, so that a rule that breaks only under
-a disruption that no site lists is found too.  The same seed always gives the same day.
+`python scripts/random_days.py FOLDER FIRST_SEED COUNT` writes `random-SEED.toml` for each seed.
+The hunts of the bench mix the disruptions that a site file lists; these days draw from all kinds
+and variants that the bench knows, several of them overlapping, so that a rule that breaks only
+under a disruption that no site lists is found too.  The same seed always gives the same day.
 """
 
 from __future__ import annotations
