Learn how fast executors are from tasks of one step, and give urgent gangs the fast ones

A small additive model (level of the step, effect of the executor, prior towards usual) learns it within some seconds; urgent gangs take the fastest executors that hold them whole, other work begins with the slow ones. Progress since the last report, against what the model expects, shows an executor that slows down; it is avoided for 3 s.

--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -8,6 +8,7 @@
 
 from jacinthreel_steps._headroom import Headroom
 from jacinthreel_steps._model import RunId
+from jacinthreel_steps._speed_model import SpeedModel
 from jacinthreel_steps._tables import Run, Tables
 
 DecisionLog = Callable[[str, dict[str, Any]], None]
@@ -33,12 +34,13 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders, the log, and what was learnt of urgent load."""
+    """The tables, pending orders, the log, and what was learnt of urgent load and of executors."""
 
     tables: Tables
     orders: Orders
     log: DecisionLog
     headroom: Headroom = field(default_factory=Headroom)
+    speeds: SpeedModel = field(default_factory=SpeedModel)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_lifecycle.py
@@ -9,6 +9,7 @@
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
 from jacinthreel_steps._executor_health import note_done, note_failure
+from jacinthreel_steps._executor_speed import note_end
 from jacinthreel_steps._model import EndReason, JobState
 from jacinthreel_steps._order import objective_ms
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
@@ -52,7 +53,9 @@
     match reason:
         case EndReason.DONE:
             mark_done(context, job, step, task, now_ms)
-            note_done(context.tables.executors_by_id.get(run.executor_id))
+            executor = context.tables.executors_by_id.get(run.executor_id)
+            note_done(executor)
+            note_end(context, executor, run, now_ms)
         case EndReason.FAILED:
             executor = context.tables.executors_by_id.get(run.executor_id)
             note_failure(executor, now_ms, context.log)
--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planner.py
@@ -83,17 +83,18 @@
         executors = [each for each in executors if each.executor_id not in kept_ids]
     candidates = candidates_for(step, executors, plan_pass.now_ms)
     placement: Placement | None
+    is_urgent = queue.priority == 0
     if step.spec.is_gang:
-        placement = place_gang(step, pending, candidates)
+        placement = place_gang(step, pending, candidates, is_urgent)
         if (
             placement is None
             and step.spec.wants_one_rack
             and _may_spread(plan_pass, job, step, executors)
         ):
-            placement = place_singles(step, pending, candidates)
+            placement = place_singles(step, pending, candidates, is_urgent)
             placement = placement if len(placement) == len(pending) else None
     else:
-        placement = place_singles(step, pending, candidates)
+        placement = place_singles(step, pending, candidates, is_urgent)
     if placement:
         _place(plan_pass, job, step, placement)
         placed = {task.task_id for task, _ in placement}
--- a/packages/steps/src/jacinthreel_steps/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_reports.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
+from jacinthreel_steps._executor_speed import note_progress, note_shares
 from jacinthreel_steps._lifecycle import end_run, mark_done, send_stop, stop_run
 from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
@@ -27,9 +28,13 @@
         if end.sequence > executor.seen_upto:
             _apply_end(context, executor, end, now_ms)
     running: set[RunId] = set()
+    shares: list[float] = []
     for reported in report.running:
         running.add(reported.run_id)
-        _apply_running(context, executor, reported, now_ms)
+        share = _apply_running(context, executor, reported, now_ms)
+        if share is not None:
+            shares.append(share)
+    note_shares(context, executor, shares, now_ms)
     for run in list(executor.runs_by_task.values()):
         if run.run_id in running or run.run_id in ended:
             continue
@@ -96,13 +101,15 @@
 
 def _apply_running(
     context: Context, executor: Executor, reported: ReportedRun, now_ms: int
-) -> None:
+) -> float | None:
+    """Takes the state of a run; returns the share of the expected progress, as far as known."""
     run = executor.runs_by_task.get(reported.run_id.task)
     if run is None or run.run_id != reported.run_id:
         _stop_unknown(context, executor, reported.run_id)
-        return
+        return None
     run.is_recovered = False
     run.seen_incarnation = executor.listing.incarnation
+    share = note_progress(context, executor, run, reported.percent)
     if reported.percent != run.percent or run.confirmed_ms is None:
         run.changed_ms = now_ms
     run.percent = reported.percent
@@ -115,6 +122,7 @@
             _repeat_stop(context, run, now_ms)
         case _:
             pass
+    return share
 
 
 def _repeat_stop(context: Context, run: Run, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_room.py
+++ b/packages/steps/src/jacinthreel_steps/_room.py
@@ -4,6 +4,10 @@
 stay free for tasks that need one.  A gang that wants one rack goes to the rack whose fitting
 room is the tightest.  Answers the load of many small tasks beside few that fill executors or
 racks: spread out, the small ones would leave no executor whole.
+
+Speeds: a gang is as late as its slowest member, so an urgent gang takes the fastest executors that
+hold it whole, and the rack where that gives the fastest ones.  Other work begins with the slow
+executors, and its gangs look for room among executors of one speed first.
 """
 
 from __future__ import annotations
@@ -28,6 +32,7 @@
     room: Resources
     slots_left: int
     is_second_choice: bool
+    speed_class: int
 
     def fits(self, shape: Resources) -> int:
         """How many more tasks of the shape fit."""
@@ -74,15 +79,18 @@
             placed = placed_by_executor.get(executor.executor_id, 0)
             slots_left = spec.max_per_executor - placed
         second = executor.executor_id in failed_on or is_suspect(executor, now_ms)
-        found.append(Candidate(executor, executor.room, slots_left, second))
+        speed_class = executor.health.speed_class
+        found.append(Candidate(executor, executor.room, slots_left, second, speed_class))
     return found
 
 
-def place_singles(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement:
+def place_singles(
+    step: Step, tasks: list[Task], candidates: list[Candidate], is_urgent: bool
+) -> Placement:
     """Places as many independent tasks as fit."""
     placement: Placement = []
     for task in tasks:
-        best = best_fit(step.spec, candidates)
+        best = best_fit(step.spec, candidates, is_urgent)
         if best is None:
             break
         best.take(step.spec.shape)
@@ -90,20 +98,45 @@
     return placement
 
 
-def place_gang(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement | None:
+def place_gang(
+    step: Step, tasks: list[Task], candidates: list[Candidate], is_urgent: bool
+) -> Placement | None:
     """Places all tasks, on one rack where the step wants that; None where they don't fit."""
-    shape = step.spec.shape
-    if not step.spec.wants_one_rack:
-        return _place_all(step, tasks, candidates)
-    best: list[Candidate] | None = None
-    best_fits = 0
-    for rack_candidates in by_rack(candidates).values():
-        fits = sum(candidate.fits(shape) for candidate in rack_candidates)
-        if fits < len(tasks):
-            continue
-        if best is None or fits < best_fits:
-            best, best_fits = rack_candidates, fits
-    return _place_all(step, tasks, best) if best is not None else None
+    if sum(candidate.fits(step.spec.shape) for candidate in candidates) < len(tasks):
+        return None
+    racks = [candidates]
+    if step.spec.wants_one_rack:
+        racks = list(by_rack(candidates).values())
+    for classes in _class_choices(candidates, is_urgent):
+        best: list[Candidate] | None = None
+        best_fits = 0
+        for rack in racks:
+            chosen = [candidate for candidate in rack if candidate.speed_class in classes]
+            fits = sum(candidate.fits(step.spec.shape) for candidate in chosen)
+            if fits < len(tasks) or (best is not None and fits >= best_fits):
+                continue
+            best, best_fits = chosen, fits
+        if best is not None:
+            return place_singles(step, tasks, best, is_urgent)
+    return None
+
+
+def _class_choices(candidates: list[Candidate], is_urgent: bool) -> list[set[int]]:
+    """The sets of speed classes to look for a gang's room in, one after the other.
+
+    >>> from unittest.mock import Mock
+    >>> some = [Mock(speed_class=each, is_second_choice=False) for each in (0, 1, -1)]
+    >>> _class_choices(some, is_urgent=True)
+    [{1}, {0, 1}, {0, 1, -1}]
+    >>> _class_choices(some, is_urgent=False)
+    [{-1}, {0}, {1}, {0, 1}, {0, 1, -1}]
+    """
+    known = sorted({candidate.speed_class for candidate in candidates}, reverse=True)
+    widening = [set(known[: count + 1]) for count in range(len(known))]
+    if is_urgent:
+        return widening
+    sound = {each.speed_class for each in candidates if not each.is_second_choice}
+    return [{each} for each in reversed(known) if each in sound] + widening[1:]
 
 
 def by_rack(candidates: list[Candidate]) -> dict[str, list[Candidate]]:
@@ -114,17 +147,18 @@
     return grouped
 
 
-def best_fit(spec: StepSpec, candidates: list[Candidate]) -> Candidate | None:
-    """The candidate that fits a task and has the least left over."""
+def best_fit(spec: StepSpec, candidates: list[Candidate], is_urgent: bool) -> Candidate | None:
+    """The candidate that a task fits best, of those with the preferred speed."""
     best: Candidate | None = None
-    best_key: tuple[bool, bool, float] | None = None
+    best_key: tuple[bool, bool, int, float] | None = None
     for candidate in candidates:
         if candidate.fits(spec.shape) < 1:
             continue
         is_far = bool(spec.rack_near_data) and (
             candidate.executor.listing.rack != spec.rack_near_data
         )
-        key = (candidate.is_second_choice, is_far, _left_over(candidate, spec.shape))
+        speed = -candidate.speed_class if is_urgent else candidate.speed_class
+        key = (candidate.is_second_choice, is_far, speed, _left_over(candidate, spec.shape))
         if best_key is None or key < best_key:
             best, best_key = candidate, key
     return best
@@ -142,18 +176,6 @@
     return any(fits >= count for fits in fits_by_rack.values())
 
 
-def _place_all(step: Step, tasks: list[Task], candidates: list[Candidate]) -> Placement | None:
-    total = 0
-    for candidate in candidates:
-        total += candidate.fits(step.spec.shape)
-        if total >= len(tasks):
-            break
-    if total < len(tasks):
-        return None
-    placement = place_singles(step, tasks, candidates)
-    return placement if len(placement) == len(tasks) else None
-
-
 def _left_over(candidate: Candidate, shape: Resources) -> float:
     """The share of an executor that stays free behind the task; accelerators weigh most."""
     capacity = candidate.executor.listing.capacity
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -17,6 +17,7 @@
 
 from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder, run_name
 from jacinthreel_steps._executor_health import NO_ROOM_AVOID_MS, UNHEALTHY_AVOID_MS, avoid
+from jacinthreel_steps._executor_speed import learn_speeds
 from jacinthreel_steps._leaving import stop_leaving
 from jacinthreel_steps._lifecycle import end_run, finish_job, release_run, stop_gang, stop_run
 from jacinthreel_steps._model import (
@@ -184,6 +185,7 @@
         if now_ms - self._slowness_ms >= SLOWNESS_PERIOD_MS:
             self._slowness_ms = now_ms
             note_slow_executors(self._context, now_ms)
+            learn_speeds(self._context)
         stop_leaving(self._context, now_ms)
         plan(self._context, now_ms)
 
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_speed_model.py
@@ -0,0 +1,116 @@
+"""The speed of executors, fitted to the rates of tasks of the same steps.
+
+Model: the logarithm of a task's rate is the level of its step, the effect of its executor, and the
+task's own deviation.  Effects have a normal prior around 0, so that an executor counts as usual
+until enough tasks say otherwise.  Each fit is one sweep over the steps seen last: levels from
+effects, then effects from levels.  A deviation counts only up to a limit, because tasks that
+stumble, and executors that are slow for a moment, say little of an executor's lasting speed.
+
+Invariant: a task has one rate in the model, the newest, however often it is reported.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import Final
+
+MAX_STEPS: Final = 300
+MIN_TASKS: Final = 3
+TASK_DEVIATION: Final = 0.15  # Standard deviations, of logarithms.
+EFFECT_DEVIATION: Final = 0.2
+MAX_DEVIATION: Final = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _TaskRate:
+    executor_id: str
+    log_rate: float
+
+
+@dataclass(slots=True)
+class _StepRates:
+    """The rates of a step's tasks; `level` is fitted once there are enough."""
+
+    rate_by_task: dict[int, _TaskRate] = field(default_factory=dict)
+    level: float | None = None
+
+
+class SpeedModel:
+    """Takes rates and says how fast executors are, relative to the usual one."""
+
+    def __init__(self) -> None:
+        self._rates_by_step: dict[tuple[str, int], _StepRates] = {}
+        self._effect_by_id: dict[str, float] = {}
+        self._has_news = False
+
+    def observe(
+        self, step_name: tuple[str, int], task_index: int, executor_id: str, rate: float
+    ) -> None:
+        """Takes the rate of a task, in any unit that is the same for the whole step."""
+        rates = self._rates_by_step.get(step_name)
+        if rates is None:
+            rates = _StepRates()
+            self._rates_by_step[step_name] = rates
+        if len(self._rates_by_step) > MAX_STEPS:
+            del self._rates_by_step[next(iter(self._rates_by_step))]
+        rates.rate_by_task[task_index] = _TaskRate(executor_id, math.log(rate))
+        self._has_news = True
+
+    def fit(self) -> bool:
+        """Brings levels and effects up to date; false where there was nothing new."""
+        if not self._has_news:
+            return False
+        self._has_news = False
+        deviations_by_id: dict[str, list[float]] = {}
+        for rates in self._rates_by_step.values():
+            if len(rates.rate_by_task) >= MIN_TASKS:
+                self._fit_step(rates, deviations_by_id)
+        for executor_id, deviations in deviations_by_id.items():
+            self._effect_by_id[executor_id] = _effect(deviations)
+        return True
+
+    def speed(self, executor_id: str) -> float:
+        """The speed relative to the usual executor; 1 while nothing is known.
+
+        >>> SpeedModel().speed("e1")
+        1.0
+        """
+        return math.exp(self._effect_by_id.get(executor_id, 0.0))
+
+    def expected_rate(self, step_name: tuple[str, int], executor_id: str) -> float | None:
+        """What a task of the step should reach there; None before enough others have shown it."""
+        rates = self._rates_by_step.get(step_name)
+        if rates is None or rates.level is None:
+            return None
+        return math.exp(rates.level + self._effect_by_id.get(executor_id, 0.0))
+
+    def _fit_step(self, rates: _StepRates, deviations_by_id: dict[str, list[float]]) -> None:
+        corrected = sorted(
+            each.log_rate - self._effect_by_id.get(each.executor_id, 0.0)
+            for each in rates.rate_by_task.values()
+        )
+        rates.level = _middle_mean(corrected)
+        for each in rates.rate_by_task.values():
+            deviation = each.log_rate - rates.level
+            effect = self._effect_by_id.get(each.executor_id, 0.0)
+            limited = max(effect - MAX_DEVIATION, min(effect + MAX_DEVIATION, deviation))
+            deviations_by_id.setdefault(each.executor_id, []).append(limited)
+
+
+def _effect(deviations: list[float]) -> float:
+    """The mean of the deviations, drawn towards 0 by the prior."""
+    task_weight = 1 / TASK_DEVIATION**2
+    prior_weight = 1 / EFFECT_DEVIATION**2
+    return sum(deviations) * task_weight / (len(deviations) * task_weight + prior_weight)
+
+
+def _middle_mean(values: list[float]) -> float:
+    """The mean of sorted values without the outer quarters.
+
+    >>> _middle_mean([1.0, 2.0, 4.0, 90.0])
+    3.0
+    """
+    cut = len(values) // 4
+    middle = values[cut : len(values) - cut]
+    return sum(middle) / len(middle)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -46,7 +46,8 @@
     placed and the executor has not reported yet, `is_from_zero` for one that this owner placed
     without a checkpoint.  `seen_incarnation` is the life of the executor that last reported it, 0
     before.  `stopping_since_ms` is when it was first told to stop, `stop_sent_ms` when it was
-    last.  `changed_ms` is when `percent` last changed.
+    last.  `changed_ms` is when `percent` last changed.  `span_ms` is the time, and
+    `span_percent` the progress, from which its present pace is measured; 0 before a report.
     """
 
     run_id: RunId
@@ -66,6 +67,8 @@
     stop_confirmed_ms: int | None = None
     percent: int = 0
     changed_ms: int = 0
+    span_ms: int = 0
+    span_percent: int = 0
     checkpoint: str = ""
 
 
@@ -143,13 +146,13 @@
     """What recent runs tell of an executor.
 
     `failures` counts runs that failed since the last one that was done; it takes no work before
-    `avoid_until_ms`.
+    `avoid_until_ms`.  `speed_class` is its speed on a coarse scale: 0 is usual, more is faster.
     """
 
     failures: int = 0
     avoid_until_ms: int = 0
     failed_ms: int = 0
-    stalls: int = 0
+    speed_class: int = 0
 
 
 @dataclass(slots=True)
