Count an owner's lease from the renewal that its last heartbeat told of

Cause: an owner without power was followed 2.15 s after its loss: 0.8 s until its stream counted as silent, then 1.3 s from the first look at its lease, then up to 0.3 s of stagger. All urgent jobs of that time are late. Heartbeats now say which renewal was the last and when; a lease row that still shows it counts as unchanged since then. Reads that fail or take over 0.3 s restart the watch, so that an outage of the store moves nothing. Silence is 0.6 s, the stagger 0.12 s. Ruled out: a shorter lease, which would move the jobs when the store is slow. Tests: four cases in test_elector, red before but the outage's.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -192,14 +192,15 @@
     """Says that the sender owns the jobs under `epoch`, and how many jobs wait in each queue.
 
     `resigned` is set on the last one of an owner that gives the jobs up.  `lease_age_ms` is how
-    long ago the owner's lease was renewed; `policy_version` is that of the policy in force there.
-    Before `is_loaded`, the owner knows no jobs yet.
+    long ago the owner's lease was renewed, `lease_count` which renewal that was.  `policy_version`
+    is that of the policy in force there.  Before `is_loaded`, the owner knows no jobs yet.
     """
 
     epoch: int
     waiting_by_queue: dict[str, int] = field(default_factory=dict)
     resigned: bool = False
     lease_age_ms: int = 0
+    lease_count: int = 0
     policy_version: int = 0
     is_loaded: bool = True
 
--- a/packages/node/src/jacinthreel_node/_election.py
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -6,8 +6,11 @@
 names an earlier life of the same host, where the owner has resigned, or where the owner is silent
 on the streams, or its stream has ended, and its lease row has not changed for `LEASE_MS` of the
 candidate's clock.  An owner that can't renew its lease says so; the candidate then waits only for
-`ADMITTED_LAPSE_MS`.  A read that fails restarts the watch, so that an outage of the store moves
-nothing.
+`ADMITTED_LAPSE_MS`.
+
+Heartbeats say which renewal of the lease was the last and how long ago it was, so that a row which
+still shows that renewal counts as unchanged from then on.  A read that fails or takes long restarts
+the watch, so that an outage of the store moves nothing.
 """
 
 from __future__ import annotations
@@ -19,9 +22,10 @@
 LEASE_MS: Final = 1_300
 ADMITTED_LAPSE_MS: Final = 700
 HEARTBEAT_MS: Final = 250
-SILENCE_MS: Final = 800
+SILENCE_MS: Final = 600
 RENEWAL_OVERDUE_MS: Final = 800
-STAGGER_MS: Final = 300
+PROMPT_READ_MS: Final = 300  # A slower answer may be as old as an outage of the store.
+STAGGER_MS: Final = 120
 SMALL_HOST_PAUSE_MS: Final = 900
 SMALL_HOST_CORES: Final = 1.0
 SMALL_HOST_LINK_MBPS: Final = 100.0
@@ -29,21 +33,35 @@
 
 @dataclass(slots=True)
 class LeaseWatch:
-    """How long the lease row has been unchanged, by successful reads without a gap."""
+    """How long the lease row has been unchanged, by successful reads without a gap.
+
+    Nothing from before `restarted_ms` counts.
+    """
 
     version: int | None = None
     since_ms: int = 0
+    restarted_ms: int = 0
 
-    def see(self, version: int, now_ms: int) -> int:
-        """Takes the version that was read; returns for how long it has stood."""
+    def see(self, version: int, now_ms: int, renewed_ms: int | None = None) -> int:
+        """Takes the version that was read; returns for how long it has stood.
+
+        `renewed_ms` is when it was written, where that is known.
+        """
         if version != self.version:
             self.version = version
             self.since_ms = now_ms
+        if renewed_ms is not None:
+            self.since_ms = min(self.since_ms, max(renewed_ms, self.restarted_ms))
         return now_ms - self.since_ms
 
     def reset(self) -> None:
-        """Forgets what was seen."""
+        """Forgets what was seen; the owner is in order."""
+        self.version = None
+
+    def restart(self, now_ms: int) -> None:
+        """Forgets what was seen, because the store can't show the lease."""
         self.version = None
+        self.restarted_ms = now_ms
 
 
 def stagger_ms(draw: float, cores: float, link_mbps: float) -> int:
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -28,6 +28,7 @@
 from jacinthreel_node._election import (
     ADMITTED_LAPSE_MS,
     LEASE_MS,
+    PROMPT_READ_MS,
     RENEWAL_OVERDUE_MS,
     SILENCE_MS,
     LeaseWatch,
@@ -108,6 +109,7 @@
         self._row_version = 0
         self._lease_count = 0
         self._renewed_ms = 0
+        self._renewed_count = 0
         self._watch = LeaseWatch()
         self._taking_over = False
         self._ended: _EndedOwnership | None = None
@@ -118,6 +120,11 @@
         """How long ago the lease was last renewed."""
         return self._clock.now_ms() - self._renewed_ms
 
+    @property
+    def lease_count(self) -> int:
+        """Which renewal was the last that is known to have succeeded."""
+        return self._renewed_count
+
     def take_snapshot(self, rows: tuple[Row, ...]) -> None:
         """Takes the owner's table as it was read whole."""
         self._owner.is_row_known = True
@@ -170,6 +177,7 @@
         match outcome:
             case Success(_):
                 self._renewed_ms = max(self._renewed_ms, sent_ms)
+                self._renewed_count = max(self._renewed_count, lease.count)
             case Failure(Fault() as fault):
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self._log.warning("lease_not_renewed", fields)
@@ -206,16 +214,22 @@
         return self._hub.is_connected(row.address, row.port)
 
     async def _look_at_lease(self, owner: OwnerRow) -> None:
+        sent_ms = self._clock.now_ms()
         match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, owner.host_id):
             case Success(Snapshot(rows=rows)):
+                if self._clock.now_ms() - sent_ms > PROMPT_READ_MS:
+                    self._watch.restart(self._clock.now_ms())
                 self._judge_lease(owner, rows)
             case Failure(Fault()):
-                self._watch.reset()
+                self._watch.restart(self._clock.now_ms())
 
     def _judge_lease(self, owner: OwnerRow, rows: tuple[Row, ...]) -> None:
         version = rows[0].version if rows else 0
         lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
-        stood_ms = self._watch.see(version, self._clock.now_ms())
+        renewed_ms: int | None = None
+        if lease is not None and lease.epoch == owner.epoch:
+            renewed_ms = self._owner.renewed_ms(lease.count)
+        stood_ms = self._watch.see(version, self._clock.now_ms(), renewed_ms)
         if lease is not None and lease.is_resigned and lease.epoch == owner.epoch:
             self._begin_takeover(RESIGNED)
         elif stood_ms >= (ADMITTED_LAPSE_MS if self.hears_owner() else LEASE_MS):
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -342,6 +342,7 @@
                 own.epoch,
                 own.scheduler.waiting_by_queue(),
                 lease_age_ms=self._elector.lease_age_ms,
+                lease_count=self._elector.lease_count,
                 policy_version=policy.version if policy is not None else 0,
                 is_loaded=own.is_loaded,
             )
--- a/packages/node/src/jacinthreel_node/_owner_view.py
+++ b/packages/node/src/jacinthreel_node/_owner_view.py
@@ -17,6 +17,7 @@
         self.is_row_known = False
         self.heard_ms: int | None = None
         self.lease_age_ms = 0
+        self.lease_count: int | None = None
         self.policy_version = 0
         self._waiting_by_queue: dict[str, int] | None = None
 
@@ -27,6 +28,7 @@
             return False
         if self.row is None or row is None or row.epoch != self.row.epoch:
             self.heard_ms = None
+            self.lease_count = None
         self.row = row
         self.row_version = version
         return True
@@ -37,6 +39,7 @@
             return
         self.heard_ms = None if heartbeat.resigned else self._clock.now_ms()
         self.lease_age_ms = heartbeat.lease_age_ms
+        self.lease_count = heartbeat.lease_count
         self.policy_version = heartbeat.policy_version
         self._waiting_by_queue = heartbeat.waiting_by_queue if heartbeat.is_loaded else None
 
@@ -44,6 +47,15 @@
         """How long ago the owner was heard, or None if never."""
         return None if self.heard_ms is None else self._clock.now_ms() - self.heard_ms
 
+    def renewed_ms(self, lease_count: int) -> int | None:
+        """When the owner renewed its lease for the given time, if that was the last one it told of.
+
+        Earlier by the way of the heartbeat at most.
+        """
+        if self.heard_ms is None or self.lease_count != lease_count:
+            return None
+        return self.heard_ms - self.lease_age_ms
+
     def waiting_in(self, queue: str, max_age_ms: int) -> int | None:
         """How many jobs wait in a queue, or None if the figure is older than `max_age_ms`."""
         silent_ms = self.silent_ms()
--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -36,6 +36,9 @@
     def unix_ms(self) -> int:
         return self.time_ms
 
+    def advance(self, duration_ms: int) -> None:
+        self.time_ms += duration_ms
+
 
 class MemoryStore:
     """Rows with versions; `faults` are taken off before each commit, one by one.
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -29,8 +29,13 @@
     Row,
     RowCondition,
     RowWrite,
+    Snapshot,
+)
+from jacinthreel_node._election import (
+    LEASE_MS,
+    PROMPT_READ_MS,
+    SILENCE_MS,
 )
-from jacinthreel_node._election import LEASE_MS
 from jacinthreel_node._elector import Elector
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._owner_view import OwnerView
@@ -128,6 +133,18 @@
         return outcome
 
 
+class SlowStore(MemoryStore):
+    """A store that lets time pass before it answers a read."""
+
+    on_read: Callable[[], None] = staticmethod(lambda: None)
+
+    async def read(
+        self, table: str, timeout_ms: int, key: str | None = None
+    ) -> Result[Snapshot, Fault]:
+        self.on_read()
+        return await super().read(table, timeout_ms, key)
+
+
 class Stand:
     """One candidate with a store in memory; `gone` keeps what was said of each former owner."""
 
@@ -236,6 +253,71 @@
     play(scenario)
 
 
+def heard_of_renewal(stand: Stand, count: int, age_ms: int) -> None:
+    """The owner has just been heard, and has renewed its lease some time ago."""
+    heartbeat = OwnerHeartbeat(1, {}, lease_age_ms=age_ms, lease_count=count)
+    stand.owner.take_heartbeat(Hello("other", "node", "z"), heartbeat)
+
+
+def test_lease_that_still_shows_the_renewal_heard_of_counts_from_that_renewal() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        heard_of_renewal(stand, count=1, age_ms=400)
+        await stand.watch(SILENCE_MS)
+        assert stand.elector.ownership is None
+        await stand.watch(LEASE_MS - SILENCE_MS - 400)
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
+def test_lease_that_was_renewed_since_counts_from_the_first_look() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        heard_of_renewal(stand, count=0, age_ms=400)
+        await stand.watch(SILENCE_MS)
+        await stand.watch(LEASE_MS - 1)
+        assert stand.elector.ownership is None
+        await stand.watch(1)
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
+def test_renewal_from_before_an_outage_of_the_store_does_not_count() -> None:
+    async def scenario() -> None:
+        stand = Stand()
+        other_owner(stand.store)
+        await stand.read_owner()
+        heard_of_renewal(stand, count=1, age_ms=5_000)
+        stand.store.read_faults = [ResultCode.STORE_UNAVAILABLE]
+        await stand.watch()
+        await stand.watch(LEASE_MS - 1)
+        assert stand.elector.ownership is None
+        await stand.watch(1)
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
+def test_answer_of_the_store_that_took_long_shows_nothing_of_before() -> None:
+    async def scenario() -> None:
+        store = SlowStore()
+        stand = Stand(store)
+        other_owner(store)
+        await stand.read_owner()
+        heard_of_renewal(stand, count=1, age_ms=5_000)
+        store.on_read = lambda: stand.clock.advance(PROMPT_READ_MS + 1)
+        await stand.watch()
+        assert stand.elector.ownership is None
+
+    play(scenario)
+
+
 def test_takeover_says_how_long_the_former_owner_was_silent() -> None:
     async def scenario() -> None:
         stand = Stand()
