Send a task's last attempt to executors that have proven to work

On the last attempt, executors where a run that began within 4 s has worked are preferred; all urgent gangs and claims take sound executors before suspects, also where those are faster. Ruled out: avoiding an executor after one failure (tasks fail by their own fault as well).

--- a/packages/steps/src/jacinthreel_steps/_displacing.py
+++ b/packages/steps/src/jacinthreel_steps/_displacing.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from jacinthreel_steps._model import NOTHING, Resources
-from jacinthreel_steps._room import Candidate, Placement, by_rack
+from jacinthreel_steps._room import Candidate, Placement, Trust, by_rack
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, Task
 
 CORES_PER_ACCELERATOR: Final = 8  # What an accelerator's time is worth in processor time.
@@ -88,13 +88,13 @@
     for task in tasks:
         best: Candidate | None = None
         best_victims: list[Victim] = []
-        best_key: tuple[float, bool, int] | None = None
+        best_key: tuple[float, Trust, int] | None = None
         for candidate in candidates:
             victims = _victims_needed(search, candidate)
             if victims is None:
                 continue
             cost = sum(victim.cost for victim in victims)
-            key = (cost, candidate.is_second_choice, candidate.room.accelerators)
+            key = (cost, candidate.trust, candidate.room.accelerators)
             if best_key is None or key < best_key:
                 best, best_victims, best_key = candidate, victims, key
         if best is None:
--- a/packages/steps/src/jacinthreel_steps/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_lifecycle.py
@@ -54,7 +54,7 @@
         case EndReason.DONE:
             mark_done(context, job, step, task, now_ms)
             executor = context.tables.executors_by_id.get(run.executor_id)
-            note_done(executor)
+            note_done(executor, run)
             note_end(context, executor, run, now_ms)
         case EndReason.FAILED:
             executor = context.tables.executors_by_id.get(run.executor_id)
--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planner.py
@@ -22,6 +22,7 @@
 from jacinthreel_steps._room import (
     Placement,
     UsableExecutors,
+    by_trust,
     candidates_for,
     fits_when_empty,
     place_gang,
@@ -81,7 +82,7 @@
     if queue.priority > 0:
         kept_ids = plan_pass.context.headroom.kept_ids(executors, plan_pass.now_ms)
         executors = [each for each in executors if each.executor_id not in kept_ids]
-    candidates = candidates_for(step, executors, plan_pass.now_ms)
+    candidates = candidates_for(step, executors, queue.max_attempts, plan_pass.now_ms)
     placement: Placement | None
     is_urgent = queue.priority == 0
     if step.spec.is_gang:
@@ -150,18 +151,22 @@
         over = used.get(other, 0) > guaranteed.get(other, 0)
         return is_guaranteed and other != workspace and over
 
-    candidates = candidates_for(step, executors, plan_pass.now_ms)
-    found = plan_displacement(context.tables, step, pending, candidates, may_stop, plan_pass.now_ms)
-    if (
-        found is None
-        and step.spec.is_gang
-        and step.spec.wants_one_rack
-        and _may_spread(plan_pass, job, step, executors)
-    ):
-        spread = Step(replace(step.spec, wants_one_rack=False), step.tasks)
+    candidates = candidates_for(step, executors, job.record.queue.max_attempts, plan_pass.now_ms)
+    for trusted in by_trust(candidates):
         found = plan_displacement(
-            context.tables, spread, pending, candidates, may_stop, plan_pass.now_ms
+            context.tables, step, pending, trusted, may_stop, plan_pass.now_ms
         )
+        if found is not None:
+            _carry_out(plan_pass, job, step, found)
+            return
+    if not step.spec.is_gang or not step.spec.wants_one_rack:
+        return
+    if not _may_spread(plan_pass, job, step, executors):
+        return
+    spread = Step(replace(step.spec, wants_one_rack=False), step.tasks)
+    found = plan_displacement(
+        context.tables, spread, pending, candidates, may_stop, plan_pass.now_ms
+    )
     if found is not None:
         _carry_out(plan_pass, job, step, found)
 
--- a/packages/steps/src/jacinthreel_steps/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_reports.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
+from jacinthreel_steps._executor_health import note_working
 from jacinthreel_steps._executor_speed import note_progress, note_shares
 from jacinthreel_steps._lifecycle import end_run, mark_done, send_stop, stop_run
 from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
@@ -109,6 +110,7 @@
         return None
     run.is_recovered = False
     run.seen_incarnation = executor.listing.incarnation
+    note_working(executor, run, reported.percent, now_ms)
     share = note_progress(context, executor, run, reported.percent)
     if reported.percent != run.percent or run.confirmed_ms is None:
         run.changed_ms = now_ms
--- a/packages/steps/src/jacinthreel_steps/_room.py
+++ b/packages/steps/src/jacinthreel_steps/_room.py
@@ -13,8 +13,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 
-from jacinthreel_steps._executor_health import is_suspect
+from jacinthreel_steps._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
 from jacinthreel_steps._tables import Executor, Step, Tables, Task
 
@@ -24,6 +25,14 @@
 """Tasks with the id of the executor that each is placed on."""
 
 
+class Trust(IntEnum):
+    """How far an executor is trusted with a step; lower values are preferred."""
+
+    SOUND = 0
+    UNPROVEN = 1  # Told apart only where a failure would be the last.
+    SUSPECT = 2
+
+
 @dataclass(slots=True)
 class Candidate:
     """An executor that may run a step; `slots_left` is its limit on tasks of the step."""
@@ -31,7 +40,7 @@
     executor: Executor
     room: Resources
     slots_left: int
-    is_second_choice: bool
+    trust: Trust
     speed_class: int
 
     def fits(self, shape: Resources) -> int:
@@ -65,11 +74,14 @@
     return usable
 
 
-def candidates_for(step: Step, executors: list[Executor], now_ms: int) -> list[Candidate]:
+def candidates_for(
+    step: Step, executors: list[Executor], max_attempts: int, now_ms: int
+) -> list[Candidate]:
     """The executors among those given that may run the step."""
     spec = step.spec
     placed_by_executor = _placed_by_executor(step) if spec.max_per_executor else {}
     failed_on = {task.failed_on for task in step.tasks if task.failed_on and not task.is_done}
+    is_last_attempt = any(0 < max_attempts - 1 <= task.failures for task in step.tasks)
     found: list[Candidate] = []
     for executor in executors:
         if spec.required_label and spec.required_label not in executor.listing.labels:
@@ -78,9 +90,13 @@
         if spec.max_per_executor:
             placed = placed_by_executor.get(executor.executor_id, 0)
             slots_left = spec.max_per_executor - placed
-        second = executor.executor_id in failed_on or is_suspect(executor, now_ms)
+        trust = Trust.SOUND
+        if executor.executor_id in failed_on or is_suspect(executor, now_ms):
+            trust = Trust.SUSPECT
+        elif is_last_attempt and not is_proven(executor, now_ms):
+            trust = Trust.UNPROVEN
         speed_class = executor.health.speed_class
-        found.append(Candidate(executor, executor.room, slots_left, second, speed_class))
+        found.append(Candidate(executor, executor.room, slots_left, trust, speed_class))
     return found
 
 
@@ -104,6 +120,22 @@
     """Places all tasks, on one rack where the step wants that; None where they don't fit."""
     if sum(candidate.fits(step.spec.shape) for candidate in candidates) < len(tasks):
         return None
+    for trusted in by_trust(candidates):
+        placement = _place_trusted_gang(step, tasks, trusted, is_urgent)
+        if placement is not None:
+            return placement
+    return None
+
+
+def by_trust(candidates: list[Candidate]) -> list[list[Candidate]]:
+    """The most trusted candidates, then more and more of them, at last all."""
+    levels = sorted({candidate.trust for candidate in candidates})
+    return [[each for each in candidates if each.trust <= level] for level in levels]
+
+
+def _place_trusted_gang(
+    step: Step, tasks: list[Task], candidates: list[Candidate], is_urgent: bool
+) -> Placement | None:
     racks = [candidates]
     if step.spec.wants_one_rack:
         racks = list(by_rack(candidates).values())
@@ -125,7 +157,7 @@
     """The sets of speed classes to look for a gang's room in, one after the other.
 
     >>> from unittest.mock import Mock
-    >>> some = [Mock(speed_class=each, is_second_choice=False) for each in (0, 1, -1)]
+    >>> some = [Mock(speed_class=each) for each in (0, 1, -1)]
     >>> _class_choices(some, is_urgent=True)
     [{1}, {0, 1}, {0, 1, -1}]
     >>> _class_choices(some, is_urgent=False)
@@ -135,8 +167,7 @@
     widening = [set(known[: count + 1]) for count in range(len(known))]
     if is_urgent:
         return widening
-    sound = {each.speed_class for each in candidates if not each.is_second_choice}
-    return [{each} for each in reversed(known) if each in sound] + widening[1:]
+    return [{each} for each in reversed(known)] + widening[1:]
 
 
 def by_rack(candidates: list[Candidate]) -> dict[str, list[Candidate]]:
@@ -150,7 +181,7 @@
 def best_fit(spec: StepSpec, candidates: list[Candidate], is_urgent: bool) -> Candidate | None:
     """The candidate that a task fits best, of those with the preferred speed."""
     best: Candidate | None = None
-    best_key: tuple[bool, bool, int, float] | None = None
+    best_key: tuple[Trust, bool, int, float] | None = None
     for candidate in candidates:
         if candidate.fits(spec.shape) < 1:
             continue
@@ -158,7 +189,7 @@
             candidate.executor.listing.rack != spec.rack_near_data
         )
         speed = -candidate.speed_class if is_urgent else candidate.speed_class
-        key = (candidate.is_second_choice, is_far, speed, _left_over(candidate, spec.shape))
+        key = (candidate.trust, is_far, speed, _left_over(candidate, spec.shape))
         if best_key is None or key < best_key:
             best, best_key = candidate, key
     return best
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -146,12 +146,14 @@
     """What recent runs tell of an executor.
 
     `failures` counts runs that failed since the last one that was done; it takes no work before
-    `avoid_until_ms`.  `speed_class` is its speed on a coarse scale: 0 is usual, more is faster.
+    `avoid_until_ms`.  `proven_ms` is when the newest run began that was seen to work there.
+    `speed_class` is its speed on a coarse scale: 0 is usual, more is faster.
     """
 
     failures: int = 0
     avoid_until_ms: int = 0
     failed_ms: int = 0
+    proven_ms: int | None = None
     speed_class: int = 0
 
 
