--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -47,7 +47,7 @@
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._table_follower import TableFollower
-from jacinthreel_steps import JobState, Scheduler, StoredProgress
+from jacinthreel_steps import ExecutorListing, JobState, Scheduler, StoredProgress
 
 PLAN_GAP_MS: Final = 20
 TICK_MS: Final = 250
@@ -331,20 +331,35 @@
         listed = {row.key for row in rows}
         for executor_id in list(self.scheduler.tables.executors_by_id):
             if executor_id not in listed:
-                self.scheduler.remove_listing(executor_id)
+                self._remove_listing(executor_id)
 
     def _take_listing_changes(self, rows: tuple[Row, ...]) -> None:
         now_ms = self._clock.now_ms()
         for row in rows:
             listing = self._rows.executor_listing(row) if row.value is not None else None
             if listing is None:
-                self.scheduler.remove_listing(row.key)
+                self._remove_listing(row.key)
                 continue
-            self.scheduler.apply_listing(listing, now_ms)
+            if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
+                self._log_listed(listing)
             if row.key not in self._links_by_id:
                 self._links_by_id[row.key] = ExecutorLink(self._link_context, row.key)
         self.request_plan()
 
+    def _remove_listing(self, executor_id: str) -> None:
+        if self.scheduler.remove_listing(executor_id):
+            self._log("executor_unlisted", {"executor": executor_id})
+
+    def _log_listed(self, listing: ExecutorListing) -> None:
+        fields = {
+            "executor": listing.executor_id,
+            "incarnation": listing.incarnation,
+            "address": listing.address,
+            "executor_zone": listing.zone,
+            "rack": listing.rack,
+        }
+        self._log("executor_listed", fields)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_MS / 1000)
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -99,27 +99,34 @@
         if job is not None:
             finish_job(self._context, job, JobState.CANCELLED, now_ms)
 
-    def apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
-        """Takes note of what an executor says of itself."""
+    def apply_listing(self, listing: ExecutorListing, now_ms: int) -> bool:
+        """Takes note of what an executor says of itself; true for a life not listed before."""
         executor = self.tables.executors_by_id.get(listing.executor_id)
         if executor is None:
             executor = Executor(listing, heard_ms=now_ms)
             self.tables.executors_by_id[listing.executor_id] = executor
             self._attach_recovered(executor, now_ms)
-            _note_leaving(executor, now_ms)
-            return
+            self._note_leaving(executor, now_ms)
+            return True
+        is_new = not executor.is_listed or listing.incarnation > executor.listing.incarnation
         executor.is_listed = True
         if listing.incarnation > executor.listing.incarnation:
             self._start_new_life(executor, listing, now_ms)
         elif listing.incarnation == executor.listing.incarnation:
             executor.listing = listing
-        _note_leaving(executor, now_ms)
+        self._note_leaving(executor, now_ms)
+        return is_new
+
+    def remove_listing(self, executor_id: str) -> bool:
+        """The registry has no entry any more; what runs there may go on for a while.
 
-    def remove_listing(self, executor_id: str) -> None:
-        """The registry has no entry any more; what runs there may go on for a while."""
+        True where it had one before.
+        """
         executor = self.tables.executors_by_id.get(executor_id)
-        if executor is not None:
-            executor.is_listed = False
+        if executor is None or not executor.is_listed:
+            return False
+        executor.is_listed = False
+        return True
 
     def expire_executor(self, executor_id: str, reason: str, now_ms: int) -> None:
         """All that ran there has certainly ended, and the executor is out of reach."""
@@ -373,10 +380,15 @@
         if step.spec.is_gang:
             stop_gang(self._context, step, run.run_id.number, now_ms)
 
-
-def _note_leaving(executor: Executor, now_ms: int) -> None:
-    listing = executor.listing
-    if not listing.is_draining:
-        executor.leave_ms = None
-    elif listing.remaining_ms is not None and executor.leave_ms is None:
-        executor.leave_ms = now_ms + listing.remaining_ms
+    def _note_leaving(self, executor: Executor, now_ms: int) -> None:
+        listing = executor.listing
+        if not listing.is_draining:
+            executor.leave_ms = None
+        elif listing.remaining_ms is not None and executor.leave_ms is None:
+            executor.leave_ms = now_ms + listing.remaining_ms
+            fields = {
+                "executor": listing.executor_id,
+                "remaining_ms": listing.remaining_ms,
+                "runs": len(executor.runs_by_task),
+            }
+            self._context.log("executor_leaving", fields)
