--- a/packages/steps/tests/steps_world.py
+++ b/packages/steps/tests/steps_world.py
@@ -25,6 +25,7 @@
 )
 
 SERVICE = "scan"
+ESTIMATE_MS = 5_000
 CAPACITY = Resources(128_000, 512_000, 8)
 
 
@@ -33,7 +34,7 @@
 
 
 def step(count: int = 1, accelerators: int = 1, **options: Any) -> StepSpec:
-    return StepSpec(count, Resources(1_000, 1_000, accelerators), 5_000, **options)
+    return StepSpec(count, Resources(1_000, 1_000, accelerators), ESTIMATE_MS, **options)
 
 
 def listing(name: str, rack: str = "r1", zone: str = "z1", **options: Any) -> ExecutorListing:
