Keep the learnt speeds of executors for the next owner

Cause: a new owner knew no speeds, and the runs that it adopts teach none, so that urgent gangs were placed blindly for some seconds after each change of owner. Ruled out: sending them in heartbeats (35 times the bytes), or with the leases (a dead owner tells nothing). Tests: test_kept_speeds, test_restored_speeds_hold_until_tasks_say_otherwise.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -24,6 +24,7 @@
     LinkContext,
 )
 from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._kept_speeds import KeptSpeeds
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -108,6 +109,7 @@
         self._ended_jobs = EndedJobs(
             store, self.scheduler, settings.status_keep_ms, owner_version, log
         )
+        self._kept_speeds = KeptSpeeds(store, self.scheduler, log)
         self._link_context = LinkContext(
             gateway,
             self.scheduler,
@@ -216,7 +218,7 @@
                 link.send(run)
 
     async def _run(self) -> None:
-        versions = await self._load()
+        versions, _ = await asyncio.gather(self._load(), self._kept_speeds.load())
         self.is_loaded = True
         self._metrics.count("takeovers_total")
         self._log(
@@ -240,6 +242,7 @@
         )
         self._spawn(self._tick())
         self._spawn(self._ended_jobs.run(self._clock))
+        self._spawn(self._kept_speeds.run())
         self.request_plan()
 
     def _follow(
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -1,4 +1,4 @@
-"""The node's own rows: accepted jobs, cancellations, ownership and its lease."""
+"""The node's own rows: accepted jobs, cancellations, ownership, its lease and learnt speeds."""
 
 from __future__ import annotations
 
@@ -14,12 +14,15 @@
 OWNER_TABLE: Final = "owner"
 LEASE_TABLE: Final = "lease"
 OWNER_KEY: Final = "owner"
+SPEEDS_TABLE: Final = "speeds"
+SPEEDS_KEY: Final = "speeds"
 INTAKE_GROUPS: Final = tuple(f"intake-{index}" for index in range(8))
 """Jobs are spread over these: a slow store takes only a few transactions a second for each."""
 _GROUPS_BY_TABLE: Final = {
     PROGRESS_TABLE: "progress",
     OWNER_TABLE: "progress",
     LEASE_TABLE: "lease",
+    SPEEDS_TABLE: "speeds",
 }
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
@@ -69,12 +72,19 @@
     is_resigned: bool = False
 
 
+class SpeedsRow(msgspec.Struct, frozen=True):
+    """How fast executors are relative to the usual one, without those that are as fast."""
+
+    speed_by_executor: dict[str, float]
+
+
 _job_decoder = msgspec.msgpack.Decoder(JobRecord)
 _owner_decoder = msgspec.msgpack.Decoder(OwnerRow)
 _lease_decoder = msgspec.msgpack.Decoder(LeaseRow)
+_speeds_decoder = msgspec.msgpack.Decoder(SpeedsRow)
 
 
-def encode_record(record: JobRecord | OwnerRow | LeaseRow) -> bytes:
+def encode_record(record: JobRecord | OwnerRow | LeaseRow | SpeedsRow) -> bytes:
     """Writes a record."""
     return msgspec.msgpack.encode(record)
 
@@ -101,3 +111,11 @@
         return _lease_decoder.decode(value)
     except msgspec.DecodeError:
         return None
+
+
+def decode_speeds(value: bytes) -> SpeedsRow | None:
+    """Reads the row of speeds, or None if it can't be read."""
+    try:
+        return _speeds_decoder.decode(value)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/packages/node/tests/test_kept_speeds.py
@@ -0,0 +1,97 @@
+"""The speeds of executors, handed from one owner to the next through the store."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from node_fakes import MemoryStore
+
+from jacinthreel_common import ResultCode
+from jacinthreel_node import RowWrite
+from jacinthreel_node._kept_speeds import KeptSpeeds
+from jacinthreel_node._records import SPEEDS_KEY, SPEEDS_TABLE, SpeedsRow, encode_record
+from jacinthreel_steps import ExecutorListing, Resources, Scheduler
+
+LISTING = ExecutorListing(
+    "", 1, "10.0.0.1:80", "s", "z", "r", frozenset(), Resources(8_000, 8_000, 8)
+)
+SPEEDS = {"e1": 0.8, "e2": 1.25}
+
+
+class Owner:
+    """A scheduler that knows speeds, and its part in keeping them."""
+
+    def __init__(self, store: MemoryStore, speeds: dict[str, float] | None = None) -> None:
+        self.events: list[str] = []
+        self.scheduler = Scheduler(self._log)
+        for name in SPEEDS:
+            self.scheduler.apply_listing(replace(LISTING, executor_id=name), 0)
+        self.scheduler.restore_speeds(speeds or {})
+        self.kept = KeptSpeeds(store, self.scheduler, self._log)
+
+    def _log(self, event: str, fields: dict[str, Any]) -> None:
+        self.events.append(event)
+
+    def load(self) -> None:
+        asyncio.run(self.kept.load())
+
+    def write(self) -> None:
+        asyncio.run(self.kept.write())
+
+
+def test_next_owner_begins_with_the_speeds_of_the_former_one() -> None:
+    store = MemoryStore()
+    Owner(store, SPEEDS).write()
+    following = Owner(store)
+    following.load()
+    assert following.scheduler.speeds() == SPEEDS
+
+
+def test_speeds_are_written_only_when_they_have_changed() -> None:
+    store = MemoryStore()
+    owner = Owner(store, SPEEDS)
+    owner.write()
+    owner.write()
+    assert store.commits == 1
+    owner.scheduler.restore_speeds({"e1": 0.5})
+    owner.write()
+    assert store.commits == 2
+
+
+def test_write_that_failed_is_made_up_for() -> None:
+    store = MemoryStore()
+    store.faults = [ResultCode.STORE_UNAVAILABLE]
+    owner = Owner(store, SPEEDS)
+    owner.write()
+    owner.write()
+    assert (SPEEDS_TABLE, SPEEDS_KEY) in store.rows
+
+
+UNUSABLE_ROWS = {
+    "no row": None,
+    "not readable": b"\xc1",
+    "of another kind": b"\x93\x01\x02\x03",
+    "without a usable speed": encode_record(SpeedsRow({"e1": 0.0})),
+}
+
+
+@pytest.mark.parametrize("name", UNUSABLE_ROWS)
+def test_owner_does_without_a_row_that_tells_nothing(name: str) -> None:
+    store = MemoryStore()
+    value = UNUSABLE_ROWS[name]
+    if value is not None:
+        asyncio.run(store.commit([], [RowWrite(SPEEDS_TABLE, SPEEDS_KEY, value)], 100))
+    owner = Owner(store)
+    owner.load()
+    assert owner.scheduler.speeds() == {}
+
+
+def test_owner_does_without_the_store() -> None:
+    store = MemoryStore()
+    store.read_faults = [ResultCode.STORE_UNAVAILABLE]
+    owner = Owner(store)
+    owner.load()
+    assert owner.events == ["speeds_not_restored"]
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -250,6 +250,15 @@
         advance_acknowledged(self._context, self.tables.executors_by_id[executor_id])
         return bool(self.tables.executors_by_id[executor_id].pending_ends)
 
+    def speeds(self) -> dict[str, float]:
+        """How fast the executors are that differ from the usual one, by id."""
+        kept = self._context.speeds.kept_speeds()
+        return {key: speed for key, speed in kept.items() if key in self.tables.executors_by_id}
+
+    def restore_speeds(self, speeds: dict[str, float]) -> None:
+        """Begins with the speeds that an earlier scheduler has learnt."""
+        self._context.speeds.restore(speeds)
+
     def waiting_by_queue(self) -> dict[str, int]:
         """How many open jobs of each queue have not begun."""
         counts: dict[str, int] = {}
--- a/packages/steps/src/jacinthreel_steps/_speed_model.py
+++ b/packages/steps/src/jacinthreel_steps/_speed_model.py
@@ -2,9 +2,10 @@
 
 Model: the logarithm of a task's rate is the level of its step, the effect of its executor, and the
 task's own deviation.  Effects have a normal prior around 0, so that an executor counts as usual
-until enough tasks say otherwise.  Each fit is one sweep over the steps seen last: levels from
-effects, then effects from levels.  A deviation counts only up to a limit, because tasks that
-stumble, and executors that are slow for a moment, say little of an executor's lasting speed.
+until enough tasks say otherwise; where an earlier model has left its speed, a closer one around
+that.  Each fit is one sweep over the steps seen last: levels from effects, then effects from
+levels.  A deviation counts only up to a limit, because tasks that stumble, and executors that are
+slow for a moment, say little of an executor's lasting speed.
 
 Invariant: a task has one rate in the model, the newest, however often it is reported.
 """
@@ -19,6 +20,8 @@
 MIN_TASKS: Final = 3
 TASK_DEVIATION: Final = 0.15  # Standard deviations, of logarithms.
 EFFECT_DEVIATION: Final = 0.2
+RESTORED_DEVIATION: Final = 0.08
+KEPT_EFFECT: Final = 0.05  # Smaller ones are as good as none.
 MAX_DEVIATION: Final = 0.5
 
 
@@ -42,6 +45,7 @@
     def __init__(self) -> None:
         self._rates_by_step: dict[tuple[str, int], _StepRates] = {}
         self._effect_by_id: dict[str, float] = {}
+        self._restored_by_id: dict[str, float] = {}
         self._has_news = False
 
     def observe(
@@ -67,7 +71,8 @@
             if len(rates.rate_by_task) >= MIN_TASKS:
                 self._fit_step(rates, deviations_by_id)
         for executor_id, deviations in deviations_by_id.items():
-            self._effect_by_id[executor_id] = _effect(deviations)
+            restored = self._restored_by_id.get(executor_id)
+            self._effect_by_id[executor_id] = _effect(deviations, restored)
         return True
 
     def speed(self, executor_id: str) -> float:
@@ -78,6 +83,22 @@
         """
         return math.exp(self._effect_by_id.get(executor_id, 0.0))
 
+    def kept_speeds(self) -> dict[str, float]:
+        """The speeds of all executors that are not usual, for a later model."""
+        kept: dict[str, float] = {}
+        for executor_id, effect in self._effect_by_id.items():
+            if abs(effect) >= KEPT_EFFECT:
+                kept[executor_id] = round(math.exp(effect), 2)
+        return kept
+
+    def restore(self, speeds: dict[str, float]) -> None:
+        """Begins with the speeds that an earlier model has kept."""
+        self._restored_by_id = {
+            executor_id: math.log(speed) for executor_id, speed in speeds.items() if speed > 0
+        }
+        self._effect_by_id.update(self._restored_by_id)
+        self._has_news = True
+
     def expected_rate(self, step_name: tuple[str, int], executor_id: str) -> float | None:
         """What a task of the step should reach there; None before enough others have shown it."""
         rates = self._rates_by_step.get(step_name)
@@ -98,11 +119,12 @@
             deviations_by_id.setdefault(each.executor_id, []).append(limited)
 
 
-def _effect(deviations: list[float]) -> float:
-    """The mean of the deviations, drawn towards 0 by the prior."""
+def _effect(deviations: list[float], restored: float | None) -> float:
+    """The mean of the deviations, drawn towards the prior."""
     task_weight = 1 / TASK_DEVIATION**2
-    prior_weight = 1 / EFFECT_DEVIATION**2
-    return sum(deviations) * task_weight / (len(deviations) * task_weight + prior_weight)
+    prior_weight = 1 / EFFECT_DEVIATION**2 if restored is None else 1 / RESTORED_DEVIATION**2
+    weighted = sum(deviations) * task_weight + (restored or 0.0) * prior_weight
+    return weighted / (len(deviations) * task_weight + prior_weight)
 
 
 def _middle_mean(values: list[float]) -> float:
--- a/packages/steps/tests/test_executor_speed.py
+++ b/packages/steps/tests/test_executor_speed.py
@@ -77,6 +77,19 @@
         assert learnt_world.learnt(name) == pytest.approx(speed, rel=0.08), name
 
 
+def test_restored_speeds_hold_until_tasks_say_otherwise() -> None:
+    first = SpeedWorld(SPEEDS)
+    first.learn()
+    kept = first.scheduler.speeds()
+    second = SpeedWorld({**SPEEDS, "e0": 1.25})
+    second.scheduler.restore_speeds(kept)
+    second.settle()
+    assert second.learnt("e2") == pytest.approx(1.25, rel=0.08)
+    second.learn()
+    assert second.learnt("e0") == pytest.approx(1.25, rel=0.15)
+    assert second.learnt("e2") == pytest.approx(1.25, rel=0.08)
+
+
 def test_nothing_is_learnt_without_anything_to_compare() -> None:
     world = SpeedWorld(SPEEDS)
     world.submit("single", step(1, accelerators=8))
