--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -9,7 +9,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -17,12 +16,9 @@
 from jacinthreel_common import (
     Fault,
     LeaseQuery,
-    LeasesLeft,
     OwnerHeartbeat,
     ResultCode,
     StreamReply,
-    convert,
-    to_plain,
 )
 from jacinthreel_daemon.plumbing import Clock, EventLog, StreamHub
 from jacinthreel_node._election import (
@@ -34,8 +30,9 @@
     LeaseWatch,
     stagger_ms,
 )
+from jacinthreel_node._lease_handover import LeaseHandover
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership, longest_lease_ms
+from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -62,17 +59,6 @@
 RESIGNED: Final = "the owner has resigned"
 STORE_TIMEOUT_MS: Final = 1_500
 FLUSH_MS: Final = 500
-LEASE_QUERY_TIMEOUT_MS: Final = 600
-LEASE_QUERY_PAUSE_MS: Final = 500
-
-
-@dataclass(frozen=True, slots=True)
-class _EndedOwnership:
-    """What this process knew of leases when it stopped to own the jobs."""
-
-    epoch: int
-    ended_ms: int
-    leases: LeasesLeft
 
 
 MakeOwnership = Callable[[OwnerRow, int, bool], Ownership]
@@ -112,8 +98,7 @@
         self._renewed_count = 0
         self._watch = LeaseWatch()
         self._taking_over = False
-        self._ended: _EndedOwnership | None = None
-        self._newer_epoch = 0  # Of an owner that was told that this process gives no leases.
+        self._handover = LeaseHandover(hub, clock, log, settings.task_lease_ms)
 
     @property
     def lease_age_ms(self) -> int:
@@ -276,7 +261,7 @@
                 self._log.warning("takeover_failed", fields)
 
     def _own(self, owner: OwnerRow, version: int, former: OwnerRow | None, reason: str) -> None:
-        if self._owner.row_version > version or owner.epoch < self._newer_epoch:
+        if self._owner.row_version > version or owner.epoch < self._handover.newest_epoch:
             return  # Somebody else has taken over meanwhile.
         silent_ms = self._owner.silent_ms()
         self._see_owner(owner, version)
@@ -297,53 +282,16 @@
             self._spawn(self._ask_former_owner(former, self.ownership))
 
     async def _ask_former_owner(self, former: OwnerRow, own: Ownership) -> None:
-        """Asks until it answers, or until its leases have lapsed anyway."""
-        query = LeaseQuery(former.epoch, own.epoch)
-        while self.ownership is own:
-            reply = await self._hub.call(former.address, former.port, query, LEASE_QUERY_TIMEOUT_MS)
-            answered = reply.value_or(None)
-            if answered is not None and answered.code is ResultCode.OK:
-                self._take_leases(own, convert(LeasesLeft, answered.body).value_or(None))
-                return
-            if self._clock.now_ms() >= own.former_leases.latest_end_ms:
-                return
-            await asyncio.sleep(LEASE_QUERY_PAUSE_MS / 1000)
-
-    def _take_leases(self, own: Ownership, answer: LeasesLeft | None) -> None:
-        if answer is None:
-            return
-        own.former_leases.take(answer, self._clock.now_ms())
-        fields = {
-            "epoch": own.epoch,
-            "executors": len(answer.left_ms_by_executor),
-            "longest_ms": max(answer.left_ms_by_executor.values(), default=0),
-            "others_ms": answer.others_ms,
-        }
-        self._log.decision("former_leases_known", fields)
+        await self._handover.ask(former, own, lambda: self.ownership is own)
 
     def serve_lease_query(self, query: LeaseQuery) -> StreamReply:
-        """Tells the next owner of the leases that stand, after giving the jobs up.
-
-        A process that has not owned them under the former epoch has followed one that did, at the
-        same address: that one is gone, and what it gave lapses from now on at the latest.
-        """
+        """Tells the next owner of the leases that stand, after giving the jobs up."""
         own = self.ownership
         if own is not None and own.epoch < query.epoch:
             self.lose("another node has taken over")
         elif own is not None:
             return StreamReply(ResultCode.STALE_EPOCH, "this node has taken over since")
-        self._newer_epoch = max(self._newer_epoch, query.epoch)
-        ended = self._ended
-        if ended is None or ended.epoch != query.former_epoch:
-            leases = LeasesLeft({}, longest_lease_ms(self._settings.task_lease_ms))
-            return StreamReply(ResultCode.OK, body=to_plain(leases))
-        spent_ms = self._clock.now_ms() - ended.ended_ms
-        left = ended.leases.left_ms_by_executor
-        leases = LeasesLeft(
-            {key: max(0, left_ms - spent_ms) for key, left_ms in left.items()},
-            max(0, ended.leases.others_ms - spent_ms),
-        )
-        return StreamReply(ResultCode.OK, body=to_plain(leases))
+        return self._handover.answer(query)
 
     def lose(self, reason: str) -> None:
         """Ends the ownership at once."""
@@ -358,7 +306,7 @@
         self.ownership = None
         leases = own.leases_left()
         own.stop()
-        self._ended = _EndedOwnership(own.epoch, self._clock.now_ms(), leases)
+        self._handover.note_ended(own.epoch, leases)
 
     async def resign(self) -> None:
         """Gives the ownership up for another node to take, as in a planned stop."""
--- /dev/null
+++ b/packages/node/tests/elector_stand.py
@@ -0,0 +1,210 @@
+"""A candidate for the ownership with a store in memory, and peers that are told what to answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, cast
+
+from node_fakes import HandClock, MemoryStore
+from returns.result import Result, Success
+
+from jacinthreel_common import (
+    Fault,
+    LeasesLeft,
+    ResultCode,
+    StreamReply,
+    to_plain,
+)
+from jacinthreel_daemon.plumbing import EventLog, StreamHub
+from jacinthreel_node import (
+    Committed,
+    Conflict,
+    NodeSettings,
+    Row,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+)
+from jacinthreel_node._elector import Elector
+from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._records import (
+    LEASE_TABLE,
+    OWNER_KEY,
+    OWNER_TABLE,
+    LeaseRow,
+    OwnerRow,
+    encode_record,
+)
+
+ADDRESS = ("10.0.0.1", 7000)
+TASK_LEASE_MS = 5_000
+LONGEST_MS = 20_000
+LEFT = LeasesLeft({"e1": 3_000, "e2": 400}, 9_000)
+
+
+class KeptLog:
+    """Keeps the fields of each decision."""
+
+    def __init__(self) -> None:
+        self.decisions: dict[str, dict[str, Any]] = {}
+
+    def decision(self, event: str, fields: dict[str, Any]) -> None:
+        self.decisions[event] = fields
+
+    def warning(self, event: str, fields: dict[str, Any]) -> None:
+        return
+
+
+class SilentHub:
+    """Peers that hear nothing; the stream to the owner stands or not.
+
+    `replies` are taken off one by one; without any, the former owner has given no leases.
+    """
+
+    def __init__(self) -> None:
+        self.stands = True
+        self.replies: list[Result[StreamReply, Fault]] = []
+        self.queries: list[object] = []
+
+    async def call(
+        self, address: str, port: int, message: object, timeout_ms: int
+    ) -> Result[StreamReply, Fault]:
+        self.queries.append(message)
+        if self.replies:
+            return self.replies.pop(0)
+        return Success(StreamReply(ResultCode.OK, body=to_plain(LeasesLeft({}, 0))))
+
+    def is_connected(self, address: str, port: int) -> bool:
+        return self.stands
+
+    def set_peers(self, peers: set[tuple[str, int]]) -> None:
+        return
+
+    def notify_all(self, message: object) -> None:
+        return
+
+
+class EmptyOwnership:
+    """An ownership without jobs."""
+
+    def __init__(self, owner: OwnerRow, now_ms: int) -> None:
+        self.epoch = owner.epoch
+        self.is_stopped = False
+        self.former_leases = FormerLeases(now_ms + LONGEST_MS)
+
+    def leases_left(self) -> LeasesLeft:
+        return LEFT
+
+    def start(self) -> None:
+        return
+
+    def stop(self) -> None:
+        self.is_stopped = True
+
+    async def flush(self, timeout_ms: int) -> None:
+        return
+
+
+class FedStore(MemoryStore):
+    """A store whose feed shows a row before the commit that wrote it is answered."""
+
+    feed: Callable[[Row], None]
+
+    async def commit(
+        self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
+    ) -> Result[Committed | Conflict, Fault]:
+        outcome = await super().commit(conditions, writes, timeout_ms)
+        for write in writes:
+            if write.table == OWNER_TABLE:
+                self.feed(self.rows[(OWNER_TABLE, write.key)])
+        return outcome
+
+
+class SlowStore(MemoryStore):
+    """A store that lets time pass before it answers a read."""
+
+    on_read: Callable[[], None] = staticmethod(lambda: None)
+
+    async def read(
+        self, table: str, timeout_ms: int, key: str | None = None
+    ) -> Result[Snapshot, Fault]:
+        self.on_read()
+        return await super().read(table, timeout_ms, key)
+
+
+class Stand:
+    """One candidate with a store in memory; `gone` keeps what was said of each former owner."""
+
+    def __init__(self, store: MemoryStore | None = None, host_id: str = "me") -> None:
+        self.clock = HandClock()
+        self.store = store or MemoryStore()
+        self.owner = OwnerView(self.clock)
+        self.log = KeptLog()
+        self.hub = SilentHub()
+        self.gone: list[bool] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        settings = NodeSettings(
+            host_id,
+            "z",
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            ADDRESS,
+            2.0,
+            1_000,
+            TASK_LEASE_MS,
+            5_000,
+            1,
+        )
+        self.elector = Elector(
+            settings,
+            self.store,
+            cast(StreamHub, self.hub),
+            self.owner,
+            self.clock,
+            random.Random(1),
+            cast(EventLog, self.log),
+            self._spawn,
+            self._make,
+        )
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.create_task(coroutine))
+
+    def _make(self, owner: OwnerRow, version: int, is_former_owner_gone: bool) -> Ownership:
+        self.gone.append(is_former_owner_gone)
+        return cast(Ownership, EmptyOwnership(owner, self.clock.now_ms()))
+
+    async def read_owner(self) -> None:
+        """Takes the owner's row as the follower would."""
+        snapshot = (await self.store.read(OWNER_TABLE, 100)).unwrap()
+        self.elector.take_snapshot(snapshot.rows)
+
+    async def watch(self, passing_ms: int = 0) -> None:
+        """Looks after the owner, with everything that follows."""
+        self.clock.time_ms += passing_ms
+        self.elector.watch()
+        while self.tasks:
+            await self.tasks.pop(0)
+
+
+def other_owner(store: MemoryStore, epoch: int = 1, resigned: bool = False) -> None:
+    row = OwnerRow(epoch, "other", "10.0.0.2", 7000, "n")
+    store.version += 1
+    store.rows[(OWNER_TABLE, OWNER_KEY)] = Row(
+        OWNER_TABLE, OWNER_KEY, encode_record(row), store.version
+    )
+    lease = encode_record(LeaseRow(epoch, 1, resigned))
+    store.rows[(LEASE_TABLE, "other")] = Row(LEASE_TABLE, "other", lease, store.version)
+
+
+def play(scenario: Callable[[], Awaitable[None]]) -> None:
+    async def run() -> None:
+        await scenario()
+
+    asyncio.run(run())
