Take the starts out of the scheduler, and look at all runs five times a second instead of in each pass

Overdue starts and stalled runs were looked for in each planning pass, up to fifty times a second, by walking all runs; they now share the 0.2 s period of slowness and speeds. Decisions stay as they are, up to 0.2 s later.

--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node._ownership import Ownership
-
-HEARD_LIMIT_MS: Final = 2_500
+from jacinthreel_steps import SILENCE_LIMIT_MS
 
 
 def set_gauges(
@@ -29,7 +26,7 @@
         for executor in tables.executors_by_id.values():
             runs += len(executor.runs_by_task)
             listed += executor.is_listed
-            heard += now_ms - executor.heard_ms <= HEARD_LIMIT_MS
+            heard += now_ms - executor.heard_ms <= SILENCE_LIMIT_MS
     metrics.gauge("jobs_open", open_jobs)
     metrics.gauge("jobs_waiting", waiting_jobs)
     metrics.gauge("runs_held", runs)
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -23,11 +23,13 @@
     TaskId,
 )
 from jacinthreel_steps._order import objective_ms
+from jacinthreel_steps._planner import SILENCE_LIMIT_MS
 from jacinthreel_steps._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
 
 __all__ = [
+    "SILENCE_LIMIT_MS",
     "DecisionLog",
     "EndReason",
     "Executor",
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -15,11 +15,10 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder, run_name
-from jacinthreel_steps._executor_health import NO_ROOM_AVOID_MS, UNHEALTHY_AVOID_MS, avoid
+from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder
 from jacinthreel_steps._executor_speed import learn_speeds
 from jacinthreel_steps._leaving import stop_leaving
-from jacinthreel_steps._lifecycle import end_run, finish_job, release_run, stop_gang, stop_run
+from jacinthreel_steps._lifecycle import end_run, finish_job
 from jacinthreel_steps._model import (
     EndReason,
     ExecutorListing,
@@ -34,11 +33,15 @@
 from jacinthreel_steps._reports import advance_acknowledged, lose_run, lose_runs, take_report
 from jacinthreel_steps._slowness import note_slow_executors
 from jacinthreel_steps._stalls import stop_stalled
+from jacinthreel_steps._starts import (
+    confirm_start,
+    refuse_start,
+    retry_start,
+    stop_overdue_starts,
+)
 from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
 
-START_RETRY_LIMIT_MS: Final = 1_500  # Past this an unanswered start is stopped instead.
-SLOWNESS_PERIOD_MS: Final = 200
-START_OVERDUE_MS: Final = 3_000  # Past this a start is stopped although its order may be under way.
+LOOK_PERIOD_MS: Final = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +68,7 @@
     def __init__(self, log: DecisionLog) -> None:
         self.tables = Tables()
         self._context = Context(self.tables, Orders(), log)
-        self._slowness_ms = 0
+        self._looked_ms = 0
 
     def apply_policy(self, policy: Policy) -> None:
         """Puts a newer policy in force; older ones are passed over."""
@@ -171,11 +174,11 @@
             return
         match outcome:
             case StartOutcome.STARTED:
-                self._confirm(run, now_ms)
+                confirm_start(self._context, run, now_ms)
             case StartOutcome.UNKNOWN:
-                self._retry_start(run, now_ms)
+                retry_start(self._context, run, now_ms)
             case _:
-                self._refuse_start(executor, run, outcome, now_ms)
+                refuse_start(self._context, executor, run, outcome, now_ms)
 
     def stop_answered(self, order: StopOrder, now_ms: int) -> None:
         """The executor has confirmed a stop: it never starts that run any more."""
@@ -187,15 +190,19 @@
 
     def plan(self, now_ms: int) -> None:
         """Decides on all that is open."""
-        self._stop_overdue_starts(now_ms)
-        stop_stalled(self._context, now_ms)
-        if now_ms - self._slowness_ms >= SLOWNESS_PERIOD_MS:
-            self._slowness_ms = now_ms
-            note_slow_executors(self._context, now_ms)
-            learn_speeds(self._context)
+        if now_ms - self._looked_ms >= LOOK_PERIOD_MS:
+            self._looked_ms = now_ms
+            self._look_at_runs(now_ms)
         stop_leaving(self._context, now_ms)
         plan(self._context, now_ms)
 
+    def _look_at_runs(self, now_ms: int) -> None:
+        """Looks through everything that runs, for what only shows with time."""
+        stop_overdue_starts(self._context, now_ms)
+        stop_stalled(self._context, now_ms)
+        note_slow_executors(self._context, now_ms)
+        learn_speeds(self._context)
+
     def take_starts(self) -> list[Run]:
         """The starts to order since the last call; runs that ended meanwhile are left out."""
         starts = self._context.orders.starts
@@ -317,78 +324,6 @@
             if 0 < run.seen_incarnation < executor.listing.incarnation:
                 lose_run(self._context, run, "executor restarted", now_ms)
 
-    def _confirm(self, run: Run, now_ms: int) -> None:
-        run.confirmed_ms = now_ms
-        if run.state is RunState.STARTING:
-            run.state = RunState.RUNNING
-            run.changed_ms = now_ms
-        self.tables.jobs_by_id[run.run_id.task.job_id].has_begun = True
-
-    def _retry_start(self, run: Run, now_ms: int) -> None:
-        run.is_doubtful = True
-        if run.state is not RunState.STARTING:
-            return
-        if now_ms - run.placed_ms < START_RETRY_LIMIT_MS:
-            self._context.orders.starts.append(run)
-            return
-        self._give_up(run, now_ms)
-
-    def _refuse_start(
-        self, executor: Executor, run: Run, outcome: StartOutcome, now_ms: int
-    ) -> None:
-        self._context.log(
-            "start_refused",
-            {
-                "job_id": run.run_id.task.job_id,
-                "run": run_name(run.run_id),
-                "executor": run.executor_id,
-                "outcome": outcome.name.lower(),
-                "doubtful": run.is_doubtful,
-            },
-        )
-        match outcome:
-            case StartOutcome.REFUSED_NO_ROOM:
-                avoid(executor, NO_ROOM_AVOID_MS, "no room", now_ms, self._context.log)
-            case StartOutcome.REFUSED_UNHEALTHY:
-                avoid(executor, UNHEALTHY_AVOID_MS, "unhealthy", now_ms, self._context.log)
-            case _:
-                pass
-        if run.state is not RunState.STARTING:
-            return
-        self._give_up(run, now_ms)
-
-    def _stop_overdue_starts(self, now_ms: int) -> None:
-        """Gives up starts that nothing has been heard of; a recovered run waits for a report."""
-        for executor in self.tables.executors_by_id.values():
-            for run in list(executor.runs_by_task.values()):
-                if run.state is not RunState.STARTING or run.is_recovered:
-                    continue
-                if now_ms - run.placed_ms < START_OVERDUE_MS:
-                    continue
-                fields = {
-                    "job_id": run.run_id.task.job_id,
-                    "run": run_name(run.run_id),
-                    "executor": run.executor_id,
-                    "waited_ms": now_ms - run.placed_ms,
-                }
-                self._context.log("start_overdue", fields)
-                run.is_doubtful = True
-                self._give_up(run, now_ms)
-
-    def _give_up(self, run: Run, now_ms: int) -> None:
-        """Ends a run whose start failed; its gang can't go on without it."""
-        task = self.tables.task(run.run_id.task)
-        assert task is not None
-        job = self.tables.jobs_by_id[run.run_id.task.job_id]
-        step = job.steps[run.run_id.task.step_index]
-        if run.is_doubtful:
-            stop_run(self._context, run, now_ms)
-        else:
-            release_run(self._context, task, run)
-            self.tables.touch(job)
-        if step.spec.is_gang:
-            stop_gang(self._context, step, run.run_id.number, now_ms)
-
     def _note_leaving(self, executor: Executor, now_ms: int) -> None:
         listing = executor.listing
         if not listing.is_draining:
