Judge an owner's lease only while that owner's row is the newest

Every planned stop of an owner could move the jobs twice. Test: test_owner_that_follows_a_resigned_one_meanwhile_is_left_alone, red before.

--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -209,6 +209,8 @@
                 self._watch.restart(self._clock.now_ms())
 
     def _judge_lease(self, owner: OwnerRow, rows: tuple[Row, ...]) -> None:
+        if self._owner.row is not owner:
+            return  # Another owner has followed while its lease was read.
         version = rows[0].version if rows else 0
         lease = decode_lease(rows[0].value) if rows and rows[0].value is not None else None
         renewed_ms: int | None = None
@@ -224,11 +226,11 @@
         if self._taking_over or self.ownership is not None or self.is_draining:
             return
         self._taking_over = True
-        self._spawn(self._take_over(reason))
+        seen_version = self._owner.row_version if self._owner.row is not None else 0
+        self._spawn(self._take_over(reason, seen_version))
 
-    async def _take_over(self, reason: str) -> None:
+    async def _take_over(self, reason: str, seen_version: int) -> None:
         try:
-            seen_version = self._owner.row_version if self._owner.row is not None else 0
             if reason != OWN_EARLIER_LIFE:
                 pause_ms = stagger_ms(
                     self._rng.random(), self._settings.cores, self._settings.link_mbps
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -197,6 +197,23 @@
     play(scenario)
 
 
+def test_owner_that_follows_a_resigned_one_meanwhile_is_left_alone() -> None:
+    async def scenario() -> None:
+        store = SlowStore()
+        stand = Stand(store)
+        other_owner(store, resigned=True)
+        await stand.read_owner()
+        newer = _renamed(store, "third")
+        store.rows[(OWNER_TABLE, OWNER_KEY)] = newer
+        store.on_read = lambda: stand.elector.take_rows((newer,))
+        await stand.watch()
+        assert stand.elector.ownership is None
+        assert stand.owner.row is not None
+        assert stand.owner.row.host_id == "third"
+
+    play(scenario)
+
+
 def test_own_earlier_life_is_followed_at_once() -> None:
     async def scenario() -> None:
         stand = Stand(host_id="other")
