--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -54,6 +54,7 @@
 OWNER_TIMEOUT_MS: Final = 600
 RETRY_PAUSE_MS: Final = 100
 ANSWER_MARGIN_MS: Final = 150  # Left of a caller's deadline for the answer's way back.
+MIN_INSERT_MS: Final = 40  # With less left the outcome of an insert would rarely be known.
 GIVE_UP_AFTER_MS: Final = 1_000  # A caller is kept no longer while the store doesn't answer.
 STORE_RETRY_AFTER_MS: Final = 1_000
 WAITING_MAX_AGE_MS: Final = 1_900
@@ -127,6 +128,7 @@
             "job_id": job_id,
             "queue": call.route.queue.name,
             "workspace": call.workspace,
+            "deadline_ms": deadline_ms,
             "took_ms": self._clock.now_ms() - started_ms,
         }
         match outcome:
@@ -187,36 +189,47 @@
         self, key: str, value: bytes, started_ms: int, deadline_ms: int
     ) -> Result[bool, Fault]:
         """Inserts a row of the intake; the value says whether it is new."""
-        conditions = [RowCondition(INTAKE_TABLE, key, 0)]
-        writes = [RowWrite(INTAKE_TABLE, key, value)]
+        answer_by_ms = started_ms + deadline_ms - _answer_margin_ms(deadline_ms)
         may_be_stored = False
         while True:
             fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
             store_answers = await self._store_state.answers(key)
-            left_ms = deadline_ms - ANSWER_MARGIN_MS - (self._clock.now_ms() - started_ms)
-            timeout_ms = max(1, min(COMMIT_TIMEOUT_MS, left_ms))
+            left_ms = answer_by_ms - self._clock.now_ms()
+            if left_ms < MIN_INSERT_MS:
+                fault = Fault(ResultCode.STORE_UNAVAILABLE, "too little time is left")
+                return Failure(_final_fault(fault, may_be_stored))
+            timeout_ms = min(COMMIT_TIMEOUT_MS, left_ms)
             if store_answers:
-                match await self._store.commit(conditions, writes, timeout_ms):
-                    case Success(Committed(version=version)):
-                        self._tell_owner(StoredRow(key, value, version))
-                        return Success(True)
-                    case Success(Conflict()):
-                        return Success(False)
-                    case Failure(Fault() as failed):
-                        fault = failed
+                match await self._insert_here(key, value, timeout_ms):
+                    case Success(is_new):
+                        return Success(is_new)
+                    case Failure(Fault() as fault):
                         unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
                         may_be_stored = may_be_stored or unknown
-            relayed = await self._insert_by_owner(key, value, timeout_ms)
-            match relayed:
+            match await self._insert_by_owner(key, value, timeout_ms):
                 case Success(is_new):
                     return Success(is_new and not may_be_stored)
                 case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
                     may_be_stored = True
-            given_up = self._give_up(key, fault, may_be_stored, started_ms, deadline_ms)
-            if given_up is not None:
-                return Failure(given_up)
+            if self._gives_up(key, started_ms, answer_by_ms):
+                return Failure(_final_fault(fault, may_be_stored))
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
+    async def _insert_here(self, key: str, value: bytes, timeout_ms: int) -> Result[bool, Fault]:
+        """Inserts a row once.  Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN."""
+        conditions = [RowCondition(INTAKE_TABLE, key, 0)]
+        writes = [RowWrite(INTAKE_TABLE, key, value)]
+        match await self._store.commit(conditions, writes, timeout_ms):
+            case Success(Committed(version=version)):
+                self._tell_owner(StoredRow(key, value, version))
+                return Success(True)
+            case Success(Conflict()):
+                return Success(False)
+            case Failure(Fault() as fault):
+                return Failure(fault)
+            case _:
+                raise AssertionError("a Result is Success or Failure")
+
     def _tell_owner(self, row: StoredRow) -> None:
         """Spares the owner the wait for the store's feed, which also brings the row."""
         owner = self._owner.row
@@ -244,16 +257,12 @@
                 return Failure(fault)
         return Failure(Fault(ResultCode.STORE_OUTCOME_UNKNOWN, "the owner's answer is missing"))
 
-    def _give_up(
-        self, key: str, fault: Fault, may_be_stored: bool, started_ms: int, deadline_ms: int
-    ) -> Fault | None:
-        spent_ms = self._clock.now_ms() - started_ms
-        limit_ms = min(GIVE_UP_AFTER_MS, deadline_ms - ANSWER_MARGIN_MS)
-        if not self._store_state.is_lost(key) and spent_ms + RETRY_PAUSE_MS < limit_ms:
-            return None
-        if may_be_stored:
-            return Fault(ResultCode.JOB_OUTCOME_UNKNOWN, fault.detail, STORE_RETRY_AFTER_MS)
-        return Fault(ResultCode.STORE_UNAVAILABLE, fault.detail, STORE_RETRY_AFTER_MS)
+    def _gives_up(self, key: str, started_ms: int, answer_by_ms: int) -> bool:
+        """Whether another try is of no use, or would keep the caller too long."""
+        if self._store_state.is_lost(key):
+            return True
+        end_ms = min(started_ms + GIVE_UP_AFTER_MS, answer_by_ms)
+        return self._clock.now_ms() + RETRY_PAUSE_MS >= end_ms
 
     async def _state_from_owner(self, job_id: str) -> JobState | None:
         if self._is_owner():
@@ -294,3 +303,14 @@
         if cancel.rows and not state.is_final:
             state = JobState.CANCELLED
         return Success(state)
+
+
+def _answer_margin_ms(deadline_ms: int) -> int:
+    """What is left of a caller's time for the way back; less of a short one."""
+    return min(ANSWER_MARGIN_MS, deadline_ms // 4)
+
+
+def _final_fault(fault: Fault, may_be_stored: bool) -> Fault:
+    """What the caller is told; never "not run" after an insert whose outcome is unknown."""
+    code = ResultCode.JOB_OUTCOME_UNKNOWN if may_be_stored else ResultCode.STORE_UNAVAILABLE
+    return Fault(code, fault.detail, STORE_RETRY_AFTER_MS)
--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -54,11 +54,13 @@
         self.read_faults: list[ResultCode | None] = []
         self.applied_without_answer = False
         self.commits = 0
+        self.timeouts_ms: list[int] = []
 
     async def commit(
         self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
     ) -> Result[Committed | Conflict, Fault]:
         self.commits += 1
+        self.timeouts_ms.append(timeout_ms)
         code = self.faults.pop(0) if self.faults else None
         if code is None:
             return Success(self._apply(conditions, writes))
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -11,7 +11,7 @@
 from jacinthreel_common import Fault, IntakeInserted, ResultCode, StreamReply, to_plain
 from jacinthreel_daemon.plumbing import MetricsRegistry, StreamHub
 from jacinthreel_node import Accepted, Route, RoutedCall
-from jacinthreel_node._job_service import JobService
+from jacinthreel_node._job_service import MIN_INSERT_MS, JobService
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._records import OwnerRow
 from jacinthreel_steps import JobSpec, JobState, QueueTerms, Resources, StepSpec
@@ -76,8 +76,8 @@
     async def answers(self, key: str) -> bool:
         return self.answers_now and not self.is_store_lost
 
-    def submit(self) -> Result[Accepted, Fault]:
-        return asyncio.run(self.service.submit(CALL, JOB_ID, SPEC, 3_000))
+    def submit(self, deadline_ms: int = 3_000) -> Result[Accepted, Fault]:
+        return asyncio.run(self.service.submit(CALL, JOB_ID, SPEC, deadline_ms))
 
     def state(self) -> Result[JobState, Fault]:
         return asyncio.run(self.service.state(JOB_ID))
@@ -121,6 +121,21 @@
     assert desk.store.commits == 0
 
 
+def test_caller_with_too_little_time_left_is_refused_and_nothing_is_sent() -> None:
+    desk = Desk()
+    fault = desk.submit(deadline_ms=MIN_INSERT_MS).failure()
+    assert fault.code is ResultCode.STORE_UNAVAILABLE
+    assert fault.retry_after_ms is not None
+    assert desk.store.commits == 0
+    assert desk.hub.calls == []
+
+
+def test_short_deadline_leaves_the_store_most_of_the_time() -> None:
+    desk = Desk()
+    assert desk.submit(deadline_ms=200) == Success(Accepted(True))
+    assert desk.store.timeouts_ms == [150]
+
+
 def test_owner_inserts_for_a_node_that_the_store_turns_away() -> None:
     inserted = to_plain(IntakeInserted(True))
     desk = Desk(Success(StreamReply(ResultCode.OK, body=inserted)))
