--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -29,13 +29,10 @@
     convert,
 )
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry, StreamHub
+from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ports import (
-    Committed,
-    Conflict,
     KeyedStore,
-    RowCondition,
-    RowWrite,
     Snapshot,
 )
 from jacinthreel_node._records import (
@@ -217,14 +214,12 @@
 
     async def _insert_here(self, key: str, value: bytes, timeout_ms: int) -> Result[bool, Fault]:
         """Inserts a row once.  Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN."""
-        conditions = [RowCondition(INTAKE_TABLE, key, 0)]
-        writes = [RowWrite(INTAKE_TABLE, key, value)]
-        match await self._store.commit(conditions, writes, timeout_ms):
-            case Success(Committed(version=version)):
+        match await insert_intake_row(self._store, key, value, timeout_ms):
+            case Success(None):
+                return Success(False)
+            case Success(int() as version):
                 self._tell_owner(StoredRow(key, value, version))
                 return Success(True)
-            case Success(Conflict()):
-                return Success(False)
             case Failure(Fault() as fault):
                 return Failure(fault)
             case _:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -24,16 +24,13 @@
     LinkContext,
 )
 from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._kept_speeds import KeptSpeeds
 from jacinthreel_node._ports import (
-    Committed,
-    Conflict,
     ExecutorGateway,
     KeyedStore,
     PlatformRows,
     Row,
-    RowCondition,
-    RowWrite,
     Snapshot,
 )
 from jacinthreel_node._progress_writer import ProgressWriter
@@ -165,15 +162,12 @@
 
         Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN.
         """
-        outcome = await self._store.commit(
-            [RowCondition(INTAKE_TABLE, key, 0)], [RowWrite(INTAKE_TABLE, key, value)], timeout_ms
-        )
-        match outcome:
-            case Success(Committed(version=version)):
+        match await insert_intake_row(self._store, key, value, timeout_ms):
+            case Success(None):
+                return Success(False)
+            case Success(int() as version):
                 self.take_intake_row(Row(INTAKE_TABLE, key, value, version))
                 return Success(True)
-            case Success(Conflict()):
-                return Success(False)
             case Failure(Fault() as fault):
                 return Failure(fault)
             case _:
