Look for a gang's room on the rack of its data before looking at speeds

Cause, found on rereading: the choice of speed classes came before the rack of the data, so that an urgent gang could go to fast executors away from its data, where it takes three times as long. A gang that wants one rack took the tightest one before, whatever its data. Test: test_rack_of_the_data_goes_before_speed, red before for both kinds of gang.

--- a/packages/steps/src/jacinthreel_steps/_room.py
+++ b/packages/steps/src/jacinthreel_steps/_room.py
@@ -121,12 +121,21 @@
     if sum(candidate.fits(step.spec.shape) for candidate in candidates) < len(tasks):
         return None
     for trusted in by_trust(candidates):
-        placement = _place_trusted_gang(step, tasks, trusted, is_urgent)
-        if placement is not None:
-            return placement
+        for nearby in _by_nearness(step, trusted):
+            placement = _place_trusted_gang(step, tasks, nearby, is_urgent)
+            if placement is not None:
+                return placement
     return None
 
 
+def _by_nearness(step: Step, candidates: list[Candidate]) -> list[list[Candidate]]:
+    """The candidates on the rack of the step's data, then all of them."""
+    near = step.spec.rack_near_data
+    if not near:
+        return [candidates]
+    return [[each for each in candidates if each.executor.listing.rack == near], candidates]
+
+
 def by_trust(candidates: list[Candidate]) -> list[list[Candidate]]:
     """The most trusted candidates, then more and more of them, at last all."""
     levels = sorted({candidate.trust for candidate in candidates})
--- a/packages/steps/tests/test_executor_speed.py
+++ b/packages/steps/tests/test_executor_speed.py
@@ -153,3 +153,21 @@
     world.settle()
     speeds = {world.scheduler._context.speeds.speed(name) for name in NAMES}
     assert speeds == {1.0}
+
+
+NEAR_CASES = {
+    "gang on any racks": {"is_gang": True},
+    "gang on one rack": {"is_gang": True, "wants_one_rack": True},
+    "single tasks": {},
+}
+
+
+@pytest.mark.parametrize("name", NEAR_CASES)
+def test_rack_of_the_data_goes_before_speed(name: str) -> None:
+    world = World(*(listing(f"e{index}", f"r{index % 2}") for index in range(6)))
+    for executor in world.scheduler.tables.executors_by_id.values():
+        executor.health.speed_class = 2 if executor.listing.rack == "r1" else -1
+    near = step(3, accelerators=8, rack_near_data="r0", **NEAR_CASES[name])
+    world.submit("j1", near, terms=queue(0))
+    world.settle()
+    assert {world.listings[run.executor_id].rack for run in world.runs("j1")} == {"r0"}
