Let a slow store show that an owner's lease stands

Cause, found on rereading: each read of a lease that took over 0.3 s restarted the watch, so that with a store 80 times as slow (answers of 0.32 s) no owner that was lost could be followed until it was well again. A slow read now only makes renewals from before it count for nothing; the row itself is watched on as before. Test: test_slow_store_still_shows_that_a_lease_stands, red before.

--- a/packages/node/src/jacinthreel_node/_election.py
+++ b/packages/node/src/jacinthreel_node/_election.py
@@ -9,8 +9,9 @@
 `ADMITTED_LAPSE_MS`.
 
 Heartbeats say which renewal of the lease was the last and how long ago it was, so that a row which
-still shows that renewal counts as unchanged from then on.  A read that fails or takes long restarts
-the watch, so that an outage of the store moves nothing.
+still shows that renewal counts as unchanged from then on, unless a read has taken long since: a
+renewal may have waited as well.  A read that fails restarts the watch, so that an outage of the
+store moves nothing.
 """
 
 from __future__ import annotations
@@ -35,12 +36,12 @@
 class LeaseWatch:
     """How long the lease row has been unchanged, by successful reads without a gap.
 
-    Nothing from before `restarted_ms` counts.
+    Renewals that were only heard of count from `trusted_from_ms` at the earliest.
     """
 
     version: int | None = None
     since_ms: int = 0
-    restarted_ms: int = 0
+    trusted_from_ms: int = 0
 
     def see(self, version: int, now_ms: int, renewed_ms: int | None = None) -> int:
         """Takes the version that was read; returns for how long it has stood.
@@ -51,17 +52,21 @@
             self.version = version
             self.since_ms = now_ms
         if renewed_ms is not None:
-            self.since_ms = min(self.since_ms, max(renewed_ms, self.restarted_ms))
+            self.since_ms = min(self.since_ms, max(renewed_ms, self.trusted_from_ms))
         return now_ms - self.since_ms
 
     def reset(self) -> None:
         """Forgets what was seen; the owner is in order."""
         self.version = None
 
+    def distrust_renewals(self, now_ms: int) -> None:
+        """The store was slow to answer: a renewal may have waited as long."""
+        self.trusted_from_ms = now_ms
+
     def restart(self, now_ms: int) -> None:
         """Forgets what was seen, because the store can't show the lease."""
         self.version = None
-        self.restarted_ms = now_ms
+        self.trusted_from_ms = now_ms
 
 
 def stagger_ms(draw: float, cores: float, link_mbps: float) -> int:
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -203,7 +203,7 @@
         match await self._store.read(LEASE_TABLE, STORE_TIMEOUT_MS, owner.host_id):
             case Success(Snapshot(rows=rows)):
                 if self._clock.now_ms() - sent_ms > PROMPT_READ_MS:
-                    self._watch.restart(self._clock.now_ms())
+                    self._watch.distrust_renewals(self._clock.now_ms())
                 self._judge_lease(owner, rows)
             case Failure(Fault()):
                 self._watch.restart(self._clock.now_ms())
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -113,6 +113,22 @@
     play(scenario)
 
 
+def test_slow_store_still_shows_that_a_lease_stands() -> None:
+    async def scenario() -> None:
+        store = SlowStore()
+        stand = Stand(store)
+        other_owner(store)
+        await stand.read_owner()
+        store.on_read = lambda: stand.clock.advance(PROMPT_READ_MS + 100)
+        for _ in range(1 + LEASE_MS // (PROMPT_READ_MS + 100)):
+            await stand.watch()
+            assert stand.elector.ownership is None
+        await stand.watch()
+        assert stand.elector.ownership is not None
+
+    play(scenario)
+
+
 def test_takeover_says_how_long_the_former_owner_was_silent() -> None:
     async def scenario() -> None:
         stand = Stand()
