Wait until each router has read that an executor leaves before it has to be left alone

Traced by the routers' logs: entry-2 had not read the list of hosts yet (it does each second; its decisions still had three candidates), sent a whole batch elsewhere by chance, which the test took for its knowledge, and then two requests to the leaving executor. The lag of the list is allowed (INVARIANTS.md). The test now waits until the newest decision of each router has only the other executors to choose from, and then allows nothing there in three batches instead of one.

--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import http.client
+import json
 import signal
 import threading
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 from _local_cluster import HttpAnswer, LocalCluster, call, wait_until
 
@@ -31,6 +33,17 @@
     return runs
 
 
+def newest_routes(cluster: LocalCluster, request_prefix: str) -> list[dict[str, Any]]:
+    """The newest routing decision of each router for requests whose id begins so."""
+    newest: list[dict[str, Any]] = []
+    for path in sorted(cluster.directory.glob("*-router.log")):
+        whole = [text for text in path.read_text().splitlines() if text.endswith("}")]
+        lines = [json.loads(text) for text in whole if '"event": "route"' in text]
+        mine = [line for line in lines if line["request"].startswith(request_prefix)]
+        newest += mine[-1:]
+    return newest
+
+
 def test_every_caller_gets_its_own_whole_answer(cluster: LocalCluster) -> None:
     ports = cluster.router_ports()
 
@@ -103,14 +116,23 @@
     def runs_there() -> int:
         return len(cluster.stand_in_log(executor_id)["runs"])
 
-    def is_left_alone() -> bool:
-        before = runs_there()
+    others = len(cluster.ids_of(HostKind.EXECUTOR)) - 1
+
+    def send_batch() -> None:
         answers = [send(ports[number % 3], f"leave-{number}", 5)[1] for number in range(12)]
         assert {answer.status for answer in answers} == {200}
-        return runs_there() == before
+
+    def is_known() -> bool:
+        """Whether each router's newest decision had only the others to choose from."""
+        send_batch()
+        routes = newest_routes(cluster, "leave-")
+        return len(routes) == len(ports) and all(line["candidates"] == others for line in routes)
 
     try:
-        wait_until("the leaving executor is left alone", is_left_alone)
-        assert is_left_alone()
+        wait_until("all routers know that the executor leaves", is_known)
+        before = runs_there()
+        for _ in range(3):
+            send_batch()
+        assert runs_there() == before
     finally:
         cluster.platform("POST", f"/v1/hosts/{executor_id}/state", {"state": "live"})
