Count free slots by shape in a scheduling pass; keep preemption offers in a heap

Cause: a pass compared each waiting job with each executor, and each search for victims compared each task with each executor. Ruled out: reports and store calls, which are a few hundred a second.

The counts of a shape are computed once a pass and kept current when runs are created or stopped. A step that fits nowhere is recognized from them. In a preemption search only the offers of executors that the last choice affects are computed again. The excess of a workspace over its guarantee is now reduced by the victims chosen before, so that one pass takes none below its guarantee.

--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_claims.py
@@ -0,0 +1,87 @@
+"""Claims of capacity for jobs of priority 0: made by preemption, placed once the capacity is free.
+
+Claimed capacity counts as used, so that no other job takes the capacity that was freed for a claim.
+A claim whose capacity is not free within `CLAIM_TIMEOUT_MS` is released, and the job is scheduled
+anew.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_steps._context import Context, run_name
+from jacinthreel_steps._lifecycle import release_run, stop_gang, stop_run
+from jacinthreel_steps._pass_state import PassState
+from jacinthreel_steps._preemption import PreemptionPlan
+from jacinthreel_steps._run_creation import commit_placement, create_runs
+from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables
+
+CLAIM_TIMEOUT_MS: Final = 800
+
+
+def preempt_and_claim(state: PassState, job: Job, step: Step, preemption: PreemptionPlan) -> None:
+    """Stops the victims of a plan and claims the capacity for the tasks that it places."""
+    context = state.context
+    context.log(
+        "room_claimed",
+        {
+            "job_id": job.job_id,
+            "step": job.steps.index(step),
+            "tasks": len(preemption.placement),
+            "stopped": [
+                run_name(run.run_id) for victim in preemption.victims for run in victim.runs
+            ],
+            "cost_core_s": round(preemption.cost, 1),
+        },
+    )
+    accelerators = len(preemption.placement) * step.spec.shape.accelerators
+    context.headroom.record_claim(accelerators, state.now_ms)
+    for victim in preemption.victims:
+        if victim.urgent_workspace is not None:
+            state.used_by_workspace[victim.urgent_workspace] -= victim.accelerators
+        for run in victim.runs:
+            stop_run(context, run, state.now_ms)
+            state.record_change(run.executor_id)
+    create_runs(state, job, step, preemption.placement, RunState.CLAIMED)
+
+
+def place_or_release_claims(context: Context, now_ms: int) -> None:
+    """Places claims whose capacity is free, and releases claims that have timed out."""
+    for job in list(context.tables.open_jobs_by_id.values()):
+        if job.record.queue.priority > 0:
+            continue
+        for step in job.steps:
+            claims = [
+                task.run
+                for task in step.tasks
+                if task.run is not None and task.run.state is RunState.CLAIMED
+            ]
+            if claims:
+                _place_or_release_step_claims(context, job, step, claims, now_ms)
+
+
+def _place_or_release_step_claims(
+    context: Context, job: Job, step: Step, claims: list[Run], now_ms: int
+) -> None:
+    satisfied = [run for run in claims if _is_satisfied(context.tables, run)]
+    if step.spec.is_gang and len(satisfied) < len(claims):
+        satisfied = []
+    if satisfied:
+        commit_placement(context, job, step, satisfied, now_ms)
+    for run in claims:
+        if run.state is not RunState.CLAIMED or now_ms - run.placed_ms <= CLAIM_TIMEOUT_MS:
+            continue
+        task = context.tables.task(run.run_id.task)
+        if task is not None:
+            release_run(context, task, run)
+        if step.spec.is_gang:
+            stop_gang(context, step, run.run_id.number, now_ms)
+
+
+def _is_satisfied(tables: Tables, run: Run) -> bool:
+    """Whether the runs on the executor, including claims, use no more than its capacity."""
+    executor = tables.executors_by_id.get(run.executor_id)
+    if executor is None:
+        return False
+    free = executor.free_resources
+    return free.cpu_milli >= 0 and free.memory_mb >= 0 and free.accelerators >= 0
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_pass_state.py
@@ -0,0 +1,105 @@
+"""The state of one scheduling pass: usable executors, slot counts and preemption victims.
+
+The counts are computed on demand and kept current by `record_change`, so that the cost of a pass
+depends on the number of different shapes and of placements, and not on the product of waiting jobs
+and executors.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._model import Resources
+from jacinthreel_steps._placement import UsableExecutors
+from jacinthreel_steps._slot_index import SlotIndex
+from jacinthreel_steps._tables import Executor, Tables
+from jacinthreel_steps._victims import VictimIndex
+
+
+@dataclass(slots=True)
+class ServiceSlots:
+    """The slot counts of the executors that one class of jobs may use in one service.
+
+    `free` counts capacity that is free now, `empty` all capacity of the executors.
+    """
+
+    free: SlotIndex
+    empty: SlotIndex
+
+
+@dataclass(slots=True)
+class PassState:
+    """The state of one pass.
+
+    `used_by_workspace` counts the accelerators used by runs of priority 0.
+    """
+
+    context: Context
+    usable: UsableExecutors
+    now_ms: int
+    used_by_workspace: dict[str, int]
+    victims: VictimIndex
+    _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
+    _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
+    _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
+
+    def slots_for(self, service: str, priority: int) -> ServiceSlots:
+        """Returns the slots for jobs of a priority; only urgent jobs use the reserved headroom."""
+        by_service = (
+            self._urgent_slots_by_service if priority == 0 else self._other_slots_by_service
+        )
+        slots = by_service.get(service)
+        if slots is None:
+            executors = self.usable.by_service.get(service, [])
+            if priority > 0:
+                executors = self._without_headroom(executors)
+            slots = ServiceSlots(
+                SlotIndex(executors, _free_capacity), SlotIndex(executors, _capacity)
+            )
+            by_service[service] = slots
+        return slots
+
+    def reclaimable_slots(self, service: str) -> SlotIndex:
+        """Returns the slots that are free if all runs of lower priority are preempted."""
+        index = self._reclaimable_by_service.get(service)
+        if index is None:
+            executors = self.usable.by_service.get(service, [])
+            index = SlotIndex(executors, self.victims.capacity_if_cleared)
+            self._reclaimable_by_service[service] = index
+        return index
+
+    def record_change(self, executor_id: str) -> None:
+        """Updates what is known of an executor whose runs have changed."""
+        self.victims.forget(executor_id)
+        for slots in self._urgent_slots_by_service.values():
+            slots.free.update(executor_id)
+        for slots in self._other_slots_by_service.values():
+            slots.free.update(executor_id)
+        for index in self._reclaimable_by_service.values():
+            index.update(executor_id)
+
+    def _without_headroom(self, executors: list[Executor]) -> list[Executor]:
+        reserved_ids = self.context.headroom.select_reserved_ids(executors, self.now_ms)
+        if not reserved_ids:
+            return executors
+        return [executor for executor in executors if executor.executor_id not in reserved_ids]
+
+
+def count_used_accelerators(tables: Tables) -> dict[str, int]:
+    """Returns the accelerators used by open jobs of priority 0, by workspace."""
+    used: dict[str, int] = {}
+    for job in tables.open_jobs_by_id.values():
+        if job.record.queue.priority != 0:
+            continue
+        amount = sum(run.shape.accelerators for run in job.live_runs())
+        used[job.record.workspace] = used.get(job.record.workspace, 0) + amount
+    return used
+
+
+def _free_capacity(executor: Executor) -> Resources:
+    return executor.free_resources
+
+
+def _capacity(executor: Executor) -> Resources:
+    return executor.listing.capacity
--- a/packages/steps/src/jacinthreel_steps/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_placement.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -81,7 +82,7 @@
 
 
 def find_candidates(
-    step: Step, executors: list[Executor], max_attempts: int, now_ms: int
+    step: Step, executors: Sequence[Executor], max_attempts: int, now_ms: int
 ) -> list[Candidate]:
     """Returns a candidate for each of `executors` that has the label required by the step."""
     spec = step.spec
@@ -222,7 +223,7 @@
     return best
 
 
-def fits_on_empty_rack(step: Step, executors: list[Executor], count: int) -> bool:
+def fits_on_empty_rack(step: Step, executors: Sequence[Executor], count: int) -> bool:
     """Whether some rack could hold `count` tasks if nothing else ran there."""
     slots_by_rack: dict[str, int] = {}
     for executor in executors:
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_run_creation.py
@@ -0,0 +1,69 @@
+"""Creates the runs of a placement and commits them, so that they are stored and started."""
+
+from __future__ import annotations
+
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._lifecycle import attach_run
+from jacinthreel_steps._model import JobState, RunId
+from jacinthreel_steps._pass_state import PassState
+from jacinthreel_steps._placement import Placement
+from jacinthreel_steps._tables import Job, Run, RunState, Step
+
+
+def place_tasks(state: PassState, job: Job, step: Step, placement: Placement) -> None:
+    """Places tasks on executors that have free capacity for them."""
+    runs = create_runs(state, job, step, placement, RunState.PLACED)
+    commit_placement(state.context, job, step, runs, state.now_ms)
+
+
+def create_runs(
+    state: PassState, job: Job, step: Step, placement: Placement, run_state: RunState
+) -> list[Run]:
+    """Creates a run of each task; the members of a gang get the same run number."""
+    gang_run_number = 1 + max(task.run_number for task, _ in placement)
+    runs: list[Run] = []
+    for task, executor_id in placement:
+        executor = state.context.tables.executors_by_id[executor_id]
+        run = Run(
+            RunId(task.task_id, gang_run_number if step.spec.is_gang else task.run_number + 1),
+            executor_id,
+            executor.listing.incarnation,
+            step.spec.shape,
+            run_state,
+            state.now_ms,
+            is_from_zero=not task.checkpoint,
+            progress_changed_ms=state.now_ms,
+            checkpoint=task.checkpoint,
+        )
+        attach_run(state.context, task, run)
+        runs.append(run)
+    for executor_id in {executor_id: None for _, executor_id in placement}:
+        state.record_change(executor_id)
+    if job.record.queue.priority == 0:
+        used = state.used_by_workspace
+        amount = len(placement) * step.spec.shape.accelerators
+        used[job.record.workspace] = used.get(job.record.workspace, 0) + amount
+    return runs
+
+
+def commit_placement(context: Context, job: Job, step: Step, runs: list[Run], now_ms: int) -> None:
+    """Marks runs as placed: they are started once the job's new revision is stored."""
+    if job.state is JobState.QUEUED:
+        job.state = JobState.RUNNING
+    context.tables.bump_revision(job)
+    for run in runs:
+        run.state = RunState.PLACED
+        run.placed_ms = now_ms
+        run.needed_revision = job.revision
+    context.log(
+        "tasks_placed",
+        {
+            "job_id": job.job_id,
+            "step": job.steps.index(step),
+            "run": runs[0].run_id.number,
+            "executors": [run.executor_id for run in runs],
+            "queue": job.record.queue.name,
+            "waited_ms": now_ms - job.accepted_ms,
+            "policy_version": context.tables.policy.version,
+        },
+    )
--- a/packages/steps/tests/test_urgent_load.py
+++ b/packages/steps/tests/test_urgent_load.py
@@ -179,3 +179,19 @@
 
     assert harness.state("g") == "running"
     assert len(harness.runs("g")) == 2
+
+
+def test_one_pass_takes_no_workspace_below_its_guarantee() -> None:
+    policy = Policy(1, {}, {"w": 8, "other": 8})
+    harness = SchedulerHarness(listing("e1"), listing("e2"), policy=policy)
+    harness.submit("over", step(count=10), terms=queue(0), workspace="other")
+    harness.submit("third", step(count=6), terms=queue(0), workspace="third")
+    harness.settle()
+
+    for index in range(2):
+        harness.submit(f"urgent{index}", step(count=4), terms=queue(0))
+    harness.settle()
+
+    assert len(harness.runs("urgent0")) + len(harness.runs("urgent1")) == 8
+    assert len(harness.runs("over")) == 8
+    assert len(harness.runs("third")) == 0
