Answer callers before their deadline while the store and the owner are silent

Cause: a submission waited for a probe of 400 ms, an insert and a call to the owner of 600 ms, each limited on its own, and connecting (700 ms) came on top of a call's timeout; callers with some 250 ms left heard nothing. Ruled out: the final refusal itself, which comes at once. Now each step gets what is left until the answer is due, and a call's timeout includes connecting.

Tests seen red: the owner got 600 ms of a deadline of 200 ms.

--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -100,7 +100,7 @@
 
         `may_send` is called immediately before the first byte is written; if it returns false,
         nothing is sent.  `headers` are sent in addition to the standard ones.  `timeout_ms` limits
-        the time until the headers of the reply arrive.
+        the time until the headers of the reply arrive, including that for connecting.
         """
         return await self._request("POST", path, body, timeout_ms, may_send, headers)
 
@@ -123,8 +123,9 @@
         may_send: Callable[[], bool],
         headers: Mapping[str, str] | None = None,
     ) -> Result[HttpReply, HttpFailure]:
+        end_s = asyncio.get_running_loop().time() + timeout_ms / 1000
         try:
-            stream = self._pop_idle() or await self._connect()
+            stream = self._pop_idle() or await self._connect(timeout_ms)
         except TimeoutError:
             return Failure(HttpFailure(False, "timed out while connecting"))
         except (OSError, StreamClosedError) as error:
@@ -133,7 +134,7 @@
             self._return_to_pool(stream)
             return Failure(HttpFailure(False, "not sent: cancelled by the caller"))
         try:
-            async with asyncio.timeout(timeout_ms / 1000) as reply_timeout:
+            async with asyncio.timeout_at(end_s) as reply_timeout:
                 return await self._exchange(
                     stream, method, path, body, headers or {}, reply_timeout
                 )
@@ -176,8 +177,8 @@
             return Failure(HttpFailure(True, "connection closed before the reply was complete"))
         return Success(HttpReply(collector.status, b"".join(collector.chunks)))
 
-    async def _connect(self) -> IOStream:
-        async with asyncio.timeout(self._connect_timeout_s):
+    async def _connect(self, timeout_ms: int) -> IOStream:
+        async with asyncio.timeout(min(self._connect_timeout_s, timeout_ms / 1000)):
             return await dial(self._address, self._port, MAX_REPLY_BYTES)
 
     def _pop_idle(self) -> IOStream | None:
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -190,37 +190,39 @@
         may_be_stored = False
         while True:
             fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
-            store_answers = await self._store_availability.is_answering(key)
             remaining_ms = answer_by_ms - self._clock.now_ms()
-            if remaining_ms < MIN_INSERT_MS:
-                fault = Fault(
-                    ResultCode.STORE_UNAVAILABLE, "too little time is left before the deadline"
-                )
-                return Failure(_final_fault(fault, may_be_stored))
-            timeout_ms = min(COMMIT_TIMEOUT_MS, remaining_ms)
-            if store_answers:
-                match await self._insert_directly(key, value, timeout_ms):
+            if remaining_ms >= MIN_INSERT_MS and await self._store_availability.is_answering(
+                key, remaining_ms
+            ):
+                match await self._insert_directly(key, value, answer_by_ms):
                     case Success(is_new):
                         return Success(is_new)
                     case Failure(Fault() as fault):
                         is_unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
                         may_be_stored = may_be_stored or is_unknown
-            match await self._insert_via_owner(key, value, timeout_ms):
+            match await self._insert_via_owner(key, value, answer_by_ms):
                 case Success(is_new):
                     return Success(is_new and not may_be_stored)
                 case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
                     may_be_stored = True
+            if answer_by_ms - self._clock.now_ms() < MIN_INSERT_MS:
+                detail = "too little time is left before the deadline"
+                fault = Fault(ResultCode.STORE_UNAVAILABLE, detail)
+                return Failure(_final_fault(fault, may_be_stored))
             if self._is_retry_exhausted(key, started_ms, answer_by_ms):
                 return Failure(_final_fault(fault, may_be_stored))
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _insert_directly(
-        self, key: str, value: bytes, timeout_ms: int
+        self, key: str, value: bytes, answer_by_ms: int
     ) -> Result[bool, Fault]:
         """Inserts a row with one attempt from this host; returns whether it is new.
 
         Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN.
         """
+        timeout_ms = min(COMMIT_TIMEOUT_MS, answer_by_ms - self._clock.now_ms())
+        if timeout_ms < MIN_INSERT_MS:
+            return Failure(Fault(ResultCode.STORE_UNAVAILABLE, "too little time is left"))
         match await insert_intake_row(self._store, key, value, timeout_ms):
             case Success(None):
                 return Success(False)
@@ -241,7 +243,7 @@
             self._hub.notify(owner.address, owner.port, IntakeNotice(row))
 
     async def _insert_via_owner(
-        self, key: str, value: bytes, timeout_ms: int
+        self, key: str, value: bytes, answer_by_ms: int
     ) -> Result[bool, Fault]:
         """Sends a row to the owner, which inserts it; returns whether it is new.
 
@@ -250,8 +252,11 @@
         owner = self._owner_view.row
         if owner is None or self._is_owner():
             return Failure(Fault(ResultCode.PEER_UNREACHABLE, "no other node is the owner"))
-        call = IntakeInsert(key, value, min(timeout_ms, OWNER_TIMEOUT_MS))
-        match await self._hub.call(owner.address, owner.port, call, OWNER_TIMEOUT_MS):
+        timeout_ms = min(OWNER_TIMEOUT_MS, answer_by_ms - self._clock.now_ms())
+        if timeout_ms < MIN_INSERT_MS:
+            return Failure(Fault(ResultCode.PEER_UNREACHABLE, "too little time is left"))
+        call = IntakeInsert(key, value, timeout_ms)
+        match await self._hub.call(owner.address, owner.port, call, timeout_ms):
             case Success(StreamReply(code=ResultCode.OK, body=body)):
                 inserted = convert(IntakeInserted, body).value_or(None)
                 if inserted is not None:
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -287,7 +287,7 @@
         ownership = self._elector.ownership
         if ownership is None or not ownership.is_loaded:
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
-        if not await self._store.is_answering(insert.key):
+        if not await self._store.is_answering(insert.key, insert.timeout_ms):
             return StreamReply(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
         match await ownership.insert_intake(insert.key, insert.value, insert.timeout_ms):
             case Success(is_new):
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -48,8 +48,11 @@
     def is_lost(self, key: str) -> bool:
         """Whether calls for the row are expected to fail."""
 
-    async def is_answering(self, key: str) -> bool:
-        """Whether the store currently answers calls for the row's group."""
+    async def is_answering(self, key: str, timeout_ms: int) -> bool:
+        """Whether the store currently answers calls for the row's group.
+
+        Returns false if no answer arrives within `timeout_ms`.
+        """
 
 
 class StoreHealth:
@@ -148,7 +151,7 @@
         """Whether new jobs can't be stored; one group is checked as representative of all."""
         return self.is_lost(PROBE_KEYS[0])
 
-    async def is_answering(self, key: str) -> bool:
+    async def is_answering(self, key: str, timeout_ms: int) -> bool:
         """Whether the intake row can be stored, judged by a recent answer or else by a probe.
 
         A write to an unresponsive store has an unknown outcome; checking first makes this rare.
@@ -156,7 +159,7 @@
         health = self.health_of(INTAKE_TABLE, key)
         if health.is_lost:
             return False
-        return health.has_recent_answer or await self._probe(key)
+        return health.has_recent_answer or await self._probe(key, timeout_ms)
 
     async def probe_suspect_groups(self) -> None:
         """Probes one suspect group of the intake, and the other suspect ones if it answers.
@@ -178,8 +181,8 @@
         healths = self._health_by_group.values()
         return any(health.needs_probe and not health.is_lost for health in healths)
 
-    async def _probe(self, key: str) -> bool:
-        outcome = await self.read(INTAKE_TABLE, PROBE_TIMEOUT_MS, key)
+    async def _probe(self, key: str, timeout_ms: int = PROBE_TIMEOUT_MS) -> bool:
+        outcome = await self.read(INTAKE_TABLE, min(timeout_ms, PROBE_TIMEOUT_MS), key)
         return isinstance(outcome, Success)
 
     async def commit(
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -221,16 +221,16 @@
     inner = CountingStore()
     store = MonitoredStore(inner, clock)
 
-    assert asyncio.run(store.is_answering(JOB_KEY))
-    assert asyncio.run(store.is_answering(JOB_KEY))
+    assert asyncio.run(store.is_answering(JOB_KEY, 500))
+    assert asyncio.run(store.is_answering(JOB_KEY, 500))
     assert inner.full_reads == 1
 
     clock.time_ms += RECENT_ANSWER_MS + 1
     inner.read_faults = [ResultCode.STORE_UNAVAILABLE]
-    assert not asyncio.run(store.is_answering(JOB_KEY))
+    assert not asyncio.run(store.is_answering(JOB_KEY, 500))
     clock.time_ms += LOST_AFTER_MS
     assert store.is_lost(JOB_KEY)
-    assert not asyncio.run(store.is_answering(JOB_KEY))
+    assert not asyncio.run(store.is_answering(JOB_KEY, 500))
     assert inner.full_reads == 2
 
 
@@ -244,7 +244,7 @@
 
     assert store.is_lost(JOB_KEY)
     assert not store.is_lost(OTHER_KEY)
-    assert not asyncio.run(store.is_answering(JOB_KEY))
+    assert not asyncio.run(store.is_answering(JOB_KEY, 500))
 
 
 def test_lost_group_is_probed_until_it_replies() -> None:
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -27,12 +27,14 @@
     def __init__(self, reply: Result[StreamReply, Fault]) -> None:
         self.reply = reply
         self.calls: list[object] = []
+        self.call_timeouts_ms: list[int] = []
         self.notices: list[object] = []
 
     async def call(
         self, address: str, port: int, message: object, timeout_ms: int
     ) -> Result[StreamReply, Fault]:
         self.calls.append(message)
+        self.call_timeouts_ms.append(timeout_ms)
         return self.reply
 
     def notify(self, address: str, port: int, message: object) -> bool:
@@ -54,6 +56,8 @@
         self.owner.apply_row(OwnerRow(1, "other", "10.0.0.2", 7000, "n"), 1)
         self.is_store_lost = False
         self.is_store_replying = True
+        self.probe_ms = 0
+        self.probe_timeouts_ms: list[int] = []
         self.own_rows: list[Any] = []
         self.is_owner = False
         self.service = JobService(
@@ -73,7 +77,9 @@
     def is_lost(self, key: str) -> bool:
         return self.is_store_lost
 
-    async def is_answering(self, key: str) -> bool:
+    async def is_answering(self, key: str, timeout_ms: int) -> bool:
+        self.probe_timeouts_ms.append(timeout_ms)
+        self.clock.advance(self.probe_ms)
         return self.is_store_replying and not self.is_store_lost
 
     def submit(self, deadline_ms: int = 3_000) -> Result[SubmitResult, Fault]:
@@ -130,6 +136,25 @@
     assert harness.hub.calls == []
 
 
+def test_caller_with_little_time_is_answered_before_its_deadline() -> None:
+    harness = JobServiceHarness()
+    harness.is_store_replying = False
+    harness.probe_ms = 40
+    fault = harness.submit(deadline_ms=200).failure()
+    assert fault.retry_after_ms is not None
+    assert harness.probe_timeouts_ms == [150, 110]
+    assert harness.hub.call_timeouts_ms == [110, 70]
+
+
+def test_owner_is_not_called_once_the_probe_has_used_up_the_time() -> None:
+    harness = JobServiceHarness()
+    harness.is_store_replying = False
+    harness.probe_ms = 140
+    assert harness.submit(deadline_ms=200).failure().code is ResultCode.STORE_UNAVAILABLE
+    assert harness.hub.calls == []
+    assert harness.store.commits == 0
+
+
 def test_store_gets_most_of_a_short_deadline() -> None:
     harness = JobServiceHarness()
     assert harness.submit(deadline_ms=200) == Success(SubmitResult(True))
