Let claims last as long as the deployment's executors may take to stop a run

Cause: claims were released after 0.8 s and runs that had been stopping for 0.6 s counted as ignoring the order, but on the large site a stop takes up to 0.9 s. The limits now follow the bound of the settings file; where it is 0.2 s they are what they were.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -86,7 +86,7 @@
         self._on_lost = on_lost
         self.epoch = owner.epoch
         self.is_loaded = False
-        self.scheduler = Scheduler(log)
+        self.scheduler = Scheduler(log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
         unreached_lease_ms = _unreached_lease_ms(settings.task_lease_ms, has_former_owner_stopped)
         self.former_leases = FormerLeases(self._takeover_ms + unreached_lease_ms)
--- a/packages/node/src/jacinthreel_node/_settings.py
+++ b/packages/node/src/jacinthreel_node/_settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from jacinthreel_steps import DEFAULT_STOP_LIMIT_MS
+
 Address = tuple[str, int]
 
 
@@ -14,7 +16,8 @@
     `cores` is the number of CPU cores available to the process, `link_mbps` the bandwidth of the
     host's network link.  `task_lease_ms` is the duration of leases at executors, `stop_grace_ms`
     the time in which the process must stop after SIGTERM, and `status_keep_ms` how long the state
-    of an ended job is kept.
+    of an ended job is kept.  `run_stop_limit_ms` is the longest time that an executor takes to stop
+    a run.
     """
 
     host_id: str
@@ -29,3 +32,4 @@
     task_lease_ms: int
     stop_grace_ms: int
     status_keep_ms: int
+    run_stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -4,7 +4,7 @@
 package does no I/O, reads no clock and uses no random numbers.
 """
 
-from jacinthreel_steps._context import DecisionLog, StopOrder, run_name
+from jacinthreel_steps._context import DEFAULT_STOP_LIMIT_MS, DecisionLog, StopOrder, run_name
 from jacinthreel_steps._job_order import objective_ms
 from jacinthreel_steps._model import (
     EndReason,
@@ -29,6 +29,7 @@
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
 
 __all__ = [
+    "DEFAULT_STOP_LIMIT_MS",
     "MAX_REPORT_AGE_MS",
     "DecisionLog",
     "EndReason",
--- a/packages/steps/src/jacinthreel_steps/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_claims.py
@@ -1,8 +1,8 @@
 """Claims of capacity for jobs of priority 0: made by preemption, placed once the capacity is free.
 
 Claimed capacity counts as used, so that no other job takes the capacity that was freed for a claim.
-A claim whose capacity is not free within `CLAIM_TIMEOUT_MS` is released, and the job is scheduled
-anew.
+A claim whose capacity is not free within the time of a stop and `CLAIM_MARGIN_MS` is released, and
+the job is scheduled anew.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from jacinthreel_steps._run_creation import commit_placement, create_runs
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables
 
-CLAIM_TIMEOUT_MS: Final = 800
+CLAIM_MARGIN_MS: Final = 600
 
 
 def preempt_and_claim(state: PassState, job: Job, step: Step, preemption: PreemptionPlan) -> None:
@@ -68,8 +68,9 @@
         satisfied = []
     if satisfied:
         commit_placement(context, job, step, satisfied, now_ms)
+    claim_limit_ms = context.stop_limit_ms + CLAIM_MARGIN_MS
     for run in claims:
-        if run.state is not RunState.CLAIMED or now_ms - run.placed_ms <= CLAIM_TIMEOUT_MS:
+        if run.state is not RunState.CLAIMED or now_ms - run.placed_ms <= claim_limit_ms:
             continue
         task = context.tables.task(run.run_id.task)
         if task is not None:
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -4,13 +4,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Final
 
 from jacinthreel_steps._headroom import Headroom
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._speed_model import SpeedModel
 from jacinthreel_steps._tables import Run, Tables
 
+DEFAULT_STOP_LIMIT_MS: Final = 200
+
 DecisionLog = Callable[[str, dict[str, Any]], None]
 """Writes one structured log line: the name of the event and its fields."""
 
@@ -34,11 +36,15 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and log, the recent urgent claims and the executor speeds."""
+    """The tables, pending orders and log, the recent urgent claims and the executor speeds.
+
+    `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
+    """
 
     tables: Tables
     orders: Orders
     log: DecisionLog
+    stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
     headroom: Headroom = field(default_factory=Headroom)
     speeds: SpeedModel = field(default_factory=SpeedModel)
 
--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planner.py
@@ -34,7 +34,7 @@
 from jacinthreel_steps._victims import VictimIndex
 
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
-RACK_WAIT_LIMIT_MS: Final = 1_200  # After this, gangs of priority 0 may span several racks.
+RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
 
 
 def plan(context: Context, now_ms: int) -> None:
@@ -45,7 +45,7 @@
         find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS),
         now_ms,
         count_used_accelerators(context.tables),
-        VictimIndex(context.tables, now_ms),
+        VictimIndex(context.tables, context.stop_limit_ms, now_ms),
     )
     jobs = list(context.tables.open_jobs_by_id.values())
     for job in sorted(jobs, key=lambda job: job_sort_key(job, now_ms)):
@@ -116,10 +116,11 @@
     """Whether a gang that wants one rack may be placed on several.
 
     It may if no rack could hold it even when empty, or if it has priority 0 and has waited for more
-    than `RACK_WAIT_LIMIT_MS`.
+    than the time of a stop and `RACK_WAIT_MARGIN_MS`.
     """
     waited_ms = state.now_ms - job.accepted_ms
-    if job.record.queue.priority == 0 and waited_ms > RACK_WAIT_LIMIT_MS:
+    wait_limit_ms = state.context.stop_limit_ms + RACK_WAIT_MARGIN_MS
+    if job.record.queue.priority == 0 and waited_ms > wait_limit_ms:
         return True
     if step.spec.max_per_executor:
         return not fits_on_empty_rack(step, slots.free.executors, len(step.tasks))
@@ -148,7 +149,7 @@
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
     for searched_step, trusted in searches:
         preemption = plan_preemption(
-            state.victims, searched_step, pending, trusted, excess_by_workspace, state.now_ms
+            state.victims, searched_step, pending, trusted, excess_by_workspace
         )
         if preemption is not None:
             preempt_and_claim(state, job, step, preemption)
--- a/packages/steps/src/jacinthreel_steps/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_preemption.py
@@ -25,7 +25,6 @@
     Victim,
     VictimIndex,
     capacity_freed_on,
-    capacity_of_stopping_runs,
 )
 
 
@@ -81,7 +80,6 @@
     tasks: list[Task],
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
-    now_ms: int,
 ) -> PreemptionPlan | None:
     """Returns the cheapest plan found that places all `tasks`, or None if there is none.
 
@@ -89,10 +87,10 @@
     their runs of priority 0 may be preempted.
     """
     if not step.spec.wants_one_rack:
-        return _find_plan(victims, step, tasks, candidates, excess_by_workspace, now_ms)
+        return _find_plan(victims, step, tasks, candidates, excess_by_workspace)
     best: PreemptionPlan | None = None
     for rack_candidates in group_by_rack(candidates).values():
-        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace, now_ms)
+        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace)
         if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
     return best
@@ -104,15 +102,11 @@
     tasks: list[Task],
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
-    now_ms: int,
 ) -> PreemptionPlan | None:
     search = _Search(
         step,
         candidates,
-        [
-            item.free_resources.plus(capacity_of_stopping_runs(item.executor, now_ms))
-            for item in candidates
-        ],
+        [victims.capacity_soon(item.executor) for item in candidates],
         victims,
         dict(excess_by_workspace),
         {item.executor.executor_id: index for index, item in enumerate(candidates)},
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -15,7 +15,13 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
-from jacinthreel_steps._context import Context, DecisionLog, Orders, StopOrder
+from jacinthreel_steps._context import (
+    DEFAULT_STOP_LIMIT_MS,
+    Context,
+    DecisionLog,
+    Orders,
+    StopOrder,
+)
 from jacinthreel_steps._executor_speed import update_speed_classes
 from jacinthreel_steps._leaving import stop_runs_on_draining_executors
 from jacinthreel_steps._lifecycle import end_run, finish_job
@@ -68,11 +74,14 @@
 
 
 class Scheduler:
-    """Schedules all jobs of one shard."""
+    """Schedules all jobs of one shard.
+
+    `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
+    """
 
-    def __init__(self, log: DecisionLog) -> None:
+    def __init__(self, log: DecisionLog, stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS) -> None:
         self.tables = Tables()
-        self._context = Context(self.tables, Orders(), log)
+        self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
 
     def apply_policy(self, policy: Policy) -> None:
--- a/packages/steps/src/jacinthreel_steps/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_victims.py
@@ -17,7 +17,7 @@
 CORES_PER_ACCELERATOR: Final = 8  # Cores that cost as much as one accelerator.
 CHECKPOINTED_LOSS_MS: Final = 1_000  # Maximum work lost if progress is saved; added for every run.
 PRIORITY_0_COST_FACTOR: Final = 20.0  # Cost multiplier for victims of priority 0.
-STOP_TIMEOUT_MS: Final = 600  # Far longer than a stop takes on a responsive executor.
+STOP_MARGIN_MS: Final = 400  # A run that takes this much longer to stop ignores the order.
 
 
 @dataclass(slots=True, eq=False)
@@ -40,8 +40,9 @@
 class VictimIndex:
     """The victims of all executors during one scheduling pass."""
 
-    def __init__(self, tables: Tables, now_ms: int) -> None:
+    def __init__(self, tables: Tables, stop_limit_ms: int, now_ms: int) -> None:
         self._tables = tables
+        self._stop_limit_ms = stop_limit_ms
         self._now_ms = now_ms
         self._victims_by_executor: dict[str, list[Victim]] = {}
         self._victim_by_gang: dict[tuple[str, int], Victim] = {}
@@ -64,12 +65,25 @@
 
     def capacity_if_cleared(self, executor: Executor) -> Resources:
         """Returns the capacity that is free once all runs of lower priority have been stopped."""
-        capacity = executor.free_resources.plus(capacity_of_stopping_runs(executor, self._now_ms))
+        capacity = self.capacity_soon(executor)
         for victim in self.victims_on(executor):
             if victim.urgent_workspace is None:
                 capacity = capacity.plus(capacity_freed_on(victim, executor.executor_id))
         return capacity
 
+    def capacity_soon(self, executor: Executor) -> Resources:
+        """Returns the capacity that is free or held by runs that are about to stop.
+
+        Runs that have not stopped in time are not counted: their executor may ignore the orders.
+        """
+        capacity = executor.free_resources
+        for run in executor.runs_by_task.values():
+            if run.state is not RunState.STOPPING or run.stopping_since_ms is None:
+                continue
+            if self._now_ms - run.stopping_since_ms <= self._stop_limit_ms + STOP_MARGIN_MS:
+                capacity = capacity.plus(run.shape)
+        return capacity
+
     def _find_victims(self, executor: Executor) -> list[Victim]:
         victims: list[Victim] = []
         for run in executor.runs_by_task.values():
@@ -108,17 +122,6 @@
     return capacity
 
 
-def capacity_of_stopping_runs(executor: Executor, now_ms: int) -> Resources:
-    """Returns the capacity held by runs whose stop was ordered within `STOP_TIMEOUT_MS`."""
-    capacity = NO_RESOURCES
-    for run in executor.runs_by_task.values():
-        if run.state is not RunState.STOPPING or run.stopping_since_ms is None:
-            continue
-        if now_ms - run.stopping_since_ms <= STOP_TIMEOUT_MS:
-            capacity = capacity.plus(run.shape)
-    return capacity
-
-
 def _preemption_cost(job: Job, step: Step, runs: list[Run], now_ms: int) -> float:
     """Returns the core-seconds lost if the runs are stopped, weighted by the job's priority."""
     lost = 0.0
--- a/packages/steps/tests/scheduler_harness.py
+++ b/packages/steps/tests/scheduler_harness.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from jacinthreel_steps import (
+    DEFAULT_STOP_LIMIT_MS,
     EndReason,
     ExecutorListing,
     ExecutorReport,
@@ -57,7 +58,13 @@
     `percent_by_executor` is the progress that each executor reports for all its runs.
     """
 
-    def __init__(self, *executors: ExecutorListing, policy: Policy | None = None) -> None:
+    def __init__(
+        self,
+        *executors: ExecutorListing,
+        policy: Policy | None = None,
+        stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS,
+    ) -> None:
+        self.stop_limit_ms = stop_limit_ms
         self.now_ms = 1_000_000
         self.log_lines: list[tuple[str, dict[str, Any]]] = []
         self.rows: dict[str, StoredProgress] = {}
@@ -74,7 +81,9 @@
             self.report(name)
 
     def _make_scheduler(self) -> Scheduler:
-        scheduler = Scheduler(lambda event, fields: self.log_lines.append((event, fields)))
+        scheduler = Scheduler(
+            lambda event, fields: self.log_lines.append((event, fields)), self.stop_limit_ms
+        )
         scheduler.apply_policy(self.policy)
         for executor in self.listings.values():
             scheduler.apply_listing(executor, self.now_ms)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -166,7 +166,7 @@
         "listen": {"front": "10.0.0.1:8521", "ready": "10.0.0.1:8523"},
         "port_range": [7000, 7015],
         "limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10},
-        "bounds": {"hold_max_ms": 10_000, "grace_s": 6, "later": 1},
+        "bounds": {"hold_max_ms": 10_000, "grace_s": 6, "stop_ms": 900.0, "later": 1},
         "platform": {"addr": "10.0.0.2:80"},
         "later": True,
     }
@@ -174,3 +174,4 @@
     assert settings.stream_address == ("10.0.0.1", 7000)
     assert settings.cores == 1.0
     assert settings.task_lease_ms <= 10_000
+    assert settings.run_stop_limit_ms == 900
