Keep headroom for the urgent jobs that are expected, not only for those that had to claim

Cause: headroom was reserved only for 4 s after a claim, so a stream of urgent jobs found the cluster full again and again; each claim takes up to 0.9 s on the large site and throws work away.

Tried and dropped: a delay of 0.3 s and 1 s before the last attempts of a task whose run failed at once, with proven executors preferred after the first failure.

--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -107,6 +107,11 @@
         self.tables.jobs_by_id[job.job_id] = job
         if not job.state.is_final:
             self.tables.open_jobs_by_id[job.job_id] = job
+        if record.queue.priority == 0 and progress is None:
+            accelerators = sum(
+                step.count * step.shape.accelerators for step in record.spec.steps if not step.after
+            )
+            self._context.headroom.record_arrival(accelerators, now_ms)
         for run in job.live_runs():
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
