--- a/packages/steps/src/jacinthreel_steps/_job_order.py
+++ b/packages/steps/src/jacinthreel_steps/_job_order.py
@@ -38,16 +38,6 @@
     return max(ends, default=0)
 
 
-def remaining_chain_ms(job: Job) -> int:
-    """Returns the length of the critical path of the steps that are not done."""
-    ends: list[int] = []
-    for step in job.steps:
-        after = step.spec.after
-        begin_ms = max((ends[index] for index in after if index < len(ends)), default=0)
-        ends.append(begin_ms + (0 if step.is_done else step.spec.estimate_ms))
-    return max(ends, default=0)
-
-
 def job_sort_key(job: Job, now_ms: int) -> tuple[bool, int, int, str]:
     """Returns the key that sorts jobs into scheduling order."""
     queue = job.record.queue
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -267,10 +267,6 @@
                 run.placed_ms = now_ms
                 self._context.orders.starts.append(run)
 
-    def mark_unstored(self, row: UnstoredRow) -> None:
-        """Records that a row was certainly not stored, so that `take_unstored` returns it again."""
-        self.tables.unstored_job_ids[row.job_id] = None
-
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
         return advance_acknowledged_ends(self._context, self.tables.executors_by_id[executor_id])
