Refuse within milliseconds what a silent store can't take, on every host

Cause: each host learnt of an outage alone and for each of eight groups of rows anew, so that almost every caller of a large fleet was the first of its host and group and was held for 0.8 to 0.9 s. Now all calls of a process together show whether the store answers it at all, and the owner's heartbeats, which carry the age of its lease renewal, make every host probe the store at once; a group that answers neither is lost after 0.2 s. A host that is cut off alone makes no other refuse: each judges by its own probe.

Tests seen red: test_following (cut off for all groups, silent for the owner too). Callers can't be accepted while the store is silent: an acceptance has to be stored.

--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -313,6 +313,7 @@
 
     def _handle_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         self._owner_view.apply_heartbeat(peer, heartbeat)
+        self._store.record_owner_silence(self._owner_view.lease_age_ms)
         policy = self.policy.current
         if self._store.health_of(self._row_decoder.operator_table).is_lost and (
             policy is None or policy.version < heartbeat.policy_version
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -3,6 +3,13 @@
 A group of rows is suspect from the time at which a call is sent or fails, until a call sent at this
 time or later is answered.  Groups that stay suspect are probed with small reads a few times a
 second.
+
+The store as a whole is judged in the same way by all calls of the process together: a process that
+is cut off from it learns so from any call, and not for each group anew.
+
+The owner's heartbeats tell how long it has not reached the store.  Once it counts as cut off, each
+process probes all groups, and a group that doesn't answer this process either counts as lost much
+sooner.  An owner that is cut off alone therefore makes no other process refuse jobs.
 """
 
 from __future__ import annotations
@@ -28,6 +35,7 @@
 PROBE_AFTER_MS: Final = 200  # Long enough to recover from a single lost connection.
 RECENT_ANSWER_MS: Final = 300
 PROBE_TIMEOUT_MS: Final = 400  # Shorter than the time for which peers wait for an insert.
+OWNER_REPORT_MAX_AGE_MS: Final = 600
 
 
 def _probe_key(group: str) -> str:
@@ -131,7 +139,10 @@
         self._store = store
         self._clock = clock
         self._health_by_group: dict[str, StoreHealth] = {}
+        self._health_of_all = StoreHealth(clock)
         self._probe_count = 0
+        self._owner_reported_ms: int | None = None
+        self._are_groups_probed = False
 
     def health_of(self, table: str, key: str | None = None) -> StoreHealth:
         """Returns the health of a row's group; without `key`, of whole-table reads and feeds."""
@@ -144,7 +155,26 @@
 
     def is_lost(self, key: str) -> bool:
         """Whether the intake row can't be stored."""
-        return self.health_of(INTAKE_TABLE, key).is_lost
+        health = self.health_of(INTAKE_TABLE, key)
+        if health.is_lost or self._health_of_all.is_lost:
+            return True
+        return health.needs_probe and self._is_owner_cut_off
+
+    def record_owner_silence(self, silent_ms: int) -> None:
+        """Records how long the store has not answered the owner, according to its heartbeat."""
+        if silent_ms < LOST_AFTER_MS:
+            self._owner_reported_ms = None
+            self._are_groups_probed = False
+            return
+        self._owner_reported_ms = self._clock.now_ms()
+
+    @property
+    def _is_owner_cut_off(self) -> bool:
+        """Whether a recent heartbeat says that the store doesn't answer the owner."""
+        reported_ms = self._owner_reported_ms
+        if reported_ms is None:
+            return False
+        return self._clock.now_ms() - reported_ms <= OWNER_REPORT_MAX_AGE_MS
 
     @property
     def is_intake_lost(self) -> bool:
@@ -157,7 +187,7 @@
         A write to an unresponsive store has an unknown outcome; checking first makes this rare.
         """
         health = self.health_of(INTAKE_TABLE, key)
-        if health.is_lost:
+        if self.is_lost(key):
             return False
         return health.has_recent_answer or await self._probe(key, timeout_ms)
 
@@ -165,9 +195,14 @@
         """Probes one suspect group of the intake, and the other suspect ones if it answers.
 
         If no intake group is suspect, one is probed while another group is suspect but not lost.
+        All are probed once the owner is cut off.
         """
+        if self._is_owner_cut_off and not self._are_groups_probed:
+            self._are_groups_probed = True
+            await asyncio.gather(*(self._probe(key) for key in PROBE_KEYS))
+            return
         suspect_keys = [key for key in PROBE_KEYS if self.health_of(INTAKE_TABLE, key).needs_probe]
-        if not suspect_keys and self._has_new_suspect_group():
+        if not suspect_keys and (self._has_new_suspect_group() or self._health_of_all.needs_probe):
             suspect_keys = [PROBE_KEYS[0]]
         if not suspect_keys:
             return
@@ -190,9 +225,9 @@
     ) -> Result[Committed | Conflict, Fault]:
         """See `KeyedStore`."""
         health = self.health_of(writes[0].table, writes[0].key)
-        sent_ms = health.mark_suspect()
+        sent_ms = self._mark_suspect(health)
         outcome = await self._store.commit(conditions, writes, timeout_ms)
-        health.record_outcome(outcome, sent_ms)
+        self._record_outcome(health, outcome, sent_ms)
         return outcome
 
     async def read(
@@ -200,9 +235,9 @@
     ) -> Result[Snapshot, Fault]:
         """See `KeyedStore`."""
         health = self.health_of(table, key)
-        sent_ms = health.mark_suspect()
+        sent_ms = self._mark_suspect(health)
         outcome = await self._store.read(table, timeout_ms, key)
-        health.record_outcome(outcome, sent_ms)
+        self._record_outcome(health, outcome, sent_ms)
         return outcome
 
     async def changes(self, table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
@@ -210,5 +245,15 @@
         health = self.health_of(table)
         sent_ms = health.now_ms()
         outcome = await self._store.changes(table, after, wait_ms)
-        health.record_outcome(outcome, sent_ms)
+        self._record_outcome(health, outcome, sent_ms)
         return outcome
+
+    def _mark_suspect(self, health: StoreHealth) -> int:
+        self._health_of_all.mark_suspect()
+        return health.mark_suspect()
+
+    def _record_outcome(
+        self, health: StoreHealth, outcome: Result[object, Fault], sent_ms: int
+    ) -> None:
+        self._health_of_all.record_outcome(outcome, sent_ms)
+        health.record_outcome(outcome, sent_ms)
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -234,6 +234,76 @@
     assert inner.full_reads == 2
 
 
+def test_process_that_is_cut_off_from_the_store_knows_it_for_all_groups() -> None:
+    clock = ManualClock()
+    inner, store = make_suspect_store(clock, JOB_KEY)
+    clock.time_ms += LOST_AFTER_MS
+    assert all(store.is_lost(key) for key in PROBE_KEYS)
+    assert store.is_intake_lost
+
+    asyncio.run(store.probe_suspect_groups())
+    assert not any(store.is_lost(key) for key in PROBE_KEYS)
+
+
+def test_process_that_is_cut_off_is_probed_until_the_store_answers() -> None:
+    clock = ManualClock()
+    inner = CountingStore()
+    store = MonitoredStore(inner, clock)
+    inner.change_faults = [ResultCode.STORE_UNAVAILABLE]
+    asyncio.run(store.changes("operator", 0, 100))
+    clock.time_ms += LOST_AFTER_MS
+    assert store.is_lost(JOB_KEY)
+    asyncio.run(store.probe_suspect_groups())
+    assert inner.full_reads == 1
+    assert not store.is_lost(JOB_KEY)
+
+
+def make_silent_store(clock: ManualClock) -> MonitoredStore:
+    """Makes a store that leaves all probes unanswered."""
+    inner = CountingStore()
+    inner.read_faults = [ResultCode.STORE_UNAVAILABLE] * 20
+    return MonitoredStore(inner, clock)
+
+
+def test_store_that_is_silent_for_the_owner_too_is_lost_soon() -> None:
+    clock = ManualClock()
+    store = make_silent_store(clock)
+    store.record_owner_silence(LOST_AFTER_MS)
+    asyncio.run(store.probe_suspect_groups())
+    clock.time_ms += PROBE_AFTER_MS
+    assert all(store.is_lost(key) for key in PROBE_KEYS)
+    assert not asyncio.run(store.is_answering(JOB_KEY, 500))
+
+
+def test_owner_that_is_cut_off_alone_does_not_make_others_refuse() -> None:
+    clock = ManualClock()
+    store = MonitoredStore(CountingStore(), clock)
+    store.record_owner_silence(LOST_AFTER_MS)
+    asyncio.run(store.probe_suspect_groups())
+    clock.time_ms += PROBE_AFTER_MS
+    assert not any(store.is_lost(key) for key in PROBE_KEYS)
+    assert asyncio.run(store.is_answering(JOB_KEY, 500))
+
+
+def test_old_report_of_the_owner_proves_nothing() -> None:
+    clock = ManualClock()
+    store = make_silent_store(clock)
+    store.record_owner_silence(LOST_AFTER_MS)
+    asyncio.run(store.probe_suspect_groups())
+    clock.time_ms += LOST_AFTER_MS - 1
+    assert not store.is_lost(JOB_KEY)
+
+
+def test_store_that_answers_the_owner_again_is_not_lost() -> None:
+    clock = ManualClock()
+    store = make_silent_store(clock)
+    store.record_owner_silence(LOST_AFTER_MS)
+    asyncio.run(store.probe_suspect_groups())
+    clock.time_ms += PROBE_AFTER_MS
+    store.record_owner_silence(0)
+    assert not store.is_lost(JOB_KEY)
+
+
 def test_replies_for_other_rows_leave_a_group_lost() -> None:
     clock = ManualClock()
     _, store = make_suspect_store(clock, JOB_KEY)
