Tell hosts that the store does not serve who the new owner is

Cause: a host learns of a new owner from the owner row. Now the new owner announces its row to the former one with the query for its leases, and the former one passes it on to its peers, once.

Tests seen red: test_lease_handover (announcement, host that the store rejects, no second takeover).

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -278,6 +278,22 @@
     others_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerAnnouncement:
+    """Announces the owner row that a takeover wrote, as the store may not serve every process.
+
+    A new owner sends it to the former one, which passes it on to its peers.  `row_version` is the
+    version of the row in the store.
+    """
+
+    epoch: int
+    host_id: str
+    address: str
+    port: int
+    nonce: str
+    row_version: int
+
+
 MESSAGES_BY_KIND: Final[dict[str, type]] = {
     message_class.__name__: message_class
     for message_class in (
@@ -303,5 +319,6 @@
         PolicyRows,
         LeaseQuery,
         LeasesLeft,
+        OwnerAnnouncement,
     )
 }
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -16,6 +16,7 @@
 from jacinthreel_common import (
     Fault,
     LeaseQuery,
+    OwnerAnnouncement,
     OwnerHeartbeat,
     ResultCode,
     StreamReply,
@@ -92,7 +93,7 @@
         self._log = log
         self._spawn = spawn
         self._make_ownership = make_ownership
-        self._row_version = 0
+        self._announced_version = 0
         self._lease_count = 0
         self._renewed_ms = 0
         self._renewed_lease_count = 0
@@ -272,7 +273,6 @@
             return  # Another node has taken over in the meantime.
         heartbeat_age_ms = self._owner_view.heartbeat_age_ms()
         self._apply_owner_row(owner, version)
-        self._row_version = version
         self._renewed_ms = self._clock.now_ms()
         fields = {
             "epoch": owner.epoch,
@@ -289,7 +289,37 @@
             self._spawn(self._request_former_leases(former, self.ownership))
 
     async def _request_former_leases(self, former: OwnerRow, ownership: Ownership) -> None:
-        await self._handover.request_leases(former, ownership, lambda: self.ownership is ownership)
+        announcement = self._announcement()
+        if announcement is None:
+            return
+        await self._handover.request_leases(
+            former, ownership, announcement, lambda: self.ownership is ownership
+        )
+
+    def _announcement(self) -> OwnerAnnouncement | None:
+        row = self._owner_view.row
+        if row is None:
+            return None
+        version = self._owner_view.row_version
+        return OwnerAnnouncement(row.epoch, row.host_id, row.address, row.port, row.nonce, version)
+
+    def apply_announcement(self, announcement: OwnerAnnouncement) -> None:
+        """Passes the announcement of a new owner on once, and applies it if it is news.
+
+        The announced row is in the store, but the store may not serve this process or its peers.
+        """
+        if announcement.row_version <= self._announced_version:
+            return
+        self._announced_version = announcement.row_version
+        self._hub.notify_all(announcement)
+        owner = OwnerRow(
+            announcement.epoch,
+            announcement.host_id,
+            announcement.address,
+            announcement.port,
+            announcement.nonce,
+        )
+        self._apply_owner_row(owner, announcement.row_version)
 
     def serve_lease_query(self, query: LeaseQuery) -> StreamReply:
         """Ends the ownership if the query is of a newer epoch, and returns the unexpired leases.
--- a/packages/node/src/jacinthreel_node/_lease_handover.py
+++ b/packages/node/src/jacinthreel_node/_lease_handover.py
@@ -18,6 +18,7 @@
 from jacinthreel_common import (
     LeaseQuery,
     LeasesLeft,
+    OwnerAnnouncement,
     ResultCode,
     StreamReply,
     convert,
@@ -56,15 +57,23 @@
         self._ended = _EndedOwnership(epoch, self._clock.now_ms(), leases)
 
     async def request_leases(
-        self, former: OwnerRow, ownership: Ownership, is_current: Callable[[], bool]
+        self,
+        former: OwnerRow,
+        ownership: Ownership,
+        announcement: OwnerAnnouncement,
+        is_current: Callable[[], bool],
     ) -> None:
-        """Queries the former owner and applies its response, while `is_current` returns true."""
+        """Queries the former owner and applies its response, while `is_current` returns true.
+
+        Also sends it the announcement of the new owner, which it passes on to its peers.
+        """
         query = LeaseQuery(former.epoch, ownership.epoch)
         while is_current():
             outcome = await self._hub.call(former.address, former.port, query, QUERY_TIMEOUT_MS)
             reply = outcome.value_or(None)
             if reply is not None and reply.code is ResultCode.OK:
                 self._apply_response(ownership, convert(LeasesLeft, reply.body).value_or(None))
+                self._hub.notify(former.address, former.port, announcement)
                 return
             if self._clock.now_ms() >= ownership.former_leases.latest_end_ms:
                 return
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -25,6 +25,7 @@
     JobStateAnswer,
     JobStateQuery,
     LeaseQuery,
+    OwnerAnnouncement,
     OwnerHeartbeat,
     PolicyPull,
     PolicyRows,
@@ -177,6 +178,7 @@
         self._hub.on_call(LeaseQuery, self._serve_lease_query)
         self._hub.on_notice(OwnerHeartbeat, self._handle_heartbeat)
         self._hub.on_notice(IntakeNotice, self._handle_intake_notice)
+        self._hub.on_notice(OwnerAnnouncement, self._handle_announcement)
         self._hub.listen(*self.settings.stream_address)
         server.start()
         self._start_followers()
@@ -305,6 +307,9 @@
     def _handle_intake_notice(self, peer: Hello, notice: IntakeNotice) -> None:
         self._apply_intake_row(notice.row)
 
+    def _handle_announcement(self, peer: Hello, announcement: OwnerAnnouncement) -> None:
+        self._elector.apply_announcement(announcement)
+
     def _apply_intake_row(self, row: StoredRow) -> None:
         if self._elector.ownership is not None:
             self._elector.ownership.apply_intake_row(
--- a/packages/node/tests/elector_harness.py
+++ b/packages/node/tests/elector_harness.py
@@ -60,7 +60,7 @@
 
 
 class FakeStreamHub:
-    """Peers that ignore notices; `is_stream_open` is the state of the stream to the owner.
+    """Peers that only record notices; `is_stream_open` is the state of the stream to the owner.
 
     Each call consumes one of `replies`; without any, the reply is that no lease is left.
     """
@@ -69,6 +69,8 @@
         self.is_stream_open = True
         self.replies: list[Result[StreamReply, Fault]] = []
         self.queries: list[object] = []
+        self.notices: list[tuple[tuple[str, int], object]] = []
+        self.broadcasts: list[object] = []
 
     async def call(
         self, address: str, port: int, message: object, timeout_ms: int
@@ -84,8 +86,12 @@
     def set_peers(self, peers: set[tuple[str, int]]) -> None:
         return
 
+    def notify(self, address: str, port: int, message: object) -> bool:
+        self.notices.append(((address, port), message))
+        return True
+
     def notify_all(self, message: object) -> None:
-        return
+        self.broadcasts.append(message)
 
 
 class FakeOwnership:
--- a/packages/node/tests/test_lease_handover.py
+++ b/packages/node/tests/test_lease_handover.py
@@ -19,12 +19,14 @@
     Fault,
     LeaseQuery,
     LeasesLeft,
+    OwnerAnnouncement,
     ResultCode,
     StreamReply,
     convert,
     to_plain,
 )
 from jacinthreel_node._election import LEASE_TIMEOUT_MS
+from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE
 
 
 def test_lease_query_is_repeated_until_the_former_owner_answers() -> None:
@@ -63,6 +65,76 @@
     run_scenario(scenario)
 
 
+ANNOUNCEMENT = OwnerAnnouncement(7, "new", "10.0.0.3", 7000, "m", row_version=50)
+
+
+def test_new_owner_announces_its_row_to_the_former_owner() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        put_other_owner(harness.store, epoch=4)
+        await harness.read_owner()
+        await harness.check_owner()
+        await harness.check_owner(LEASE_TIMEOUT_MS)
+        [(address, announcement)] = harness.hub.notices
+        assert address == ("10.0.0.2", 7000)
+        assert isinstance(announcement, OwnerAnnouncement)
+        assert (announcement.epoch, announcement.host_id) == (5, "me")
+        assert announcement.row_version == harness.store.rows[(OWNER_TABLE, OWNER_KEY)].version
+
+    run_scenario(scenario)
+
+
+def test_host_that_the_store_rejects_learns_the_new_owner_from_a_peer() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        put_other_owner(harness.store)
+        await harness.read_owner()
+        harness.elector.apply_announcement(ANNOUNCEMENT)
+        assert harness.owner.row is not None
+        assert harness.owner.row.host_id == "new"
+        assert harness.owner.row_version == 50
+
+    run_scenario(scenario)
+
+
+def test_former_owner_passes_an_announcement_on_once_even_if_it_knows_the_row() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        harness.elector.apply_announcement(ANNOUNCEMENT)
+        harness.elector.apply_announcement(ANNOUNCEMENT)
+        assert harness.hub.broadcasts == [ANNOUNCEMENT]
+
+    run_scenario(scenario)
+
+
+def test_former_owner_that_learns_of_its_successor_does_not_take_over_again() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        await harness.read_owner()
+        await harness.check_owner()
+        harness.elector.serve_lease_query(LeaseQuery(1, 7))
+        harness.elector.apply_announcement(ANNOUNCEMENT)
+        commits = harness.store.commits
+        await harness.check_owner()
+        assert harness.elector.ownership is None
+        assert harness.store.commits == commits
+
+    run_scenario(scenario)
+
+
+def test_announcement_of_an_older_row_changes_nothing() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        harness.store.version = 60
+        put_other_owner(harness.store, epoch=8)
+        await harness.read_owner()
+        harness.elector.apply_announcement(ANNOUNCEMENT)
+        assert harness.owner.row is not None
+        assert harness.owner.row.host_id == "other"
+
+    run_scenario(scenario)
+
+
 def test_owner_stops_before_it_answers_a_lease_query() -> None:
     async def scenario() -> None:
         harness = ElectorHarness()
