Within a lower priority, schedule the job first that has to start soonest

Cause: jobs of one priority went by time of acceptance, so that on an overloaded cluster jobs with time to spare ran before short ones, and jobs that could no longer be in time before those that could. Weighed: least slack for all priorities. Priority 0 keeps the order of acceptance, because a guarantee has to be met in time for each workspace, also for one whose job is late. A job that has begun keeps its place, so that its work isn't left half done.

Tests seen red with the order of acceptance: test_job_order plays more work than fits, at least 1.2 times as many jobs are in time.

--- a/packages/steps/src/jacinthreel_steps/_job_order.py
+++ b/packages/steps/src/jacinthreel_steps/_job_order.py
@@ -1,8 +1,10 @@
 """The order in which jobs are scheduled.
 
-Jobs are ordered by priority and, within a priority, by time of acceptance.  A job that is older
-than three times its latency objective goes after all others, because its caller no longer waits for
-the result.
+Jobs are ordered by priority.  Within priority 0 they are ordered by time of acceptance, because
+each workspace has to get its guarantee in time.  Within a lower priority, the job that has to start
+soonest to meet its latency objective goes first; a job that has not begun and can't meet it any
+more goes after those that can.  A job that is older than three times its latency objective goes
+after all others, because its caller no longer waits for the result.
 
 Targets overload: capacity goes to jobs that can still be in time.
 """
@@ -38,9 +40,14 @@
     return max(ends, default=0)
 
 
-def job_sort_key(job: Job, now_ms: int) -> tuple[bool, int, int, str]:
+def job_sort_key(job: Job, now_ms: int) -> tuple[bool, int, bool, int, str]:
     """Returns the key that sorts jobs into scheduling order."""
     queue = job.record.queue
-    limit_ms = USELESS_AFTER_OBJECTIVES * objective_ms(job.record.spec, queue)
-    is_useless = now_ms - job.accepted_ms > limit_ms
-    return (is_useless, queue.priority, job.accepted_ms, job.job_id)
+    spec = job.record.spec
+    objective = objective_ms(spec, queue)
+    is_useless = now_ms - job.accepted_ms > USELESS_AFTER_OBJECTIVES * objective
+    if queue.priority == 0:
+        return (is_useless, 0, False, job.accepted_ms, job.job_id)
+    latest_start_ms = job.accepted_ms + round(objective) - longest_chain_ms(spec)
+    is_late = not job.has_begun and now_ms > latest_start_ms
+    return (is_useless, queue.priority, is_late, latest_start_ms, job.job_id)
