Check at each start and lease renewal that the ownership is still valid

Cause, found by reasoning about a process that was paused: the ownership ends by a timer when the last renewal of the owner's lease is more than 12 s old. After a pause of 20 s an order that was waiting was sent before that timer ran. Executors that the next owner has reached refuse it; one that only the former owner reaches would have started a task that the next owner may have placed elsewhere by then. The clock counts pauses, so the check at each sending is enough.

Test seen red: test_process_that_was_paused_beyond_its_ownership_sends_no_start_and_renews_nothing.

--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -106,6 +106,14 @@
         """Milliseconds since the last successful lease renewal."""
         return self._clock.now_ms() - self._renewed_ms
 
+    @property
+    def is_lease_usable(self) -> bool:
+        """Whether the last lease renewal is recent enough to send orders to executors.
+
+        A process that was paused finds out here, before any of its timers has run.
+        """
+        return self.lease_age_ms <= OUTAGE_RENEWAL_LIMIT_MS
+
     @property
     def lease_count(self) -> int:
         """The number of the last lease renewal that is known to have succeeded."""
@@ -148,7 +156,7 @@
         ownership = self.ownership
         if ownership is None:
             return
-        if self._clock.now_ms() - self._renewed_ms > OUTAGE_RENEWAL_LIMIT_MS:
+        if not self.is_lease_usable:
             self.end_ownership("the lease could not be renewed for too long")
             return
         self._spawn(self._write_renewal(ownership))
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -95,7 +95,9 @@
     """Dependencies that all links of one ownership share.
 
     `former_leases` holds the lease ends at executors that this owner has not reached yet.
-    `wait_stored` waits for the next stored batch, up to a timeout in milliseconds.  `on_fenced`
+    `may_order` is checked immediately before each start and lease renewal is sent: the process may
+    have been paused for longer than its ownership was valid.  `wait_stored` waits for the next
+    stored batch, up to a timeout in milliseconds.  `on_fenced`
     is called with the id of an executor that reports a newer owner, `on_error` with an unexpected
     exception.
     """
@@ -106,6 +108,7 @@
     epoch: int
     task_lease_ms: int
     former_leases: FormerLeases
+    may_order: Callable[[], bool]
     wait_stored: Callable[[int], Awaitable[None]]
     request_plan: Callable[[], None]
     on_fenced: Callable[[str], None]
@@ -168,7 +171,7 @@
         request = ReportRequest(
             context.epoch,
             acknowledged_upto,
-            None if self._is_unreachable else self._lease_until_ms(executor),
+            self._lease_until_ms(executor) if self._may_renew() else None,
             0 if is_urgent else REPORT_WAIT_MS,
         )
         requested_listing = executor.listing
@@ -187,6 +190,9 @@
                 self._expire_unreachable(executor)
         return False
 
+    def _may_renew(self) -> bool:
+        return not self._is_unreachable and self._context.may_order()
+
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
@@ -286,7 +292,7 @@
     async def _start(self, run: Run) -> None:
         context = self._context
         executor = self._find_executor()
-        if executor is None or run.state is not RunState.STARTING:
+        if executor is None or run.state is not RunState.STARTING or not context.may_order():
             return
         until_ms = self._lease_until_ms(executor)
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -248,6 +248,7 @@
             self.metrics,
             self.log.info,
             self._elector.end_ownership,
+            lambda: self._elector.is_lease_usable,
             has_former_owner_stopped,
         )
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -59,7 +59,8 @@
 class Ownership:
     """One ownership of all jobs, from the takeover to its end.
 
-    `on_lost` is called with a reason when the ownership has to end.
+    `on_lost` is called with a reason when the ownership has to end.  `may_order` tells whether the
+    last renewal of the owner's lease is recent enough to send orders to executors.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
         on_lost: Callable[[str], None],
+        may_order: Callable[[], bool],
         has_former_owner_stopped: bool,
     ) -> None:
         self._store = store
@@ -117,6 +119,7 @@
             owner.epoch,
             settings.task_lease_ms,
             self.former_leases,
+            may_order,
             self._writer.wait_stored,
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} reports a newer owner"),
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -291,3 +291,16 @@
     owner = OwnerRow(7, host_id, "10.0.0.3", 7000, "m")
     store.version += 1
     return Row(OWNER_TABLE, OWNER_KEY, encode_record(owner), store.version)
+
+
+def test_lease_is_unusable_after_a_pause_before_any_timer_has_run() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        await harness.read_owner()
+        await harness.check_owner()
+        assert harness.elector.is_lease_usable
+        harness.clock.time_ms += OUTAGE_RENEWAL_LIMIT_MS + 1
+        assert harness.elector.ownership is not None
+        assert not harness.elector.is_lease_usable
+
+    run_scenario(scenario)
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -23,6 +23,7 @@
     ReportedEnd,
     Resources,
     RunId,
+    RunState,
     Scheduler,
     StepSpec,
     TaskId,
@@ -38,9 +39,12 @@
 class LinkHarness:
     """The context of a link to one scripted executor, which replies while `is_reachable`."""
 
+    link: ExecutorLink
+
     def __init__(self, listing: ExecutorListing = LISTING) -> None:
         self.clock = ManualClock()
         self.is_reachable = True
+        self.may_order = True
         self.replies_to_acknowledgements = True
         self.is_replaced = False
         self.commits_until_stored = 0
@@ -58,6 +62,7 @@
             1,
             LEASE_MS,
             FormerLeases(self.clock.now_ms() + 60_000),
+            lambda: self.may_order,
             self._wait_stored,
             lambda: None,
             lambda executor_id: None,
@@ -113,6 +118,7 @@
 def run_scenario(harness: LinkHarness, scenario: Callable[[LinkHarness], Awaitable[None]]) -> None:
     async def run() -> None:
         link = ExecutorLink(harness.context, "e1")
+        harness.link = link
         try:
             await scenario(harness)
         finally:
@@ -245,6 +251,24 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_process_that_was_paused_beyond_its_ownership_sends_no_start_and_renews_nothing() -> None:
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        run = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[0]
+        run.state = RunState.STARTING
+        harness.may_order = False
+        harness.link.send(run)
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 3)
+        assert harness.gateway.starts == []
+        assert [item.lease_until_ms for item in harness.gateway.requests[request_count + 1 :]] == [
+            None
+        ] * (len(harness.gateway.requests) - request_count - 1)
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_lease_end_allows_for_a_slow_executor_clock() -> None:
     clock = ExecutorClock()
     clock.record_reading(executor_time_ms=500, local_time_ms=10_000)
