Bound numbers in messages of executors and callers before they are used

Cause, found by feeding malformed messages to the adapter: a task name with an index that str.isdigit accepts and int refuses, such as a superscript two or 5,000 digits, raised an error in the link that had polled the report. The link passes it on, the ownership ends, and so would that of each next owner. A time of 400 digits raised in the same place later, and a deadline of 5,000 digits or an amount that doesn't fit into 64 bits ended a call with an internal error.

Such a name is now no task, such a time makes the report malformed, such a deadline is replaced by the default and such an amount is refused as out of range. Tests seen red: test_translation.

--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -7,12 +7,22 @@
 
 import pytest
 from returns.result import Success
+from tornado import httputil
 
 from jacinthreel_common import ResultCode
 from jacinthreel_daemon.plumbing import HttpReply
 from jacinthreel_node import PolicyPut, Row, UnusableRow, ZoneChanged
 from jacinthreel_platform._boot_file import decode_settings
-from jacinthreel_platform._executors import _decode_report, _decode_start_response
+from jacinthreel_platform._caller_server import (
+    DEADLINE_HEADER,
+    DEFAULT_DEADLINE_MS,
+    _deadline_ms,
+)
+from jacinthreel_platform._executors import (
+    _decode_report,
+    _decode_start_response,
+    parse_task_name,
+)
 from jacinthreel_platform._job_bodies import decode_job_body
 from jacinthreel_platform._platform_rows import RowTranslator
 from jacinthreel_steps import EndReason, StartOutcome
@@ -94,6 +104,7 @@
         ({"steps": []}, ResultCode.OUT_OF_RANGE),
         ({"steps": [{"count": 0}]}, ResultCode.OUT_OF_RANGE),
         ({"steps": [{"count": 1, "cpu": -1}]}, ResultCode.OUT_OF_RANGE),
+        ({"steps": [{"count": 1, "cpu": 10**30}]}, ResultCode.OUT_OF_RANGE),
         ({"steps": [{"count": 1, "after": [0]}]}, ResultCode.OUT_OF_RANGE),
         ({"repeats": 3}, ResultCode.JOB_KIND_UNSUPPORTED),
         ({"steps": [{"count": 1, "long_running": True}]}, ResultCode.JOB_KIND_UNSUPPORTED),
@@ -117,6 +128,29 @@
     assert spec.steps[0].shape.cpu_milli == 500
 
 
+@pytest.mark.parametrize("index", ["\u00b2", "\u0663", "9" * 5_000, "-1", "", " 1"])
+def test_task_name_with_a_malformed_index_is_no_task(index: str) -> None:
+    assert parse_task_name(f"5c0e7a21d94b36f8.0.{index}.1") is None
+    assert parse_task_name(f"5c0e7a21d94b36f8.0.1.{index}") is None
+
+
+@pytest.mark.parametrize("time_ms", ["-1", "1" + "0" * 400, "1e999", "null"])
+def test_report_with_an_impossible_time_is_malformed(time_ms: str) -> None:
+    for field in ("clock_ms", "born"):
+        times = {"clock_ms": "1", "born": "1", field: time_ms}
+        body = "{" + ",".join(f'"{key}":{value}' for key, value in times.items()) + "}"
+        assert _decode_report(body.encode()).failure().code is ResultCode.WORKER_UNREACHABLE
+
+
+@pytest.mark.parametrize("value", ["9" * 5_000, "\u00b2", "", "x", "-5"])
+def test_malformed_deadline_is_replaced_by_the_default(value: str) -> None:
+    request = httputil.HTTPServerRequest(
+        start_line=httputil.RequestStartLine("GET", "/", "HTTP/1.1"),
+        headers=httputil.HTTPHeaders({"Host": "h", DEADLINE_HEADER: value}),
+    )
+    assert _deadline_ms(request) == DEFAULT_DEADLINE_MS
+
+
 def test_malformed_entries_of_a_report_are_skipped() -> None:
     report = {
         "clock_ms": 5,
