--- /dev/null
+++ b/tests/adapter/test_caller_server.py
@@ -0,0 +1,62 @@
+"""Tests of the graceful stop of the caller server, with real connections over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import Any, cast
+
+from jacinthreel_daemon.plumbing import MetricsRegistry
+from jacinthreel_node import Node, NodeSettings, PolicyView
+from jacinthreel_platform._caller_server import LAST_REQUEST_PAUSE_S, PlatformCallerServer
+
+STOP_LIMIT_MS = 2_000
+REQUEST = b"GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class FakeNode:
+    """A node without a configuration, which refuses each call."""
+
+    is_ready = True
+
+    def __init__(self) -> None:
+        self.policy = PolicyView()
+        self.log = self
+
+    def info(self, event: str, fields: dict[str, Any]) -> None:
+        return
+
+
+def free_addresses(count: int) -> list[tuple[str, int]]:
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    addresses = [item.getsockname() for item in sockets]
+    for item in sockets:
+        item.close()
+    return addresses
+
+
+def make_server() -> tuple[PlatformCallerServer, tuple[str, int]]:
+    caller, ready, stream, store, metrics = free_addresses(5)
+    settings = NodeSettings(
+        "n", "z", caller, ready, stream, store, metrics, 1.0, 100, 5_000, 5_000, 1_000
+    )
+    server = PlatformCallerServer(settings, cast(Node, FakeNode()), MetricsRegistry())
+    return server, caller
+
+
+def test_request_that_arrives_while_the_loop_is_blocked_is_answered_before_the_stop() -> None:
+    async def scenario() -> bytes:
+        server, address = make_server()
+        server.start()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST)
+        await reader.readuntil(b"\r\n\r\n")  # The connection is accepted and idle.
+        stop = asyncio.create_task(server.stop(STOP_LIMIT_MS))
+        await asyncio.sleep(LAST_REQUEST_PAUSE_S / 2)
+        writer.write(REQUEST)
+        time.sleep(LAST_REQUEST_PAUSE_S)  # Blocks the loop beyond the end of the pause.
+        await stop
+        return await reader.read()
+
+    assert b"HTTP/1.1 503" in asyncio.run(scenario())
