Group the modules of the scheduler by what they decide

Change: the modules move into three private packages: _planning (order, placement, headroom, preemption and claims), _executors (health, speed, leaving) and _runs (lifecycle, reports, stored progress). Input types, tables, context and the scheduler stay at the top. Only import lines change.

--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from jacinthreel_steps._context import DEFAULT_STOP_LIMIT_MS, DecisionLog, StopOrder, run_name
-from jacinthreel_steps._job_order import objective_ms
 from jacinthreel_steps._model import (
     EndReason,
     ExecutorListing,
@@ -23,8 +22,9 @@
     StepSpec,
     TaskId,
 )
-from jacinthreel_steps._planner import MAX_REPORT_AGE_MS
-from jacinthreel_steps._progress_rows import decode_progress_state, progress_write_id
+from jacinthreel_steps._planning._job_order import objective_ms
+from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
 
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from jacinthreel_steps._headroom import Headroom
+from jacinthreel_steps._executors._speed_model import SpeedModel
 from jacinthreel_steps._model import RunId
-from jacinthreel_steps._speed_model import SpeedModel
+from jacinthreel_steps._planning._headroom import Headroom
 from jacinthreel_steps._tables import Run, Tables
 
 DEFAULT_STOP_LIMIT_MS: Final = 200
--- a/packages/steps/src/jacinthreel_steps/_executor_speed.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_speed.py
@@ -20,7 +20,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._executor_health import avoid_executor
+from jacinthreel_steps._executors._executor_health import avoid_executor
 from jacinthreel_steps._tables import Executor, Run, RunState, Step
 
 MIN_AGE_MS: Final = 700
--- a/packages/steps/src/jacinthreel_steps/_leaving.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._lifecycle import stop_gang, stop_run
+from jacinthreel_steps._runs._lifecycle import stop_gang, stop_run
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step
 
 CHECKPOINT_STOP_MARGIN_MS: Final = 700  # Time before the shutdown to stop runs that save progress.
--- a/packages/steps/src/jacinthreel_steps/_slow_executors.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
@@ -19,8 +19,8 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._executor_health import avoid_executor
-from jacinthreel_steps._lifecycle import stop_gang
+from jacinthreel_steps._executors._executor_health import avoid_executor
+from jacinthreel_steps._runs._lifecycle import stop_gang
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step
 
 SLOW_RATE_RATIO: Final = 0.4
--- a/packages/steps/src/jacinthreel_steps/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -10,10 +10,10 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, run_name
-from jacinthreel_steps._lifecycle import release_run, stop_gang, stop_run
-from jacinthreel_steps._pass_state import PassState
-from jacinthreel_steps._preemption import PreemptionPlan
-from jacinthreel_steps._run_creation import commit_placement, create_runs
+from jacinthreel_steps._planning._pass_state import PassState
+from jacinthreel_steps._planning._preemption import PreemptionPlan
+from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
+from jacinthreel_steps._runs._lifecycle import release_run, stop_gang, stop_run
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables
 
 CLAIM_MARGIN_MS: Final = 600
--- a/packages/steps/src/jacinthreel_steps/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -11,10 +11,10 @@
 
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import Resources
-from jacinthreel_steps._placement import UsableExecutors
-from jacinthreel_steps._slot_index import SlotIndex
+from jacinthreel_steps._planning._placement import UsableExecutors
+from jacinthreel_steps._planning._slot_index import SlotIndex
+from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Executor, Tables
-from jacinthreel_steps._victims import VictimIndex
 
 
 @dataclass(slots=True)
--- a/packages/steps/src/jacinthreel_steps/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from jacinthreel_steps._executor_health import is_proven, is_suspect
+from jacinthreel_steps._executors._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
 from jacinthreel_steps._tables import Executor, Step, Tables, Task
 
--- a/packages/steps/src/jacinthreel_steps/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -14,16 +14,16 @@
 from dataclasses import replace
 from typing import Final
 
-from jacinthreel_steps._claims import (
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._planning._claims import (
     is_gang_claimed,
     place_or_release_claims,
     preempt_and_claim,
     release_gang_claims,
 )
-from jacinthreel_steps._context import Context
-from jacinthreel_steps._job_order import job_sort_key
-from jacinthreel_steps._pass_state import PassState, ServiceSlots, count_used_accelerators
-from jacinthreel_steps._placement import (
+from jacinthreel_steps._planning._job_order import job_sort_key
+from jacinthreel_steps._planning._pass_state import PassState, ServiceSlots, count_used_accelerators
+from jacinthreel_steps._planning._placement import (
     Candidate,
     Placement,
     find_candidates,
@@ -33,10 +33,10 @@
     place_independent_tasks,
     widen_by_trust,
 )
-from jacinthreel_steps._preemption import plan_preemption
-from jacinthreel_steps._run_creation import place_tasks
+from jacinthreel_steps._planning._preemption import plan_preemption
+from jacinthreel_steps._planning._run_creation import place_tasks
+from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
-from jacinthreel_steps._victims import VictimIndex
 
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
--- a/packages/steps/src/jacinthreel_steps/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
@@ -19,13 +19,13 @@
 from dataclasses import dataclass, field
 
 from jacinthreel_steps._model import Resources
-from jacinthreel_steps._placement import Candidate, Placement, Trust, group_by_rack
-from jacinthreel_steps._tables import Step, Task
-from jacinthreel_steps._victims import (
+from jacinthreel_steps._planning._placement import Candidate, Placement, Trust, group_by_rack
+from jacinthreel_steps._planning._victims import (
     Victim,
     VictimIndex,
     capacity_freed_on,
 )
+from jacinthreel_steps._tables import Step, Task
 
 
 @dataclass(slots=True)
--- a/packages/steps/src/jacinthreel_steps/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._lifecycle import attach_run
 from jacinthreel_steps._model import JobState, RunId
-from jacinthreel_steps._pass_state import PassState
-from jacinthreel_steps._placement import Placement
+from jacinthreel_steps._planning._pass_state import PassState
+from jacinthreel_steps._planning._placement import Placement
+from jacinthreel_steps._runs._lifecycle import attach_run
 from jacinthreel_steps._tables import Job, Run, RunState, Step
 
 
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_runs/__init__.py
@@ -0,0 +1,1 @@
+"""The lifecycle of runs: starts, reports, ends and the stored progress."""
--- a/packages/steps/src/jacinthreel_steps/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
-from jacinthreel_steps._executor_health import record_failure, record_success
-from jacinthreel_steps._executor_speed import observe_completed_run
-from jacinthreel_steps._job_order import objective_ms
+from jacinthreel_steps._executors._executor_health import record_failure, record_success
+from jacinthreel_steps._executors._executor_speed import observe_completed_run
 from jacinthreel_steps._model import EndReason, JobState
+from jacinthreel_steps._planning._job_order import objective_ms
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
 
 
--- a/packages/steps/src/jacinthreel_steps/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -11,10 +11,10 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
-from jacinthreel_steps._executor_health import record_progress
-from jacinthreel_steps._executor_speed import avoid_if_slowed, observe_progress
-from jacinthreel_steps._lifecycle import end_run, mark_task_done, send_stop, stop_run
+from jacinthreel_steps._executors._executor_health import record_progress
+from jacinthreel_steps._executors._executor_speed import avoid_if_slowed, observe_progress
 from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
+from jacinthreel_steps._runs._lifecycle import end_run, mark_task_done, send_stop, stop_run
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
 
 STOP_REPEAT_MS: Final = 500
--- a/packages/steps/src/jacinthreel_steps/_stalls.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_stalls.py
@@ -11,8 +11,8 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._executor_health import STALLED_AVOID_MS, avoid_executor
-from jacinthreel_steps._lifecycle import stop_run
+from jacinthreel_steps._executors._executor_health import STALLED_AVOID_MS, avoid_executor
+from jacinthreel_steps._runs._lifecycle import stop_run
 from jacinthreel_steps._tables import Executor, Run, RunState
 
 STALL_LIMIT_MS: Final = 2_500
--- a/packages/steps/src/jacinthreel_steps/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -11,9 +11,13 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, run_name
-from jacinthreel_steps._executor_health import NO_ROOM_AVOID_MS, UNHEALTHY_AVOID_MS, avoid_executor
-from jacinthreel_steps._lifecycle import release_run, stop_gang, stop_run
+from jacinthreel_steps._executors._executor_health import (
+    NO_ROOM_AVOID_MS,
+    UNHEALTHY_AVOID_MS,
+    avoid_executor,
+)
 from jacinthreel_steps._model import StartOutcome
+from jacinthreel_steps._runs._lifecycle import release_run, stop_gang, stop_run
 from jacinthreel_steps._tables import Executor, Run, RunState
 
 START_RETRY_LIMIT_MS: Final = 1_500  # After this, an unanswered start is stopped, not retried.
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -22,9 +22,9 @@
     Orders,
     StopOrder,
 )
-from jacinthreel_steps._executor_speed import update_speed_classes
-from jacinthreel_steps._leaving import stop_runs_on_draining_executors
-from jacinthreel_steps._lifecycle import end_run, finish_job
+from jacinthreel_steps._executors._executor_speed import update_speed_classes
+from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
+from jacinthreel_steps._executors._slow_executors import avoid_slow_executors
 from jacinthreel_steps._model import (
     EndReason,
     ExecutorListing,
@@ -34,17 +34,21 @@
     Policy,
     StartOutcome,
 )
-from jacinthreel_steps._planner import plan
-from jacinthreel_steps._progress_rows import decode_progress, encode_progress, restore_progress
-from jacinthreel_steps._reports import (
+from jacinthreel_steps._planning._planner import plan
+from jacinthreel_steps._runs._lifecycle import end_run, finish_job
+from jacinthreel_steps._runs._progress_rows import (
+    decode_progress,
+    encode_progress,
+    restore_progress,
+)
+from jacinthreel_steps._runs._reports import (
     advance_acknowledged_ends,
     apply_report,
     end_lost_run,
     end_lost_runs,
 )
-from jacinthreel_steps._slow_executors import avoid_slow_executors
-from jacinthreel_steps._stalls import stop_stalled_runs
-from jacinthreel_steps._starts import (
+from jacinthreel_steps._runs._stalls import stop_stalled_runs
+from jacinthreel_steps._runs._starts import (
     abandon_overdue_starts,
     confirm_start,
     handle_refused_start,
--- a/packages/steps/tests/test_headroom.py
+++ b/packages/steps/tests/test_headroom.py
@@ -8,7 +8,7 @@
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
 from jacinthreel_steps import EndReason, ExecutorReport, ReportedRun, Run
-from jacinthreel_steps._headroom import MAX_RESERVED_SHARE, Headroom
+from jacinthreel_steps._planning._headroom import MAX_RESERVED_SHARE, Headroom
 from jacinthreel_steps._tables import Executor
 
 STEP_MS = 50
--- a/packages/steps/tests/test_job_order.py
+++ b/packages/steps/tests/test_job_order.py
@@ -7,8 +7,9 @@
 import pytest
 from scheduler_harness import SERVICE, SchedulerHarness, listing, queue, step
 
-from jacinthreel_steps import EndReason, JobSpec, QueueTerms, Resources, StepSpec, _planner
-from jacinthreel_steps._job_order import job_sort_key, objective_ms
+from jacinthreel_steps import EndReason, JobSpec, QueueTerms, Resources, StepSpec
+from jacinthreel_steps._planning import _planner
+from jacinthreel_steps._planning._job_order import job_sort_key, objective_ms
 from jacinthreel_steps._tables import Job
 
 STEP_MS = 50
--- a/packages/steps/tests/test_large_cluster.py
+++ b/packages/steps/tests/test_large_cluster.py
@@ -10,8 +10,8 @@
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
 from jacinthreel_steps import Resources, StepSpec
-from jacinthreel_steps._placement import find_candidates, place_gang
-from jacinthreel_steps._slot_index import SlotIndex
+from jacinthreel_steps._planning._placement import find_candidates, place_gang
+from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._tables import Executor
 
 SHAPES = (Resources(1_000, 1_000, 1), Resources(60_000, 9_000, 2), Resources(9_000, 300_000, 8))
--- a/packages/steps/tests/test_speed_model.py
+++ b/packages/steps/tests/test_speed_model.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from jacinthreel_steps._speed_model import MAX_STEPS, SpeedModel
+from jacinthreel_steps._executors._speed_model import MAX_STEPS, SpeedModel
 
 SPEEDS = {f"e{index}": speed for index, speed in enumerate((0.8, 1.0, 1.25) * 4)}
 
