Decode the weights and quotas of workspaces

Cause: the configuration's `weight` and `max_count` were not read. Change: they reach `Policy` as `weight_by_workspace` and `quota_by_workspace`. A bad value gets a log line and counts as absent; numbers that are not finite no longer make the configuration unusable there. Result: no decision reads them yet.

--- a/packages/node/src/jacinthreel_node/_operator_rows.py
+++ b/packages/node/src/jacinthreel_node/_operator_rows.py
@@ -61,12 +61,15 @@
 
     def _apply(self, row: Row) -> None:
         match self._row_decoder.decode_operator_row(row):
-            case PolicyPut(policy=policy):
+            case PolicyPut(policy=policy, ignored_values=ignored_values):
                 policy_fields = {
                     "version": policy.version,
                     "applied": self._policy.apply_if_newer(policy),
                 }
                 self._log.info("policy_seen", {**policy_fields, "row_version": row.version})
+                for reason in ignored_values:
+                    value_fields = {"version": policy.version, "reason": reason}
+                    self._log.warning("policy_value_ignored", value_fields)
             case ZoneChanged(zone=zone, is_out=is_out):
                 self._policy.set_zone_out(zone, is_out)
                 zone_fields = {"zone": zone, "out": is_out}
--- a/packages/node/src/jacinthreel_node/_ports.py
+++ b/packages/node/src/jacinthreel_node/_ports.py
@@ -172,9 +172,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PolicyPut:
-    """The operator has stored a configuration."""
+    """The operator has stored a configuration.
+
+    `ignored_values` describes the values that are bad and treated as absent.
+    """
 
     policy: RoutingPolicy
+    ignored_values: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/jacinthreel_node/_routing.py
+++ b/packages/node/src/jacinthreel_node/_routing.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, ResultCode
-from jacinthreel_steps import Policy, QueueTerms
+from jacinthreel_steps import Policy, QueueTerms, Resources
 
 RETRY_AFTER_MS = 1_000
 
@@ -33,13 +33,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingPolicy:
-    """The parts of an operator configuration that a node uses."""
+    """The parts of an operator configuration that a node uses.
+
+    `quota_by_workspace` and `weight_by_workspace` have no entry for a workspace without one.
+    """
 
     version: int
     routes: tuple[Route, ...]
     workspace_by_key: dict[str, str]
     guaranteed_accelerators_by_workspace: dict[str, int] = field(default_factory=dict)
     max_body_bytes: int = 1_048_576
+    quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
+    weight_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +100,8 @@
             queues,
             self._policy.guaranteed_accelerators_by_workspace,
             self._zones_out,
+            self._policy.quota_by_workspace,
+            self._policy.weight_by_workspace,
         )
 
     def route(self, host: str, path: str, key: str | None) -> Result[RoutedCall, Fault]:
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -155,12 +155,18 @@
     `guaranteed_accelerators_by_workspace` holds the accelerators that are guaranteed to each
     workspace's jobs of priority 0 at all times.  `queues_by_name` holds the queues that currently
     exist.
+
+    `quota_by_workspace` limits what each workspace may have running at the same time; an amount of
+    0 is not limited.  `weight_by_workspace` holds each workspace's share of a full system, relative
+    to the others.  Workspaces without an entry have no quota, or no weight.
     """
 
     version: int
     queues_by_name: dict[str, QueueTerms] = field(default_factory=dict)
     guaranteed_accelerators_by_workspace: dict[str, int] = field(default_factory=dict)
     zones_out_of_service: frozenset[str] = frozenset()
+    quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
+    weight_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 class EndReason(IntEnum):
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -11,7 +11,7 @@
 
 from jacinthreel_common import ResultCode
 from jacinthreel_daemon.plumbing import HttpReply
-from jacinthreel_node import PolicyPut, Row, UnusableRow, ZoneChanged
+from jacinthreel_node import PolicyPut, PolicyView, Row, UnusableRow, ZoneChanged
 from jacinthreel_platform._boot_file import decode_settings
 from jacinthreel_platform._caller_server import (
     DEADLINE_HEADER,
@@ -25,7 +25,7 @@
 )
 from jacinthreel_platform._job_bodies import decode_job_body
 from jacinthreel_platform._platform_rows import RowTranslator
-from jacinthreel_steps import EndReason, StartOutcome
+from jacinthreel_steps import EndReason, Resources, StartOutcome
 
 ROUTE = {"name": "r", "host": "h", "path_prefix": "/q/", "service": "s", "priority": 0}
 CONFIG: dict[str, Any] = {
@@ -61,6 +61,37 @@
     assert event.policy.max_body_bytes == 1000
 
 
+def test_quota_and_weight_are_decoded_and_zero_is_no_limit() -> None:
+    quota = {"cpu": 4_000, "mem_mb": 0, "gpu": 2}
+    tenants = [{"name": "w", "weight": 2.5, "max_count": quota}, {"name": "free", "max_count": {}}]
+    event = RowTranslator().decode_operator_row(row("config", {**CONFIG, "tenants": tenants}))
+    assert isinstance(event, PolicyPut) and event.ignored_values == ()
+    view = PolicyView()
+    view.apply_if_newer(event.policy)
+    assert view.scheduling_policy().quota_by_workspace == {"w": Resources(4_000, 0, 2)}
+    assert view.scheduling_policy().weight_by_workspace == {"w": 2.5}
+
+
+BAD_NUMBERS = ["-1", "NaN", "-Infinity", "1e999", '"9"', "true", "[]", "1" + "0" * 30, "9" * 5000]
+
+
+@pytest.mark.parametrize("text", [*BAD_NUMBERS, "0"])
+def test_bad_weight_is_absent_and_the_rest_of_the_configuration_applies(text: str) -> None:
+    value = json.dumps({**CONFIG, "tenants": [{"name": "w", "weight": "?"}]})
+    event = RowTranslator().decode_operator_row(row("config", value.replace('"?"', text).encode()))
+    assert isinstance(event, PolicyPut) and len(event.ignored_values) == 1
+    assert event.policy.weight_by_workspace == {} and event.policy.version == 7
+
+
+@pytest.mark.parametrize("text", BAD_NUMBERS)
+def test_bad_amount_of_a_quota_is_no_limit_and_the_others_apply(text: str) -> None:
+    quota = {"cpu": 4_000, "gpu": "?"}
+    value = json.dumps({**CONFIG, "tenants": [{"name": "w", "max_count": quota}]})
+    event = RowTranslator().decode_operator_row(row("config", value.replace('"?"', text).encode()))
+    assert isinstance(event, PolicyPut) and len(event.ignored_values) == 1
+    assert event.policy.quota_by_workspace == {"w": Resources(4_000, 0, 0)}
+
+
 @pytest.mark.parametrize("value", [b"\xff", b"{}", b"[1]", json.dumps({"version": "x"}).encode()])
 def test_malformed_configuration_is_unusable(value: bytes) -> None:
     event = RowTranslator().decode_operator_row(row("config", value))
