Keep what each workspace uses as runs are attached and released

Cause: quotas need the usage of a workspace at every placement, from the first pass after a takeover. Change: the usage is changed where runs are attached to and released from tasks; claims are counted apart.

--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -10,6 +10,7 @@
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
 from jacinthreel_steps._tables import Run, Tables
+from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 DEFAULT_STOP_LIMIT_MS: Final = 200
 
@@ -36,7 +37,7 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and log, the recent urgent claims and the executor speeds.
+    """The tables, pending orders and log, and what is learnt or counted from events.
 
     `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
     """
@@ -47,6 +48,7 @@
     stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
     headroom: Headroom = field(default_factory=Headroom)
     speeds: SpeedModel = field(default_factory=SpeedModel)
+    usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -52,6 +52,8 @@
         job.state = JobState.RUNNING
     context.tables.bump_revision(job)
     for run in runs:
+        if run.state is RunState.CLAIMED:
+            context.usage.turn_into_run(job.record.workspace, run.shape)
         run.state = RunState.PLACED
         run.placed_ms = now_ms
         run.needed_revision = job.revision
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -19,9 +19,16 @@
     """Makes `run` the task's current run and allocates its capacity on the executor."""
     task.run = run
     task.run_number = run.run_id.number
+    count_attached_run(context, run)
     context.tables.executors_by_id[run.executor_id].add_run(run)
 
 
+def count_attached_run(context: Context, run: Run) -> None:
+    """Counts a run that was attached to its task in the usage of its workspace."""
+    workspace = context.tables.jobs_by_id[run.run_id.task.job_id].record.workspace
+    context.usage.add(workspace, run.shape, run.state is RunState.CLAIMED)
+
+
 def release_run(context: Context, task: Task, run: Run) -> None:
     """Releases a run's capacity and detaches it from its task, which may then be placed again."""
     executor = context.tables.executors_by_id.get(run.executor_id)
@@ -29,6 +36,8 @@
         executor.remove_run(run)
     if task.run is run:
         task.run = None
+        workspace = context.tables.jobs_by_id[run.run_id.task.job_id].record.workspace
+        context.usage.remove(workspace, run.shape, run.state is RunState.CLAIMED)
 
 
 def end_run(context: Context, run: Run, reason: EndReason, checkpoint: str, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -35,7 +35,7 @@
     StartOutcome,
 )
 from jacinthreel_steps._planning._planner import plan
-from jacinthreel_steps._runs._lifecycle import end_run, finish_job
+from jacinthreel_steps._runs._lifecycle import count_attached_run, end_run, finish_job
 from jacinthreel_steps._runs._progress_rows import (
     decode_progress,
     encode_progress,
@@ -55,6 +55,7 @@
     handle_unanswered_start,
 )
 from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
+from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 RUN_CHECK_PERIOD_MS: Final = 200
 
@@ -88,6 +89,11 @@
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
 
+    @property
+    def usage(self) -> WorkspaceUsage:
+        """What each workspace uses."""
+        return self._context.usage
+
     def apply_policy(self, policy: Policy) -> None:
         """Replaces the policy, without comparing versions."""
         self.tables.policy = policy
@@ -119,6 +125,7 @@
         for run in job.live_runs():
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
+            count_attached_run(self._context, run)
             self._attach_run(run)
         return True
 
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas and weighted shares of workspaces."""
