Keep every placement and claim within the quota of its workspace

Cause: quotas were decoded, but no decision read them. Change: tasks and gangs are placed and claimed only as far as the quota admits, counted with all runs and claims; a claim becomes a placement only if the runs stay within the quota, and a placement whose quota was lowered before its start is ordered is withdrawn. Jobs held by their quota are logged when that begins and ends. An owner plans nothing before it has a configuration. A held job costs one check a pass. Without quotas the decisions are unchanged.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -194,8 +194,8 @@
 
     def _plan(self) -> None:
         self._is_plan_pending = False
-        if not self.is_loaded:
-            return
+        if not self.is_loaded or self._policy.current is None:
+            return  # Without a configuration the quotas are not known.
         started_ms = self._clock.now_ms()
         self._last_plan_ms = started_ms
         self.scheduler.plan(started_ms)
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -35,6 +35,10 @@
             self.accelerators + other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Returns the sum of `count` such amounts."""
+        return Resources(self.cpu_milli * count, self.memory_mb * count, self.accelerators * count)
+
     def count_fitting_into(self, free: Resources) -> int:
         """Returns how many times this amount fits into `free`, at least 0.
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -1,6 +1,7 @@
 """Claims of capacity for jobs of priority 0: made by preemption, placed once the capacity is free.
 
 Claimed capacity counts as used, so that no other job takes the capacity that was freed for a claim.
+A claim is placed only if the runs of its workspace, with it, are within the quota.
 A claim whose capacity is not free within the time of a stop and `CLAIM_MARGIN_MS` is released, and
 the job is scheduled anew.
 """
@@ -15,6 +16,7 @@
 from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
 from jacinthreel_steps._runs._lifecycle import release_run, stop_gang, stop_run
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables
+from jacinthreel_steps._workspaces._quotas import count_admitted_claims
 
 CLAIM_MARGIN_MS: Final = 600
 
@@ -82,6 +84,9 @@
     context: Context, job: Job, step: Step, claims: list[Run], now_ms: int
 ) -> None:
     satisfied = [run for run in claims if _is_satisfied(context.tables, run)]
+    admitted = count_admitted_claims(context, job.record.workspace, step.spec.shape)
+    if admitted < len(satisfied):
+        satisfied = satisfied[:admitted]
     if step.spec.is_gang and len(satisfied) < len(claims):
         satisfied = []
     if satisfied:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -5,6 +5,8 @@
 priority are preempted for them, and, for a job within its workspace's guarantee, also runs of
 priority 0 of other workspaces that use more than their guarantee.
 
+Tasks are left out that would bring their workspace above its quota (`_workspaces`).
+
 Invariants: a gang is placed as a whole or not at all; a task that has a run is not placed; claimed
 capacity counts as used, so that no other job takes the capacity that was freed for a claim.
 """
@@ -37,6 +39,7 @@
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
+from jacinthreel_steps._workspaces._quotas import count_admitted
 
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
@@ -54,12 +57,17 @@
     )
     jobs = list(context.tables.open_jobs_by_id.values())
     for job in sorted(jobs, key=lambda job: job_sort_key(job, now_ms)):
-        for step in job.steps:
-            pending = _find_pending_tasks(job, step)
-            if pending:
-                _schedule_step(state, job, step, pending)
-            elif is_gang_claimed(job, step):
-                _place_claimed_gang_elsewhere(state, job, step)
+        _schedule_job(state, job)
+    context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
+
+
+def _schedule_job(state: PassState, job: Job) -> None:
+    for step in job.steps:
+        pending = _find_pending_tasks(job, step)
+        if pending:
+            _schedule_step(state, job, step, pending)
+        elif is_gang_claimed(job, step):
+            _place_claimed_gang_elsewhere(state, job, step)
 
 
 def _find_pending_tasks(job: Job, step: Step) -> list[Task]:
@@ -73,18 +81,36 @@
 
 
 def _schedule_step(state: PassState, job: Job, step: Step, pending: list[Task]) -> None:
-    """Places the pending tasks that fit; claims capacity for the others if the priority is 0."""
+    """Places the pending tasks that fit; claims capacity for the others if the priority is 0.
+
+    Tasks that the quota of the workspace does not admit are left out.
+    """
     queue = job.record.queue
+    admitted = _admitted_tasks(state, job, step, pending)
+    if not admitted:
+        state.context.held_jobs.add(job, step)
+        return
     slots = state.slots_for(queue.service, queue.priority)
     if not slots.free.executors:
         return
-    placement = _find_placement(state, job, step, pending, slots)
+    placement = _find_placement(state, job, step, admitted, slots)
     if placement:
         place_tasks(state, job, step, placement)
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
-    if pending and queue.priority == 0:
-        _claim_by_preemption(state, job, step, pending, slots)
+        admitted = [task for task in admitted if task.task_id not in placed]
+    if admitted and queue.priority == 0:
+        _claim_by_preemption(state, job, step, admitted, slots)
+    elif pending and not admitted:
+        state.context.held_jobs.add(job, step)
+
+
+def _admitted_tasks(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
+    """Returns the tasks that the workspace's quota admits; of a gang, all or none."""
+    count = count_admitted(state.context, job.record.workspace, step.spec.shape)
+    if step.spec.is_gang and count < len(pending):
+        return []
+    return pending[:count] if count < len(pending) else pending
 
 
 def _find_placement(
@@ -115,6 +141,10 @@
 def _place_claimed_gang_elsewhere(state: PassState, job: Job, step: Step) -> None:
     """Places a gang that waits for claimed capacity if other capacity has become free meanwhile."""
     queue = job.record.queue
+    shape = step.spec.shape
+    own_claims = shape.times(len(step.tasks))
+    if count_admitted(state.context, job.record.workspace, shape, own_claims) < len(step.tasks):
+        return
     slots = state.slots_for(queue.service, queue.priority)
     placement = _find_placement(state, job, step, step.tasks, slots)
     if placement:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -21,6 +21,7 @@
     DecisionLog,
     Orders,
     StopOrder,
+    run_name,
 )
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
@@ -35,7 +36,13 @@
     StartOutcome,
 )
 from jacinthreel_steps._planning._planner import plan
-from jacinthreel_steps._runs._lifecycle import count_attached_run, end_run, finish_job
+from jacinthreel_steps._runs._lifecycle import (
+    count_attached_run,
+    end_run,
+    finish_job,
+    stop_gang,
+    stop_run,
+)
 from jacinthreel_steps._runs._progress_rows import (
     decode_progress,
     encode_progress,
@@ -54,7 +61,8 @@
     handle_refused_start,
     handle_unanswered_start,
 )
-from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, make_job
+from jacinthreel_steps._workspaces._quotas import exceeds_quota
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 RUN_CHECK_PERIOD_MS: Final = 200
@@ -272,11 +280,32 @@
             job.visible_state = job.state
         elif job.visible_state is JobState.QUEUED:
             job.visible_state = JobState.RUNNING
-        for run in job.live_runs():
-            if run.state is RunState.PLACED and run.needed_revision <= row.revision:
-                run.state = RunState.STARTING
-                run.placed_ms = now_ms
-                self._context.orders.starts.append(run)
+        for step in job.steps:
+            for task in step.tasks:
+                run = task.run
+                if run is None or run.state is not RunState.PLACED:
+                    continue
+                if run.needed_revision <= row.revision:
+                    self._order_start(job, step, run, now_ms)
+
+    def _order_start(self, job: Job, step: Step, run: Run, now_ms: int) -> None:
+        """Orders the start of a placed run, or withdraws it if the quota was lowered meanwhile."""
+        if exceeds_quota(self._context, job.record.workspace, run.shape):
+            fields = {
+                "job_id": job.job_id,
+                "run": run_name(run.run_id),
+                "workspace": job.record.workspace,
+                "policy_version": self.tables.policy.version,
+            }
+            self._context.log("placement_withdrawn", fields)
+            if step.spec.is_gang:
+                stop_gang(self._context, step, run.run_id.number, now_ms)
+            else:
+                stop_run(self._context, run, now_ms)
+            return
+        run.state = RunState.STARTING
+        run.placed_ms = now_ms
+        self._context.orders.starts.append(run)
 
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
--- /dev/null
+++ b/packages/steps/tests/test_quotas.py
@@ -0,0 +1,205 @@
+"""Quotas of workspaces: never exceeded by a start, and without effect on other workspaces."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from random_events import WORKSPACES, Quotas, apply_random_event
+from scheduler_harness import SchedulerHarness, listing, queue, step
+from test_large_cluster import count_fit_checks, full_harness
+
+from jacinthreel_steps import EndReason, Policy, Resources, RunState
+from jacinthreel_steps._model import NO_RESOURCES
+
+FOUR = {"w": Resources(0, 0, 4)}
+
+
+def make_policy(quotas: Quotas, guaranteed: int = 8, version: int = 1) -> Policy:
+    return Policy(version, {}, {"w": guaranteed}, quota_by_workspace=quotas)
+
+
+def make_harness(quotas: Quotas, guaranteed: int = 8) -> SchedulerHarness:
+    policy = make_policy(quotas, guaranteed)
+    return SchedulerHarness(listing("e1"), listing("e2"), policy=policy)
+
+
+def events(harness: SchedulerHarness, name: str) -> list[dict[str, object]]:
+    return [fields for event, fields in harness.log_lines if event == name]
+
+
+def is_within(used: Resources, quota: Resources) -> bool:
+    pairs = [
+        (used.cpu_milli, quota.cpu_milli),
+        (used.memory_mb, quota.memory_mb),
+        (used.accelerators, quota.accelerators),
+    ]
+    return all(not limit or amount <= limit for amount, limit in pairs)
+
+
+def running_on_executors(harness: SchedulerHarness, workspace: str) -> Resources:
+    total = NO_RESOURCES
+    for runs in harness.running.values():
+        for run in runs.values():
+            if harness.records[run.run_id.task.job_id].workspace == workspace:
+                total = total.plus(run.shape)
+    return total
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(0, 100_000))
+def test_no_event_brings_a_workspace_above_its_quota(seed: int) -> None:
+    rng = random.Random(seed)
+    amounts = [0, 1_000 * rng.randint(1, 9), 1_000 * rng.randint(1, 9)]
+    rng.shuffle(amounts)
+    quotas = {
+        "w": Resources(amounts[0], amounts[1], rng.randint(1, 12)),
+        "v": Resources(amounts[2], 0, rng.randint(0, 9)),
+    }
+    harness = make_harness(quotas)
+    for index in range(60):
+        apply_random_event(harness, rng, index, [quotas])
+        for workspace in WORKSPACES:
+            assert is_within(harness.scheduler.usage.running(workspace), quotas[workspace])
+            assert is_within(running_on_executors(harness, workspace), quotas[workspace])
+
+
+def test_independent_tasks_start_up_to_the_quota_and_others_are_not_blocked() -> None:
+    harness = make_harness(FOUR)
+    harness.submit("held", step(count=10))
+    harness.submit("other", step(count=12), workspace="v")
+    harness.settle()
+    assert len(harness.runs("held")) == 4
+    assert len(harness.runs("other")) == 12
+
+
+@pytest.mark.parametrize("quota", [Resources(3_999, 0, 0), Resources(0, 3_999, 0)])
+def test_processor_and_memory_limit_as_accelerators_do(quota: Resources) -> None:
+    harness = make_harness({"w": quota})
+    harness.submit("held", step(count=10))
+    harness.settle()
+    assert len(harness.runs("held")) == 3
+
+
+def test_gang_is_placed_whole_within_the_quota_or_not_at_all() -> None:
+    harness = make_harness(FOUR)
+    harness.submit("first", step(count=1))
+    harness.settle()
+    harness.submit("gang", step(count=4, is_gang=True))
+    harness.settle()
+    assert harness.runs("gang") == []
+
+    harness.end(harness.runs("first")[0], EndReason.DONE)
+    harness.settle()
+    assert len(harness.runs("gang")) == 4
+
+
+def test_urgent_job_held_by_its_quota_preempts_nothing_and_reserves_nothing() -> None:
+    harness = make_harness(FOUR, guaranteed=0)
+    harness.submit("other", step(count=16), workspace="v", terms=queue(2))
+    harness.settle()
+    harness.submit("held", step(count=1, accelerators=8), terms=queue(0))
+    harness.settle()
+    assert len(harness.runs("other")) == 16
+    assert harness.scheduler.usage.claimed("w") == NO_RESOURCES
+
+
+def test_lowered_quota_stops_nothing_and_holds_starts_until_usage_has_fallen() -> None:
+    harness = make_harness({})
+    harness.submit("j1", step(count=10))
+    harness.settle()
+    harness.submit("j2", step(count=1))
+    harness.scheduler.apply_policy(make_policy(FOUR, version=2))
+    harness.settle()
+    assert len(harness.runs("j1")) == 10 and harness.runs("j2") == []
+
+    for run in harness.runs("j1")[:6]:
+        harness.end(run, EndReason.DONE)
+    harness.settle()
+    assert harness.runs("j2") == []
+    harness.end(harness.runs("j1")[0], EndReason.DONE)
+    harness.settle()
+    assert len(harness.runs("j2")) == 1
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_placement_is_withdrawn_if_the_quota_is_lowered_before_its_start(is_gang: bool) -> None:
+    harness = make_harness({})
+    harness.submit("j1", step(count=6, is_gang=is_gang))
+    harness.scheduler.plan(harness.now_ms)
+    harness.scheduler.apply_policy(make_policy(FOUR, version=2))
+    harness.settle()
+    assert len(harness.runs("j1")) == (0 if is_gang else 4)
+
+
+def test_raised_quota_takes_effect_in_the_next_pass() -> None:
+    harness = make_harness(FOUR)
+    harness.submit("gang", step(count=6, is_gang=True))
+    harness.settle()
+    harness.scheduler.apply_policy(make_policy({"w": Resources(0, 0, 6)}, version=2))
+    harness.scheduler.plan(harness.now_ms)
+    assert len(harness.scheduler.tables.jobs_by_id["gang"].live_runs()) == 6
+
+
+def test_runs_on_executors_not_listed_yet_count_after_a_takeover() -> None:
+    harness = make_harness(FOUR)
+    harness.submit("j1", step(count=4))
+    harness.settle()
+    holder = harness.runs("j1")[0].executor_id
+    del harness.listings[holder]
+    harness.submit("j2", step(count=1))
+
+    harness.take_over()
+    harness.report_all()
+    harness.settle()
+    assert len(harness.started) == 4
+
+
+def test_gang_larger_than_a_lowered_quota_waits_and_is_logged_once() -> None:
+    harness = make_harness({})
+    harness.submit("full", step(count=16))
+    harness.settle()
+    harness.submit("gang", step(count=6, is_gang=True))
+    harness.scheduler.apply_policy(make_policy(FOUR, version=2))
+    for run in harness.runs("full"):
+        harness.end(run, EndReason.DONE)
+    harness.pass_time(3_000)
+    assert harness.runs("gang") == []
+    assert [fields["can_ever_fit"] for fields in events(harness, "job_held_by_quota")] == [False]
+
+
+def test_start_and_end_of_a_hold_are_logged() -> None:
+    harness = make_harness(FOUR)
+    harness.submit("first", step(count=4))
+    harness.submit("second", step(count=4))
+    harness.settle()
+    assert [fields["job_id"] for fields in events(harness, "job_held_by_quota")] == ["second"]
+    for run in harness.runs("first"):
+        harness.end(run, EndReason.DONE)
+    harness.settle()
+    assert [fields["job_id"] for fields in events(harness, "job_released_by_quota")] == ["second"]
+
+
+def test_held_jobs_cost_one_check_each_and_no_search(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = full_harness(120, 0, seed=1)
+    harness.scheduler.apply_policy(make_policy(FOUR))
+    for index in range(300):
+        spec = step(1 + index % 7, accelerators=1 + index % 4, is_gang=True)
+        harness.submit(f"h{index}", spec, terms=queue(index % 3))
+    assert count_fit_checks(harness, monkeypatch) <= 300
+
+
+def test_claims_do_not_start_beyond_a_quota_that_was_lowered() -> None:
+    harness = make_harness({}, guaranteed=16)
+    harness.submit("other", step(count=16), workspace="v", terms=queue(2))
+    harness.settle()
+    harness.submit("urgent", step(count=8), terms=queue(0))
+    harness.scheduler.plan(harness.now_ms)
+    claims = harness.scheduler.tables.jobs_by_id["urgent"].live_runs()
+    assert {run.state for run in claims} == {RunState.CLAIMED}
+    harness.scheduler.apply_policy(make_policy(FOUR, version=2))
+    harness.settle()
+    assert len(harness.runs("urgent")) == 4
+    assert events(harness, "placement_withdrawn") == []
