Preempt runs of the own workspace for a guaranteed job whose quota is full

Cause: runs of lower priority that fill the quota of their workspace held its guaranteed jobs of priority 0 beyond the reclaim time. Change: the cheapest of these runs are stopped and the job claims capacity; the claim is placed once the runs of the workspace are within the quota. Result: test_quotas shows the job started, the cheapest runs stopped, and the quota kept while runs are stopping or ignore the order.

--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -33,6 +33,8 @@
     """The state of one pass.
 
     `used_by_workspace` counts the accelerators used by runs of priority 0.
+    `failed_quota_searches` holds, by workspace, the usage for which no victims were found within
+    its quota, so that the search is not repeated for each waiting job.
     """
 
     context: Context
@@ -40,6 +42,7 @@
     now_ms: int
     used_by_workspace: dict[str, int]
     victims: VictimIndex
+    failed_quota_searches: dict[str, Resources] = field(default_factory=dict)
     _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
@@ -37,8 +38,9 @@
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
 from jacinthreel_steps._planning._run_creation import place_tasks
-from jacinthreel_steps._planning._victims import VictimIndex
+from jacinthreel_steps._planning._victims import Victim, VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
+from jacinthreel_steps._workspaces._quota_preemption import find_quota_victims
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
@@ -83,22 +85,25 @@
 def _schedule_step(state: PassState, job: Job, step: Step, pending: list[Task]) -> None:
     """Places the pending tasks that fit; claims capacity for the others if the priority is 0.
 
-    Tasks that the quota of the workspace does not admit are left out.
+    Tasks that the quota of the workspace does not admit are left out, unless runs of the workspace
+    are preempted for them.
     """
     queue = job.record.queue
     admitted = _admitted_tasks(state, job, step, pending)
-    if not admitted:
+    if not admitted and not _is_guaranteed(state, job, step, len(pending)):
         state.context.held_jobs.add(job, step)
         return
     slots = state.slots_for(queue.service, queue.priority)
     if not slots.free.executors:
         return
-    placement = _find_placement(state, job, step, admitted, slots)
+    placement = _find_placement(state, job, step, admitted, slots) if admitted else None
     if placement:
         place_tasks(state, job, step, placement)
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
         admitted = [task for task in admitted if task.task_id not in placed]
+    if len(admitted) < len(pending) and _preempt_own_runs(state, job, step, pending, slots):
+        return
     if admitted and queue.priority == 0:
         _claim_by_preemption(state, job, step, admitted, slots)
     elif pending and not admitted:
@@ -174,10 +179,33 @@
     return slots.empty.slots("", step.spec.shape).widest_rack < len(step.tasks)
 
 
-def _claim_by_preemption(
+def _preempt_own_runs(
     state: PassState, job: Job, step: Step, pending: list[Task], slots: ServiceSlots
-) -> None:
-    """Claims capacity for all pending tasks, if preempting other runs can free enough."""
+) -> bool:
+    """Claims for a guaranteed job whose workspace fills its quota with runs of lower priority.
+
+    Returns whether the tasks were claimed.
+    """
+    if not _is_guaranteed(state, job, step, len(pending)):
+        return False
+    quota_victims = find_quota_victims(state, job.record.workspace, step.spec.shape, len(pending))
+    if quota_victims is None:
+        return False
+    return _claim_by_preemption(state, job, step, pending, slots, quota_victims)
+
+
+def _claim_by_preemption(
+    state: PassState,
+    job: Job,
+    step: Step,
+    pending: list[Task],
+    slots: ServiceSlots,
+    chosen: Sequence[Victim] = (),
+) -> bool:
+    """Claims capacity for all pending tasks, if preempting other runs can free enough.
+
+    `chosen` are victims that are stopped in any case.  Returns whether capacity was claimed.
+    """
     queue = job.record.queue
     excess_by_workspace = _preemptible_excess(state, job, step, len(pending))
     may_span_racks = (
@@ -189,18 +217,29 @@
         needs_one_rack = step.spec.wants_one_rack and not may_span_racks
         most = shape_slots.widest_rack if needs_one_rack else shape_slots.total
         if most < len(pending):
-            return
+            return False
     candidates = find_candidates(step, slots.free.executors, queue.max_attempts, state.now_ms)
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
     for searched_step, trusted in searches:
         preemption = plan_preemption(
-            state.victims, searched_step, pending, trusted, excess_by_workspace
+            state.victims, searched_step, pending, trusted, excess_by_workspace, chosen
         )
         if preemption is not None:
             preempt_and_claim(state, job, step, preemption)
-            return
+            return True
+    return False
+
+
+def _is_guaranteed(state: PassState, job: Job, step: Step, pending_count: int) -> bool:
+    """Whether the job has priority 0 and its workspace stays within a guarantee with the tasks."""
+    policy = state.context.tables.policy
+    guaranteed = policy.guaranteed_accelerators_by_workspace.get(job.record.workspace, 0)
+    if job.record.queue.priority > 0 or not guaranteed:
+        return False
+    needed = pending_count * step.spec.shape.accelerators
+    return state.used_by_workspace.get(job.record.workspace, 0) + needed <= guaranteed
 
 
 def _preemptible_excess(
--- a/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from jacinthreel_steps._model import Resources
@@ -80,17 +80,18 @@
     tasks: list[Task],
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
+    chosen: Sequence[Victim] = (),
 ) -> PreemptionPlan | None:
     """Returns the cheapest plan found that places all `tasks`, or None if there is none.
 
     `excess_by_workspace` holds the accelerators that workspaces use beyond their guarantee; only
-    their runs of priority 0 may be preempted.
+    their runs of priority 0 may be preempted.  `chosen` are victims that are stopped in any case.
     """
     if not step.spec.wants_one_rack:
-        return _find_plan(victims, step, tasks, candidates, excess_by_workspace)
+        return _find_plan(victims, step, tasks, candidates, excess_by_workspace, chosen)
     best: PreemptionPlan | None = None
     for rack_candidates in group_by_rack(candidates).values():
-        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace)
+        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace, chosen)
         if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
     return best
@@ -102,6 +103,7 @@
     tasks: list[Task],
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
+    chosen: Sequence[Victim],
 ) -> PreemptionPlan | None:
     search = _Search(
         step,
@@ -110,7 +112,10 @@
         victims,
         dict(excess_by_workspace),
         {item.executor.executor_id: index for index, item in enumerate(candidates)},
+        chosen=list(chosen),
     )
+    for victim in chosen:
+        _free_capacity_of(search, victim)
     for index in range(len(candidates)):
         _make_offer(search, index)
     placement: Placement = []
@@ -192,14 +197,21 @@
         if workspace is not None:
             search.excess_by_workspace[workspace] -= victim.accelerators
             affected.update(dict.fromkeys(range(len(search.candidates))))
-        for run in victim.runs:
-            index = search.index_by_executor.get(run.executor_id)
-            if index is not None:
-                search.available[index] = search.available[index].plus(run.shape)
-                affected[index] = None
+        affected.update(dict.fromkeys(_free_capacity_of(search, victim)))
     placed_index = offer.candidate_index
     placed_count = search.placed_counts.get(placed_index, 0)
     search.placed_counts[placed_index] = placed_count + 1
     search.available[placed_index] = search.available[placed_index].minus(search.step.spec.shape)
     for index in affected:
         _make_offer(search, index)
+
+
+def _free_capacity_of(search: _Search, victim: Victim) -> list[int]:
+    """Counts the victim's capacity as available; returns the candidates that it affects."""
+    affected: list[int] = []
+    for run in victim.runs:
+        index = search.index_by_executor.get(run.executor_id)
+        if index is not None:
+            search.available[index] = search.available[index].plus(run.shape)
+            affected.append(index)
+    return affected
--- a/packages/steps/src/jacinthreel_steps/_planning/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_victims.py
@@ -31,6 +31,14 @@
     cost: float
     urgent_workspace: str | None
 
+    @property
+    def resources(self) -> Resources:
+        """What the runs use on all executors."""
+        total = NO_RESOURCES
+        for run in self.runs:
+            total = total.plus(run.shape)
+        return total
+
     @property
     def accelerators(self) -> int:
         """The accelerators that the runs use."""
@@ -72,18 +80,22 @@
         return capacity
 
     def capacity_soon(self, executor: Executor) -> Resources:
-        """Returns the capacity that is free or held by runs that are about to stop.
-
-        Runs that have not stopped in time are not counted: their executor may ignore the orders.
-        """
+        """Returns the capacity that is free or held by runs that are about to stop."""
         capacity = executor.free_resources
         for run in executor.runs_by_task.values():
-            if run.state is not RunState.STOPPING or run.stopping_since_ms is None:
-                continue
-            if self._now_ms - run.stopping_since_ms <= self._stop_limit_ms + STOP_MARGIN_MS:
+            if self.is_about_to_stop(run):
                 capacity = capacity.plus(run.shape)
         return capacity
 
+    def is_about_to_stop(self, run: Run) -> bool:
+        """Whether a run is stopping and is expected to end soon.
+
+        It is not once the stop takes too long: its executor may ignore the orders.
+        """
+        if run.state is not RunState.STOPPING or run.stopping_since_ms is None:
+            return False
+        return self._now_ms - run.stopping_since_ms <= self._stop_limit_ms + STOP_MARGIN_MS
+
     def _find_victims(self, executor: Executor) -> list[Victim]:
         victims: list[Victim] = []
         for run in executor.runs_by_task.values():
--- a/packages/steps/tests/test_quotas.py
+++ b/packages/steps/tests/test_quotas.py
@@ -203,3 +203,63 @@
     harness.settle()
     assert len(harness.runs("urgent")) == 4
     assert events(harness, "placement_withdrawn") == []
+
+
+def quota_full_harness(**options: object) -> SchedulerHarness:
+    """Returns a harness in which batch runs of a guaranteed workspace fill its quota of 8."""
+    harness = make_harness({"w": Resources(0, 0, 8)})
+    harness.submit("cheap", step(count=4, **options), terms=queue(2))
+    harness.settle()
+    harness.submit("dear", step(count=4, **options), terms=queue(1))
+    harness.settle()
+    return harness
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_guaranteed_job_preempts_the_cheapest_runs_of_its_workspace(is_gang: bool) -> None:
+    harness = quota_full_harness()
+    harness.submit("other", step(count=8), workspace="v", terms=queue(2))
+    harness.settle()
+    harness.submit("urgent", step(count=4, is_gang=is_gang), terms=queue(0))
+    harness.settle()
+    assert len(harness.runs("urgent")) == 4
+    assert len(harness.runs("cheap")) == 0 and len(harness.runs("dear")) == 4
+    assert len(harness.runs("other")) == 8
+
+
+def test_claim_waits_until_preempted_runs_of_the_quota_have_stopped() -> None:
+    harness = quota_full_harness()
+    harness.submit("urgent", step(count=4), terms=queue(0))
+    for _ in range(3):
+        harness.scheduler.plan(harness.now_ms)
+        harness.store()
+        harness.execute_starts()  # The stops are not carried out.
+    assert harness.runs("urgent") == [] and events(harness, "placement_withdrawn") == []
+    assert harness.scheduler.usage.running("w").accelerators == 8
+    harness.settle()
+    assert len(harness.runs("urgent")) == 4
+
+
+def test_other_runs_are_preempted_if_a_stop_takes_too_long() -> None:
+    harness = quota_full_harness()
+    harness.submit("urgent", step(count=4), terms=queue(0))
+    harness.scheduler.plan(harness.now_ms)
+    ignored = {str(stop.run_id) for stop in harness.scheduler.take_stops()}
+    for _ in range(30):
+        harness.now_ms += 50
+        harness.report_all()
+        harness.scheduler.plan(harness.now_ms)
+        harness.store()
+        for stop in harness.scheduler.take_stops():
+            if str(stop.run_id) not in ignored:
+                harness.stop(stop)
+        harness.execute_starts()
+    assert len(harness.runs("urgent")) == 4 and len(harness.runs("cheap")) == 4
+
+
+def test_job_beyond_the_guarantee_or_the_quota_preempts_nothing() -> None:
+    harness = quota_full_harness()
+    harness.submit("beyond", step(count=9), terms=queue(0))
+    harness.submit("lower", step(count=4), terms=queue(1))
+    harness.settle()
+    assert len(harness.runs("cheap")) + len(harness.runs("dear")) == 8
