Test claims under a full quota while runs of the workspace stop

Guards against a claim that is placed, or a gang that moves to free capacity, before the preempted runs have stopped, and against stopping runs that are not expected to free their part of the quota.

--- a/packages/steps/tests/test_quotas.py
+++ b/packages/steps/tests/test_quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
@@ -205,7 +206,7 @@
     assert events(harness, "placement_withdrawn") == []
 
 
-def quota_full_harness(**options: object) -> SchedulerHarness:
+def quota_full_harness(**options: Any) -> SchedulerHarness:
     """Returns a harness in which batch runs of a guaranteed workspace fill its quota of 8."""
     harness = make_harness({"w": Resources(0, 0, 8)})
     harness.submit("cheap", step(count=4, **options), terms=queue(2))
@@ -227,9 +228,12 @@
     assert len(harness.runs("other")) == 8
 
 
-def test_claim_waits_until_preempted_runs_of_the_quota_have_stopped() -> None:
+@pytest.mark.parametrize("options", [{"max_per_executor": 2}, {"is_gang": True}])
+def test_claim_waits_until_preempted_runs_of_the_quota_have_stopped(
+    options: dict[str, Any],
+) -> None:
     harness = quota_full_harness()
-    harness.submit("urgent", step(count=4), terms=queue(0))
+    harness.submit("urgent", step(count=4, **options), terms=queue(0))
     for _ in range(3):
         harness.scheduler.plan(harness.now_ms)
         harness.store()
@@ -240,6 +244,15 @@
     assert len(harness.runs("urgent")) == 4
 
 
+def test_guaranteed_jobs_of_one_pass_count_the_same_stopping_runs_once() -> None:
+    harness = quota_full_harness()
+    for index in range(3):
+        harness.submit(f"urgent{index}", step(count=4), terms=queue(0))
+    harness.scheduler.plan(harness.now_ms)
+    assert harness.scheduler.usage.claimed("w").accelerators == 8
+    assert len(harness.scheduler.take_stops()) == 8
+
+
 def test_other_runs_are_preempted_if_a_stop_takes_too_long() -> None:
     harness = quota_full_harness()
     harness.submit("urgent", step(count=4), terms=queue(0))
