Divide a full system by the weights of workspaces

Cause: the order of jobs took no account of what a workspace already uses, and a burst of one workspace delayed all others. Change: with quotas or weights, guaranteed jobs go first within priority 0 and jobs beyond the rate of their workspace last within their priority; with weights, workspaces over their entitlement go after the others, and at equal cost their runs are preempted first. Result: test_fair_shares (shares 8:8 and 12:4 of 16 for weights 1:1 and 3:1). Each rule was seen to fail a test when taken out. The order without quotas and weights is unchanged.

--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -10,6 +10,7 @@
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
 from jacinthreel_steps._tables import Run, Tables
+from jacinthreel_steps._workspaces._arrivals import ArrivalRates
 from jacinthreel_steps._workspaces._held_jobs import HeldJobs
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
@@ -51,6 +52,7 @@
     speeds: SpeedModel = field(default_factory=SpeedModel)
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     held_jobs: HeldJobs = field(default_factory=HeldJobs)
+    arrivals: ArrivalRates = field(default_factory=ArrivalRates)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -15,6 +15,7 @@
 from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Executor, Tables
+from jacinthreel_steps._workspaces._shares import Shares
 
 
 @dataclass(slots=True)
@@ -34,7 +35,8 @@
 
     `used_by_workspace` counts the accelerators used by runs of priority 0.
     `failed_quota_searches` holds, by workspace, the usage for which no victims were found within
-    its quota, so that the search is not repeated for each waiting job.
+    its quota, so that the search is not repeated for each waiting job.  `shares` is None without
+    weights.
     """
 
     context: Context
@@ -42,6 +44,7 @@
     now_ms: int
     used_by_workspace: dict[str, int]
     victims: VictimIndex
+    shares: Shares | None = None
     failed_quota_searches: dict[str, Resources] = field(default_factory=dict)
     _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -40,6 +40,7 @@
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._victims import Victim, VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
+from jacinthreel_steps._workspaces._fair_order import make_shares, schedule_in_fair_order
 from jacinthreel_steps._workspaces._quota_preemption import find_quota_victims
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
@@ -50,38 +51,35 @@
 def plan(context: Context, now_ms: int) -> None:
     """Places tasks that fit, and claims capacity for those of priority 0 that don't."""
     place_or_release_claims(context, now_ms)
+    jobs = list(context.tables.open_jobs_by_id.values())
+    usable = find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS)
+    shares = make_shares(context, usable, jobs)
     state = PassState(
         context,
-        find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS),
+        usable,
         now_ms,
         count_used_accelerators(context.tables),
-        VictimIndex(context.tables, context.stop_limit_ms, now_ms),
+        VictimIndex(context.tables, context.stop_limit_ms, now_ms, shares),
+        shares,
     )
-    jobs = list(context.tables.open_jobs_by_id.values())
-    for job in sorted(jobs, key=lambda job: job_sort_key(job, now_ms)):
-        _schedule_job(state, job)
+    ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
+    if context.tables.policy.quota_by_workspace or shares is not None:
+        schedule_in_fair_order(state, ordered, _schedule_job)
+    else:
+        for job in ordered:
+            _schedule_job(state, job)
     context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
 
 
 def _schedule_job(state: PassState, job: Job) -> None:
     for step in job.steps:
-        pending = _find_pending_tasks(job, step)
+        pending = job.pending_tasks(step)
         if pending:
             _schedule_step(state, job, step, pending)
         elif is_gang_claimed(job, step):
             _place_claimed_gang_elsewhere(state, job, step)
 
 
-def _find_pending_tasks(job: Job, step: Step) -> list[Task]:
-    """Returns the tasks to place; those of a gang only when no run of the gang is left."""
-    pending = [task for task in step.tasks if not task.is_done and task.run is None]
-    if not pending or not job.is_step_ready(step):
-        return []
-    if step.spec.is_gang and len(pending) < len(step.tasks):
-        return []
-    return pending
-
-
 def _schedule_step(state: PassState, job: Job, step: Step, pending: list[Task]) -> None:
     """Places the pending tasks that fit; claims capacity for the others if the priority is 0.
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
@@ -46,6 +46,7 @@
     """
 
     cost: float
+    entitled_victims: int
     trust: Trust
     free_accelerators: int
     candidate_index: int
@@ -137,6 +138,7 @@
     candidate = search.candidates[index]
     offer = _Offer(
         sum(victim.cost for victim in victims),
+        sum(victim.is_entitled for victim in victims),
         candidate.trust,
         candidate.free_resources.accelerators,
         index,
--- a/packages/steps/src/jacinthreel_steps/_planning/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_victims.py
@@ -13,6 +13,7 @@
 
 from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
+from jacinthreel_steps._workspaces._shares import Shares
 
 CORES_PER_ACCELERATOR: Final = 8  # Cores that cost as much as one accelerator.
 CHECKPOINTED_LOSS_MS: Final = 1_000  # Maximum work lost if progress is saved; added for every run.
@@ -25,11 +26,14 @@
     """Runs that are stopped together, and the cost of stopping them; compared by identity.
 
     `urgent_workspace` is the workspace of a victim of priority 0, None for lower priorities.
+    `is_entitled` is set with weights if the workspace is not over its entitlement; at equal cost,
+    other victims are preferred.
     """
 
     runs: list[Run]
     cost: float
     urgent_workspace: str | None
+    is_entitled: bool = False
 
     @property
     def resources(self) -> Resources:
@@ -48,7 +52,10 @@
 class VictimIndex:
     """The victims of all executors during one scheduling pass."""
 
-    def __init__(self, tables: Tables, stop_limit_ms: int, now_ms: int) -> None:
+    def __init__(
+        self, tables: Tables, stop_limit_ms: int, now_ms: int, shares: Shares | None = None
+    ) -> None:
+        self._shares = shares
         self._tables = tables
         self._stop_limit_ms = stop_limit_ms
         self._now_ms = now_ms
@@ -105,22 +112,25 @@
             victim = self._make_victim(job, run)
             if victim not in victims:
                 victims.append(victim)
-        victims.sort(key=lambda victim: victim.cost)
+        victims.sort(key=lambda victim: (victim.cost, victim.is_entitled))
         return victims
 
     def _make_victim(self, job: Job, run: Run) -> Victim:
         urgent_workspace = job.record.workspace if job.record.queue.priority == 0 else None
+        is_entitled = self._shares is not None and not self._shares.is_over_entitlement(
+            job.record.workspace
+        )
         step = job.steps[run.run_id.task.step_index]
         if not step.spec.is_gang:
             cost = _preemption_cost(job, step, [run], self._now_ms)
-            return Victim([run], cost, urgent_workspace)
+            return Victim([run], cost, urgent_workspace, is_entitled)
         key = (job.job_id, run.run_id.task.step_index)
         victim = self._victim_by_gang.get(key)
         if victim is None:
             runs = [task.run for task in step.tasks if task.run is not None]
             runs = [member for member in runs if member.state is not RunState.STOPPING]
             cost = _preemption_cost(job, step, runs, self._now_ms)
-            victim = Victim(runs, cost, urgent_workspace)
+            victim = Victim(runs, cost, urgent_workspace, is_entitled)
             self._victim_by_gang[key] = victim
         return victim
 
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -125,6 +125,7 @@
         self.tables.jobs_by_id[job.job_id] = job
         if not job.state.is_final:
             self.tables.open_jobs_by_id[job.job_id] = job
+        self._context.arrivals.record(job)
         if record.queue.priority == 0 and progress is None:
             accelerators = sum(
                 step.count * step.shape.accelerators for step in record.spec.steps if not step.after
@@ -347,7 +348,7 @@
 
     def remove_job(self, job_id: str) -> None:
         """Removes a job that `find_jobs_ended_before` returned."""
-        del self.tables.jobs_by_id[job_id]
+        self._context.arrivals.remove(self.tables.jobs_by_id.pop(job_id))
 
     def _attach_run(self, run: Run) -> None:
         executor = self.tables.executors_by_id.get(run.executor_id)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -149,6 +149,15 @@
         """Whether all steps that `step` depends on are done."""
         return all(self.steps[index].is_done for index in step.spec.after)
 
+    def pending_tasks(self, step: Step) -> list[Task]:
+        """Returns the tasks to place; those of a gang only when no run of the gang is left."""
+        pending = [task for task in step.tasks if not task.is_done and task.run is None]
+        if not pending or not self.is_step_ready(step):
+            return []
+        if step.spec.is_gang and len(pending) < len(step.tasks):
+            return []
+        return pending
+
 
 @dataclass(slots=True)
 class PendingEnd:
