Refuse gangs larger than their quota; show use, quotas and shares

Cause: a gang larger than its workspace's quota would wait for ever, held arrivals of priority 0 reserved executors, and operators saw neither use nor quota. Without quotas and weights there are no new gauges.

--- a/packages/cli/src/jacinthreel_cli/_top.py
+++ b/packages/cli/src/jacinthreel_cli/_top.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import sys
 from dataclasses import dataclass
 from typing import Annotated, Final
@@ -39,6 +40,19 @@
     "p99 plan ms",
 )
 
+WORKSPACE_COLUMNS: Final = (
+    "workspace",
+    "cores / quota",
+    "memory MB / quota",
+    "accelerators / quota",
+    "share",
+    "weight",
+    "held jobs",
+)
+WORKSPACE_METRIC: Final = re.compile(
+    r'workspace_(\w+)\{workspace="((?:[^"\\]|\\.)*)"(?:,amount="(\w+)")?\}'
+)
+
 MetricsSample = dict[str, float]
 """Metric values by name, labels included."""
 
@@ -57,7 +71,7 @@
     *,
     seconds: Annotated[float, Parameter(help="Time between the two samples.")] = DEFAULT_PERIOD_S,
 ) -> None:
-    """Shows the load of running nodes: calls, jobs and executors.
+    """Shows the load of running nodes: calls, jobs, executors, and workspaces with quotas.
 
     Parameters
     ----------
@@ -69,7 +83,11 @@
     if seconds <= 0:
         raise usage_error(ResultCode.OUT_OF_RANGE, "the time between samples must be positive")
     nodes = asyncio.run(_sample_nodes(addresses, seconds))
-    Console(file=sys.stdout, width=None).print(render_nodes(nodes, seconds))
+    console = Console(file=sys.stdout, width=None)
+    console.print(render_nodes(nodes, seconds))
+    workspaces = render_workspaces(nodes)
+    if workspaces is not None:
+        console.print(workspaces)
     if all(node.second is None for node in nodes):
         fault = Fault(ResultCode.PEER_UNREACHABLE, "no metrics address answered")
         raise CommandError(ExitStatus.UNKNOWN, fault)
@@ -98,6 +116,48 @@
     return render_table("nodes", COLUMNS, [_format_row(node, period_s) for node in nodes])
 
 
+def render_workspaces(nodes: list[NodeSamples]) -> Table | None:
+    """Returns a table of the owner's workspaces; None if there is no owner or nothing to show.
+
+    Of several nodes that report an epoch, the one with the highest is the owner.
+    """
+    samples = [node.second for node in nodes if node.second and node.second.get("owner_epoch")]
+    if not samples:
+        return None
+    owner = max(samples, key=lambda sample: sample["owner_epoch"])
+    values_by_workspace: dict[str, dict[str, float]] = {}
+    for name, value in owner.items():
+        match = WORKSPACE_METRIC.fullmatch(name)
+        if match is not None:
+            kind, workspace, amount = match.groups()
+            key = f"{kind}.{amount}" if amount else kind
+            values_by_workspace.setdefault(workspace, {})[key] = value
+    if not values_by_workspace:
+        return None
+    rows = [_format_workspace(*item) for item in sorted(values_by_workspace.items())]
+    return render_table("workspaces", WORKSPACE_COLUMNS, rows)
+
+
+def _format_workspace(workspace: str, values: dict[str, float]) -> list[str]:
+    weight = values.get("weight")
+    return [
+        workspace,
+        _format_use(values, "cpu_milli", 1_000),
+        _format_use(values, "memory_mb", 1),
+        _format_use(values, "accelerators", 1),
+        f"{100 * values.get('share', 0):.1f} %",
+        f"{weight:g}" if weight else "-",
+        f"{values.get('held_jobs', 0):.0f}",
+    ]
+
+
+def _format_use(values: dict[str, float], amount: str, unit: int) -> str:
+    """Returns the use and the quota, "-" if the amount is not limited."""
+    quota = values.get(f"quota.{amount}")
+    limit = f"{quota / unit:g}" if quota else "-"
+    return f"{values.get(f'used.{amount}', 0) / unit:g} / {limit}"
+
+
 def _format_row(node: NodeSamples, period_s: float) -> list[str]:
     sample = node.second
     if sample is None:
--- a/packages/cli/tests/test_top.py
+++ b/packages/cli/tests/test_top.py
@@ -11,7 +11,7 @@
 
 from jacinthreel_cli.__main__ import run
 from jacinthreel_cli._exit import ExitStatus
-from jacinthreel_cli._top import COLUMNS, NodeSamples, render_nodes
+from jacinthreel_cli._top import COLUMNS, NodeSamples, render_nodes, render_workspaces
 
 OWNER = {
     "owner_epoch": 7.0,
@@ -59,6 +59,23 @@
     assert [next(iter(column.cells)) for column in table.columns] == expected
 
 
+def test_use_and_quota_of_workspaces_are_those_of_the_newest_owner() -> None:
+    owner = {
+        **OWNER,
+        'workspace_used{workspace="w",amount="cpu_milli"}': 2_500.0,
+        'workspace_used{workspace="w",amount="accelerators"}': 3.0,
+        'workspace_quota{workspace="w",amount="accelerators"}': 4.0,
+        'workspace_share{workspace="w"}': 0.125,
+        'workspace_held_jobs{workspace="w"}': 2.0,
+    }
+    former = {"owner_epoch": 6.0, 'workspace_share{workspace="old"}': 1.0}
+    table = render_workspaces([NodeSamples("a", None, former), NodeSamples("b", None, owner)])
+    assert table is not None
+    cells = [list(column.cells) for column in table.columns]
+    assert cells == [["w"], ["2.5 / -"], ["0 / -"], ["3 / 4"], ["12.5 %"], ["-"], ["2"]]
+    assert render_workspaces([NodeSamples("a", OWNER, OWNER)]) is None
+
+
 class _Metrics(web.RequestHandler):
     def get(self) -> None:
         self.finish("# TYPE owner_epoch gauge\nowner_epoch 3\nexecutors_listed 9\n")
--- a/packages/common/src/jacinthreel_common/_codes.py
+++ b/packages/common/src/jacinthreel_common/_codes.py
@@ -47,6 +47,7 @@
     JOB_QUEUE_FULL = 3008
     JOB_OUTCOME_UNKNOWN = 3009
     JOB_KIND_UNSUPPORTED = 3010
+    JOB_EXCEEDS_QUOTA = 3011
     CONFIG_CONFLICT = 4001
     GUARANTEES_DO_NOT_FIT = 4002
     UNKNOWN_ZONE = 4003
@@ -203,6 +204,11 @@
         "Not accepted: the job uses an option that is not supported.",
         "Submit the job without the option that the detail names.",
     ),
+    ResultCode.JOB_EXCEEDS_QUOTA: ResultEntry(
+        503,
+        "Not run: a gang or a task of the job is larger than the quota of its workspace.",
+        "Submit a smaller gang, or ask the operator for a larger quota.",
+    ),
     ResultCode.CONFIG_CONFLICT: ResultEntry(
         409, "Not accepted: another change was accepted first.", "Read the new version and retry."
     ),
--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -4,11 +4,13 @@
 
 from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._workspace_gauges import WorkspaceGauges
 from jacinthreel_steps import MAX_REPORT_AGE_MS
 
 
 def set_gauges(
     metrics: MetricsRegistry,
+    workspace_gauges: WorkspaceGauges,
     ownership: Ownership | None,
     policy_version: int,
     is_store_lost: bool,
@@ -27,6 +29,9 @@
             runs += len(executor.runs_by_task)
             listed += executor.is_listed
             responsive += now_ms - executor.last_report_ms <= MAX_REPORT_AGE_MS
+    workspace_gauges.set_all(
+        ownership.scheduler.workspace_summaries() if ownership is not None else []
+    )
     metrics.gauge("jobs_open", open_jobs)
     metrics.gauge("jobs_waiting", waiting_jobs)
     metrics.gauge("runs_held", runs)
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -44,7 +44,13 @@
 )
 from jacinthreel_node._routing import RoutedCall
 from jacinthreel_node._store_health import StoreAvailability
-from jacinthreel_steps import JobRecord, JobSpec, JobState, decode_progress_state
+from jacinthreel_steps import (
+    JobRecord,
+    JobSpec,
+    JobState,
+    decode_progress_state,
+    find_step_beyond_quota,
+)
 
 COMMIT_TIMEOUT_MS: Final = 900
 READ_TIMEOUT_MS: Final = 900
@@ -54,6 +60,7 @@
 MIN_INSERT_MS: Final = 40  # With less time left, the outcome of an insert is rarely known.
 MAX_RETRY_MS: Final = 1_000  # Limits how long a caller waits while the store doesn't answer.
 STORE_RETRY_AFTER_MS: Final = 1_000
+QUOTA_RETRY_AFTER_MS: Final = 60_000  # Only a change of the configuration can help.
 WAITING_MAX_AGE_MS: Final = 1_900  # Limit for the heartbeat that holds the count.
 JOB_ID_DIGITS: Final = 16
 HEX_DIGITS: Final = frozenset("0123456789abcdefABCDEF")
@@ -114,9 +121,16 @@
         """Accepts a job; a repeated call with the same id has no further effect.
 
         `deadline_ms` is how long the caller waits.  Errors: STORE_UNAVAILABLE (the job never
-        runs), JOB_OUTCOME_UNKNOWN.
+        runs), JOB_OUTCOME_UNKNOWN, JOB_EXCEEDS_QUOTA (the job never runs).
         """
         started_ms = self._clock.now_ms()
+        excess = await self._find_excess(call, job_id, spec, deadline_ms)
+        if excess is not None:
+            self._metrics.count("jobs_beyond_quota_total")
+            refusal_fields = {"job_id": job_id, "workspace": call.workspace}
+            code_and_reason = {"code": excess.code.value, "reason": excess.detail}
+            self._log("job_not_accepted", {**refusal_fields, **code_and_reason})
+            return Failure(excess)
         record = JobRecord(job_id, call.route.queue, call.workspace, spec, self._clock.unix_ms())
         key = JOB_PREFIX + job_id
         outcome = await self._insert(key, encode_record(record), started_ms, deadline_ms)
@@ -141,6 +155,27 @@
             case _:
                 raise AssertionError("a Result is Success or Failure")
 
+    async def _find_excess(
+        self, call: RoutedCall, job_id: str, spec: JobSpec, deadline_ms: int
+    ) -> Fault | None:
+        """Returns the fault of a new job that its workspace's quota can never admit, or None.
+
+        A job that is stored already, or may be, is not refused: it may run.
+        """
+        step_index = find_step_beyond_quota(spec, call.quota) if call.quota is not None else None
+        if step_index is None:
+            return None
+        timeout_s = (deadline_ms - _answer_margin_ms(deadline_ms)) / 1000 / 2
+        try:
+            state = await asyncio.wait_for(self.state(job_id), timeout_s)
+        except TimeoutError:
+            return None
+        match state:
+            case Failure(Fault(code=ResultCode.JOB_NOT_FOUND)):
+                detail = f"step {step_index} is larger than the quota of the workspace"
+                return Fault(ResultCode.JOB_EXCEEDS_QUOTA, detail, QUOTA_RETRY_AFTER_MS)
+        return None
+
     async def cancel(self, job_id: str, deadline_ms: int) -> Result[None, Fault]:
         """Cancels a job.
 
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -69,6 +69,7 @@
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._store_health import MonitoredStore
 from jacinthreel_node._table_follower import TableFollower
+from jacinthreel_node._workspace_gauges import WorkspaceGauges
 
 ROLE: Final = "node"
 POLICY_FEED_WAIT_MS: Final = 1_500
@@ -133,6 +134,7 @@
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
+        self._workspace_gauges = WorkspaceGauges(metrics)
         self.jobs = JobService(
             self._store,
             self._hub,
@@ -159,6 +161,7 @@
         policy = self.policy.current
         set_gauges(
             self.metrics,
+            self._workspace_gauges,
             self._elector.ownership,
             policy.version if policy is not None else 0,
             self._store.is_intake_lost,
--- a/packages/node/src/jacinthreel_node/_routing.py
+++ b/packages/node/src/jacinthreel_node/_routing.py
@@ -49,11 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedCall:
-    """The route of a call, its path after the prefix, and the workspace of its key ("" if none)."""
+    """The route of a call, its path after the prefix, and the workspace of its key ("" if none).
+
+    `quota` is that of the workspace, None if it has none.
+    """
 
     route: Route
     path_remainder: str
     workspace: str
+    quota: Resources | None = None
 
 
 class PolicyView:
@@ -115,7 +119,9 @@
         workspace = self._policy.workspace_by_key.get(key) if key is not None else None
         if workspace is None and not route.is_public:
             return Failure(Fault(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace"))
-        return Success(RoutedCall(route, path[len(route.path_prefix) :], workspace or ""))
+        remainder = path[len(route.path_prefix) :]
+        quota = self._policy.quota_by_workspace.get(workspace or "")
+        return Success(RoutedCall(route, remainder, workspace or "", quota))
 
     def _find_route(self, host: str, path: str) -> Route | None:
         for route in self._routes_by_host.get(host.lower(), ()):
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any, cast
 
 from node_fakes import ManualClock, MemoryStore
@@ -96,6 +97,35 @@
     assert len(harness.hub.notices) == 1
 
 
+QUOTA = Resources(0, 0, 4)
+GANG = JobSpec("x", (StepSpec(5, Resources(1, 1, 1), is_gang=True),))
+
+
+def submit_gang(harness: JobServiceHarness, quota: Resources | None) -> Result[SubmitResult, Fault]:
+    call = replace(CALL, quota=quota)
+    return asyncio.run(harness.service.submit(call, JOB_ID, GANG, 3_000))
+
+
+def test_gang_larger_than_the_quota_of_its_workspace_is_refused_and_not_stored() -> None:
+    harness = JobServiceHarness()
+    assert submit_gang(harness, QUOTA).failure().code is ResultCode.JOB_EXCEEDS_QUOTA
+    assert harness.store.commits == 0
+
+
+def test_gang_that_was_accepted_before_the_quota_was_lowered_is_not_called_refused() -> None:
+    harness = JobServiceHarness()
+    assert submit_gang(harness, None) == Success(SubmitResult(True))
+    assert submit_gang(harness, QUOTA) == Success(SubmitResult(False))
+
+
+def test_tasks_that_fit_the_quota_one_at_a_time_are_accepted() -> None:
+    harness = JobServiceHarness()
+    spec = JobSpec("x", (StepSpec(5, Resources(1, 1, 1)),))
+    call = replace(CALL, quota=QUOTA)
+    result = asyncio.run(harness.service.submit(call, JOB_ID, spec, 3_000))
+    assert result == Success(SubmitResult(True))
+
+
 def test_owner_schedules_a_job_that_it_accepts_itself() -> None:
     harness = JobServiceHarness()
     harness.is_owner = True
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -27,6 +27,8 @@
 from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
+from jacinthreel_steps._workspaces._limits import find_step_beyond_quota
+from jacinthreel_steps._workspaces._summary import WorkspaceSummary
 
 __all__ = [
     "DEFAULT_STOP_LIMIT_MS",
@@ -56,7 +58,9 @@
     "Tables",
     "TaskId",
     "UnstoredRow",
+    "WorkspaceSummary",
     "decode_progress_state",
+    "find_step_beyond_quota",
     "objective_ms",
     "progress_write_id",
     "run_name",
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -62,7 +62,8 @@
     handle_unanswered_start,
 )
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, make_job
-from jacinthreel_steps._workspaces._quotas import exceeds_quota
+from jacinthreel_steps._workspaces._quotas import count_admitted, exceeds_quota
+from jacinthreel_steps._workspaces._summary import WorkspaceSummary, summarize_workspaces
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 RUN_CHECK_PERIOD_MS: Final = 200
@@ -127,10 +128,7 @@
             self.tables.open_jobs_by_id[job.job_id] = job
         self._context.arrivals.record(job)
         if record.queue.priority == 0 and progress is None:
-            accelerators = sum(
-                step.count * step.shape.accelerators for step in record.spec.steps if not step.after
-            )
-            self._context.headroom.record_arrival(accelerators, now_ms)
+            self._context.headroom.record_arrival(self._first_accelerators(job), now_ms)
         for run in job.live_runs():
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
@@ -138,6 +136,18 @@
             self._attach_run(run)
         return True
 
+    def _first_accelerators(self, job: Job) -> int:
+        """Returns the accelerators of the first steps, as far as the quota admits them now."""
+        total = 0
+        for step in job.record.spec.steps:
+            if step.after:
+                continue
+            admitted = count_admitted(self._context, job.record.workspace, step.shape)
+            count = min(step.count, admitted)
+            if count == step.count or not step.is_gang:
+                total += count * step.shape.accelerators
+        return total
+
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancels a job; a no-op if it has ended."""
         job = self.tables.open_jobs_by_id.get(job_id)
@@ -335,6 +345,10 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def workspace_summaries(self) -> list[WorkspaceSummary]:
+        """Returns what operators see of each workspace; empty without quotas and weights."""
+        return summarize_workspaces(self._context)
+
     def find_jobs_ended_before(self, before_ms: int) -> list[str]:
         """Returns the ids of stored jobs that ended before `before_ms` and have no live runs."""
         job_ids: list[str] = []
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_held_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_held_jobs.py
@@ -7,6 +7,7 @@
 
 from jacinthreel_steps._model import Resources
 from jacinthreel_steps._tables import Job, Step, Tables
+from jacinthreel_steps._workspaces._limits import fits_empty_quota
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 Log = Callable[[str, dict[str, Any]], None]
@@ -50,22 +51,6 @@
                 _log_held(tables, usage, log, tables.jobs_by_id[job_id], step)
 
 
-def fits_empty_quota(quota: Resources, step_count: int, shape: Resources) -> bool:
-    """Whether so many tasks of a shape are within the quota if nothing else runs.
-
-    >>> fits_empty_quota(Resources(0, 0, 8), 4, Resources(1_000, 1_000, 2))
-    True
-    >>> fits_empty_quota(Resources(0, 0, 8), 5, Resources(1_000, 1_000, 2))
-    False
-    """
-    needed = shape.times(step_count)
-    return (
-        (not quota.cpu_milli or needed.cpu_milli <= quota.cpu_milli)
-        and (not quota.memory_mb or needed.memory_mb <= quota.memory_mb)
-        and (not quota.accelerators or needed.accelerators <= quota.accelerators)
-    )
-
-
 def _log_held(tables: Tables, usage: WorkspaceUsage, log: Log, job: Job, step: Step) -> None:
     workspace = job.record.workspace
     quota = tables.policy.quota_by_workspace[workspace]
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
@@ -11,8 +11,7 @@
 from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._pass_state import PassState
 from jacinthreel_steps._planning._victims import Victim
-from jacinthreel_steps._workspaces._held_jobs import fits_empty_quota
-from jacinthreel_steps._workspaces._quotas import unused_quota
+from jacinthreel_steps._workspaces._limits import fits_empty_quota, unused_quota
 
 
 def find_quota_victims(
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_quotas.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_quotas.py
@@ -9,8 +9,7 @@
 
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import NO_RESOURCES, UNBOUNDED_FIT, Resources
-
-NO_LIMIT = 1 << 60
+from jacinthreel_steps._workspaces._limits import unused_quota
 
 
 def count_admitted(
@@ -47,16 +46,3 @@
         or (unused.memory_mb < 0 < shape.memory_mb)
         or (unused.accelerators < 0 < shape.accelerators)
     )
-
-
-def unused_quota(quota: Resources, used: Resources) -> Resources:
-    """Returns what is left of a quota; negative if it is exceeded, `NO_LIMIT` if there is none.
-
-    >>> unused_quota(Resources(4_000, 0, 2), Resources(1_000, 500, 3)).accelerators
-    -1
-    """
-    return Resources(
-        quota.cpu_milli - used.cpu_milli if quota.cpu_milli else NO_LIMIT,
-        quota.memory_mb - used.memory_mb if quota.memory_mb else NO_LIMIT,
-        quota.accelerators - used.accelerators if quota.accelerators else NO_LIMIT,
-    )
--- a/packages/steps/tests/test_quotas.py
+++ b/packages/steps/tests/test_quotas.py
@@ -107,6 +107,15 @@
     assert harness.scheduler.usage.claimed("w") == NO_RESOURCES
 
 
+def test_held_urgent_arrivals_reserve_no_executors() -> None:
+    harness = make_harness(FOUR, guaranteed=0)
+    for index in range(4):
+        harness.submit(f"held{index}", step(count=1, accelerators=8), terms=queue(0))
+    harness.submit("other", step(count=16), workspace="v", terms=queue(2))
+    harness.settle()
+    assert len(harness.runs("other")) == 16
+
+
 def test_lowered_quota_stops_nothing_and_holds_starts_until_usage_has_fallen() -> None:
     harness = make_harness({})
     harness.submit("j1", step(count=10))
