Let jobs beyond the rate of their workspace preempt and reserve nothing

Cause: a burst of priority 0 was scheduled last, but still preempted the runs of other workspaces and enlarged the reserved headroom. Change: jobs beyond the rate claim nothing unless they are guaranteed, and count nothing for the headroom.

--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -102,7 +102,8 @@
         admitted = [task for task in admitted if task.task_id not in placed]
     if len(admitted) < len(pending) and _preempt_own_runs(state, job, step, pending, slots):
         return
-    if admitted and queue.priority == 0:
+    may_claim = queue.priority == 0 and job.job_id not in state.best_effort_ids
+    if admitted and may_claim:
         _claim_by_preemption(state, job, step, admitted, slots)
     elif pending and not admitted:
         state.context.held_jobs.add(job, step)
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -137,7 +137,13 @@
         return True
 
     def _first_accelerators(self, job: Job) -> int:
-        """Returns the accelerators of the first steps, as far as the quota admits them now."""
+        """Returns the accelerators of the first steps, as far as the quota admits them now.
+
+        Jobs beyond the rate of their workspace count none.
+        """
+        weight = self.tables.policy.weight_by_workspace.get(job.record.workspace)
+        if self._context.arrivals.exceeds_rate(job, weight):
+            return 0
         total = 0
         for step in job.record.spec.steps:
             if step.after:
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_fair_order.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_fair_order.py
@@ -1,7 +1,8 @@
 """The order of jobs where the configuration has quotas or weights.
 
 Within priority 0, jobs within the guarantee of their workspace go first.  Within each priority,
-jobs submitted beyond the rate of their workspace go last.  With weights, jobs of workspaces over
+jobs submitted beyond the rate of their workspace go last, and preempt nothing unless they are
+guaranteed.  With weights, jobs of workspaces over
 their entitlement go after the others of their group, each time one of the workspace with the
 lowest weighted share, so that capacity is divided by weight also among them.
 """
@@ -48,6 +49,11 @@
         return (is_useless, priority, job.job_id not in guaranteed_ids, _exceeds_rate(state, job))
 
     grouped = sorted(ordered, key=group_key)
+    state.best_effort_ids.update(
+        job.job_id
+        for job in ordered
+        if job.job_id not in guaranteed_ids and _exceeds_rate(state, job)
+    )
     for key, group in groupby(grouped, key=group_key):
         is_guaranteed = not key[2]
         if state.shares is None or is_guaranteed:
--- a/packages/steps/tests/random_events.py
+++ b/packages/steps/tests/random_events.py
@@ -11,6 +11,7 @@
 
 Quotas = dict[str, Resources]
 WORKSPACES = ("v", "w")
+WEIGHTS: tuple[dict[str, float], ...] = ({}, {"w": 1.0}, {"w": 50.0, "v": 9.0})
 FREQUENT_EVENTS = ("submit", "submit", "settle", "plan", "store", "orders", "report", "end")
 RARE_EVENTS = ("cancel", "expire", "unlist", "list", "restart", "unanswered", "time", "quota")
 TAKEOVERS = ("take_over", "unlisted_take_over")
@@ -76,5 +77,11 @@
         case "time":
             harness.now_ms += rng.choice([50, 500, 2_000])
         case "quota":
-            harness.policy = Policy(1, {}, {"w": 8}, quota_by_workspace=rng.choice(quotas))
+            harness.policy = Policy(
+                1,
+                {},
+                {"w": 8},
+                quota_by_workspace=rng.choice(quotas),
+                weight_by_workspace=rng.choice(WEIGHTS),
+            )
             scheduler.apply_policy(harness.policy)
--- a/packages/steps/tests/test_fair_shares.py
+++ b/packages/steps/tests/test_fair_shares.py
@@ -19,6 +19,7 @@
     Resources,
     StepSpec,
 )
+from jacinthreel_steps._planning._headroom import ARRIVAL_SPAN_MS, ARRIVAL_WINDOW_MS
 from jacinthreel_steps._planning._placement import find_usable_executors
 from jacinthreel_steps._tables import make_job
 from jacinthreel_steps._workspaces._arrivals import ArrivalRates
@@ -136,6 +137,18 @@
     assert (running(harness, "w"), running(harness, "v")) == (2, 14)
 
 
+def test_jobs_beyond_the_rate_preempt_nothing_and_reserve_nothing() -> None:
+    harness = make_harness({"w": 2.0, "v": 2.0})
+    harness.submit("batch", step(count=16), terms=queue(2), workspace="v")
+    harness.settle()
+    for index in range(10):
+        harness.submit(f"burst{index}", step(), terms=queue(0))
+    expected = harness.scheduler._context.headroom.needed_accelerators(harness.now_ms)
+    assert expected == 2 * ARRIVAL_SPAN_MS / ARRIVAL_WINDOW_MS
+    harness.settle()
+    assert (running(harness, "w"), running(harness, "v")) == (2, 14)
+
+
 @pytest.mark.parametrize("executors", [1, 2])
 def test_victims_over_their_entitlement_are_preferred_at_equal_cost(executors: int) -> None:
     names = [f"e{index}" for index in range(executors)]
