Send no start of a run that has ended

Cause: an order to start that still waited to be sent (a retry, or one behind another start on its link) was sent although its run had been ended meanwhile, for example because the lease of the executor had expired. The task could then run twice, and its workspace could exceed its quota. Change: a run that is detached from its task gets the state ENDED, and starts are sent only for runs that are starting.

--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -38,6 +38,7 @@
         task.run = None
         workspace = context.tables.jobs_by_id[run.run_id.task.job_id].record.workspace
         context.usage.remove(workspace, run.shape, run.state is RunState.CLAIMED)
+        run.state = RunState.ENDED
 
 
 def end_run(context: Context, run: Run, reason: EndReason, checkpoint: str, now_ms: int) -> None:
@@ -124,7 +125,7 @@
 def stop_run(context: Context, run: Run, now_ms: int) -> None:
     """Stops a run: ends it at once if its start was not ordered yet, else orders its executor to.
 
-    A no-op if the run is already stopping.
+    A no-op if the run is already stopping or has ended.
     """
     task = context.tables.task(run.run_id.task)
     if task is None:
@@ -137,7 +138,7 @@
             run.state = RunState.STOPPING
             run.stopping_since_ms = now_ms
             send_stop(context, run, now_ms)
-        case RunState.STOPPING:
+        case RunState.STOPPING | RunState.ENDED:
             pass
 
 
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -28,7 +28,8 @@
 
     `CLAIMED`: reserves capacity that preempted runs have not released yet.  `PLACED`: placed, but
     the placement is not known to be stored.  `STARTING`: the start order was issued and is not
-    confirmed.  `STOPPING`: a stop order was issued.
+    confirmed.  `STOPPING`: a stop order was issued.  `ENDED`: detached from its task; orders that
+    still refer to it must not be sent.
     """
 
     CLAIMED = 1
@@ -36,6 +37,7 @@
     STARTING = 3
     RUNNING = 4
     STOPPING = 5
+    ENDED = 6
 
 
 @dataclass(slots=True)
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -19,6 +19,16 @@
     return run
 
 
+def test_start_that_is_still_queued_is_not_sent_once_its_run_has_ended() -> None:
+    harness = SchedulerHarness(listing("e1"), listing("e2"))
+    harness.submit("j1", step())
+    harness.scheduler.plan(harness.now_ms)
+    harness.store()
+    run = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[0]
+    harness.scheduler.expire_executor(run.executor_id, "lease expired", harness.now_ms)
+    assert harness.scheduler.take_starts() == []
+
+
 def test_unanswered_stop_is_repeated_although_the_run_is_not_reported() -> None:
     harness = SchedulerHarness(listing("e1"))
     run = leave_start_unanswered(harness)
