--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -35,6 +35,10 @@
             self.accelerators + other.accelerators,
         )
 
+    def times(self, count: int) -> Resources:
+        """Returns the sum of `count` such amounts."""
+        return Resources(self.cpu_milli * count, self.memory_mb * count, self.accelerators * count)
+
     def count_fitting_into(self, free: Resources) -> int:
         """Returns how many times this amount fits into `free`, at least 0.
 
@@ -155,12 +159,18 @@
     `guaranteed_accelerators_by_workspace` holds the accelerators that are guaranteed to each
     workspace's jobs of priority 0 at all times.  `queues_by_name` holds the queues that currently
     exist.
+
+    `quota_by_workspace` limits what each workspace may have running at the same time; an amount of
+    0 is not limited.  `weight_by_workspace` holds each workspace's share of a full system, relative
+    to the others.  Workspaces without an entry have no quota, or no weight.
     """
 
     version: int
     queues_by_name: dict[str, QueueTerms] = field(default_factory=dict)
     guaranteed_accelerators_by_workspace: dict[str, int] = field(default_factory=dict)
     zones_out_of_service: frozenset[str] = frozenset()
+    quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
+    weight_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 class EndReason(IntEnum):
