Let every job of priority 0 preempt lower priorities of its workspace under a full quota

Only guaranteed jobs preempted these. Change: every job of priority 0 does, unless it is beyond the rate of its workspace, as it preempts lower priorities where the executors are full.

--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -88,7 +88,8 @@
     """
     queue = job.record.queue
     admitted = _admitted_tasks(state, job, step, pending)
-    if not admitted and not _is_guaranteed(state, job, step, len(pending)):
+    may_claim = queue.priority == 0 and job.job_id not in state.best_effort_ids
+    if not admitted and not may_claim:
         state.context.held_jobs.add(job, step)
         return
     slots = state.slots_for(queue.service, queue.priority)
@@ -100,9 +101,12 @@
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
         admitted = [task for task in admitted if task.task_id not in placed]
-    if len(admitted) < len(pending) and _preempt_own_runs(state, job, step, pending, slots):
+    if (
+        may_claim
+        and len(admitted) < len(pending)
+        and _preempt_own_runs(state, job, step, pending, slots)
+    ):
         return
-    may_claim = queue.priority == 0 and job.job_id not in state.best_effort_ids
     if admitted and may_claim:
         _claim_by_preemption(state, job, step, admitted, slots)
     elif pending and not admitted:
@@ -181,12 +185,10 @@
 def _preempt_own_runs(
     state: PassState, job: Job, step: Step, pending: list[Task], slots: ServiceSlots
 ) -> bool:
-    """Claims for a guaranteed job whose workspace fills its quota with runs of lower priority.
+    """Claims for a job of priority 0 whose workspace fills its quota with runs of lower priority.
 
     Returns whether the tasks were claimed.
     """
-    if not _is_guaranteed(state, job, step, len(pending)):
-        return False
     quota_victims = find_quota_victims(state, job.record.workspace, step.spec.shape, len(pending))
     if quota_victims is None:
         return False
@@ -231,16 +233,6 @@
     return False
 
 
-def _is_guaranteed(state: PassState, job: Job, step: Step, pending_count: int) -> bool:
-    """Whether the job has priority 0 and its workspace stays within a guarantee with the tasks."""
-    policy = state.context.tables.policy
-    guaranteed = policy.guaranteed_accelerators_by_workspace.get(job.record.workspace, 0)
-    if job.record.queue.priority > 0 or not guaranteed:
-        return False
-    needed = pending_count * step.spec.shape.accelerators
-    return state.used_by_workspace.get(job.record.workspace, 0) + needed <= guaranteed
-
-
 def _preemptible_excess(
     state: PassState, job: Job, step: Step, pending_count: int
 ) -> dict[str, int]:
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_fair_order.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_fair_order.py
@@ -2,9 +2,9 @@
 
 Within priority 0, jobs within the guarantee of their workspace go first.  Within each priority,
 jobs submitted beyond the rate of their workspace go last, and preempt nothing unless they are
-guaranteed.  With weights, jobs of workspaces over
-their entitlement go after the others of their group, each time one of the workspace with the
-lowest weighted share, so that capacity is divided by weight also among them.
+guaranteed.  With weights, jobs of workspaces over their entitlement go after the others of their
+group, each time one of the workspace with the lowest weighted share, so that capacity is divided by
+weight also among them.
 """
 
 from __future__ import annotations
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
@@ -1,9 +1,9 @@
-"""Chooses which runs of its own workspace a guaranteed job preempts if the quota is full.
+"""Chooses which runs of its own workspace a job of priority 0 preempts if the quota is full.
 
-A job of priority 0 within the guarantee of its workspace must not wait for runs of lower priority
-that fill the quota of the same workspace.  The cheapest of them are stopped.  Runs that are already
-stopping are expected to free their part of the quota, unless the stop takes so long that their
-executor may be ignoring it.
+Such a job must not wait for runs of lower priority that fill the quota of the same workspace, as
+it does not wait for those that fill the executors.  The cheapest of them are stopped.  Runs that
+are already stopping are expected to free their part of the quota, unless the stop takes so long
+that their executor may be ignoring it.
 """
 
 from __future__ import annotations
