Choose the lease of an executor by the work at stake

Cause: every task lease was 5.5 s although platforms allow up to 10 s. Where executors reset all connections for 6.5 s, running work lapsed with its gangs. A longer lease for all would delay the restart of urgent gangs on lost executors.

Change: choose_lease (steps, _runs/_lease_choice) decides at each renewal and start. The lease is the platform's limit where the run time that a lapse would destroy exceeds what the longest lease would add to the restarts; it is 5.5 s otherwise, and in any case while a gang of priority 0 has done less work than that wait. NodeSettings.lease_limits replaces task_lease_ms. All bounds of unreached leases use the longest lease.

ExecutorClock now bounds the leases of earlier owners as well. Until now the first own renewal covered them, because all leases had one length. With lengths that vary, an executor that is lost after the first response would have had its runs ended while they still ran under the longer lease of the former owner. The same fault existed on draining executors, whose renewals were shorter.

Result: test_lease_choice and four cases of test_executor_link. Seen red: without the bound of former leases, with the bound but without the handed-over end, with the shortest lease for all, and with the latest instead of the longest lease end (one case each). The field default_ms of ExecutorClock.lease_end_ms is renamed, because it is no longer only a default.

--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -99,7 +99,7 @@
         self._renewed_lease_count = 0
         self._lease_watch = LeaseWatch()
         self._is_taking_over = False
-        self._handover = LeaseHandover(hub, clock, log, settings.task_lease_ms)
+        self._handover = LeaseHandover(hub, clock, log, settings.lease_limits.longest_ms)
 
     @property
     def lease_age_ms(self) -> int:
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -8,7 +8,9 @@
 `CLOCK_SLOWNESS`.  Each response gives a lower bound for the executor's clock, and lease end times
 are computed from this bound.  All runs on an unreachable executor have ended once its clock must
 have passed the latest lease end that was sent to it.  For this bound to stay fixed, the requests
-that follow a failed one don't renew leases.
+that follow a failed one don't renew leases.  Leases vary in length (`choose_lease`), so the first
+renewal doesn't cover what an earlier owner has granted.  That owner may have renewed its leases
+until this owner's first request, and by no more than the longest lease.
 
 Acknowledgements: a restarted executor numbers the ends of its runs from 1 again.  If it received an
 acknowledgement meant for the earlier process, it would discard ends that the owner has not read.
@@ -20,7 +22,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Final
 
 from returns.result import Failure, Success
@@ -39,11 +41,14 @@
     Executor,
     ExecutorListing,
     ExecutorReport,
+    LeaseChoice,
+    LeaseLimits,
     Run,
     RunState,
     Scheduler,
     StartOutcome,
     StopOrder,
+    choose_lease,
 )
 
 REPORT_WAIT_MS: Final = 1_000
@@ -59,17 +64,23 @@
 
 @dataclass(slots=True)
 class ExecutorClock:
-    """A reading of an executor's clock, the local time of the reading, and the latest lease end.
+    """A reading of an executor's clock, the local time of the reading, and the latest lease ends.
 
-    `lease_until_ms` is the latest lease end that was sent, on the executor's clock.
+    `longest_lease_ms` is the longest lease that an earlier owner may have granted.  On the
+    executor's clock, `lease_until_ms` is the latest lease end that this owner has sent, and
+    `former_until_ms` the latest one that an earlier owner may have sent.
     """
 
+    longest_lease_ms: int = 0
     executor_time_ms: int = 0
     local_time_ms: int | None = None
     lease_until_ms: int = 0
+    former_until_ms: int = 0
 
     def record_reading(self, executor_time_ms: int, local_time_ms: int) -> None:
         """Records the clock reading of a response that arrived at `local_time_ms`."""
+        if self.local_time_ms is None:
+            self.former_until_ms = executor_time_ms + self.longest_lease_ms
         self.executor_time_ms = executor_time_ms
         self.local_time_ms = local_time_ms
 
@@ -79,15 +90,20 @@
             return None
         return self.executor_time_ms + int((now_ms - self.local_time_ms) * (1 - CLOCK_SLOWNESS))
 
-    def lease_end_ms(self, default_ms: int) -> int:
+    def lease_end_ms(self, former_end_ms: int) -> int:
         """Returns the local time by which the latest lease has certainly ended.
 
-        `default_ms` is returned before the first reading.
+        `former_end_ms` is the time by which the leases of earlier owners have ended.  It applies
+        alone before the first reading.
         """
         if self.local_time_ms is None:
-            return default_ms
-        remaining_ms = max(0, self.lease_until_ms - self.executor_time_ms)
-        return self.local_time_ms + int(remaining_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+            return former_end_ms
+        former_end_ms = min(former_end_ms, self._end_ms(self.former_until_ms, self.local_time_ms))
+        return max(former_end_ms, self._end_ms(self.lease_until_ms, self.local_time_ms))
+
+    def _end_ms(self, until_ms: int, reading_ms: int) -> int:
+        remaining_ms = max(0, until_ms - self.executor_time_ms)
+        return reading_ms + int(remaining_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +122,7 @@
     scheduler: Scheduler
     clock: Clock
     epoch: int
-    task_lease_ms: int
+    lease_limits: LeaseLimits
     former_leases: FormerLeases
     may_order: Callable[[], bool]
     wait_stored: Callable[[int], Awaitable[None]]
@@ -122,8 +138,9 @@
     def __init__(self, context: LinkContext, executor_id: str) -> None:
         self._context = context
         self._executor_id = executor_id
-        self._executor_clock = ExecutorClock()
+        self._executor_clock = self._new_clock()
         self._incarnation = 0
+        self._lease_choice = LeaseChoice(context.lease_limits.shortest_ms)
         self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
@@ -146,6 +163,14 @@
         former_end_ms = self._context.former_leases.end_ms(self._executor_id)
         return self._executor_clock.lease_end_ms(former_end_ms)
 
+    @property
+    def has_long_lease(self) -> bool:
+        """Whether the last lease requested was longer than the shortest one."""
+        return self._lease_choice.lease_ms > self._context.lease_limits.shortest_ms
+
+    def _new_clock(self) -> ExecutorClock:
+        return ExecutorClock(self._context.lease_limits.longest_ms)
+
     async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
         """Runs a loop of the link; an error ends the ownership, as the link needs its loops."""
         try:
@@ -198,7 +223,7 @@
         now_ms = context.clock.now_ms()
         if response.incarnation != self._incarnation:
             self._incarnation = response.incarnation
-            self._executor_clock = ExecutorClock()
+            self._executor_clock = self._new_clock()
         self._executor_clock.record_reading(response.clock_ms, now_ms)
         self._last_response_ms = now_ms
         self._lowest_reported_end = min((end.sequence for end in response.ended), default=None)
@@ -238,20 +263,25 @@
     def _update_incarnation(self, executor: Executor) -> None:
         if executor.listing.incarnation != self._incarnation:
             self._incarnation = executor.listing.incarnation
-            self._executor_clock = ExecutorClock()
+            self._executor_clock = self._new_clock()
 
     def _lease_until_ms(self, executor: Executor) -> int | None:
         """Returns the lease end to request, on the executor's clock; None before the first reading.
 
         Leases at a draining executor are shorter.
         """
-        clock_ms = self._executor_clock.earliest_time_ms(self._context.clock.now_ms())
+        context = self._context
+        now_ms = context.clock.now_ms()
+        clock_ms = self._executor_clock.earliest_time_ms(now_ms)
         if clock_ms is None:
             return None
-        lease_ms = self._context.task_lease_ms
+        choice = choose_lease(
+            executor, context.scheduler.tables.jobs_by_id, context.lease_limits, now_ms
+        )
         if executor.listing.is_draining:
-            lease_ms = min(lease_ms, DRAINING_LEASE_MS)
-        until_ms = clock_ms + lease_ms
+            choice = replace(choice, lease_ms=min(choice.lease_ms, DRAINING_LEASE_MS))
+        self._lease_choice = choice
+        until_ms = clock_ms + choice.lease_ms
         self._executor_clock.lease_until_ms = max(self._executor_clock.lease_until_ms, until_ms)
         return until_ms
 
@@ -338,4 +368,14 @@
         if self._is_unreachable:
             return
         self._is_unreachable = True
-        self._context.log("executor_lost", {"executor": self._executor_id, "reason": fault.detail})
+        choice = self._lease_choice
+        fields = {
+            "executor": self._executor_id,
+            "reason": fault.detail,
+            "lease_ms": choice.lease_ms,
+            "lease_left_ms": max(0, self.lease_end_ms() - self._context.clock.now_ms()),
+            "work_at_stake_ms": choice.work_at_stake_ms,
+            "longer_wait_ms": choice.wait_ms,
+            "young_urgent_gang": choice.has_young_urgent_gang,
+        }
+        self._context.log("executor_lost", fields)
--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -18,8 +18,9 @@
     metrics.gauge("policy_version", policy_version)
     metrics.gauge("store_lost", int(is_store_lost))
     metrics.gauge("owner_epoch", ownership.epoch if ownership is not None else 0)
-    open_jobs = waiting_jobs = runs = listed = responsive = 0
+    open_jobs = waiting_jobs = runs = listed = responsive = long_leases = 0
     if ownership is not None:
+        long_leases = ownership.long_lease_count
         tables = ownership.scheduler.tables
         open_jobs = len(tables.open_jobs_by_id)
         waiting_jobs = sum(ownership.scheduler.waiting_by_queue().values())
@@ -32,3 +33,4 @@
     metrics.gauge("runs_held", runs)
     metrics.gauge("executors_listed", listed)
     metrics.gauge("executors_heard", responsive)
+    metrics.gauge("executors_long_lease", long_leases)
--- a/packages/node/src/jacinthreel_node/_lease_handover.py
+++ b/packages/node/src/jacinthreel_node/_lease_handover.py
@@ -42,14 +42,14 @@
 
 
 class LeaseHandover:
-    """Sends and answers lease queries; `task_lease_ms` is the longest lease that is granted."""
+    """Sends and answers lease queries; `longest_ms` is the longest lease that is requested."""
 
-    def __init__(self, hub: StreamHub, clock: Clock, log: EventLog, task_lease_ms: int) -> None:
+    def __init__(self, hub: StreamHub, clock: Clock, log: EventLog, longest_ms: int) -> None:
         self.highest_epoch = 0
         self._hub = hub
         self._clock = clock
         self._log = log
-        self._task_lease_ms = task_lease_ms
+        self._longest_ms = longest_ms
         self._ended: _EndedOwnership | None = None
 
     def record_ended_ownership(self, epoch: int, leases: LeasesLeft) -> None:
@@ -89,7 +89,7 @@
         self.highest_epoch = max(self.highest_epoch, query.epoch)
         ended = self._ended
         if ended is None or ended.epoch != query.former_epoch:
-            leases = LeasesLeft({}, longest_lease_ms(self._task_lease_ms))
+            leases = LeasesLeft({}, longest_lease_ms(self._longest_ms))
             return StreamReply(ResultCode.OK, body=to_plain(leases))
         spent_ms = self._clock.now_ms() - ended.ended_ms
         remaining_ms_by_executor = ended.leases.left_ms_by_executor
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -90,7 +90,9 @@
         self.is_loaded = False
         self.scheduler = Scheduler(log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
-        unreached_lease_ms = _unreached_lease_ms(settings.task_lease_ms, has_former_owner_stopped)
+        unreached_lease_ms = _unreached_lease_ms(
+            settings.lease_limits.longest_ms, has_former_owner_stopped
+        )
         self.former_leases = FormerLeases(self._takeover_ms + unreached_lease_ms)
         self._links_by_id: dict[str, ExecutorLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,7 +119,7 @@
             self.scheduler,
             clock,
             owner.epoch,
-            settings.task_lease_ms,
+            settings.lease_limits,
             self.former_leases,
             may_order,
             self._writer.wait_stored,
@@ -144,6 +146,11 @@
         ends = {key: link.lease_end_ms() for key, link in self._links_by_id.items()}
         return self.former_leases.remaining(ends, self._clock.now_ms())
 
+    @property
+    def long_lease_count(self) -> int:
+        """The number of executors whose last lease was longer than the shortest one."""
+        return sum(link.has_long_lease for link in self._links_by_id.values())
+
     async def flush(self, timeout_ms: int) -> None:
         """Waits until all scheduler decisions are stored, or until the timeout."""
         end_ms = self._clock.now_ms() + timeout_ms
@@ -403,16 +410,19 @@
         self._on_lost(f"unexpected error: {error!r}")
 
 
-def longest_lease_ms(task_lease_ms: int) -> int:
-    """Returns the longest time, on the local clock, for which a lease granted now may be valid."""
-    return int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+def longest_lease_ms(lease_ms: int) -> int:
+    """Returns the longest time, on the local clock, for which a lease granted now may be valid.
+
+    `lease_ms` is the longest lease that is requested.
+    """
+    return int(lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
 
 
-def _unreached_lease_ms(task_lease_ms: int, has_former_owner_stopped: bool) -> int:
+def _unreached_lease_ms(longest_ms: int, has_former_owner_stopped: bool) -> int:
     """Returns the time after which all runs of the former owner at unreached executors have ended.
 
     A former owner that may still be running can renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without
     the store.
     """
-    lease_ms = longest_lease_ms(task_lease_ms)
+    lease_ms = longest_lease_ms(longest_ms)
     return lease_ms if has_former_owner_stopped else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
--- a/packages/node/src/jacinthreel_node/_settings.py
+++ b/packages/node/src/jacinthreel_node/_settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from jacinthreel_steps import DEFAULT_STOP_LIMIT_MS
+from jacinthreel_steps import DEFAULT_STOP_LIMIT_MS, LeaseLimits
 
 Address = tuple[str, int]
 
@@ -14,10 +14,10 @@
     """Settings that the adapter reads from the platform's boot file.
 
     `cores` is the number of CPU cores available to the process, `link_mbps` the bandwidth of the
-    host's network link.  `task_lease_ms` is the duration of leases at executors, `stop_grace_ms`
-    the time in which the process must stop after SIGTERM, and `status_keep_ms` how long the state
-    of an ended job is kept.  `run_stop_limit_ms` is the longest time that an executor takes to stop
-    a run.
+    host's network link.  `lease_limits` are the shortest and the longest lease at executors,
+    `stop_grace_ms` the time in which the process must stop after SIGTERM, and `status_keep_ms` how
+    long the state of an ended job is kept.  `run_stop_limit_ms` is the longest time that an
+    executor takes to stop a run.
     """
 
     host_id: str
@@ -29,7 +29,7 @@
     metrics_address: Address
     cores: float
     link_mbps: float
-    task_lease_ms: int
+    lease_limits: LeaseLimits
     stop_grace_ms: int
     status_keep_ms: int
     run_stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -24,6 +24,7 @@
 )
 from jacinthreel_steps._planning._job_order import objective_ms
 from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._runs._lease_choice import LeaseChoice, LeaseLimits, choose_lease
 from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
@@ -40,6 +41,8 @@
     "JobRecord",
     "JobSpec",
     "JobState",
+    "LeaseChoice",
+    "LeaseLimits",
     "Policy",
     "QueueTerms",
     "ReportedEnd",
@@ -56,6 +59,7 @@
     "Tables",
     "TaskId",
     "UnstoredRow",
+    "choose_lease",
     "decode_progress_state",
     "objective_ms",
     "progress_write_id",
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -115,7 +115,9 @@
     if reported.percent != run.percent or run.start_confirmed_ms is None:
         run.progress_changed_ms = now_ms
     run.percent = reported.percent
-    run.checkpoint = reported.checkpoint or run.checkpoint
+    if reported.checkpoint and reported.checkpoint != run.checkpoint:
+        run.checkpoint = reported.checkpoint
+        run.checkpoint_changed_ms = now_ms
     run.start_confirmed_ms = (
         run.start_confirmed_ms if run.start_confirmed_ms is not None else now_ms
     )
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -56,6 +56,7 @@
     progress, and `progress_changed_ms` when it last changed.
     `span_start_ms` and `span_start_percent` are the time and the progress at the start of the span
     over which the current pace is measured; 0 before the first report.
+    `checkpoint_changed_ms` is when this run's newest checkpoint was first reported, 0 before that.
     """
 
     run_id: RunId
@@ -78,6 +79,7 @@
     span_start_ms: int = 0
     span_start_percent: int = 0
     checkpoint: str = ""
+    checkpoint_changed_ms: int = 0
 
 
 @dataclass(slots=True)
