Mend three small faults of the owner's inputs

- Scheduler.apply_policy replaced a newer policy by an older one.
No caller passes one, since PolicyView takes higher versions only; now it is ignored with the log line policy_outdated.
- An executor row that can't be decoded removed the listing.
Once the executor was silent for its lease, it left the tables and its link was closed, so that the ends of its runs were never read.
Now the decoder gives the reason, the owner logs executor_row_unreadable and gives the executor no new tasks, and the link stays.
A row in a state that isn't in use still removes the listing.
- An insert that was sent again after an unknown outcome found its own row and reported it as not new, so that the owner was not notified of it either.
A retry now compares the row's value, which holds the time of acceptance.
IntakeInsert gets is_retry with a default, so nodes of both versions understand each other.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -228,12 +228,14 @@
 class IntakeInsert:
     """Requests that a process with access to the store insert a row into the intake.
 
-    The reply's body is an `IntakeInserted`.
+    `is_retry` is set if an earlier attempt may have inserted the row.  The reply's body is an
+    `IntakeInserted`.
     """
 
     key: str
     value: bytes
     timeout_ms: int
+    is_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -194,15 +194,15 @@
             if remaining_ms >= MIN_INSERT_MS and await self._store_availability.is_answering(
                 key, remaining_ms
             ):
-                match await self._insert_directly(key, value, answer_by_ms):
+                match await self._insert_directly(key, value, answer_by_ms, may_be_stored):
                     case Success(is_new):
                         return Success(is_new)
                     case Failure(Fault() as fault):
                         is_unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
                         may_be_stored = may_be_stored or is_unknown
-            match await self._insert_via_owner(key, value, answer_by_ms):
+            match await self._insert_via_owner(key, value, answer_by_ms, may_be_stored):
                 case Success(is_new):
-                    return Success(is_new and not may_be_stored)
+                    return Success(is_new)
                 case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
                     may_be_stored = True
             if answer_by_ms - self._clock.now_ms() < MIN_INSERT_MS:
@@ -214,7 +214,7 @@
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
     async def _insert_directly(
-        self, key: str, value: bytes, answer_by_ms: int
+        self, key: str, value: bytes, answer_by_ms: int, is_retry: bool
     ) -> Result[bool, Fault]:
         """Inserts a row with one attempt from this host; returns whether it is new.
 
@@ -223,7 +223,7 @@
         timeout_ms = min(COMMIT_TIMEOUT_MS, answer_by_ms - self._clock.now_ms())
         if timeout_ms < MIN_INSERT_MS:
             return Failure(Fault(ResultCode.STORE_UNAVAILABLE, "too little time is left"))
-        match await insert_intake_row(self._store, key, value, timeout_ms):
+        match await insert_intake_row(self._store, key, value, timeout_ms, is_retry):
             case Success(None):
                 return Success(False)
             case Success(int() as version):
@@ -243,7 +243,7 @@
             self._hub.notify(owner.address, owner.port, IntakeNotice(row))
 
     async def _insert_via_owner(
-        self, key: str, value: bytes, answer_by_ms: int
+        self, key: str, value: bytes, answer_by_ms: int, is_retry: bool
     ) -> Result[bool, Fault]:
         """Sends a row to the owner, which inserts it; returns whether it is new.
 
@@ -255,7 +255,7 @@
         timeout_ms = min(OWNER_TIMEOUT_MS, answer_by_ms - self._clock.now_ms())
         if timeout_ms < MIN_INSERT_MS:
             return Failure(Fault(ResultCode.PEER_UNREACHABLE, "too little time is left"))
-        call = IntakeInsert(key, value, timeout_ms)
+        call = IntakeInsert(key, value, timeout_ms, is_retry)
         match await self._hub.call(owner.address, owner.port, call, timeout_ms):
             case Success(StreamReply(code=ResultCode.OK, body=body)):
                 inserted = convert(IntakeInserted, body).value_or(None)
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -31,6 +31,7 @@
     PlatformRowDecoder,
     Row,
     Snapshot,
+    UnusableRow,
 )
 from jacinthreel_node._progress_writer import ProgressWriter
 from jacinthreel_node._records import (
@@ -170,12 +171,14 @@
         if self.is_loaded:
             self._apply_intake_rows((row,))
 
-    async def insert_intake(self, key: str, value: bytes, timeout_ms: int) -> Result[bool, Fault]:
+    async def insert_intake(
+        self, key: str, value: bytes, timeout_ms: int, is_retry: bool
+    ) -> Result[bool, Fault]:
         """Inserts an intake row for a node without store access; returns whether it is new.
 
         Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN.
         """
-        match await insert_intake_row(self._store, key, value, timeout_ms):
+        match await insert_intake_row(self._store, key, value, timeout_ms, is_retry):
             case Success(None):
                 return Success(False)
             case Success(int() as version):
@@ -350,18 +353,31 @@
     def _apply_listing_changes(self, rows: tuple[Row, ...]) -> None:
         now_ms = self._clock.now_ms()
         for row in rows:
-            listing = (
-                self._row_decoder.decode_executor_listing(row) if row.value is not None else None
-            )
-            if listing is None:
+            if row.value is None:
                 self._remove_listing(row.key)
                 continue
-            if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
-                self._log_listed(listing)
-            if row.key not in self._links_by_id:
-                self._links_by_id[row.key] = ExecutorLink(self._link_context, row.key)
+            match self._row_decoder.decode_executor_listing(row):
+                case ExecutorListing() as listing:
+                    self._apply_listing(listing, now_ms)
+                case UnusableRow(reason=""):
+                    self._remove_listing(row.key)
+                case UnusableRow(reason=reason):
+                    self._suspend_listing(row.key, reason)
         self.request_plan()
 
+    def _apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
+        executor_id = listing.executor_id
+        if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
+            self._log_listed(listing)
+        if executor_id not in self._links_by_id:
+            self._links_by_id[executor_id] = ExecutorLink(self._link_context, executor_id)
+
+    def _suspend_listing(self, executor_id: str, reason: str) -> None:
+        """Handles a row that can't be read; a known executor keeps its link."""
+        is_known = self.scheduler.suspend_listing(executor_id)
+        fields = {"executor": executor_id, "known": is_known, "reason": reason}
+        self._log("executor_row_unreadable", fields)
+
     def _remove_listing(self, executor_id: str) -> None:
         if self.scheduler.remove_listing(executor_id):
             self._log("executor_unlisted", {"executor": executor_id})
--- a/packages/node/src/jacinthreel_node/_ports.py
+++ b/packages/node/src/jacinthreel_node/_ports.py
@@ -204,5 +204,8 @@
     def decode_operator_row(self, row: Row) -> OperatorEvent:
         """Decodes a row of the operator."""
 
-    def decode_executor_listing(self, row: Row) -> ExecutorListing | None:
-        """Decodes a row of an executor; returns None if it describes no usable executor."""
+    def decode_executor_listing(self, row: Row) -> ExecutorListing | UnusableRow:
+        """Decodes a row of an executor.
+
+        The reason of an `UnusableRow` is empty if the row describes an executor that isn't in use.
+        """
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -89,7 +89,12 @@
         self._runs_checked_ms = 0
 
     def apply_policy(self, policy: Policy) -> None:
-        """Replaces the policy, without comparing versions."""
+        """Replaces the policy, unless it is older than the current one."""
+        current_version = self.tables.policy.version
+        if policy.version < current_version:
+            fields = {"version": policy.version, "current_version": current_version}
+            self._context.log("policy_outdated", fields)
+            return
         self.tables.policy = policy
 
     def add_job(
@@ -139,6 +144,7 @@
             return True
         is_new = not executor.is_listed or listing.incarnation > executor.listing.incarnation
         executor.is_listed = True
+        executor.has_unreadable_entry = False
         if listing.incarnation > executor.listing.incarnation:
             self._reset_for_new_incarnation(executor, listing, now_ms)
         elif listing.incarnation == executor.listing.incarnation:
@@ -152,9 +158,24 @@
         Returns whether it was listed before.
         """
         executor = self.tables.executors_by_id.get(executor_id)
+        if executor is None or not (executor.is_listed or executor.has_unreadable_entry):
+            return False
+        executor.is_listed = False
+        executor.has_unreadable_entry = False
+        return True
+
+    def suspend_listing(self, executor_id: str) -> bool:
+        """Gives an executor no new tasks until its registry entry can be read again.
+
+        Unlike one that was removed from the registry, it stays in the tables while it is
+        unreachable, so that the ends of its runs are read afterwards.  Returns whether the executor
+        is known and was listed before.
+        """
+        executor = self.tables.executors_by_id.get(executor_id)
         if executor is None or not executor.is_listed:
             return False
         executor.is_listed = False
+        executor.has_unreadable_entry = True
         return True
 
     def expire_executor(self, executor_id: str, reason: str, now_ms: int) -> None:
@@ -164,7 +185,7 @@
             return
         end_lost_runs(self._context, executor, reason, now_ms)
         executor.has_reported = False
-        if not executor.is_listed:
+        if not executor.is_listed and not executor.has_unreadable_entry:
             del self.tables.executors_by_id[executor_id]
 
     def expire_orphans(self, lease_end_ms: Callable[[str], int], now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -182,7 +182,8 @@
 class Executor:
     """An executor and the runs that may use its capacity.
 
-    `is_listed` is false once the registry has no entry for it.  `has_reported` is true once its
+    `is_listed` is false once the registry has no usable entry for it; `has_unreadable_entry` is
+    true while its entry can't be decoded.  `has_reported` is true once its
     current incarnation has sent a report.  `applied_end_sequence` is the highest sequence number of
     a run's end that was applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
@@ -193,6 +194,7 @@
     runs_by_task: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     is_listed: bool = True
+    has_unreadable_entry: bool = False
     has_reported: bool = False
     applied_end_sequence: int = 0
     acknowledged_upto: int = 0
