Test the ownership protocol as a whole with a state machine

Cause: the parts of the protocol (election, lease handover, former leases, progress writer, links) had tests of their own. Faults that need two failures at once lie between them.

Change: test_ownership_machine runs two nodes with the real modules on event loops that take the time from a common world, so that a node is paused by not running its loop. Store and executors are fakes; the clocks of the executors are 2 % apart. Rules lose, delay or leave unanswered requests to any party, slow the store down, pause, kill, restart and resign nodes at the same address, cut off and restart executors, and make their rows unreadable. Invariants: no task runs twice at once, no progress is stored by an earlier owner, no end is acknowledged before it is stored, and every accepted job gets done once the faults have ended.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 PACKAGES := $(sort $(wildcard packages/*)) platform
 STAMP := $(VENV)/.installed
 SEEDS ?= 1 2 3
+EXAMPLES ?= 300
 
-.PHONY: all install test lint format demo measure clean
+.PHONY: all install test lint format demo measure model clean
 
 all: lint test
 
@@ -35,5 +36,8 @@
 measure: $(STAMP)
 	$(BIN)/python -m jacinthreel_bench measure --seeds "$(SEEDS)"
 
+model: $(STAMP)
+	EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest packages/node/tests/test_ownership_machine.py
+
 clean:
 	rm -rf build $(VENV)
--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -228,14 +228,12 @@
 class IntakeInsert:
     """Requests that a process with access to the store insert a row into the intake.
 
-    `is_retry` is set if an earlier attempt may have inserted the row.  The reply's body is an
-    `IntakeInserted`.
+    The reply's body is an `IntakeInserted`.
     """
 
     key: str
     value: bytes
     timeout_ms: int
-    is_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -200,7 +200,7 @@
                     case Failure(Fault() as fault):
                         is_unknown = fault.code is ResultCode.STORE_OUTCOME_UNKNOWN
                         may_be_stored = may_be_stored or is_unknown
-            match await self._insert_via_owner(key, value, answer_by_ms, may_be_stored):
+            match await self._insert_via_owner(key, value, answer_by_ms):
                 case Success(is_new):
                     return Success(is_new)
                 case Failure(Fault(code=ResultCode.STORE_OUTCOME_UNKNOWN)):
@@ -243,10 +243,11 @@
             self._hub.notify(owner.address, owner.port, IntakeNotice(row))
 
     async def _insert_via_owner(
-        self, key: str, value: bytes, answer_by_ms: int, is_retry: bool
+        self, key: str, value: bytes, answer_by_ms: int
     ) -> Result[bool, Fault]:
         """Sends a row to the owner, which inserts it; returns whether it is new.
 
+        A row that an earlier attempt with an unknown outcome has inserted counts as not new.
         Errors: PEER_UNREACHABLE, STORE_OUTCOME_UNKNOWN.
         """
         owner = self._owner_view.row
@@ -255,7 +256,7 @@
         timeout_ms = min(OWNER_TIMEOUT_MS, answer_by_ms - self._clock.now_ms())
         if timeout_ms < MIN_INSERT_MS:
             return Failure(Fault(ResultCode.PEER_UNREACHABLE, "too little time is left"))
-        call = IntakeInsert(key, value, timeout_ms, is_retry)
+        call = IntakeInsert(key, value, timeout_ms)
         match await self._hub.call(owner.address, owner.port, call, timeout_ms):
             case Success(StreamReply(code=ResultCode.OK, body=body)):
                 inserted = convert(IntakeInserted, body).value_or(None)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -292,10 +292,7 @@
             return StreamReply(ResultCode.NOT_OWNER, "this node does not own the jobs")
         if not await self._store.is_answering(insert.key, insert.timeout_ms):
             return StreamReply(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
-        outcome = await ownership.insert_intake(
-            insert.key, insert.value, insert.timeout_ms, insert.is_retry
-        )
-        match outcome:
+        match await ownership.insert_intake(insert.key, insert.value, insert.timeout_ms):
             case Success(is_new):
                 return StreamReply(ResultCode.OK, body=to_plain(IntakeInserted(is_new)))
             case Failure(Fault() as fault):
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -171,14 +171,12 @@
         if self.is_loaded:
             self._apply_intake_rows((row,))
 
-    async def insert_intake(
-        self, key: str, value: bytes, timeout_ms: int, is_retry: bool
-    ) -> Result[bool, Fault]:
+    async def insert_intake(self, key: str, value: bytes, timeout_ms: int) -> Result[bool, Fault]:
         """Inserts an intake row for a node without store access; returns whether it is new.
 
         Errors: STORE_UNAVAILABLE, STORE_OUTCOME_UNKNOWN.
         """
-        match await insert_intake_row(self._store, key, value, timeout_ms, is_retry):
+        match await insert_intake_row(self._store, key, value, timeout_ms):
             case Success(None):
                 return Success(False)
             case Success(int() as version):
--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -63,9 +63,9 @@
         self.timeouts_ms.append(timeout_ms)
         code = self.faults.pop(0) if self.faults else None
         if code is None:
-            return Success(self._apply(conditions, writes))
+            return Success(self.apply(conditions, writes))
         if code is ResultCode.STORE_OUTCOME_UNKNOWN and self.applied_without_answer:
-            self._apply(conditions, writes)
+            self.apply(conditions, writes)
         return Failure(Fault(code, "injected failure"))
 
     async def read(
@@ -82,9 +82,7 @@
         rows = [row for (row_table, _), row in self.rows.items() if row_table == table]
         return Success(Snapshot(tuple(row for row in rows if row.version > after), self.version))
 
-    def _apply(
-        self, conditions: list[RowCondition], writes: list[RowWrite]
-    ) -> Committed | Conflict:
+    def apply(self, conditions: list[RowCondition], writes: list[RowWrite]) -> Committed | Conflict:
         for condition in conditions:
             row = self.rows.get((condition.table, condition.key))
             if (row.version if row is not None else 0) != condition.version:
--- /dev/null
+++ b/packages/node/tests/ownership_world.py
@@ -0,0 +1,751 @@
+"""A world of nodes, executors and a store for the model test of the ownership protocol.
+
+Each node runs the real election, lease handover and ownership on an event loop of its own.  All
+loops take the time from the world, so a node is paused by not running its loop.  The store and the
+executors are fakes.  Requests between them may be lost, late or without a reply.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import math
+import random
+import selectors
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, Final, cast
+
+import msgspec
+from node_fakes import MemoryStore
+from returns.result import Failure, Result, Success
+
+from jacinthreel_common import (
+    Fault,
+    Hello,
+    LeaseQuery,
+    OwnerAnnouncement,
+    OwnerHeartbeat,
+    ResultCode,
+    StreamReply,
+)
+from jacinthreel_daemon.plumbing import EventLog, MetricsRegistry, StreamHub
+from jacinthreel_node import (
+    Committed,
+    Conflict,
+    ExecutorTarget,
+    NodeSettings,
+    PolicyView,
+    ReportRequest,
+    ReportResponse,
+    Row,
+    RowCondition,
+    RowWrite,
+    Snapshot,
+    StartCommand,
+    StartResponse,
+    UnusableRow,
+)
+from jacinthreel_node._elector import Elector
+from jacinthreel_node._intake import insert_intake_row
+from jacinthreel_node._node import (
+    HEARTBEAT_PERIOD_MS,
+    LEASE_RENEWAL_PERIOD_MS,
+    OWNER_CHECK_PERIOD_MS,
+    OWNER_FEED_WAIT_MS,
+)
+from jacinthreel_node._owner_view import OwnerView
+from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._records import (
+    JOB_PREFIX,
+    OWNER_TABLE,
+    PROGRESS_TABLE,
+    OwnerRow,
+    encode_record,
+)
+from jacinthreel_node._table_follower import TableFollower
+from jacinthreel_steps import (
+    EndReason,
+    ExecutorListing,
+    JobRecord,
+    JobSpec,
+    JobState,
+    LeaseLimits,
+    QueueTerms,
+    ReportedEnd,
+    ReportedRun,
+    Resources,
+    RunId,
+    StartOutcome,
+    StepSpec,
+    TaskId,
+)
+from jacinthreel_steps._runs._progress_rows import ProgressRow, decode_progress
+
+START_MS: Final = 1_000_000
+LEASES: Final = LeaseLimits(5_350, 9_850)
+EXECUTOR_TABLE: Final = "executors"
+REPORT_TIMEOUT_MARGIN_MS: Final = 800
+COMMAND_TIMEOUT_MS: Final = 200
+SHAPE: Final = Resources(1, 1, 1)
+CAPACITY: Final = Resources(2, 2, 2)
+Serve = Callable[[Callable[[Any], None]], None]
+
+
+@dataclass(slots=True)
+class LinkFault:
+    """A fault between two parties; requests arrive `delay_ms` late."""
+
+    loses_requests: bool = False
+    loses_replies: bool = False
+    delay_ms: int = 0
+
+
+class IdleSelector(selectors.BaseSelector):
+    """Stops a loop as soon as it would wait, and records for how long it would have waited."""
+
+    def __init__(self) -> None:
+        self.stop: Callable[[], None] = lambda: None
+        self.wait_s: float | None = 0
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        return selectors.SelectorKey(fileobj, 0, events, data)
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        raise KeyError(fileobj)
+
+    def get_map(self) -> Any:
+        return {}
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        self.wait_s = timeout
+        if timeout is None or timeout > 0:
+            self.stop()
+        return []
+
+
+class WorldLoop(asyncio.SelectorEventLoop):
+    """An event loop on the world's time."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._idle_selector = IdleSelector()
+        super().__init__(self._idle_selector)
+        self._idle_selector.stop = self.stop
+
+    def time(self) -> float:
+        return self._world.now_ms / 1000
+
+    def run_until_idle(self) -> int | None:
+        """Runs all callbacks that are due; returns when the next one is, or None."""
+        self.run_forever()
+        wait_s = self._idle_selector.wait_s
+        if wait_s is None:
+            return None
+        return self._world.now_ms + max(1, math.ceil(wait_s * 1000 - 1e-6))
+
+
+class World:
+    """Time, links, the store and the observations that the invariants are checked against."""
+
+    def __init__(self, seed: int) -> None:
+        self.now_ms = START_MS
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.nodes: dict[str, Node] = {}
+        self.executors: dict[str, FakeExecutor] = {}
+        self.faults: dict[tuple[str, str], LinkFault] = {}
+        self.accepted_job_ids: set[str] = set()
+        self.running_on: dict[TaskId, str] = {}
+        self.violations: list[str] = []
+        self.log_lines: list[tuple[int, str, str, Any]] = []
+        self._feeds: list[tuple[str, int, Callable[[Any], None]]] = []
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._event_count = 0
+
+    def at(self, time_ms: int, event: Callable[[], None]) -> None:
+        self._event_count += 1
+        heapq.heappush(self._events, (max(time_ms, self.now_ms), self._event_count, event))
+
+    def advance(self, duration_ms: int) -> None:
+        end_ms = self.now_ms + duration_ms
+        while True:
+            times = [node.due_ms for node in self.nodes.values() if node.due_ms is not None]
+            times += [self._events[0][0]] if self._events else []
+            if not times or min(times) > end_ms:
+                break
+            self.now_ms = max(self.now_ms, min(times))
+            for executor in self.executors.values():
+                executor.end_due_runs()
+            while self._events and self._events[0][0] <= self.now_ms:
+                heapq.heappop(self._events)[2]()
+            for node in list(self.nodes.values()):
+                node.run_if_due()
+        self.now_ms = end_ms
+
+    def fault(self, first: str, second: str) -> LinkFault:
+        return self.faults.get((first, second)) or self.faults.get((second, first)) or LinkFault()
+
+    async def exchange(self, node: Node, peer: str, serve: Serve, timeout_ms: int) -> Any:
+        """Sends a request to `serve`; returns its reply, or None after the timeout."""
+        future: asyncio.Future[Any] = node.loop.create_future()
+
+        def deliver(value: Any) -> None:
+            if node.is_alive and not future.done():
+                future.set_result(value)
+
+        def reply(value: Any) -> None:
+            if not self.fault(node.host_id, peer).loses_replies:
+                delay_ms = self.rng.randint(1, 4)
+                self.at(self.now_ms + delay_ms, lambda: node.call_soon(lambda: deliver(value)))
+
+        fault = self.fault(node.host_id, peer)
+        if node.is_alive and not fault.loses_requests:
+            delay_ms = self.rng.randint(1, 4) + fault.delay_ms
+            self.at(self.now_ms + delay_ms, lambda: serve(reply))
+        try:
+            async with asyncio.timeout(max(1, timeout_ms) / 1000):
+                return await future
+        except TimeoutError:
+            return None
+
+    def commit(
+        self, host_id: str, conditions: list[RowCondition], writes: list[RowWrite]
+    ) -> Committed | Conflict:
+        outcome = self.store.apply(conditions, writes)
+        if isinstance(outcome, Conflict):
+            return outcome
+        owner = self.owner_row()
+        is_owner_write = any(write.table == PROGRESS_TABLE for write in writes)
+        if is_owner_write and (owner is None or owner.host_id != host_id):
+            self.violations.append(f"{host_id} has stored progress after another takeover")
+        self.notify_feeds()
+        return outcome
+
+    def put_row(self, row: RowWrite) -> None:
+        self.store.apply([], [row])
+        self.notify_feeds()
+
+    def notify_feeds(self) -> None:
+        feeds, self._feeds = self._feeds, []
+        for table, after, reply in feeds:
+            self.serve_feed(table, after, reply)
+
+    def serve_feed(self, table: str, after: int, reply: Callable[[Any], None]) -> None:
+        rows = [row for row in self.store.rows.values() if row.table == table]
+        changed = tuple(row for row in rows if row.version > after)
+        if changed:
+            reply(Snapshot(changed, self.store.version))
+        else:
+            self._feeds.append((table, after, reply))
+
+    def owner_row(self) -> OwnerRow | None:
+        row = self.store.rows.get((OWNER_TABLE, "owner"))
+        return msgspec.msgpack.decode(row.value or b"", type=OwnerRow) if row is not None else None
+
+    def progress(self, job_id: str) -> ProgressRow | None:
+        row = self.store.rows.get((PROGRESS_TABLE, job_id))
+        return decode_progress(row.value or b"") if row is not None else None
+
+    def begin_run(self, run_id: RunId, executor_id: str) -> None:
+        other = self.running_on.get(run_id.task)
+        if other is not None:
+            self.violations.append(f"{run_id} runs on {other} and {executor_id} at once")
+        row = self.progress(run_id.task.job_id)
+        if row is None:
+            self.violations.append(f"{run_id} started before its placement was stored")
+        elif row.steps[run_id.task.step_index].tasks[run_id.task.task_index].is_done:
+            self.violations.append(f"{run_id} started after its task was stored as done")
+        self.running_on[run_id.task] = executor_id
+
+    def check_acknowledged(self, executor_id: str, end: ReportedEnd) -> None:
+        row = self.progress(end.run_id.task.job_id)
+        if row is None:
+            self.violations.append(f"{end} was acknowledged without a stored row")
+            return
+        task = row.steps[end.run_id.task.step_index].tasks[end.run_id.task.task_index]
+        if end.reason is EndReason.DONE:
+            is_stored = task.is_done or JobState(row.state).is_final
+        else:
+            is_placed = task.executor >= 0 and row.executors[task.executor][0] == executor_id
+            is_stored = not (is_placed and task.run_number == end.run_id.number)
+        if not is_stored:
+            self.violations.append(f"{end} was acknowledged before it was stored")
+
+
+@dataclass(slots=True)
+class FakeRun:
+    """A run on a fake executor; times are the world's."""
+
+    run_id: RunId
+    started_ms: int
+    due_ms: int
+
+
+@dataclass(slots=True)
+class Poll:
+    """A waiting report request."""
+
+    reply: Callable[[Any], None]
+
+
+@dataclass(slots=True)
+class FakeExecutor:
+    """An executor with fencing, leases and numbered ends; its clock runs at `rate`."""
+
+    world: World
+    executor_id: str
+    rate: float
+    incarnation: int = 0
+    is_up: bool = False
+    epoch: int = 0
+    lease_until_ms: int = 0
+    runs: dict[TaskId, FakeRun] = field(default_factory=dict)
+    last_number: dict[TaskId, int] = field(default_factory=dict)
+    ended: list[ReportedEnd] = field(default_factory=list)
+    sequence: int = 0
+    polls: list[Poll] = field(default_factory=list)
+
+    @property
+    def clock_ms(self) -> int:
+        return 50_000 + int((self.world.now_ms - START_MS) * self.rate)
+
+    def listing(self) -> ExecutorListing:
+        return ExecutorListing(
+            self.executor_id, self.incarnation, "a", "s", "z", "r", frozenset(), CAPACITY
+        )
+
+    def start_process(self) -> None:
+        self.incarnation += 1
+        self.is_up = True
+        self.epoch = self.lease_until_ms = self.sequence = 0
+        self.last_number.clear()
+        self.ended.clear()
+        self.write_row()
+
+    def write_row(self) -> None:
+        value = msgspec.msgpack.encode(self.listing())
+        self.world.put_row(RowWrite(EXECUTOR_TABLE, self.executor_id, value))
+
+    def stop_process(self) -> None:
+        self.is_up = False
+        self.polls.clear()
+        for task_id in list(self.runs):
+            self._remove_run(task_id)
+
+    def end_due_runs(self) -> None:
+        expiry_ms = START_MS + (self.lease_until_ms - 50_000) / self.rate
+        for task_id, run in list(self.runs.items()):
+            if run.due_ms <= min(self.world.now_ms, expiry_ms):
+                self._end_run(task_id, EndReason.DONE)
+            elif expiry_ms < self.world.now_ms:
+                self._end_run(task_id, EndReason.LAPSED)
+
+    def report(self, request: ReportRequest, reply: Callable[[Any], None]) -> None:
+        if not self._accept_epoch(request.epoch):
+            reply(Failure(Fault(ResultCode.STALE_EPOCH, "")))
+            return
+        if request.lease_until_ms is not None:
+            self.lease_until_ms = max(self.lease_until_ms, request.lease_until_ms)
+        for end in self.ended:
+            if end.sequence <= request.acknowledged_upto:
+                self.world.check_acknowledged(self.executor_id, end)
+        self.ended = [end for end in self.ended if end.sequence > request.acknowledged_upto]
+        if self.ended or not request.wait_ms:
+            reply(Success(self._response()))
+            return
+        poll = Poll(reply)
+        self.polls.append(poll)
+        self.world.at(self.world.now_ms + request.wait_ms, lambda: self._answer([poll]))
+
+    def start(self, command: StartCommand) -> StartResponse:
+        if not self._accept_epoch(command.epoch):
+            return StartResponse(StartOutcome.REFUSED_OTHER, is_fenced=True)
+        task_id, number = command.run_id.task, command.run_id.number
+        run = self.runs.get(task_id)
+        if run is not None and run.run_id == command.run_id:
+            return StartResponse(StartOutcome.STARTED)
+        is_old = run is not None or number <= self.last_number.get(task_id, 0)
+        if is_old or command.lease_until_ms <= self.clock_ms:
+            return StartResponse(StartOutcome.REFUSED_OTHER)
+        if len(self.runs) >= CAPACITY.accelerators:
+            return StartResponse(StartOutcome.REFUSED_NO_ROOM)
+        self.lease_until_ms = max(self.lease_until_ms, command.lease_until_ms)
+        self.world.begin_run(command.run_id, self.executor_id)
+        now_ms = self.world.now_ms
+        due_ms = now_ms + int(command.payload)
+        self.runs[task_id] = FakeRun(command.run_id, now_ms, due_ms)
+        self.world.at(due_ms, lambda: None)  # Wakes the world when the run is due.
+        return StartResponse(StartOutcome.STARTED)
+
+    def stop(self, run_id: RunId, epoch: int) -> Result[None, Fault]:
+        if not self._accept_epoch(epoch):
+            return Failure(Fault(ResultCode.STALE_EPOCH, ""))
+        self.last_number[run_id.task] = max(self.last_number.get(run_id.task, 0), run_id.number)
+        run = self.runs.get(run_id.task)
+        if run is not None and run.run_id.number <= run_id.number:
+            self._end_run(run_id.task, EndReason.STOPPED)
+        return Success(None)
+
+    def _accept_epoch(self, epoch: int) -> bool:
+        if epoch < self.epoch:
+            return False
+        self.epoch = epoch
+        return True
+
+    def _response(self) -> ReportResponse:
+        now_ms = self.world.now_ms
+        running = tuple(
+            ReportedRun(
+                run.run_id, "", 100 * (now_ms - run.started_ms) // (run.due_ms - run.started_ms)
+            )
+            for run in self.runs.values()
+        )
+        return ReportResponse(self.clock_ms, self.incarnation, running, tuple(self.ended))
+
+    def _answer(self, polls: list[Poll]) -> None:
+        for poll in polls:
+            if poll in self.polls:
+                self.polls.remove(poll)
+                poll.reply(Success(self._response()))
+
+    def _end_run(self, task_id: TaskId, reason: EndReason) -> None:
+        run = self._remove_run(task_id)
+        number = run.run_id.number
+        self.last_number[task_id] = max(number, self.last_number.get(task_id, 0))
+        self.sequence += 1
+        self.ended.append(ReportedEnd(self.sequence, run.run_id, reason, ""))
+        self._answer(list(self.polls))
+
+    def _remove_run(self, task_id: TaskId) -> FakeRun:
+        del self.world.running_on[task_id]
+        return self.runs.pop(task_id)
+
+
+class Node:
+    """A process with the real election and ownership; its ports lead into the world."""
+
+    def __init__(self, world: World, host_id: str) -> None:
+        self.world = world
+        self.host_id = host_id
+        self.address = (f"10.0.0.{host_id}", 7000)
+        self.loop = WorldLoop(world)
+        self.is_alive = True
+        self.paused_until_ms = 0
+        self.wake_ms: int | None = world.now_ms
+        self._offset_ms = world.rng.randrange(10_000_000)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.owner_view = OwnerView(self)
+        settings = NodeSettings(
+            host_id, "z", *([self.address] * 5), 2.0, 1_000, LEASES, 5_000, 600_000
+        )
+        self.settings = settings
+        self.store = NodeStore(self)
+        self.elector = Elector(
+            settings,
+            self.store,
+            cast(StreamHub, NodeHub(self)),
+            self.owner_view,
+            self,
+            random.Random(world.rng.getrandbits(32)),
+            cast(EventLog, self),
+            self.spawn,
+            self._make_ownership,
+        )
+        self.call_soon(self._start)
+
+    # The clock of the process.
+
+    def now_ms(self) -> int:
+        return self.world.now_ms + self._offset_ms
+
+    def unix_ms(self) -> int:
+        return self.world.now_ms
+
+    # The log of the process.
+
+    def info(self, event: str, fields: dict[str, Any]) -> None:
+        self.world.log_lines.append((self.world.now_ms - START_MS, self.host_id, event, fields))
+        if event == "owner_failed":
+            self.world.violations.append(f"{self.host_id}: {fields['trace']}")
+
+    warning = info
+
+    @property
+    def due_ms(self) -> int | None:
+        if not self.is_alive or self.wake_ms is None:
+            return None
+        return max(self.wake_ms, self.paused_until_ms)
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        if self.is_alive:
+            self.loop.call_soon(callback)
+            self.wake_ms = self.world.now_ms
+
+    def run_if_due(self) -> None:
+        if self.due_ms is not None and self.due_ms <= self.world.now_ms:
+            self.wake_ms = self.loop.run_until_idle()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(self._guard(coroutine))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def kill(self) -> None:
+        """Ends the process; nothing that it still does reaches the world."""
+        self.is_alive = False
+        self.loop.run_until_idle()  # Starts every task, so that each coroutine can be closed.
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.loop.run_until_idle()
+        self.loop.close()
+
+    def submit(self, record: JobRecord) -> None:
+        self.spawn(self._submit(record))
+        self.wake_ms = self.world.now_ms
+
+    def resign(self) -> None:
+        self.elector.is_draining = True
+        self.spawn(self.elector.resign())
+        self.wake_ms = self.world.now_ms
+
+    async def _submit(self, record: JobRecord) -> None:
+        key = JOB_PREFIX + record.job_id
+        outcome = await insert_intake_row(self.store, key, encode_record(record), 900)
+        if isinstance(outcome, Success):
+            self.world.accepted_job_ids.add(record.job_id)
+
+    async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        try:
+            await coroutine
+        except Exception as error:
+            self.world.violations.append(f"{self.host_id}: {error!r}")
+
+    def _start(self) -> None:
+        follower = TableFollower(
+            self.store,
+            OWNER_TABLE,
+            OWNER_FEED_WAIT_MS,
+            self.elector.apply_snapshot,
+            self.elector.apply_rows,
+            self.info,
+        )
+        self.spawn(follower.run())
+        self.spawn(self._repeat(LEASE_RENEWAL_PERIOD_MS, self.elector.renew_lease))
+        self.spawn(self._repeat(HEARTBEAT_PERIOD_MS, self._send_heartbeat))
+        self.spawn(self._repeat(OWNER_CHECK_PERIOD_MS, self.elector.check_owner))
+
+    async def _repeat(self, period_ms: int, callback: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(period_ms / 1000)
+            callback()
+
+    def _send_heartbeat(self) -> None:
+        ownership = self.elector.ownership
+        if ownership is None:
+            return
+        age_ms, count = self.elector.lease_age_ms, self.elector.lease_count
+        NodeHub(self).notify_all(
+            OwnerHeartbeat(ownership.epoch, lease_age_ms=age_ms, lease_count=count)
+        )
+
+    def receive(self, message: object) -> None:
+        match message:
+            case OwnerHeartbeat():
+                self.owner_view.apply_heartbeat(Hello("", "node", "z"), message)
+            case OwnerAnnouncement():
+                self.elector.apply_announcement(message)
+
+    def _make_ownership(self, owner: OwnerRow, version: int, has_stopped: bool) -> Ownership:
+        return Ownership(
+            self.settings,
+            self.store,
+            NodeGateway(self),
+            FakeRowDecoder(),
+            PolicyView(),
+            owner,
+            version,
+            self,
+            MetricsRegistry(),
+            self.info,
+            self.elector.end_ownership,
+            lambda: self.elector.is_lease_usable,
+            has_stopped,
+        )
+
+
+class FakeRowDecoder:
+    """Decodes executor rows; b"?" is a row that can't be read."""
+
+    operator_table = "operator"
+    executor_table = EXECUTOR_TABLE
+
+    def decode_operator_row(self, row: Row) -> UnusableRow:
+        return UnusableRow("")
+
+    def decode_executor_listing(self, row: Row) -> ExecutorListing | UnusableRow:
+        if row.value == b"?":
+            return UnusableRow("unreadable")
+        return msgspec.msgpack.decode(row.value or b"", type=ExecutorListing)
+
+
+@dataclass(slots=True)
+class NodeStore:
+    """The store as a node reaches it."""
+
+    node: Node
+
+    async def commit(
+        self, conditions: list[RowCondition], writes: list[RowWrite], timeout_ms: int
+    ) -> Result[Committed | Conflict, Fault]:
+        world, host_id = self.node.world, self.node.host_id
+        outcome = await world.exchange(
+            self.node,
+            "store",
+            lambda reply: reply(world.commit(host_id, conditions, writes)),
+            timeout_ms,
+        )
+        if outcome is None:
+            return Failure(Fault(ResultCode.STORE_OUTCOME_UNKNOWN, "no reply"))
+        return Success(outcome)
+
+    async def read(
+        self, table: str, timeout_ms: int, key: str | None = None
+    ) -> Result[Snapshot, Fault]:
+        store = self.node.world.store
+
+        def serve(reply: Callable[[Any], None]) -> None:
+            rows = [row for row in store.rows.values() if row.table == table]
+            matching = tuple(row for row in rows if key is None or row.key == key)
+            reply(Snapshot(matching, store.version))
+
+        return _snapshot(await self.node.world.exchange(self.node, "store", serve, timeout_ms))
+
+    async def changes(self, table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
+        world = self.node.world
+
+        def serve(reply: Callable[[Any], None]) -> None:
+            world.serve_feed(table, after, reply)
+            world.at(world.now_ms + wait_ms, lambda: reply(Snapshot((), after)))
+
+        return _snapshot(await world.exchange(self.node, "store", serve, wait_ms + 300))
+
+
+def _snapshot(reply: Any) -> Result[Snapshot, Fault]:
+    if reply is None:
+        return Failure(Fault(ResultCode.STORE_UNAVAILABLE, "no reply"))
+    return Success(reply)
+
+
+@dataclass(slots=True)
+class NodeGateway:
+    """The executors as a node reaches them."""
+
+    node: Node
+
+    async def report(
+        self, target: ExecutorTarget, request: ReportRequest
+    ) -> Result[ReportResponse, Fault]:
+        timeout_ms = request.wait_ms + REPORT_TIMEOUT_MARGIN_MS
+        reply = await self._send(
+            target, lambda executor, reply: executor.report(request, reply), timeout_ms
+        )
+        return cast(Any, reply or Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply")))
+
+    async def start(self, target: ExecutorTarget, command: StartCommand) -> StartResponse:
+        reply = await self._send(
+            target, lambda executor, reply: reply(executor.start(command)), COMMAND_TIMEOUT_MS
+        )
+        return cast(Any, reply or StartResponse(StartOutcome.UNKNOWN))
+
+    async def stop(self, target: ExecutorTarget, run_id: RunId, epoch: int) -> Result[None, Fault]:
+        reply = await self._send(
+            target, lambda executor, reply: reply(executor.stop(run_id, epoch)), COMMAND_TIMEOUT_MS
+        )
+        return cast(Any, reply or Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply")))
+
+    def close_connections(self, executor_id: str) -> None:
+        return
+
+    async def _send(
+        self,
+        target: ExecutorTarget,
+        serve: Callable[[FakeExecutor, Callable[[Any], None]], None],
+        timeout_ms: int,
+    ) -> Any:
+        executor = self.node.world.executors[target.executor_id]
+        sent_to = executor.incarnation
+
+        def serve_if_up(reply: Callable[[Any], None]) -> None:
+            if executor.is_up and executor.incarnation == sent_to:  # Connections end with it.
+                serve(executor, reply)
+
+        return await self.node.world.exchange(
+            self.node, target.executor_id, serve_if_up, timeout_ms
+        )
+
+
+@dataclass(slots=True)
+class NodeHub:
+    """The streams of a node to its peers."""
+
+    node: Node
+
+    async def call(
+        self, address: str, port: int, message: object, timeout_ms: int
+    ) -> Result[StreamReply, Fault]:
+        peer = self._find_peer(address)
+        reply = None
+        if peer is not None:
+            reply = await self.node.world.exchange(
+                self.node,
+                peer.host_id,
+                lambda reply: self._serve(address, message, reply),
+                timeout_ms,
+            )
+        return (
+            Success(reply)
+            if reply is not None
+            else Failure(Fault(ResultCode.PEER_UNREACHABLE, "no reply"))
+        )
+
+    def is_connected(self, address: str, port: int) -> bool:
+        peer = self._find_peer(address)
+        return peer is not None and not self._is_cut(peer)
+
+    def set_peers(self, peers: set[tuple[str, int]]) -> None:
+        return
+
+    def notify(self, address: str, port: int, message: object) -> bool:
+        peer = self._find_peer(address)
+        if peer is not None and self.node.is_alive and not self._is_cut(peer):
+            world = self.node.world
+            world.at(world.now_ms + 2, lambda: peer.call_soon(lambda: peer.receive(message)))
+        return peer is not None
+
+    def notify_all(self, message: object) -> None:
+        for peer in self.node.world.nodes.values():
+            if peer is not self.node:
+                self.notify(*peer.address, message)
+
+    def _serve(self, address: str, message: object, reply: Callable[[Any], None]) -> None:
+        peer = self._find_peer(address)
+        if peer is not None and isinstance(message, LeaseQuery):
+            query = message
+            peer.call_soon(lambda: reply(peer.elector.serve_lease_query(query)))
+
+    def _find_peer(self, address: str) -> Node | None:
+        for peer in self.node.world.nodes.values():
+            if peer.address[0] == address and peer.is_alive:
+                return peer
+        return None
+
+    def _is_cut(self, peer: Node) -> bool:
+        return self.node.world.fault(self.node.host_id, peer.host_id).loses_requests
+
+
+def make_job(job_id: str, work_ms: int, count: int, priority: int, is_gang: bool) -> JobRecord:
+    terms = QueueTerms(f"q{priority}", "s", priority, 100, 3.0, 1_000)
+    step = StepSpec(count, SHAPE, work_ms, is_gang=is_gang)
+    return JobRecord(job_id, terms, "w", JobSpec(str(work_ms), (step,)), START_MS)
--- /dev/null
+++ b/packages/node/tests/test_ownership_machine.py
@@ -0,0 +1,197 @@
+"""Random takeovers, pauses, lost and late messages, restarts and clocks 2 % apart.
+
+Guards against tasks that run twice at once, orders and writes of an earlier owner after a later
+one, ends that are acknowledged before they are stored, and accepted jobs that are never run.
+"""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from ownership_world import EXECUTOR_TABLE, FakeExecutor, LinkFault, Node, World, make_job
+
+from jacinthreel_node import RowWrite
+from jacinthreel_steps import JobState
+
+HOSTS = ("1", "2")
+RATES = {"e1": 0.98, "e2": 1.0, "e3": 1.02}
+MAX_JOBS = 8
+SETTLE_MS = 150_000  # Covers the longest leases, all work and a few restarts of it.
+HOST = st.sampled_from(HOSTS)
+EXECUTOR = st.sampled_from(sorted(RATES))
+PARTY = st.sampled_from(["store", *RATES, *HOSTS])
+FAULT = st.builds(
+    LinkFault,
+    loses_requests=st.booleans(),
+    loses_replies=st.booleans(),
+    delay_ms=st.sampled_from([0, 150, 700, 3_000, 9_000]),
+)
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Two nodes and three executors; each rule starts a fault or ends one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(0)
+        self.job_count = 0
+
+    @initialize(seed=st.integers(0, 1_000))
+    def start(self, seed: int) -> None:
+        self.world = World(seed)
+        for executor_id, rate in RATES.items():
+            executor = FakeExecutor(self.world, executor_id, rate)
+            self.world.executors[executor_id] = executor
+            executor.start_process()
+        for host_id in HOSTS:
+            self.world.nodes[host_id] = Node(self.world, host_id)
+        self.world.advance(3_000)
+        for work_ms in (25_000, 12_000, 8_000):
+            self.submit("1", work_ms, 2, 0, work_ms == 8_000)
+
+    @rule(
+        host=HOST,
+        work_ms=st.sampled_from([400, 3_000, 12_000, 25_000]),
+        count=st.integers(1, 3),
+        priority=st.integers(0, 1),
+        is_gang=st.booleans(),
+    )
+    def submit(self, host: str, work_ms: int, count: int, priority: int, is_gang: bool) -> None:
+        node = self.world.nodes[host]
+        if self.job_count < MAX_JOBS and node.is_alive:
+            self.job_count += 1
+            job_id = f"{self.job_count:016x}"
+            node.submit(make_job(job_id, work_ms, count, priority, is_gang))
+        self.world.advance(200)
+
+    @rule(duration_ms=st.sampled_from([50, 300, 1_000, 2_500, 6_000, 11_000]))
+    def wait(self, duration_ms: int) -> None:
+        self.world.advance(duration_ms)
+
+    @rule(host=HOST, party=PARTY, fault=FAULT)
+    def disturb_link(self, host: str, party: str, fault: LinkFault) -> None:
+        self.world.faults[(host, party)] = fault
+        self.world.advance(100)
+
+    @rule(executor_id=EXECUTOR, hosts=st.sampled_from([("1",), ("2",), HOSTS, HOSTS]))
+    def cut_off_executor(self, executor_id: str, hosts: tuple[str, ...]) -> None:
+        for host in hosts:
+            self.world.faults[(host, executor_id)] = LinkFault(loses_requests=True)
+        self.world.advance(100)
+
+    @rule(delay_ms=st.sampled_from([400, 900, 2_000]))
+    def slow_down_store(self, delay_ms: int) -> None:
+        for host in HOSTS:
+            self.world.faults[(host, "store")] = LinkFault(delay_ms=delay_ms)
+        self.world.advance(1_000)
+
+    @rule(pause_ms=st.sampled_from([0, 0, 3_000, 10_000]), unreachable=st.sets(EXECUTOR))
+    def lose_owner(self, pause_ms: int, unreachable: set[str]) -> None:
+        """Kills the owner or pauses it for longer than its lease, and cuts off executors."""
+        for executor_id in unreachable:
+            self.cut_off_executor(executor_id, HOSTS)
+        for host in HOSTS:
+            node = self.world.nodes[host]
+            if node.is_alive and node.elector.ownership is not None:
+                node.paused_until_ms = self.world.now_ms + pause_ms
+                if not pause_ms:
+                    node.kill()
+        self.world.advance(2_000)
+
+    @rule(host=HOST)
+    def mend_links(self, host: str) -> None:
+        self.world.faults = {
+            key: fault for key, fault in self.world.faults.items() if key[0] != host
+        }
+
+    @rule(host=HOST, duration_ms=st.sampled_from([300, 900, 4_000, 10_000, 14_000]))
+    def pause_node(self, host: str, duration_ms: int) -> None:
+        self.world.nodes[host].paused_until_ms = self.world.now_ms + duration_ms
+        self.world.advance(200)
+
+    @rule(host=HOST, down_ms=st.sampled_from([300, 3_000]))
+    def restart_node(self, host: str, down_ms: int) -> None:
+        self._kill(host)
+        self.world.advance(down_ms)
+        self.world.nodes[host] = Node(self.world, host)
+
+    @rule(host=HOST)
+    def resign(self, host: str) -> None:
+        node = self.world.nodes[host]
+        if not node.is_alive:
+            return
+        node.resign()
+        self.world.advance(2_300)
+        self.restart_node(host, 300)
+
+    @rule(executor_id=EXECUTOR)
+    def restart_executor(self, executor_id: str) -> None:
+        executor = self.world.executors[executor_id]
+        executor.stop_process()
+        self.world.advance(700)
+        executor.start_process()
+
+    @rule(executor_id=EXECUTOR, is_readable=st.booleans())
+    def write_executor_row(self, executor_id: str, is_readable: bool) -> None:
+        if is_readable:
+            self.world.executors[executor_id].write_row()
+        else:
+            self.world.put_row(RowWrite(EXECUTOR_TABLE, executor_id, b"?"))
+        self.world.advance(200)
+
+    @invariant()
+    def no_violation(self) -> None:
+        assert not self.world.violations, self.world.violations
+
+    def teardown(self) -> None:
+        """Ends all faults, and checks that every accepted job is known and gets done."""
+        try:
+            if not self.world.violations:
+                self._check_recovery()
+        finally:
+            for host in HOSTS:
+                self._kill(host)
+
+    def _check_recovery(self) -> None:
+        self.world.faults.clear()
+        for executor in self.world.executors.values():
+            executor.write_row()
+        for host in HOSTS:
+            if not self.world.nodes[host].is_alive:
+                self.world.nodes[host] = Node(self.world, host)
+        self.world.advance(SETTLE_MS)
+        self.no_violation()
+        ownerships = [node.elector.ownership for node in self.world.nodes.values()]
+        [ownership] = [item for item in ownerships if item is not None]
+        states = {job_id: ownership.job_state(job_id) for job_id in self.world.accepted_job_ids}
+        assert set(states.values()) <= {JobState.COMPLETED}, states
+
+    def _kill(self, host: str) -> None:
+        node = self.world.nodes.get(host)
+        if node is not None and node.is_alive:
+            node.kill()
+
+
+def test_ownership_protocol_keeps_its_invariants() -> None:
+    # EXAMPLES is set by `make model`, which runs that many examples with fresh seeds.
+    examples = os.environ.get("EXAMPLES")
+    run_state_machine_as_test(
+        OwnershipMachine,
+        settings=settings(
+            derandomize=examples is None,
+            deadline=None,
+            database=None,
+            max_examples=int(examples or 20),
+            stateful_step_count=25,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
