--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -31,6 +31,7 @@
     PlatformRowDecoder,
     Row,
     Snapshot,
+    UnusableRow,
 )
 from jacinthreel_node._progress_writer import ProgressWriter
 from jacinthreel_node._records import (
@@ -90,7 +91,9 @@
         self.is_loaded = False
         self.scheduler = Scheduler(log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
-        unreached_lease_ms = _unreached_lease_ms(settings.task_lease_ms, has_former_owner_stopped)
+        unreached_lease_ms = _unreached_lease_ms(
+            settings.lease_limits.longest_ms, has_former_owner_stopped
+        )
         self.former_leases = FormerLeases(self._takeover_ms + unreached_lease_ms)
         self._links_by_id: dict[str, ExecutorLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,7 +120,7 @@
             self.scheduler,
             clock,
             owner.epoch,
-            settings.task_lease_ms,
+            settings.lease_limits,
             self.former_leases,
             may_order,
             self._writer.wait_stored,
@@ -144,6 +147,11 @@
         ends = {key: link.lease_end_ms() for key, link in self._links_by_id.items()}
         return self.former_leases.remaining(ends, self._clock.now_ms())
 
+    @property
+    def long_lease_count(self) -> int:
+        """The number of executors whose last lease was longer than the shortest one."""
+        return sum(link.has_long_lease for link in self._links_by_id.values())
+
     async def flush(self, timeout_ms: int) -> None:
         """Waits until all scheduler decisions are stored, or until the timeout."""
         end_ms = self._clock.now_ms() + timeout_ms
@@ -343,18 +351,31 @@
     def _apply_listing_changes(self, rows: tuple[Row, ...]) -> None:
         now_ms = self._clock.now_ms()
         for row in rows:
-            listing = (
-                self._row_decoder.decode_executor_listing(row) if row.value is not None else None
-            )
-            if listing is None:
+            if row.value is None:
                 self._remove_listing(row.key)
                 continue
-            if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
-                self._log_listed(listing)
-            if row.key not in self._links_by_id:
-                self._links_by_id[row.key] = ExecutorLink(self._link_context, row.key)
+            match self._row_decoder.decode_executor_listing(row):
+                case ExecutorListing() as listing:
+                    self._apply_listing(listing, now_ms)
+                case UnusableRow(reason=""):
+                    self._remove_listing(row.key)
+                case UnusableRow(reason=reason):
+                    self._suspend_listing(row.key, reason)
         self.request_plan()
 
+    def _apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
+        executor_id = listing.executor_id
+        if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
+            self._log_listed(listing)
+        if executor_id not in self._links_by_id:
+            self._links_by_id[executor_id] = ExecutorLink(self._link_context, executor_id)
+
+    def _suspend_listing(self, executor_id: str, reason: str) -> None:
+        """Handles a row that can't be read; a known executor keeps its link."""
+        is_known = self.scheduler.suspend_listing(executor_id)
+        fields = {"executor": executor_id, "known": is_known, "reason": reason}
+        self._log("executor_row_unreadable", fields)
+
     def _remove_listing(self, executor_id: str) -> None:
         if self.scheduler.remove_listing(executor_id):
             self._log("executor_unlisted", {"executor": executor_id})
@@ -403,16 +424,19 @@
         self._on_lost(f"unexpected error: {error!r}")
 
 
-def longest_lease_ms(task_lease_ms: int) -> int:
-    """Returns the longest time, on the local clock, for which a lease granted now may be valid."""
-    return int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+def longest_lease_ms(lease_ms: int) -> int:
+    """Returns the longest time, on the local clock, for which a lease granted now may be valid.
+
+    `lease_ms` is the longest lease that is requested.
+    """
+    return int(lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
 
 
-def _unreached_lease_ms(task_lease_ms: int, has_former_owner_stopped: bool) -> int:
+def _unreached_lease_ms(longest_ms: int, has_former_owner_stopped: bool) -> int:
     """Returns the time after which all runs of the former owner at unreached executors have ended.
 
     A former owner that may still be running can renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without
     the store.
     """
-    lease_ms = longest_lease_ms(task_lease_ms)
+    lease_ms = longest_lease_ms(longest_ms)
     return lease_ms if has_former_owner_stopped else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
--- a/packages/node/tests/test_ownership_policy.py
+++ b/packages/node/tests/test_ownership_policy.py
@@ -13,10 +13,13 @@
 from jacinthreel_node import PolicyView, RoutingPolicy
 from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._records import OwnerRow
+from jacinthreel_steps import LeaseLimits
 
 
 async def count_passes(monkeypatch: pytest.MonkeyPatch, policy: PolicyView) -> int:
-    settings = SimpleNamespace(run_stop_limit_ms=200, task_lease_ms=5_000, status_keep_ms=1_000)
+    settings = SimpleNamespace(
+        run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
+    )
     ownership = Ownership(
         cast(Any, settings),
         MemoryStore(),
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -24,6 +24,7 @@
 )
 from jacinthreel_steps._planning._job_order import objective_ms
 from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._runs._lease_choice import LeaseChoice, LeaseLimits, choose_lease
 from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
@@ -42,6 +43,8 @@
     "JobRecord",
     "JobSpec",
     "JobState",
+    "LeaseChoice",
+    "LeaseLimits",
     "Policy",
     "QueueTerms",
     "ReportedEnd",
@@ -59,6 +62,7 @@
     "TaskId",
     "UnstoredRow",
     "WorkspaceSummary",
+    "choose_lease",
     "decode_progress_state",
     "find_step_beyond_quota",
     "objective_ms",
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -58,6 +58,7 @@
     progress, and `progress_changed_ms` when it last changed.
     `span_start_ms` and `span_start_percent` are the time and the progress at the start of the span
     over which the current pace is measured; 0 before the first report.
+    `checkpoint_changed_ms` is when this run's newest checkpoint was first reported, 0 before that.
     """
 
     run_id: RunId
@@ -80,6 +81,7 @@
     span_start_ms: int = 0
     span_start_percent: int = 0
     checkpoint: str = ""
+    checkpoint_changed_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -191,7 +193,8 @@
 class Executor:
     """An executor and the runs that may use its capacity.
 
-    `is_listed` is false once the registry has no entry for it.  `has_reported` is true once its
+    `is_listed` is false once the registry has no usable entry for it; `has_unreadable_entry` is
+    true while its entry can't be decoded.  `has_reported` is true once its
     current incarnation has sent a report.  `applied_end_sequence` is the highest sequence number of
     a run's end that was applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
@@ -202,6 +205,7 @@
     runs_by_task: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
     is_listed: bool = True
+    has_unreadable_entry: bool = False
     has_reported: bool = False
     applied_end_sequence: int = 0
     acknowledged_upto: int = 0
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -25,7 +25,7 @@
 )
 from jacinthreel_platform._job_bodies import decode_job_body
 from jacinthreel_platform._platform_rows import RowTranslator
-from jacinthreel_steps import EndReason, Resources, StartOutcome
+from jacinthreel_steps import EndReason, ExecutorListing, LeaseLimits, Resources, StartOutcome
 
 ROUTE = {"name": "r", "host": "h", "path_prefix": "/q/", "service": "s", "priority": 0}
 CONFIG: dict[str, Any] = {
@@ -108,7 +108,7 @@
 
 def test_executor_row_is_decoded() -> None:
     listing = RowTranslator().decode_executor_listing(row("i-1", SERVER))
-    assert listing is not None
+    assert isinstance(listing, ExecutorListing)
     assert (listing.executor_id, listing.incarnation, listing.rack) == ("i-1", 99, "r1-3")
     assert listing.capacity.accelerators == 8
 
@@ -116,16 +116,22 @@
 @pytest.mark.parametrize(
     "change",
     [
-        {"state": "resting"},
         {"capacity": "much"},
         {"addr": "nowhere"},
         {"zone": None},
         {"labels": "a"},
     ],
 )
-def test_malformed_or_unusable_executor_row_gives_no_listing(change: dict[str, Any]) -> None:
-    assert RowTranslator().decode_executor_listing(row("i-1", {**SERVER, **change})) is None
-    assert RowTranslator().decode_executor_listing(row("i-1", b"\x00")) is None
+def test_malformed_executor_row_gives_a_reason_and_no_listing(change: dict[str, Any]) -> None:
+    for value in ({**SERVER, **change}, b"\x00"):
+        decoded = RowTranslator().decode_executor_listing(row("i-1", value))
+        assert isinstance(decoded, UnusableRow)
+        assert decoded.reason
+
+
+def test_row_of_an_executor_that_is_not_in_use_gives_no_listing_and_no_reason() -> None:
+    decoded = RowTranslator().decode_executor_listing(row("i-1", {**SERVER, "state": "resting"}))
+    assert decoded == UnusableRow("")
 
 
 @pytest.mark.parametrize(
@@ -238,5 +244,5 @@
     settings = decode_settings(json.dumps(boot).encode())
     assert settings.stream_address == ("10.0.0.1", 7000)
     assert settings.cores == 1.0
-    assert settings.task_lease_ms <= 10_000
+    assert settings.lease_limits == LeaseLimits(5_350, 9_850)
     assert settings.run_stop_limit_ms == 900
