Exclude an executor as slow only on the evidence of several runs

Cause: one gang member below 0.4 of its gang's median rate excluded its executor for 6 s, again at each check, and one run below 0.4 of its step's pace for 3 s.

Change: each run gives a verdict; an executor counts as slow if its newest verdicts, of different tasks, lag and no run in progress there is normal. A moved gang tests its lagging task on another executor, which confirms or drops the verdict. A fact excludes once, later normal runs end the exclusion early, and at most a fifth of a service is excluded as slow. Urgent gangs are still moved once because of one lagging member. The pace is measured over at least 5 % of expected progress, because progress comes in whole percent. Gangs only partly on the rack of their data are ignored.

Tests: three cases of test_slowness demanded the exclusion on one member's lag, which is the fault. They now demand that the lagging member is found, that an urgent gang is moved, and that nothing is excluded; the exclusion itself is tested in test_slow_evidence.

--- a/packages/node/src/jacinthreel_node/_diagnostics.py
+++ b/packages/node/src/jacinthreel_node/_diagnostics.py
@@ -36,7 +36,7 @@
         "listed": executor.is_listed,
         "reported": executor.has_reported,
         "heard_ms_ago": now_ms - executor.last_report_ms,
-        "avoided_for_ms": max(0, executor.health.avoid_until_ms - now_ms),
+        "avoided_for_ms": max(0, executor.health.excluded_until_ms - now_ms),
         "room": repr(executor.free_resources),
         "pending_ends": repr(executor.pending_ends),
     }
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_speed.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_speed.py
@@ -2,8 +2,8 @@
 
 Phases: reports and ends of runs give each task a rate, its progress divided by its run time.  A few
 times a second the rates are fitted (`_speed_model`), which gives each executor a long-term speed.
-In addition, the progress since an earlier report is compared with the expected rate: an executor on
-which tasks suddenly reach only a fraction of it is avoided for a while.
+In addition, the progress since an earlier report is compared with the expected rate, as evidence
+for or against a slow executor (`_slow_evidence`).
 
 Tasks that resumed from a checkpoint or were adopted from an earlier owner give no rate, because the
 time at which they reached a given progress is unknown.  Tasks on another rack than that of their
@@ -16,11 +16,10 @@
 from __future__ import annotations
 
 import math
-from statistics import median
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._executors._executor_health import avoid_executor
+from jacinthreel_steps._executors._slow_evidence import expected_speed, record_rate_ratio
 from jacinthreel_steps._tables import Executor, Run, RunState, Step
 
 MIN_AGE_MS: Final = 700
@@ -28,41 +27,33 @@
 MAX_PERCENT: Final = 98  # Above this, a gang member waits for the rest of its gang.
 CLASS_FACTOR: Final = 1.2  # Ratio between the speeds of adjacent speed classes.
 MIN_SPAN_MS: Final = 600  # Minimum time between the reports used to measure the pace.
-SLOWED_PACE_RATIO: Final = 0.4
-SLOWED_AVOID_MS: Final = 3_000
+# Minimum expected progress between these reports; progress is reported in whole percent.
+MIN_SPAN_PERCENT: Final = 5
 
 
-def observe_progress(context: Context, executor: Executor, run: Run, percent: int) -> float | None:
-    """Records the reported progress of a run; returns its current pace divided by the expected one.
-
-    Returns None if either is unknown.
-    """
+def observe_progress(context: Context, executor: Executor, run: Run, percent: int) -> None:
+    """Records the reported progress of a run: its rate, and its pace since an earlier report."""
     if run.state is not RunState.RUNNING or not _is_comparable(context, executor, run):
-        return None
+        return
     age_ms = executor.last_report_ms - run.placed_ms
     if age_ms >= MIN_AGE_MS and MIN_PERCENT <= percent <= MAX_PERCENT:
         _observe_rate(context, executor, run, percent / age_ms)
     if not run.span_start_ms:
         _begin_pace_span(executor, run, percent)
-        return None
+        return
     passed_ms = executor.last_report_ms - run.span_start_ms
     if passed_ms < MIN_SPAN_MS:
-        return None
-    pace = (percent - run.span_start_percent) / passed_ms
-    _begin_pace_span(executor, run, percent)
-    expected = context.speeds.expected_rate(_step_name(run), executor.executor_id)
-    if expected is None or percent > MAX_PERCENT:
-        return None
-    return pace / expected
-
-
-def avoid_if_slowed(
-    context: Context, executor: Executor, pace_ratios: list[float], now_ms: int
-) -> None:
-    """Avoids an executor whose median pace ratio is below `SLOWED_PACE_RATIO`."""
-    if not pace_ratios or median(pace_ratios) >= SLOWED_PACE_RATIO:
         return
-    avoid_executor(executor, SLOWED_AVOID_MS, "slowed down", now_ms, context.log)
+    usual_rate = context.speeds.usual_rate(_step_name(run))
+    if usual_rate is None or percent > MAX_PERCENT:
+        _begin_pace_span(executor, run, percent)
+        return
+    expected_percent = usual_rate * expected_speed(context, executor) * passed_ms
+    if expected_percent < MIN_SPAN_PERCENT:
+        return
+    ratio = (percent - run.span_start_percent) / expected_percent
+    _begin_pace_span(executor, run, percent)
+    record_rate_ratio(context, executor, run, ratio, True, executor.last_report_ms)
 
 
 def observe_completed_run(
--- a/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
@@ -1,12 +1,14 @@
-"""Detects slow executors by comparing the members of gangs, which do equal work.
+"""Detects lagging gang members by comparing the members, which do equal work, and moves gangs.
 
-A member's rate is its progress divided by its age at its executor's last report.  If the rate is
-less than `SLOW_RATE_RATIO` of the gang's median, the member's executor is avoided for a while.  The
-slowest member determines when a gang is done, so a gang of priority 0 is stopped and placed again,
-at most once, if that ends it much sooner.
+A member's rate is its progress divided by its age at its executor's last report.  Its ratio to the
+gang's median rate, corrected by the speeds of the executors, is evidence for or against a slow
+executor (`_slow_evidence`).  The slowest member determines when a gang is done, so a gang of
+priority 0 is stopped and placed on other executors, at most once, if that ends it much sooner.  One
+lagging member suffices, because the move costs little beside waiting for it.
 
 Gangs that resumed from a checkpoint or were adopted from an earlier owner are ignored, because the
-time at which they reached a given progress is unknown.
+time at which they reached a given progress is unknown, as are gangs of which only a part is on the
+rack of its data.
 
 Targets executors that run several times slower than others but seem healthy: without this, each of
 them delays every urgent gang that has a member there.
@@ -19,34 +21,40 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._executors._executor_health import avoid_executor
+from jacinthreel_steps._executors._slow_evidence import (
+    LAGGING_RATE_RATIO,
+    apply_new_verdicts,
+    expected_speed,
+    record_rate_ratio,
+)
 from jacinthreel_steps._runs._lifecycle import stop_gang
-from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step
+from jacinthreel_steps._tables import Executor, GangMove, Job, Run, RunState, Step
 
-SLOW_RATE_RATIO: Final = 0.4
 MIN_MEMBERS: Final = 3
 MIN_AGE_MS: Final = 500
 MIN_PERCENT: Final = 15
-SLOW_AVOID_MS: Final = 6_000
 RESTART_COST_MS: Final = 600
 MIN_MOVE_SPEEDUP: Final = 1.5  # Ratio of the gang's remaining time to that after a restart.
 
 
 @dataclass(frozen=True, slots=True)
 class _Member:
-    """A gang member's run, its executor, and its rate in percent per millisecond."""
+    """A gang member's run, its executor, its rate in percent per millisecond and expected speed."""
 
     run: Run
     executor: Executor
     rate: float
+    speed: float
 
 
-def avoid_slow_executors(context: Context, now_ms: int) -> None:
-    """Avoids executors on which gang members lag, and stops urgent gangs to move them elsewhere."""
+def check_gangs(context: Context, now_ms: int) -> None:
+    """Records which gang members lag, and stops urgent gangs to move them elsewhere."""
     for job in list(context.tables.open_jobs_by_id.values()):
         for step in job.steps:
             if step.spec.is_gang and len(step.tasks) >= MIN_MEMBERS and not step.is_done:
                 _check_gang(context, job, step, now_ms)
+    for executor in context.tables.executors_by_id.values():
+        apply_new_verdicts(context, executor, now_ms)
 
 
 def _check_gang(context: Context, job: Job, step: Step, now_ms: int) -> None:
@@ -55,13 +63,16 @@
         return
     if median(member.run.percent for member in members) < MIN_PERCENT:
         return
-    median_rate = median(member.rate for member in members)
-    slow = [member for member in members if member.rate < SLOW_RATE_RATIO * median_rate]
+    median_rate = median(member.rate / member.speed for member in members)
+    slow: list[_Member] = []
+    for member in members:
+        ratio = member.rate / member.speed / median_rate
+        record_rate_ratio(context, member.executor, member.run, ratio, False, now_ms)
+        if ratio < LAGGING_RATE_RATIO:
+            slow.append(member)
     if not slow:
         return
-    for member in slow:
-        avoid_executor(member.executor, SLOW_AVOID_MS, "slower than its gang", now_ms, context.log)
-    if job.record.queue.priority > 0 or step.was_moved:
+    if job.record.queue.priority > 0 or step.move is not None:
         return
     slowest = min(slow, key=lambda member: member.rate)
     remaining_ms = (100 - slowest.run.percent) / slowest.rate
@@ -79,7 +90,8 @@
     restart_ms: int,
     now_ms: int,
 ) -> None:
-    step.was_moved = True
+    run_id = slowest.run.run_id
+    step.move = GangMove(run_id.task.task_index, slowest.run.executor_id, run_id.number, now_ms)
     context.log(
         "gang_moved",
         {
@@ -90,12 +102,16 @@
             "again_ms": restart_ms,
         },
     )
-    stop_gang(context, step, slowest.run.run_id.number, now_ms)
+    stop_gang(context, step, run_id.number, now_ms)
 
 
 def _comparable_members(context: Context, step: Step) -> list[_Member]:
-    """Returns the running members that started without a checkpoint `MIN_AGE_MS` ago or earlier."""
+    """Returns the running members that started without a checkpoint `MIN_AGE_MS` ago or earlier.
+
+    Returns none if only some of them are on the rack of the step's data.
+    """
     members: list[_Member] = []
+    is_near: set[bool] = set()
     for task in step.tasks:
         run = task.run
         if run is None or run.state is not RunState.RUNNING or not run.is_from_zero:
@@ -105,5 +121,6 @@
             continue
         # Progress of 0 counts as one percent, so that the rate is positive.
         rate = max(1, run.percent) / (executor.last_report_ms - run.placed_ms)
-        members.append(_Member(run, executor, rate))
-    return members
+        members.append(_Member(run, executor, rate, expected_speed(context, executor)))
+        is_near.add(executor.listing.rack == step.spec.rack_near_data)
+    return members if not step.spec.rack_near_data or len(is_near) == 1 else []
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -18,8 +18,9 @@
 
 from jacinthreel_steps._executors._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
-from jacinthreel_steps._tables import Executor, Step, Tables, Task
+from jacinthreel_steps._tables import Executor, GangMove, Step, Tables, Task
 
+MOVED_GANG_AVOID_MS = 6_000  # A gang does not return before to the executor it was moved from.
 LEFTOVER_CPU_WEIGHT = 0.5  # Weight of leftover CPU, relative to leftover accelerators.
 
 Placement = list[tuple[Task, str]]
@@ -73,7 +74,7 @@
         if executor.listing.zone in tables.policy.zones_out_of_service:
             continue
         if (
-            executor.health.avoid_until_ms > now_ms
+            executor.health.excluded_until_ms > now_ms
             or now_ms - executor.last_report_ms > max_report_age_ms
         ):
             continue
@@ -97,6 +98,8 @@
     for executor in executors:
         if spec.required_label and spec.required_label not in executor.listing.labels:
             continue
+        if step.move is not None and _was_just_moved_from(step.move, executor, now_ms):
+            continue
         slots_left = spec.count
         if spec.max_per_executor:
             placed_count = placed_count_by_executor.get(executor.executor_id, 0)
@@ -235,6 +238,10 @@
     return any(slots >= count for slots in slots_by_rack.values())
 
 
+def _was_just_moved_from(move: GangMove, executor: Executor, now_ms: int) -> bool:
+    return executor.executor_id == move.executor_id and now_ms < move.moved_ms + MOVED_GANG_AVOID_MS
+
+
 def _leftover_share(candidate: Candidate, shape: Resources) -> float:
     """Returns the share of the executor left free by the task; accelerators weigh more than CPU."""
     capacity = candidate.executor.listing.capacity
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -12,7 +12,8 @@
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
 from jacinthreel_steps._executors._executor_health import record_progress
-from jacinthreel_steps._executors._executor_speed import avoid_if_slowed, observe_progress
+from jacinthreel_steps._executors._executor_speed import observe_progress
+from jacinthreel_steps._executors._slow_evidence import apply_new_verdicts
 from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
 from jacinthreel_steps._runs._lifecycle import end_run, mark_task_done, send_stop, stop_run
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
@@ -29,13 +30,10 @@
         if end.sequence > executor.applied_end_sequence:
             _apply_end(context, executor, end, now_ms)
     running: set[RunId] = set()
-    pace_ratios: list[float] = []
     for reported in report.running:
         running.add(reported.run_id)
-        pace_ratio = _apply_reported_run(context, executor, reported, now_ms)
-        if pace_ratio is not None:
-            pace_ratios.append(pace_ratio)
-    avoid_if_slowed(context, executor, pace_ratios, now_ms)
+        _apply_reported_run(context, executor, reported, now_ms)
+    apply_new_verdicts(context, executor, now_ms)
     for run in list(executor.runs_by_task.values()):
         if run.run_id in running or run.run_id in ended:
             continue
@@ -102,16 +100,15 @@
 
 def _apply_reported_run(
     context: Context, executor: Executor, reported: ReportedRun, now_ms: int
-) -> float | None:
-    """Applies a reported run; returns its pace relative to the expected one, None if unknown."""
+) -> None:
     run = executor.runs_by_task.get(reported.run_id.task)
     if run is None or run.run_id != reported.run_id:
         _stop_unknown_run(context, executor, reported.run_id)
-        return None
+        return
     run.is_recovered = False
     run.reported_incarnation = executor.listing.incarnation
     record_progress(executor, run, reported.percent, now_ms)
-    pace_ratio = observe_progress(context, executor, run, reported.percent)
+    observe_progress(context, executor, run, reported.percent)
     if reported.percent != run.percent or run.start_confirmed_ms is None:
         run.progress_changed_ms = now_ms
     run.percent = reported.percent
@@ -126,7 +123,6 @@
             _repeat_stop_if_due(context, run, now_ms)
         case _:
             pass
-    return pace_ratio
 
 
 def _repeat_stop_if_due(context: Context, run: Run, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -24,7 +24,7 @@
 )
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
-from jacinthreel_steps._executors._slow_executors import avoid_slow_executors
+from jacinthreel_steps._executors._slow_executors import check_gangs
 from jacinthreel_steps._model import (
     EndReason,
     ExecutorListing,
@@ -227,7 +227,7 @@
         """Checks all runs for conditions that develop over time: overdue, stalled or slow."""
         abandon_overdue_starts(self._context, now_ms)
         stop_stalled_runs(self._context, now_ms)
-        avoid_slow_executors(self._context, now_ms)
+        check_gangs(self._context, now_ms)
         update_speed_classes(self._context)
 
     def take_starts(self) -> list[Run]:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -97,19 +97,35 @@
     run: Run | None = None
 
 
+@dataclass(slots=True)
+class GangMove:
+    """The stop of a gang because of one lagging member, to place the gang on other executors.
+
+    `task_index`, `executor_id` and `run_number` are those of the lagging member, and `moved_ms` is
+    when the gang was stopped.  `is_resolved` is set once the same task has run on another executor
+    long enough to tell whether it lags there too.
+    """
+
+    task_index: int
+    executor_id: str
+    run_number: int
+    moved_ms: int
+    is_resolved: bool = False
+
+
 @dataclass(slots=True)
 class Step:
     """A step with its tasks.
 
     The members of a gang run under the same run number, and a gang counts at most one failure for
-    each; `counted_failure_run` is the newest run number whose failure was counted.  `was_moved` is
-    set once a gang was stopped because of a slow executor.
+    each; `counted_failure_run` is the newest run number whose failure was counted.  `move` is set
+    once a gang was stopped because of a lagging member.
     """
 
     spec: StepSpec
     tasks: list[Task]
     counted_failure_run: int = 0
-    was_moved: bool = False
+    move: GangMove | None = None
 
     @property
     def is_done(self) -> bool:
@@ -159,22 +175,49 @@
     revision: int
 
 
+@dataclass(slots=True)
+class PaceVerdict:
+    """Whether a run on an executor lags behind the expected rate; it is normal otherwise.
+
+    `is_pace` is set if this was measured since an earlier report, and not since the start of the
+    run.  `seen_ms` is when the verdict was last measured.  `is_confirmed` is set if the same task
+    was normal on another executor.
+    """
+
+    run_number: int
+    is_lagging: bool
+    is_pace: bool
+    seen_ms: int
+    is_confirmed: bool = False
+
+
 @dataclass(slots=True)
 class ExecutorHealth:
     """An executor's health, derived from recent runs.
 
     `failures` counts the failed runs since the last successful one, and `failed_ms` is the time of
-    the last failure.  The executor gets no new tasks before `avoid_until_ms`.  `proven_ms` is the
-    latest start time among the runs that made progress or succeeded there.  `speed_class` is its
-    speed in steps of `CLASS_FACTOR`: 0 is average, higher is faster.
+    the last failure.  The executor gets no new tasks before `avoid_until_ms`, nor before
+    `slow_until_ms`, which is set to 0 when later runs are normal.  `verdict_by_task` holds the
+    verdicts on recent runs, the one that changed last at the end, and `has_new_verdict` is set
+    until they are applied.  `proven_ms` is the latest start time among the runs that made progress
+    or succeeded there.  `speed_class` is its speed in steps of `CLASS_FACTOR`: 0 is average,
+    higher is faster.
     """
 
     failures: int = 0
     avoid_until_ms: int = 0
+    slow_until_ms: int = 0
+    has_new_verdict: bool = False
+    verdict_by_task: dict[TaskId, PaceVerdict] = field(default_factory=dict)
     failed_ms: int = 0
     proven_ms: int | None = None
     speed_class: int = 0
 
+    @property
+    def excluded_until_ms(self) -> int:
+        """The time until which the executor gets no new tasks, for any reason."""
+        return max(self.avoid_until_ms, self.slow_until_ms)
+
 
 @dataclass(slots=True)
 class Executor:
