Predict run times by queue instead of trusting the submitters' estimates

Cause: estimates are off by up to a factor of 1.9, and long tasks are not foreseen.

Change: a robust regression with forgetting per queue corrects the estimate, from the run times of ended tasks times the speeds of their executors. The chain and the objective of a job are computed when it is added and when the model of its queue changes, and no longer in each sort. They order the jobs, and are in job_ended with the chain; runs on leaving executors end by the median on their executor. The row speeds/speeds keeps the models for the next owner; a row without them decodes. Without observations each prediction is the estimate.

--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -73,9 +73,14 @@
 
 
 class SpeedsRow(msgspec.Struct, frozen=True):
-    """Speeds of executors relative to the usual speed; executors of the usual speed are omitted."""
+    """Speeds of executors relative to the usual speed, and run-time models.
+
+    Executors of the usual speed are omitted.  `run_time_by_queue` holds the numbers that
+    `Scheduler.run_times` returns; it is empty in rows of earlier versions.
+    """
 
     speed_by_executor: dict[str, float]
+    run_time_by_queue: dict[str, tuple[float, ...]] = {}
 
 
 _job_decoder = msgspec.msgpack.Decoder(JobRecord)
--- a/packages/node/src/jacinthreel_node/_speed_store.py
+++ b/packages/node/src/jacinthreel_node/_speed_store.py
@@ -1,7 +1,7 @@
-"""Persists the measured speeds of executors across owners.
+"""Persists the measured speeds of executors and the run-time models across owners.
 
-A new owner reads the row once, without retries, because the speeds are optional.  During its
-ownership it writes the row every `WRITE_PERIOD_MS` if the speeds have changed.  The write is
+A new owner reads the row once, without retries, because its contents are optional.  During its
+ownership it writes the row every `WRITE_PERIOD_MS` if they have changed.  The write is
 unconditional, because a late write of a former owner is equally valid.
 """
 
@@ -41,16 +41,21 @@
         self._store = store
         self._scheduler = scheduler
         self._log = log
-        self._stored_speeds: dict[str, float] = {}
+        self._stored = SpeedsRow({})
 
     async def load(self) -> None:
-        """Loads the speeds stored by earlier owners into the scheduler."""
+        """Loads what earlier owners stored into the scheduler."""
         match await self._store.read(SPEEDS_TABLE, READ_TIMEOUT_MS, SPEEDS_KEY):
             case Success(Snapshot(rows=rows)):
                 row = decode_speeds(rows[0].value or b"") if rows else None
-                self._stored_speeds = row.speed_by_executor if row is not None else {}
-                self._scheduler.restore_speeds(self._stored_speeds)
-                self._log("speeds_restored", {"executors": len(self._stored_speeds)})
+                self._stored = row or SpeedsRow({})
+                self._scheduler.restore_speeds(self._stored.speed_by_executor)
+                self._scheduler.restore_run_times(self._stored.run_time_by_queue)
+                fields = {
+                    "executors": len(self._stored.speed_by_executor),
+                    "queues": len(self._stored.run_time_by_queue),
+                }
+                self._log("speeds_restored", fields)
             case Failure(Fault(detail=detail)):
                 self._log("speeds_not_restored", {"reason": detail})
 
@@ -61,14 +66,13 @@
             await self.write()
 
     async def write(self) -> None:
-        """Writes the speeds if they have changed."""
-        speeds = self._scheduler.speeds()
-        if speeds == self._stored_speeds:
+        """Writes the speeds and the run-time models if they have changed."""
+        current = SpeedsRow(self._scheduler.speeds(), self._scheduler.run_times())
+        if current == self._stored:
             return
-        value = encode_record(SpeedsRow(speeds))
-        row = RowWrite(SPEEDS_TABLE, SPEEDS_KEY, value)
+        row = RowWrite(SPEEDS_TABLE, SPEEDS_KEY, encode_record(current))
         match await self._store.commit([], [row], WRITE_TIMEOUT_MS):
             case Success(_):
-                self._stored_speeds = speeds
+                self._stored = current
             case Failure(Fault(detail=detail)):
                 self._log("speeds_not_written", {"reason": detail})
--- a/packages/node/tests/test_speed_store.py
+++ b/packages/node/tests/test_speed_store.py
@@ -1,4 +1,4 @@
-"""Tests of executor speeds that one owner stores for the next."""
+"""Tests of executor speeds and run-time models that one owner stores for the next."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
+import msgspec
 import pytest
 from node_fakes import MemoryStore
 
@@ -19,6 +20,7 @@
     "", 1, "10.0.0.1:80", "s", "z", "r", frozenset(), Resources(8_000, 8_000, 8)
 )
 SPEEDS = {"e1": 0.8, "e2": 1.25}
+RUN_TIMES = {"q1": (20.0, 1.5, 4.25, 9.75, 0.5, 0.375)}
 
 
 class Owner:
@@ -50,6 +52,27 @@
     assert next_owner.scheduler.speeds() == SPEEDS
 
 
+def test_next_owner_restores_the_run_time_models_of_the_former_owner() -> None:
+    store = MemoryStore()
+    former = Owner(store)
+    former.scheduler.restore_run_times(RUN_TIMES)
+    former.write()
+    next_owner = Owner(store)
+    next_owner.load()
+    assert next_owner.scheduler.run_times() == RUN_TIMES
+    next_owner.write()
+    assert store.commits == 1
+
+
+def test_row_of_an_earlier_version_without_run_times_restores_the_speeds() -> None:
+    store = MemoryStore()
+    value = msgspec.msgpack.encode({"speed_by_executor": SPEEDS})
+    asyncio.run(store.commit([], [RowWrite(SPEEDS_TABLE, SPEEDS_KEY, value)], 100))
+    owner = Owner(store)
+    owner.load()
+    assert owner.scheduler.speeds() == SPEEDS
+
+
 def test_speeds_are_written_only_when_they_have_changed() -> None:
     store = MemoryStore()
     owner = Owner(store, SPEEDS)
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from jacinthreel_steps._executors._run_time_model import RunTimeModel
 from jacinthreel_steps._executors._speed_model import SpeedModel
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
@@ -36,7 +37,7 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and log, the recent urgent claims and the executor speeds.
+    """The tables, pending orders and log, the recent urgent claims and the fitted models.
 
     `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
     """
@@ -47,6 +48,7 @@
     stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
     headroom: Headroom = field(default_factory=Headroom)
     speeds: SpeedModel = field(default_factory=SpeedModel)
+    run_times: RunTimeModel = field(default_factory=RunTimeModel)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
@@ -21,7 +21,7 @@
 CHECKPOINT_STOP_MARGIN_MS: Final = 700  # Time before the shutdown to stop runs that save progress.
 LATE_END_TOLERANCE_MS: Final = 300  # A run estimated to end this much too late may still finish.
 COMPLETE_PERCENT: Final = 100
-MIN_PREDICTIVE_PERCENT: Final = 10  # With less progress, the submitter's estimate predicts better.
+MIN_PREDICTIVE_PERCENT: Final = 10  # With less progress, the model predicts better.
 
 
 def stop_runs_on_draining_executors(context: Context, now_ms: int) -> None:
@@ -46,7 +46,7 @@
     step = job.steps[task_id.step_index]
     if step.spec.saves_progress and now_ms < earliest_shutdown_ms - CHECKPOINT_STOP_MARGIN_MS:
         return
-    end_ms = _estimate_end_ms(step, run)
+    end_ms = _estimate_end_ms(context, job, step, run)
     if end_ms <= max(earliest_shutdown_ms + LATE_END_TOLERANCE_MS, now_ms):
         return
     _stop_run_or_gang(context, executor, job, step, run, now_ms)
@@ -70,19 +70,24 @@
         stop_run(context, run, now_ms)
 
 
-def _estimate_end_ms(step: Step, run: Run) -> float:
+def _estimate_end_ms(context: Context, job: Job, step: Step, run: Run) -> float:
     """Estimates when the run, or its whole gang, will be done.
 
-    Extrapolates the progress, or uses the submitter's estimate if there is too little progress.
+    Extrapolates the progress, or uses the predicted run time if there is too little progress.
     """
     if not step.spec.is_gang:
-        return _estimate_run_end_ms(step, run)
-    return max(_estimate_run_end_ms(step, task.run) for task in step.tasks if task.run is not None)
+        return _estimate_run_end_ms(context, job, step, run)
+    return max(
+        _estimate_run_end_ms(context, job, step, task.run)
+        for task in step.tasks
+        if task.run is not None
+    )
 
 
-def _estimate_run_end_ms(step: Step, run: Run) -> float:
+def _estimate_run_end_ms(context: Context, job: Job, step: Step, run: Run) -> float:
     if run.percent < MIN_PREDICTIVE_PERCENT:
-        return run.placed_ms + step.spec.estimate_ms
+        median_ms = context.run_times.median_ms(job.record.queue.name, step.spec.estimate_ms)
+        return run.placed_ms + median_ms / context.speeds.speed(run.executor_id)
     ran_ms = run.progress_changed_ms - run.placed_ms
     remaining_ms = ran_ms * (COMPLETE_PERCENT - run.percent) / run.percent
     return run.progress_changed_ms + remaining_ms
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -10,8 +10,8 @@
 from jacinthreel_steps._context import Context, StopOrder, run_name
 from jacinthreel_steps._executors._executor_health import record_failure, record_success
 from jacinthreel_steps._executors._executor_speed import observe_completed_run
+from jacinthreel_steps._executors._run_times import observe_run_time
 from jacinthreel_steps._model import EndReason, JobState
-from jacinthreel_steps._planning._job_order import objective_ms
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
 
 
@@ -52,6 +52,8 @@
     _record_checkpoint(step, task, checkpoint or run.checkpoint)
     match reason:
         case EndReason.DONE:
+            if not task.is_done:
+                observe_run_time(context, job, step, run, now_ms)
             mark_task_done(context, job, step, task, now_ms)
             executor = context.tables.executors_by_id.get(run.executor_id)
             record_success(executor, run)
@@ -90,7 +92,8 @@
             "queue": job.record.queue.name,
             "workspace": job.record.workspace,
             "age_ms": now_ms - job.accepted_ms,
-            "objective_ms": round(objective_ms(job.record.spec, job.record.queue)),
+            "objective_ms": round(job.objective_ms),
+            "chain_ms": round(job.chain_ms),
         },
     )
     for step in job.steps:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -24,6 +24,7 @@
 )
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
+from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
 from jacinthreel_steps._executors._slow_executors import check_gangs
 from jacinthreel_steps._model import (
     EndReason,
@@ -102,6 +103,7 @@
         if record.job_id in self.tables.jobs_by_id:
             return False
         job = make_job(record, accepted_ms)
+        predict_run_times(self._context, job)
         if progress is not None:
             job.stored_version = progress.version
             row = decode_progress(progress.value)
@@ -229,6 +231,7 @@
         stop_stalled_runs(self._context, now_ms)
         check_gangs(self._context, now_ms)
         update_speed_classes(self._context)
+        update_predictions(self._context)
 
     def take_starts(self) -> list[Run]:
         """Removes and returns the starts to order, without runs that are no longer starting."""
@@ -289,6 +292,14 @@
         """Initializes the speeds with those that an earlier scheduler measured."""
         self._context.speeds.restore(speeds)
 
+    def run_times(self) -> dict[str, tuple[float, ...]]:
+        """Returns the state of the run-time models by queue, for `restore_run_times`."""
+        return self._context.run_times.stored_numbers()
+
+    def restore_run_times(self, numbers_by_queue: dict[str, tuple[float, ...]]) -> None:
+        """Restores the run-time models of an earlier scheduler, from the next pass on."""
+        self._context.run_times.restore(numbers_by_queue)
+
     def waiting_by_queue(self) -> dict[str, int]:
         """Returns how many open jobs of each queue have not started any task."""
         counts: dict[str, int] = {}
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -138,7 +138,9 @@
     """A job.
 
     `state` is the newest decision; `visible_state` is what has been stored and is reported to
-    callers.  `stored_version` is the version of the stored row, 0 for none.
+    callers.  `stored_version` is the version of the stored row, 0 for none.  `chain_ms` is the
+    predicted run time of the longest chain of steps, and `objective_ms` the latency objective that
+    follows from it.
     """
 
     record: JobRecord
@@ -151,6 +153,8 @@
     ended_ms: int = 0
     accepted_ms: int = 0
     has_begun: bool = False
+    chain_ms: float = 0.0
+    objective_ms: float = 0.0
 
     @property
     def job_id(self) -> str:
--- a/packages/steps/tests/test_job_order.py
+++ b/packages/steps/tests/test_job_order.py
@@ -58,7 +58,7 @@
     return in_time
 
 
-def acceptance_key(job: Job, now_ms: int) -> tuple[bool, int, bool, int, str]:
+def acceptance_key(job: Job, now_ms: int) -> tuple[bool, int, bool, float, str]:
     is_useless, priority, _, _, job_id = job_sort_key(job, now_ms)
     return (is_useless, priority, False, job.accepted_ms, job_id)
 
