Prefer executors of one speed class for urgent gangs

Cause: an urgent gang that did not fit on the fastest class took all of that class and filled up with slower executors. The slowest member determines its end, so the fast members only waited, and the next urgent gang found no fast executors.

Change: before each wider set of classes, the slowest class of the set is tried alone. The class of the slowest member stays the same, and nothing changes where all executors have one class.

--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -6,8 +6,10 @@
 if the small ones were spread out, no executor would stay empty.
 
 Speeds: the slowest member determines when a gang is done, so an urgent gang takes the fastest
-executors that can hold all of it, and the rack that has them.  Other tasks take slow executors
-first, and gangs that are not urgent prefer executors of a single speed class.
+executors that can hold all of it, and the rack that has them.  If the slowest member has to be of
+some speed class, an urgent gang prefers this class for all members, because faster ones would wait
+and are missing for the next urgent gang.  Other tasks take slow executors first, and gangs that are
+not urgent prefer executors of a single speed class.
 """
 
 from __future__ import annotations
@@ -187,14 +189,17 @@
     >>> from unittest.mock import Mock
     >>> candidates = [Mock(speed_class=speed_class) for speed_class in (0, 1, -1)]
     >>> _speed_class_sets(candidates, is_urgent=True)
-    [{1}, {0, 1}, {0, 1, -1}]
+    [{1}, {0}, {0, 1}, {-1}, {0, 1, -1}]
     >>> _speed_class_sets(candidates, is_urgent=False)
     [{-1}, {0}, {1}, {0, 1}, {0, 1, -1}]
     """
     classes = sorted({candidate.speed_class for candidate in candidates}, reverse=True)
     widening = [set(classes[: count + 1]) for count in range(len(classes))]
     if is_urgent:
-        return widening
+        sets = widening[:1]
+        for speed_class, widened in zip(classes[1:], widening[1:], strict=True):
+            sets += [{speed_class}, widened]
+        return sets
     return [{speed_class} for speed_class in reversed(classes)] + widening[1:]
 
 
--- a/packages/steps/tests/test_executor_speed.py
+++ b/packages/steps/tests/test_executor_speed.py
@@ -76,6 +76,17 @@
     assert {SPEEDS[run.executor_id] for run in harness.runs("other")} == {0.8}
 
 
+def test_urgent_gang_leaves_faster_executors_free_that_would_only_wait() -> None:
+    harness = SchedulerHarness(*(listing(f"e{index}") for index in range(6)))
+    classes = dict(zip(harness.listings, (2, 2, 0, 0, 0, -2), strict=True))
+    for name, executor in harness.scheduler.tables.executors_by_id.items():
+        executor.health.speed_class = classes[name]
+    for job_id, count, expected in (("large", 3, {0}), ("small", 2, {2})):
+        harness.submit(job_id, step(count, accelerators=8, is_gang=True), terms=queue(0))
+        harness.settle()
+        assert {classes[run.executor_id] for run in harness.runs(job_id)} == expected
+
+
 def test_gang_of_lower_priority_gets_executors_of_one_speed_if_it_fits() -> None:
     harness = SpeedHarness(SPEEDS)
     harness.run_measuring_load()
