Show slow executors and run-time models on the metrics endpoint

Operators could see exclusions for slowness only in the log. The gauge executors_slow counts the executors that are excluded as slow now, run_time_queues the queues with a run-time model.

--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -18,17 +18,21 @@
     metrics.gauge("policy_version", policy_version)
     metrics.gauge("store_lost", int(is_store_lost))
     metrics.gauge("owner_epoch", ownership.epoch if ownership is not None else 0)
-    open_jobs = waiting_jobs = runs = listed = responsive = 0
+    open_jobs = waiting_jobs = runs = listed = responsive = slow = run_time_queues = 0
     if ownership is not None:
         tables = ownership.scheduler.tables
         open_jobs = len(tables.open_jobs_by_id)
+        run_time_queues = len(ownership.scheduler.run_times())
         waiting_jobs = sum(ownership.scheduler.waiting_by_queue().values())
         for executor in tables.executors_by_id.values():
             runs += len(executor.runs_by_task)
             listed += executor.is_listed
+            slow += executor.health.slow_until_ms > now_ms
             responsive += now_ms - executor.last_report_ms <= MAX_REPORT_AGE_MS
     metrics.gauge("jobs_open", open_jobs)
     metrics.gauge("jobs_waiting", waiting_jobs)
     metrics.gauge("runs_held", runs)
     metrics.gauge("executors_listed", listed)
     metrics.gauge("executors_heard", responsive)
+    metrics.gauge("executors_slow", slow)
+    metrics.gauge("run_time_queues", run_time_queues)
