Forecast starts and decide refusals under overload

The owner can now predict when a job submitted now would start, and any process can decide from the forecast whether the job's result would certainly be useless. Nothing uses it yet.

--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -4,6 +4,8 @@
 package does no I/O, reads no clock and uses no random numbers.
 """
 
+from jacinthreel_steps._admission._forecast import OPTIMISM, Forecast, PredictedStart
+from jacinthreel_steps._admission._refusal import Refusal, find_refusal, retry_after_ms
 from jacinthreel_steps._context import DEFAULT_STOP_LIMIT_MS, DecisionLog, StopOrder, run_name
 from jacinthreel_steps._model import (
     EndReason,
@@ -31,17 +33,21 @@
 __all__ = [
     "DEFAULT_STOP_LIMIT_MS",
     "MAX_REPORT_AGE_MS",
+    "OPTIMISM",
     "DecisionLog",
     "EndReason",
     "Executor",
     "ExecutorListing",
     "ExecutorReport",
     "Job",
+    "Forecast",
     "JobRecord",
     "JobSpec",
     "JobState",
     "Policy",
+    "PredictedStart",
     "QueueTerms",
+    "Refusal",
     "ReportedEnd",
     "ReportedRun",
     "Resources",
@@ -57,7 +63,9 @@
     "TaskId",
     "UnstoredRow",
     "decode_progress_state",
+    "find_refusal",
     "objective_ms",
     "progress_write_id",
+    "retry_after_ms",
     "run_name",
 ]
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -0,0 +1,195 @@
+"""The work that a new job would wait for: running and waiting tasks, in accelerator-milliseconds.
+
+Only work that is certainly ahead is counted.  Steps that require a label or limit their tasks per
+executor are left out, because a job behind them may start on capacity that they can't use.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from jacinthreel_steps._admission._forecast import accelerators_at_once, needs_one_rack, rank_of
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._model import StepSpec
+from jacinthreel_steps._planning._job_order import (
+    USELESS_AFTER_OBJECTIVES,
+    job_sort_key,
+    objective_ms,
+)
+from jacinthreel_steps._planning._placement import find_usable_executors
+from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
+
+CAPACITY_REPORT_AGE_MS: Final = 10_000  # Longer than the interruptions seen, of up to 6.5 s.
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """The pending tasks of a ready step; `useless_in_ms` is when its job becomes useless."""
+
+    rank: int
+    spec: StepSpec
+    accelerators_at_once: int
+    needs_one_rack: bool
+    accelerators: int
+    useless_in_ms: float
+
+    @property
+    def work(self) -> int:
+        """The work of the pending tasks."""
+        return self.accelerators * self.spec.estimate_ms
+
+
+@dataclass(slots=True)
+class RunningLoad:
+    """The runs that a job can't preempt: work left, and the accelerators and time left of each."""
+
+    work: float = 0.0
+    lengths: list[tuple[float, int]] = field(default_factory=list)
+
+    def add(self, remaining_ms: float, accelerators: int) -> None:
+        """Adds a run."""
+        self.work += remaining_ms * accelerators
+        self.lengths.append((remaining_ms, accelerators))
+
+
+@dataclass(slots=True)
+class ServiceBacklog:
+    """The backlog of one service.
+
+    `capacity` counts all accelerators that may be used in the next seconds.  `urgent` is the load
+    that jobs of priority 0 see.  `free_urgent` and `free` are the accelerators that jobs of
+    priority 0 and of other priorities could use now, by preemption too.
+    """
+
+    waiting: list[WaitingStep]
+    capacity: int = 0
+    urgent: RunningLoad = field(default_factory=RunningLoad)
+    all: RunningLoad = field(default_factory=RunningLoad)
+    free_urgent: int = 0
+    free: int = 0
+
+
+def collect_backlogs(
+    context: Context, over_share: frozenset[str], now_ms: int
+) -> dict[str, ServiceBacklog]:
+    """Returns the backlog of each service that has waiting steps and executors."""
+    tables = context.tables
+    backlogs = _collect_waiting_steps(tables, over_share, now_ms)
+    if not backlogs:
+        return {}
+    for executor in tables.executors_by_id.values():
+        backlog = backlogs.get(executor.listing.service)
+        if backlog is not None and _is_capacity(tables, executor, now_ms):
+            _add_executor(tables, backlog, executor, now_ms)
+    usable = find_usable_executors(tables, now_ms, MAX_REPORT_AGE_MS)
+    for service, executors in usable.by_service.items():
+        if service in backlogs:
+            _count_free(context, backlogs[service], executors, now_ms)
+    return {key: backlog for key, backlog in backlogs.items() if backlog.capacity > 0}
+
+
+def _collect_waiting_steps(
+    tables: Tables, over_share: frozenset[str], now_ms: int
+) -> dict[str, ServiceBacklog]:
+    """Returns the waiting steps by service, in the order in which they are scheduled."""
+    waiting: list[tuple[tuple[object, ...], str, WaitingStep]] = []
+    for job in tables.open_jobs_by_id.values():
+        useless_in_ms = _useless_in_ms(job, now_ms)
+        if useless_in_ms < 0:
+            continue
+        for step in job.steps:
+            pending = _count_pending_tasks(job, step)
+            if not pending:
+                continue
+            rank = rank_of(job.record.queue, job.record.workspace in over_share)
+            waiting_step = _make_waiting_step(rank, step.spec, pending, useless_in_ms)
+            order = (rank, job_sort_key(job, now_ms))
+            waiting.append((order, job.record.queue.service, waiting_step))
+    waiting.sort(key=lambda entry: entry[0])
+    backlogs: dict[str, ServiceBacklog] = {}
+    for _, service, waiting_step in waiting:
+        backlogs.setdefault(service, ServiceBacklog([])).waiting.append(waiting_step)
+    return backlogs
+
+
+def _useless_in_ms(job: Job, now_ms: int) -> float:
+    limit_ms = USELESS_AFTER_OBJECTIVES * objective_ms(job.record.spec, job.record.queue)
+    return job.accepted_ms + limit_ms - now_ms
+
+
+def _make_waiting_step(
+    rank: int, spec: StepSpec, pending: int, useless_in_ms: float
+) -> WaitingStep:
+    return WaitingStep(
+        rank,
+        spec,
+        accelerators_at_once(spec),
+        needs_one_rack(spec),
+        pending * spec.shape.accelerators,
+        useless_in_ms,
+    )
+
+
+def _count_pending_tasks(job: Job, step: Step) -> int:
+    """Returns how many tasks of a step certainly wait for capacity that a new job could use."""
+    spec = step.spec
+    if not spec.shape.accelerators or spec.required_label or spec.max_per_executor:
+        return 0
+    pending = sum(not task.is_done and task.run is None for task in step.tasks)
+    if spec.is_gang and pending < len(step.tasks):
+        return 0
+    return pending if pending and job.is_step_ready(step) else 0
+
+
+def _is_capacity(tables: Tables, executor: Executor, now_ms: int) -> bool:
+    """Whether an executor may run new tasks in the next seconds."""
+    if not executor.is_listed or executor.listing.is_draining:
+        return False
+    if executor.listing.zone in tables.policy.zones_out_of_service:
+        return False
+    return now_ms - executor.last_report_ms <= CAPACITY_REPORT_AGE_MS
+
+
+def _add_executor(tables: Tables, backlog: ServiceBacklog, executor: Executor, now_ms: int) -> None:
+    backlog.capacity += executor.listing.capacity.accelerators
+    for task_id, run in executor.runs_by_task.items():
+        job = tables.jobs_by_id.get(task_id.job_id)
+        if job is None or job.state.is_final or run.state is RunState.STOPPING:
+            continue
+        estimate_ms = job.steps[task_id.step_index].spec.estimate_ms
+        remaining_ms = _remaining_ms(run, estimate_ms, now_ms)
+        backlog.all.add(remaining_ms, run.shape.accelerators)
+        if job.record.queue.priority == 0:
+            backlog.urgent.add(remaining_ms, run.shape.accelerators)
+
+
+def _remaining_ms(run: Run, estimate_ms: int, now_ms: int) -> float:
+    """Returns how long a run lasts, by its progress or its age, whichever is less."""
+    by_progress_ms = estimate_ms * (1 - run.percent / 100)
+    if run.start_confirmed_ms is None:
+        return by_progress_ms
+    return max(0.0, min(by_progress_ms, estimate_ms - (now_ms - run.start_confirmed_ms)))
+
+
+def _count_free(
+    context: Context, backlog: ServiceBacklog, executors: list[Executor], now_ms: int
+) -> None:
+    """Counts the free accelerators; those reserved for priority 0 are not free for others."""
+    reserved_ids = context.headroom.select_reserved_ids(executors, now_ms)
+    for executor in executors:
+        free = max(0, executor.free_resources.accelerators)
+        if executor.executor_id not in reserved_ids:
+            backlog.free += free
+        backlog.free_urgent += free + _preemptible_accelerators(context.tables, executor)
+
+
+def _preemptible_accelerators(tables: Tables, executor: Executor) -> int:
+    total = 0
+    for task_id, run in executor.runs_by_task.items():
+        job = tables.jobs_by_id.get(task_id.job_id)
+        if job is None or job.record.queue.priority == 0 or run.state is RunState.STOPPING:
+            continue
+        total += run.shape.accelerators
+    return total
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from jacinthreel_steps._admission._forecast import Forecast
+from jacinthreel_steps._admission._prediction import forecast_starts
 from jacinthreel_steps._context import (
     DEFAULT_STOP_LIMIT_MS,
     Context,
@@ -298,6 +300,15 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def forecast_starts(
+        self, now_ms: int, over_share: frozenset[str] = frozenset()
+    ) -> Forecast | None:
+        """Returns when jobs submitted now could start, or None if none would have to wait.
+
+        `over_share` holds the workspaces whose jobs are scheduled after others of their priority.
+        """
+        return forecast_starts(self._context, over_share, now_ms)
+
     def find_jobs_ended_before(self, before_ms: int) -> list[str]:
         """Returns the ids of stored jobs that ended before `before_ms` and have no live runs."""
         job_ids: list[str] = []
