Bound the cost of a forecast: group run times, skip services with little waiting work

Sorting and copying each run took most of the time with thousands of runs. Run times are grouped in units of 128 ms, and runs are looked at only where the waiting work alone could delay a job.

--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -21,6 +21,7 @@
 from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 
+LENGTH_UNIT_MS: Final = 128  # Run times are grouped, so that thousands of runs need no sorting.
 CAPACITY_REPORT_AGE_MS: Final = 10_000  # Longer than the interruptions seen, of up to 6.5 s.
 
 
@@ -43,15 +44,21 @@
 
 @dataclass(slots=True)
 class RunningLoad:
-    """The runs that a job can't preempt: work left, and the accelerators and time left of each."""
+    """The work left in the runs that a job can't preempt.
+
+    `accelerators_by_length` holds the accelerators by the time left in units of `LENGTH_UNIT_MS`,
+    rounded up.
+    """
 
     work: float = 0.0
-    lengths: list[tuple[float, int]] = field(default_factory=list)
+    accelerators_by_length: dict[int, int] = field(default_factory=dict)
 
     def add(self, remaining_ms: float, accelerators: int) -> None:
         """Adds a run."""
         self.work += remaining_ms * accelerators
-        self.lengths.append((remaining_ms, accelerators))
+        length = int(remaining_ms) // LENGTH_UNIT_MS + 1
+        by_length = self.accelerators_by_length
+        by_length[length] = by_length.get(length, 0) + accelerators
 
 
 @dataclass(slots=True)
@@ -60,7 +67,7 @@
 
     `capacity` counts all accelerators that may be used in the next seconds.  `urgent` is the load
     that jobs of priority 0 see.  `free_urgent` and `free` are the accelerators that jobs of
-    priority 0 and of other priorities could use now, by preemption too.
+    priority 0, also by preemption, and of other priorities could use now.
     """
 
     waiting: list[WaitingStep]
@@ -72,22 +79,30 @@
 
 
 def collect_backlogs(
-    context: Context, over_share: frozenset[str], now_ms: int
+    context: Context, over_share: frozenset[str], min_wait_ms: float, now_ms: int
 ) -> dict[str, ServiceBacklog]:
-    """Returns the backlog of each service that has waiting steps and executors."""
+    """Returns the backlog of each service that has executors and enough waiting work.
+
+    Enough is work that takes at least `min_wait_ms` on the whole capacity; without it, the runs are
+    not looked at.
+    """
     tables = context.tables
     backlogs = _collect_waiting_steps(tables, over_share, now_ms)
-    if not backlogs:
-        return {}
-    for executor in tables.executors_by_id.values():
-        backlog = backlogs.get(executor.listing.service)
-        if backlog is not None and _is_capacity(tables, executor, now_ms):
-            _add_executor(tables, backlog, executor, now_ms)
-    usable = find_usable_executors(tables, now_ms, MAX_REPORT_AGE_MS)
-    for service, executors in usable.by_service.items():
-        if service in backlogs:
-            _count_free(context, backlogs[service], executors, now_ms)
-    return {key: backlog for key, backlog in backlogs.items() if backlog.capacity > 0}
+    executors_by_service: dict[str, list[Executor]] = {}
+    if backlogs:
+        executors_by_service = _find_capacity(tables, now_ms)
+        usable = find_usable_executors(tables, now_ms, MAX_REPORT_AGE_MS)
+    relevant: dict[str, ServiceBacklog] = {}
+    for service, backlog in backlogs.items():
+        executors = executors_by_service.get(service, [])
+        backlog.capacity = sum(executor.listing.capacity.accelerators for executor in executors)
+        if sum(step.work for step in backlog.waiting) < min_wait_ms * backlog.capacity:
+            continue
+        if backlog.capacity > 0:
+            _add_runs(tables, backlog, executors, now_ms)
+            _count_free(context, backlog, usable.by_service.get(service, []), now_ms)
+            relevant[service] = backlog
+    return relevant
 
 
 def _collect_waiting_steps(
@@ -96,13 +111,13 @@
     """Returns the waiting steps by service, in the order in which they are scheduled."""
     waiting: list[tuple[tuple[object, ...], str, WaitingStep]] = []
     for job in tables.open_jobs_by_id.values():
-        useless_in_ms = _useless_in_ms(job, now_ms)
-        if useless_in_ms < 0:
-            continue
         for step in job.steps:
             pending = _count_pending_tasks(job, step)
             if not pending:
                 continue
+            useless_in_ms = _useless_in_ms(job, now_ms)
+            if useless_in_ms < 0:
+                break
             rank = rank_of(job.record.queue, job.record.workspace in over_share)
             waiting_step = _make_waiting_step(rank, step.spec, pending, useless_in_ms)
             order = (rank, job_sort_key(job, now_ms))
@@ -137,14 +152,24 @@
     spec = step.spec
     if not spec.shape.accelerators or spec.required_label or spec.max_per_executor:
         return 0
-    pending = sum(not task.is_done and task.run is None for task in step.tasks)
+    if spec.is_gang and step.tasks[0].run is not None:
+        return 0
+    pending = len([task for task in step.tasks if task.run is None and not task.is_done])
     if spec.is_gang and pending < len(step.tasks):
         return 0
     return pending if pending and job.is_step_ready(step) else 0
 
 
+def _find_capacity(tables: Tables, now_ms: int) -> dict[str, list[Executor]]:
+    """Returns the executors that may run new tasks in the next seconds, by service."""
+    by_service: dict[str, list[Executor]] = {}
+    for executor in tables.executors_by_id.values():
+        if _is_capacity(tables, executor, now_ms):
+            by_service.setdefault(executor.listing.service, []).append(executor)
+    return by_service
+
+
 def _is_capacity(tables: Tables, executor: Executor, now_ms: int) -> bool:
-    """Whether an executor may run new tasks in the next seconds."""
     if not executor.is_listed or executor.listing.is_draining:
         return False
     if executor.listing.zone in tables.policy.zones_out_of_service:
@@ -152,17 +177,22 @@
     return now_ms - executor.last_report_ms <= CAPACITY_REPORT_AGE_MS
 
 
-def _add_executor(tables: Tables, backlog: ServiceBacklog, executor: Executor, now_ms: int) -> None:
-    backlog.capacity += executor.listing.capacity.accelerators
-    for task_id, run in executor.runs_by_task.items():
-        job = tables.jobs_by_id.get(task_id.job_id)
-        if job is None or job.state.is_final or run.state is RunState.STOPPING:
-            continue
-        estimate_ms = job.steps[task_id.step_index].spec.estimate_ms
-        remaining_ms = _remaining_ms(run, estimate_ms, now_ms)
-        backlog.all.add(remaining_ms, run.shape.accelerators)
-        if job.record.queue.priority == 0:
-            backlog.urgent.add(remaining_ms, run.shape.accelerators)
+def _add_runs(
+    tables: Tables, backlog: ServiceBacklog, executors: list[Executor], now_ms: int
+) -> None:
+    for executor in executors:
+        for task_id, run in executor.runs_by_task.items():
+            job = tables.jobs_by_id.get(task_id.job_id)
+            if job is None or job.state.is_final or run.state is RunState.STOPPING:
+                continue
+            estimate_ms = job.steps[task_id.step_index].spec.estimate_ms
+            remaining_ms = _remaining_ms(run, estimate_ms, now_ms)
+            accelerators = run.shape.accelerators
+            backlog.all.add(remaining_ms, accelerators)
+            if job.record.queue.priority == 0:
+                backlog.urgent.add(remaining_ms, accelerators)
+            else:
+                backlog.free_urgent += accelerators
 
 
 def _remaining_ms(run: Run, estimate_ms: int, now_ms: int) -> float:
@@ -179,17 +209,8 @@
     """Counts the free accelerators; those reserved for priority 0 are not free for others."""
     reserved_ids = context.headroom.select_reserved_ids(executors, now_ms)
     for executor in executors:
-        free = max(0, executor.free_resources.accelerators)
+        used = executor.used.accelerators
+        free = max(0, executor.listing.capacity.accelerators - used)
+        backlog.free_urgent += free
         if executor.executor_id not in reserved_ids:
             backlog.free += free
-        backlog.free_urgent += free + _preemptible_accelerators(context.tables, executor)
-
-
-def _preemptible_accelerators(tables: Tables, executor: Executor) -> int:
-    total = 0
-    for task_id, run in executor.runs_by_task.items():
-        job = tables.jobs_by_id.get(task_id.job_id)
-        if job is None or job.record.queue.priority == 0 or run.state is RunState.STOPPING:
-            continue
-        total += run.shape.accelerators
-    return total
--- a/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from jacinthreel_steps._admission._backlog import (
+    LENGTH_UNIT_MS,
     RunningLoad,
     ServiceBacklog,
     WaitingStep,
@@ -59,7 +60,8 @@
     `over_share` holds the workspaces whose jobs are scheduled after others of their priority.
     """
     starts: list[PredictedStart] = []
-    for service, backlog in collect_backlogs(context, over_share, now_ms).items():
+    min_wait_ms = OPTIMISM * MIN_START_MS
+    for service, backlog in collect_backlogs(context, over_share, min_wait_ms, now_ms).items():
         starts.extend(_predict_service(service, backlog))
     if not starts:
         return None
@@ -113,12 +115,15 @@
 
 
 def _make_load(running: RunningLoad, steps: list[WaitingStep], capacity: int) -> _Load:
-    lengths = [*running.lengths, *((step.spec.estimate_ms, step.accelerators) for step in steps)]
-    unfinished_work = 0.0
+    by_length = dict(running.accelerators_by_length)
+    for step in steps:
+        length = step.spec.estimate_ms // LENGTH_UNIT_MS + 1
+        by_length[length] = by_length.get(length, 0) + step.accelerators
+    unfinished_work = 0
     left = capacity
-    for length_ms, accelerators in sorted(lengths, reverse=True):
-        used = min(left, accelerators)
-        unfinished_work += length_ms * used
+    for length in sorted(by_length, reverse=True):
+        used = min(left, by_length[length])
+        unfinished_work += length * LENGTH_UNIT_MS * used
         left -= used
         if left <= 0:
             break
