Refuse submissions that would be done too late

Cause: every job that the store took was accepted, also where its result could only come after three objectives, when it is worthless to the caller.

The owner computes a forecast of starts each heartbeat period and sends it with the heartbeat. Any node refuses a submission with 429 and code 3012 before anything is stored, if the forecast is recent and of the owner's epoch, and if the job is not in the intake table. Optional fields of stream messages that are None are left out of the frame, because receivers refuse unknown fields: without overload, heartbeats are as before.

--- a/packages/common/src/jacinthreel_common/_codes.py
+++ b/packages/common/src/jacinthreel_common/_codes.py
@@ -47,6 +47,7 @@
     JOB_QUEUE_FULL = 3008
     JOB_OUTCOME_UNKNOWN = 3009
     JOB_KIND_UNSUPPORTED = 3010
+    JOB_TOO_LATE = 3012
     CONFIG_CONFLICT = 4001
     GUARANTEES_DO_NOT_FIT = 4002
     UNKNOWN_ZONE = 4003
@@ -203,6 +204,12 @@
         "Not accepted: the job uses an option that is not supported.",
         "Submit the job without the option that the detail names.",
     ),
+    ResultCode.JOB_TOO_LATE: ResultEntry(
+        429,
+        "Not accepted: the system is overloaded, and the result would come too late to be useful. "
+        "The job has not run and will not run.",
+        "Retry after the time in Retry-After, or submit less.",
+    ),
     ResultCode.CONFIG_CONFLICT: ResultEntry(
         409, "Not accepted: another change was accepted first.", "Read the new version and retry."
     ),
--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -196,7 +196,8 @@
     heartbeat of an owner that gives up ownership.  `lease_age_ms` is the time since the owner last
     renewed its lease and `lease_count` the sequence number of that renewal.  `policy_version` is
     the version of the policy that the owner applies.  While `is_loaded` is false, the owner has not
-    loaded the jobs yet and `waiting_by_queue` is not valid.
+    loaded the jobs yet and `waiting_by_queue` is not valid.  `forecast` is the plain data of the
+    forecast of starts, computed `forecast_age_ms` ago, or None if no job would have to wait.
     """
 
     epoch: int
@@ -206,6 +207,8 @@
     lease_count: int = 0
     policy_version: int = 0
     is_loaded: bool = True
+    forecast: Any = None
+    forecast_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/jacinthreel_daemon/_frames.py
+++ b/packages/daemon/src/jacinthreel_daemon/_frames.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -46,11 +46,22 @@
     >>> int.from_bytes(frame[:LENGTH_BYTES], "big") == len(frame) - LENGTH_BYTES
     True
     """
-    envelope = Envelope(STREAM_VERSION, type(message).__name__, call_id, to_plain(message))
+    body_data = _omit_absent_fields(type(message), to_plain(message))
+    envelope = Envelope(STREAM_VERSION, type(message).__name__, call_id, body_data)
     body = pack(envelope)
     return len(body).to_bytes(LENGTH_BYTES, "big") + body
 
 
+def _omit_absent_fields(message_class: Any, body: dict[str, Any]) -> dict[str, Any]:
+    """Returns the body without fields that are None by default and None in the message.
+
+    Receivers refuse unknown fields, so that a new field reaches older processes only where it is
+    used.
+    """
+    optional = {field.name for field in fields(message_class) if field.default is None}
+    return {key: value for key, value in body.items() if value is not None or key not in optional}
+
+
 def decode_body(body: bytes) -> Result[Frame, Fault]:
     """Decodes the body of a frame.  Errors: UNKNOWN_VERSION, BAD_FRAME."""
     match unpack(Envelope, body):
--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from jacinthreel_daemon.plumbing import MetricsRegistry
+from jacinthreel_node._admission_control import FORECAST_MAX_AGE_MS
+from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._routing import RoutingPolicy
 from jacinthreel_steps import MAX_REPORT_AGE_MS
 
 
@@ -32,3 +35,14 @@
     metrics.gauge("runs_held", runs)
     metrics.gauge("executors_listed", listed)
     metrics.gauge("executors_heard", responsive)
+
+
+def set_forecast_gauges(
+    metrics: MetricsRegistry, policy: RoutingPolicy | None, owner_view: OwnerView
+) -> None:
+    """Sets the predicted wait for each priority of a queue; 0 without a current forecast."""
+    current = owner_view.current_forecast(FORECAST_MAX_AGE_MS)
+    waits = current[0].wait_by_priority() if current is not None else {}
+    priorities = {route.queue.priority for route in policy.routes} if policy is not None else set()
+    for priority in sorted(priorities | waits.keys()):
+        metrics.gauge(f'predicted_wait_ms{{priority="{priority}"}}', waits.get(priority, 0))
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -2,7 +2,8 @@
 
 A job is accepted by inserting an intake row, which the owner reads from the table.  An insert whose
 outcome is unknown is retried until it is known or time runs out; the row's key makes the insert
-idempotent.  If the store doesn't serve this host, the insert is sent to the owner.  Once an insert
+idempotent.  Jobs that would be done too late are refused before (`_admission_control`).  If the
+store doesn't serve this host, the insert is sent to the owner.  Once an insert
 may have taken effect, the result is never that the job has not run.  Job states are queried from
 the owner, or read from the store if the owner is unreachable.
 """
@@ -29,6 +30,7 @@
     convert,
 )
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry, StreamHub
+from jacinthreel_node._admission_control import AdmissionControl
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ports import (
@@ -107,6 +109,7 @@
         self._clock = clock
         self._metrics = metrics
         self._log = log
+        self._admission = AdmissionControl(store, store_availability, owner_view, metrics)
 
     async def submit(
         self, call: RoutedCall, job_id: str, spec: JobSpec, deadline_ms: int
@@ -114,20 +117,21 @@
         """Accepts a job; a repeated call with the same id has no further effect.
 
         `deadline_ms` is how long the caller waits.  Errors: STORE_UNAVAILABLE (the job never
-        runs), JOB_OUTCOME_UNKNOWN.
+        runs), JOB_OUTCOME_UNKNOWN, JOB_TOO_LATE (the job never runs).
         """
         started_ms = self._clock.now_ms()
+        refused = await self._admission.check(call, job_id, spec, deadline_ms)
+        if refused is not None:
+            fault, inputs = refused
+            fields = self._submission_fields(call, job_id, deadline_ms, started_ms)
+            reason = {"code": fault.code.value, "reason": fault.detail}
+            self._log("job_not_accepted", {**fields, **reason, **inputs})
+            return Failure(fault)
         record = JobRecord(job_id, call.route.queue, call.workspace, spec, self._clock.unix_ms())
         key = JOB_PREFIX + job_id
         outcome = await self._insert(key, encode_record(record), started_ms, deadline_ms)
         self._metrics.observe_ms("submit_ms", self._clock.now_ms() - started_ms)
-        fields = {
-            "job_id": job_id,
-            "queue": call.route.queue.name,
-            "workspace": call.workspace,
-            "deadline_ms": deadline_ms,
-            "took_ms": self._clock.now_ms() - started_ms,
-        }
+        fields = self._submission_fields(call, job_id, deadline_ms, started_ms)
         match outcome:
             case Success(is_new):
                 self._log("job_accepted", {**fields, "new": is_new})
@@ -141,6 +145,17 @@
             case _:
                 raise AssertionError("a Result is Success or Failure")
 
+    def _submission_fields(
+        self, call: RoutedCall, job_id: str, deadline_ms: int, started_ms: int
+    ) -> dict[str, Any]:
+        return {
+            "job_id": job_id,
+            "queue": call.route.queue.name,
+            "workspace": call.workspace,
+            "deadline_ms": deadline_ms,
+            "took_ms": self._clock.now_ms() - started_ms,
+        }
+
     async def cancel(self, job_id: str, deadline_ms: int) -> Result[None, Fault]:
         """Cancels a job.
 
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -49,7 +49,8 @@
     LEASE_RENEWAL_PERIOD_MS,
 )
 from jacinthreel_node._elector import Elector
-from jacinthreel_node._gauges import set_gauges
+from jacinthreel_node._forecaster import Forecaster
+from jacinthreel_node._gauges import set_forecast_gauges, set_gauges
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._operator_rows import OperatorRows
 from jacinthreel_node._owner_view import OwnerView
@@ -131,6 +132,7 @@
             self._spawn,
             self._make_ownership,
         )
+        self._forecaster = Forecaster(self._owner_view, clock, metrics)
         self._tasks: set[asyncio.Task[None]] = set()
         self._stop_requested = asyncio.Event()
         self.jobs = JobService(
@@ -164,6 +166,7 @@
             self._store.is_intake_lost,
             self._clock.now_ms(),
         )
+        set_forecast_gauges(self.metrics, policy, self._owner_view)
 
     async def run(self, server: CallerServer) -> int:
         """Serves until SIGTERM or SIGINT; returns the exit status."""
@@ -182,6 +185,9 @@
         self._hub.listen(*self.settings.stream_address)
         server.start()
         self._start_followers()
+        self._timers.every(
+            HEARTBEAT_PERIOD_MS, lambda now_ms: self._forecaster.update(self._elector.ownership)
+        )
         self._timers.every(HEARTBEAT_PERIOD_MS, lambda now_ms: self._send_heartbeat())
         self._timers.every(LEASE_RENEWAL_PERIOD_MS, lambda now_ms: self._elector.renew_lease())
         self._timers.every(OWNER_CHECK_PERIOD_MS, lambda now_ms: self._elector.check_owner())
@@ -344,6 +350,7 @@
         if ownership is None:
             return
         policy = self.policy.current
+        forecast, forecast_age_ms = self._forecaster.message_fields(ownership)
         self._hub.notify_all(
             OwnerHeartbeat(
                 ownership.epoch,
@@ -352,6 +359,8 @@
                 lease_count=self._elector.lease_count,
                 policy_version=policy.version if policy is not None else 0,
                 is_loaded=ownership.is_loaded,
+                forecast=forecast,
+                forecast_age_ms=forecast_age_ms,
             )
         )
 
--- a/packages/node/src/jacinthreel_node/_owner_view.py
+++ b/packages/node/src/jacinthreel_node/_owner_view.py
@@ -2,9 +2,22 @@
 
 from __future__ import annotations
 
-from jacinthreel_common import Hello, OwnerHeartbeat
+from dataclasses import dataclass
+from typing import Any
+
+from jacinthreel_common import Hello, OwnerHeartbeat, convert_stored
 from jacinthreel_daemon.plumbing import Clock
 from jacinthreel_node._records import OwnerRow
+from jacinthreel_steps import Forecast
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedForecast:
+    """A forecast of starts, and the time at which and the epoch in which it was computed."""
+
+    forecast: Forecast
+    epoch: int
+    computed_ms: int
 
 
 class OwnerView:
@@ -23,6 +36,7 @@
         self.lease_count: int | None = None
         self.policy_version = 0
         self._waiting_by_queue: dict[str, int] | None = None
+        self._received_forecast: ReceivedForecast | None = None
 
     def apply_row(self, row: OwnerRow | None, version: int) -> bool:
         """Applies a version of the owner row; returns whether it is newer than the current one."""
@@ -45,6 +59,26 @@
         self.lease_count = heartbeat.lease_count
         self.policy_version = heartbeat.policy_version
         self._waiting_by_queue = heartbeat.waiting_by_queue if heartbeat.is_loaded else None
+        forecast = _decode_forecast(heartbeat.forecast)
+        self.record_forecast(forecast, heartbeat.epoch, heartbeat.forecast_age_ms or 0)
+
+    def record_forecast(self, forecast: Forecast | None, epoch: int, age_ms: int) -> None:
+        """Replaces the forecast; None if the owner of `epoch` expects no job to wait."""
+        self._received_forecast = None
+        if forecast is not None:
+            computed_ms = self._clock.now_ms() - age_ms
+            self._received_forecast = ReceivedForecast(forecast, epoch, computed_ms)
+
+    def current_forecast(self, max_age_ms: int) -> tuple[Forecast, int] | None:
+        """Returns the forecast of the current owner and its age in ms.
+
+        Returns None if there is none, or if it is older than `max_age_ms` or from another epoch.
+        """
+        received = self._received_forecast
+        if received is None or self.row is None or received.epoch != self.row.epoch:
+            return None
+        age_ms = self._clock.now_ms() - received.computed_ms
+        return (received.forecast, age_ms) if age_ms <= max_age_ms else None
 
     def heartbeat_age_ms(self) -> int | None:
         """Returns the age of the last heartbeat; None before the first and after a resignation."""
@@ -74,3 +108,8 @@
         ):
             return None
         return self._waiting_by_queue.get(queue, 0)
+
+
+def _decode_forecast(data: Any) -> Forecast | None:
+    """Decodes a forecast; None if there is none, or if another version sent an unreadable one."""
+    return convert_stored(Forecast, data) if data is not None else None
--- a/tests/adapter/test_caller_server.py
+++ b/tests/adapter/test_caller_server.py
@@ -1,4 +1,4 @@
-"""Tests of the graceful stop of the caller server, with real connections over loopback."""
+"""Tests of the caller server: its graceful stop, over loopback, and the status of refusals."""
 
 from __future__ import annotations
 
@@ -7,9 +7,14 @@
 import time
 from typing import Any, cast
 
+from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node import Node, NodeSettings, PolicyView
-from jacinthreel_platform._caller_server import LAST_REQUEST_PAUSE_S, PlatformCallerServer
+from jacinthreel_platform._caller_server import (
+    LAST_REQUEST_PAUSE_S,
+    PlatformCallerServer,
+    fault_response,
+)
 
 STOP_LIMIT_MS = 2_000
 REQUEST = b"GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -60,3 +65,10 @@
         return await reader.read()
 
     assert b"HTTP/1.1 503" in asyncio.run(scenario())
+
+
+def test_refusal_under_overload_is_a_429_with_the_time_to_retry() -> None:
+    """With another status, callers would retry at once or count the job as broken."""
+    response = fault_response(Fault(ResultCode.JOB_TOO_LATE, "overloaded", 7_000))
+    assert (response.status, response.retry_after_ms) == (429, 7_000)
+    assert response.value["code"] == 3012
