--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -27,24 +27,24 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingStep:
-    """The pending tasks of a ready step; `useless_in_ms` is when its job becomes useless."""
+    """The pending tasks of a ready step.
+
+    `accelerators` and `work` are those of all pending tasks together.  `useless_in_ms` is when the
+    job becomes useless.
+    """
 
     rank: int
-    spec: StepSpec
+    estimate_ms: int
     accelerators_at_once: int
     needs_one_rack: bool
     accelerators: int
+    work: int
     useless_in_ms: float
 
-    @property
-    def work(self) -> int:
-        """The work of the pending tasks."""
-        return self.accelerators * self.spec.estimate_ms
-
 
 @dataclass(slots=True)
 class RunningLoad:
-    """The work left in the runs that a job can't preempt.
+    """The work left in a set of runs.
 
     `accelerators_by_length` holds the accelerators by the time left in units of `LENGTH_UNIT_MS`,
     rounded up.
@@ -66,14 +66,14 @@
     """The backlog of one service.
 
     `capacity` counts all accelerators that may be used in the next seconds.  `urgent` is the load
-    that jobs of priority 0 see.  `free_urgent` and `free` are the accelerators that jobs of
-    priority 0, also by preemption, and of other priorities could use now.
+    of runs of priority 0, `other` that of all other runs.  `free_urgent` and `free` are the
+    accelerators that jobs of priority 0, also by preemption, and of other priorities could use now.
     """
 
     waiting: list[WaitingStep]
     capacity: int = 0
     urgent: RunningLoad = field(default_factory=RunningLoad)
-    all: RunningLoad = field(default_factory=RunningLoad)
+    other: RunningLoad = field(default_factory=RunningLoad)
     free_urgent: int = 0
     free: int = 0
 
@@ -137,12 +137,14 @@
 def _make_waiting_step(
     rank: int, spec: StepSpec, pending: int, useless_in_ms: float
 ) -> WaitingStep:
+    accelerators = pending * spec.shape.accelerators
     return WaitingStep(
         rank,
-        spec,
+        spec.estimate_ms,
         accelerators_at_once(spec),
         needs_one_rack(spec),
-        pending * spec.shape.accelerators,
+        accelerators,
+        accelerators * spec.estimate_ms,
         useless_in_ms,
     )
 
@@ -188,10 +190,10 @@
             estimate_ms = job.steps[task_id.step_index].spec.estimate_ms
             remaining_ms = _remaining_ms(run, estimate_ms, now_ms)
             accelerators = run.shape.accelerators
-            backlog.all.add(remaining_ms, accelerators)
             if job.record.queue.priority == 0:
                 backlog.urgent.add(remaining_ms, accelerators)
             else:
+                backlog.other.add(remaining_ms, accelerators)
                 backlog.free_urgent += accelerators
 
 
--- a/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
@@ -70,8 +70,9 @@
 
 def _predict_service(service: str, backlog: ServiceBacklog) -> list[PredictedStart]:
     urgent_steps = [step for step in backlog.waiting if _is_urgent(step.rank)]
-    urgent_load = _make_load(backlog.urgent, urgent_steps, backlog.capacity)
-    other_load = _make_load(backlog.all, backlog.waiting, backlog.capacity)
+    urgent_load = _make_load([backlog.urgent], urgent_steps, backlog.capacity)
+    all_runs = [backlog.urgent, backlog.other]
+    other_load = _make_load(all_runs, backlog.waiting, backlog.capacity)
     starts: list[PredictedStart] = []
     for size_class in _find_size_classes(backlog.waiting):
         steps = [step for step in backlog.waiting if size_class.is_behind(step)]
@@ -114,10 +115,13 @@
     return classes
 
 
-def _make_load(running: RunningLoad, steps: list[WaitingStep], capacity: int) -> _Load:
-    by_length = dict(running.accelerators_by_length)
+def _make_load(running: list[RunningLoad], steps: list[WaitingStep], capacity: int) -> _Load:
+    by_length: dict[int, int] = {}
+    for load in running:
+        for length, accelerators in load.accelerators_by_length.items():
+            by_length[length] = by_length.get(length, 0) + accelerators
     for step in steps:
-        length = step.spec.estimate_ms // LENGTH_UNIT_MS + 1
+        length = step.estimate_ms // LENGTH_UNIT_MS + 1
         by_length[length] = by_length.get(length, 0) + step.accelerators
     unfinished_work = 0
     left = capacity
@@ -127,7 +131,7 @@
         left -= used
         if left <= 0:
             break
-    return _Load(running.work, unfinished_work)
+    return _Load(sum(load.work for load in running), unfinished_work)
 
 
 def _start_ms(load: _Load, ahead_work: int, capacity: int) -> float:
