--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -4,6 +4,8 @@
 package does no I/O, reads no clock and uses no random numbers.
 """
 
+from jacinthreel_steps._admission._forecast import OPTIMISM, Forecast, PredictedStart
+from jacinthreel_steps._admission._refusal import Refusal, find_refusal, retry_after_ms
 from jacinthreel_steps._context import DEFAULT_STOP_LIMIT_MS, DecisionLog, StopOrder, run_name
 from jacinthreel_steps._model import (
     EndReason,
@@ -34,19 +36,23 @@
 __all__ = [
     "DEFAULT_STOP_LIMIT_MS",
     "MAX_REPORT_AGE_MS",
+    "OPTIMISM",
     "DecisionLog",
     "EndReason",
     "Executor",
     "ExecutorListing",
     "ExecutorReport",
     "Job",
+    "Forecast",
     "JobRecord",
     "JobSpec",
     "JobState",
     "LeaseChoice",
     "LeaseLimits",
     "Policy",
+    "PredictedStart",
     "QueueTerms",
+    "Refusal",
     "ReportedEnd",
     "ReportedRun",
     "Resources",
@@ -65,7 +71,9 @@
     "choose_lease",
     "decode_progress_state",
     "find_step_beyond_quota",
+    "find_refusal",
     "objective_ms",
     "progress_write_id",
+    "retry_after_ms",
     "run_name",
 ]
