--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEEDS ?= 1 2 3
 EXAMPLES ?= 300
 
-.PHONY: all install test lint format demo measure model clean
+.PHONY: all install test lint format demo measure model fuzz clean
 
 all: lint test
 
@@ -39,5 +39,8 @@
 model: $(STAMP)
 	EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest packages/node/tests/test_ownership_machine.py
 
+fuzz: $(STAMP)
+	EXAMPLES=$(EXAMPLES) $(BIN)/python -m pytest tests/adapter/test_fuzz.py
+
 clean:
 	rm -rf build $(VENV)
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -62,9 +62,11 @@
 def decode_progress(value: bytes) -> ProgressRow | None:
     """Decodes a row; returns None if it is malformed."""
     try:
-        return _decoder.decode(value)
-    except msgspec.DecodeError:
+        row = _decoder.decode(value)
+        JobState(row.state)
+    except (msgspec.DecodeError, ValueError):
         return None
+    return row
 
 
 def progress_write_id(value: bytes) -> str | None:
--- a/packages/steps/tests/test_inputs.py
+++ b/packages/steps/tests/test_inputs.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
 from scheduler_harness import SchedulerHarness, listing, step
 
-from jacinthreel_steps import Policy
+from jacinthreel_steps import Policy, decode_progress_state
 
 
 def test_older_policy_does_not_replace_a_newer_one() -> None:
@@ -38,3 +39,8 @@
     harness.scheduler.remove_listing("e1")
     harness.scheduler.expire_executor("e1", "lease expired", harness.now_ms)
     assert "e1" not in harness.scheduler.tables.executors_by_id
+
+
+def test_stored_progress_with_an_unknown_state_is_unreadable() -> None:
+    # Guards against an exception that ends the ownership of each owner that loads the row.
+    assert decode_progress_state(msgspec.msgpack.encode(["w", 99, [], []])) is None
