--- a/packages/node/src/jacinthreel_node/_routing.py
+++ b/packages/node/src/jacinthreel_node/_routing.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, ResultCode
-from jacinthreel_steps import Policy, QueueTerms
+from jacinthreel_steps import Policy, QueueTerms, Resources
 
 RETRY_AFTER_MS = 1_000
 
@@ -33,22 +33,31 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingPolicy:
-    """The parts of an operator configuration that a node uses."""
+    """The parts of an operator configuration that a node uses.
+
+    `quota_by_workspace` and `weight_by_workspace` have no entry for a workspace without one.
+    """
 
     version: int
     routes: tuple[Route, ...]
     workspace_by_key: dict[str, str]
     guaranteed_accelerators_by_workspace: dict[str, int] = field(default_factory=dict)
     max_body_bytes: int = 1_048_576
+    quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
+    weight_by_workspace: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class RoutedCall:
-    """The route of a call, its path after the prefix, and the workspace of its key ("" if none)."""
+    """The route of a call, its path after the prefix, and the workspace of its key ("" if none).
+
+    `quota` is that of the workspace, None if it has none.
+    """
 
     route: Route
     path_remainder: str
     workspace: str
+    quota: Resources | None = None
 
 
 class PolicyView:
@@ -95,6 +104,8 @@
             queues,
             self._policy.guaranteed_accelerators_by_workspace,
             self._zones_out,
+            self._policy.quota_by_workspace,
+            self._policy.weight_by_workspace,
         )
 
     def route(self, host: str, path: str, key: str | None) -> Result[RoutedCall, Fault]:
@@ -108,7 +119,9 @@
         workspace = self._policy.workspace_by_key.get(key) if key is not None else None
         if workspace is None and not route.is_public:
             return Failure(Fault(ResultCode.UNKNOWN_KEY, "the key belongs to no workspace"))
-        return Success(RoutedCall(route, path[len(route.path_prefix) :], workspace or ""))
+        remainder = path[len(route.path_prefix) :]
+        quota = self._policy.quota_by_workspace.get(workspace or "")
+        return Success(RoutedCall(route, remainder, workspace or "", quota))
 
     def _find_route(self, host: str, path: str) -> Route | None:
         for route in self._routes_by_host.get(host.lower(), ()):
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -38,6 +38,7 @@
     PolicyView,
     ReportRequest,
     ReportResponse,
+    RoutingPolicy,
     Row,
     RowCondition,
     RowWrite,
@@ -563,7 +564,7 @@
             self.store,
             NodeGateway(self),
             FakeRowDecoder(),
-            PolicyView(),
+            make_policy_view(),
             owner,
             version,
             self,
@@ -575,6 +576,13 @@
         )
 
 
+def make_policy_view() -> PolicyView:
+    """Returns a view with a configuration; an owner without one plans nothing."""
+    view = PolicyView()
+    view.apply_if_newer(RoutingPolicy(1, (), {}))
+    return view
+
+
 class FakeRowDecoder:
     """Decodes executor rows; b"?" is a row that can't be read."""
 
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -10,6 +10,9 @@
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
 from jacinthreel_steps._tables import Run, Tables
+from jacinthreel_steps._workspaces._arrivals import ArrivalRates
+from jacinthreel_steps._workspaces._held_jobs import HeldJobs
+from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 DEFAULT_STOP_LIMIT_MS: Final = 200
 
@@ -36,7 +39,7 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and log, the recent urgent claims and the executor speeds.
+    """The tables, pending orders and log, and what is learnt or counted from events.
 
     `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
     """
@@ -47,6 +50,9 @@
     stop_limit_ms: int = DEFAULT_STOP_LIMIT_MS
     headroom: Headroom = field(default_factory=Headroom)
     speeds: SpeedModel = field(default_factory=SpeedModel)
+    usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
+    held_jobs: HeldJobs = field(default_factory=HeldJobs)
+    arrivals: ArrivalRates = field(default_factory=ArrivalRates)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -5,12 +5,15 @@
 priority are preempted for them, and, for a job within its workspace's guarantee, also runs of
 priority 0 of other workspaces that use more than their guarantee.
 
+Tasks are left out that would bring their workspace above its quota (`_workspaces`).
+
 Invariants: a gang is placed as a whole or not at all; a task that has a run is not placed; claimed
 capacity counts as used, so that no other job takes the capacity that was freed for a claim.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
@@ -35,8 +38,11 @@
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
 from jacinthreel_steps._planning._run_creation import place_tasks
-from jacinthreel_steps._planning._victims import VictimIndex
+from jacinthreel_steps._planning._victims import Victim, VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
+from jacinthreel_steps._workspaces._fair_order import make_shares, schedule_in_fair_order
+from jacinthreel_steps._workspaces._quota_preemption import find_quota_victims
+from jacinthreel_steps._workspaces._quotas import count_admitted
 
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
@@ -45,46 +51,74 @@
 def plan(context: Context, now_ms: int) -> None:
     """Places tasks that fit, and claims capacity for those of priority 0 that don't."""
     place_or_release_claims(context, now_ms)
+    jobs = list(context.tables.open_jobs_by_id.values())
+    usable = find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS)
+    shares = make_shares(context, usable, jobs)
     state = PassState(
         context,
-        find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS),
+        usable,
         now_ms,
         count_used_accelerators(context.tables),
-        VictimIndex(context.tables, context.stop_limit_ms, now_ms),
+        VictimIndex(context.tables, context.stop_limit_ms, now_ms, shares),
+        shares,
     )
-    jobs = list(context.tables.open_jobs_by_id.values())
-    for job in sorted(jobs, key=lambda job: job_sort_key(job, now_ms)):
-        for step in job.steps:
-            pending = _find_pending_tasks(job, step)
-            if pending:
-                _schedule_step(state, job, step, pending)
-            elif is_gang_claimed(job, step):
-                _place_claimed_gang_elsewhere(state, job, step)
-
-
-def _find_pending_tasks(job: Job, step: Step) -> list[Task]:
-    """Returns the tasks to place; those of a gang only when no run of the gang is left."""
-    pending = [task for task in step.tasks if not task.is_done and task.run is None]
-    if not pending or not job.is_step_ready(step):
-        return []
-    if step.spec.is_gang and len(pending) < len(step.tasks):
-        return []
-    return pending
+    ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
+    if context.tables.policy.quota_by_workspace or shares is not None:
+        schedule_in_fair_order(state, ordered, _schedule_job)
+    else:
+        for job in ordered:
+            _schedule_job(state, job)
+    context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
+
+
+def _schedule_job(state: PassState, job: Job) -> None:
+    for step in job.steps:
+        pending = job.pending_tasks(step)
+        if pending:
+            _schedule_step(state, job, step, pending)
+        elif is_gang_claimed(job, step):
+            _place_claimed_gang_elsewhere(state, job, step)
 
 
 def _schedule_step(state: PassState, job: Job, step: Step, pending: list[Task]) -> None:
-    """Places the pending tasks that fit; claims capacity for the others if the priority is 0."""
+    """Places the pending tasks that fit; claims capacity for the others if the priority is 0.
+
+    Tasks that the quota of the workspace does not admit are left out, unless runs of the workspace
+    are preempted for them.
+    """
     queue = job.record.queue
+    admitted = _admitted_tasks(state, job, step, pending)
+    may_claim = queue.priority == 0 and job.job_id not in state.best_effort_ids
+    if not admitted and not may_claim:
+        state.context.held_jobs.add(job, step)
+        return
     slots = state.slots_for(queue.service, queue.priority)
     if not slots.free.executors:
         return
-    placement = _find_placement(state, job, step, pending, slots)
+    placement = _find_placement(state, job, step, admitted, slots) if admitted else None
     if placement:
         place_tasks(state, job, step, placement)
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
-    if pending and queue.priority == 0:
-        _claim_by_preemption(state, job, step, pending, slots)
+        admitted = [task for task in admitted if task.task_id not in placed]
+    if (
+        may_claim
+        and len(admitted) < len(pending)
+        and _preempt_own_runs(state, job, step, pending, slots)
+    ):
+        return
+    if admitted and may_claim:
+        _claim_by_preemption(state, job, step, admitted, slots)
+    elif pending and not admitted:
+        state.context.held_jobs.add(job, step)
+
+
+def _admitted_tasks(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
+    """Returns the tasks that the workspace's quota admits; of a gang, all or none."""
+    count = count_admitted(state.context, job.record.workspace, step.spec.shape)
+    if step.spec.is_gang and count < len(pending):
+        return []
+    return pending[:count] if count < len(pending) else pending
 
 
 def _find_placement(
@@ -115,6 +149,10 @@
 def _place_claimed_gang_elsewhere(state: PassState, job: Job, step: Step) -> None:
     """Places a gang that waits for claimed capacity if other capacity has become free meanwhile."""
     queue = job.record.queue
+    shape = step.spec.shape
+    own_claims = shape.times(len(step.tasks))
+    if count_admitted(state.context, job.record.workspace, shape, own_claims) < len(step.tasks):
+        return
     slots = state.slots_for(queue.service, queue.priority)
     placement = _find_placement(state, job, step, step.tasks, slots)
     if placement:
@@ -144,10 +182,31 @@
     return slots.empty.slots("", step.spec.shape).widest_rack < len(step.tasks)
 
 
-def _claim_by_preemption(
+def _preempt_own_runs(
     state: PassState, job: Job, step: Step, pending: list[Task], slots: ServiceSlots
-) -> None:
-    """Claims capacity for all pending tasks, if preempting other runs can free enough."""
+) -> bool:
+    """Claims for a job of priority 0 whose workspace fills its quota with runs of lower priority.
+
+    Returns whether the tasks were claimed.
+    """
+    quota_victims = find_quota_victims(state, job.record.workspace, step.spec.shape, len(pending))
+    if quota_victims is None:
+        return False
+    return _claim_by_preemption(state, job, step, pending, slots, quota_victims)
+
+
+def _claim_by_preemption(
+    state: PassState,
+    job: Job,
+    step: Step,
+    pending: list[Task],
+    slots: ServiceSlots,
+    chosen: Sequence[Victim] = (),
+) -> bool:
+    """Claims capacity for all pending tasks, if preempting other runs can free enough.
+
+    `chosen` are victims that are stopped in any case.  Returns whether capacity was claimed.
+    """
     queue = job.record.queue
     excess_by_workspace = _preemptible_excess(state, job, step, len(pending))
     may_span_racks = (
@@ -159,18 +218,19 @@
         needs_one_rack = step.spec.wants_one_rack and not may_span_racks
         most = shape_slots.widest_rack if needs_one_rack else shape_slots.total
         if most < len(pending):
-            return
+            return False
     candidates = find_candidates(step, slots.free.executors, queue.max_attempts, state.now_ms)
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
     for searched_step, trusted in searches:
         preemption = plan_preemption(
-            state.victims, searched_step, pending, trusted, excess_by_workspace
+            state.victims, searched_step, pending, trusted, excess_by_workspace, chosen
         )
         if preemption is not None:
             preempt_and_claim(state, job, step, preemption)
-            return
+            return True
+    return False
 
 
 def _preemptible_excess(
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -21,6 +21,7 @@
     DecisionLog,
     Orders,
     StopOrder,
+    run_name,
 )
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
@@ -35,7 +36,13 @@
     StartOutcome,
 )
 from jacinthreel_steps._planning._planner import plan
-from jacinthreel_steps._runs._lifecycle import end_run, finish_job
+from jacinthreel_steps._runs._lifecycle import (
+    count_attached_run,
+    end_run,
+    finish_job,
+    stop_gang,
+    stop_run,
+)
 from jacinthreel_steps._runs._progress_rows import (
     decode_progress,
     encode_progress,
@@ -54,7 +61,10 @@
     handle_refused_start,
     handle_unanswered_start,
 )
-from jacinthreel_steps._tables import Executor, Run, RunState, Tables, make_job
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, make_job
+from jacinthreel_steps._workspaces._quotas import count_admitted, exceeds_quota
+from jacinthreel_steps._workspaces._summary import WorkspaceSummary, summarize_workspaces
+from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 RUN_CHECK_PERIOD_MS: Final = 200
 
@@ -88,6 +98,11 @@
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
 
+    @property
+    def usage(self) -> WorkspaceUsage:
+        """What each workspace uses."""
+        return self._context.usage
+
     def apply_policy(self, policy: Policy) -> None:
         """Replaces the policy, unless it is older than the current one."""
         current_version = self.tables.policy.version
@@ -116,17 +131,34 @@
         self.tables.jobs_by_id[job.job_id] = job
         if not job.state.is_final:
             self.tables.open_jobs_by_id[job.job_id] = job
+        self._context.arrivals.record(job)
         if record.queue.priority == 0 and progress is None:
-            accelerators = sum(
-                step.count * step.shape.accelerators for step in record.spec.steps if not step.after
-            )
-            self._context.headroom.record_arrival(accelerators, now_ms)
+            self._context.headroom.record_arrival(self._first_accelerators(job), now_ms)
         for run in job.live_runs():
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
+            count_attached_run(self._context, run)
             self._attach_run(run)
         return True
 
+    def _first_accelerators(self, job: Job) -> int:
+        """Returns the accelerators of the first steps, as far as the quota admits them now.
+
+        Jobs beyond the rate of their workspace count none.
+        """
+        weight = self.tables.policy.weight_by_workspace.get(job.record.workspace)
+        if self._context.arrivals.exceeds_rate(job, weight):
+            return 0
+        total = 0
+        for step in job.record.spec.steps:
+            if step.after:
+                continue
+            admitted = count_admitted(self._context, job.record.workspace, step.shape)
+            count = min(step.count, admitted)
+            if count == step.count or not step.is_gang:
+                total += count * step.shape.accelerators
+        return total
+
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancels a job; a no-op if it has ended."""
         job = self.tables.open_jobs_by_id.get(job_id)
@@ -286,11 +318,32 @@
             job.visible_state = job.state
         elif job.visible_state is JobState.QUEUED:
             job.visible_state = JobState.RUNNING
-        for run in job.live_runs():
-            if run.state is RunState.PLACED and run.needed_revision <= row.revision:
-                run.state = RunState.STARTING
-                run.placed_ms = now_ms
-                self._context.orders.starts.append(run)
+        for step in job.steps:
+            for task in step.tasks:
+                run = task.run
+                if run is None or run.state is not RunState.PLACED:
+                    continue
+                if run.needed_revision <= row.revision:
+                    self._order_start(job, step, run, now_ms)
+
+    def _order_start(self, job: Job, step: Step, run: Run, now_ms: int) -> None:
+        """Orders the start of a placed run, or withdraws it if the quota was lowered meanwhile."""
+        if exceeds_quota(self._context, job.record.workspace, run.shape):
+            fields = {
+                "job_id": job.job_id,
+                "run": run_name(run.run_id),
+                "workspace": job.record.workspace,
+                "policy_version": self.tables.policy.version,
+            }
+            self._context.log("placement_withdrawn", fields)
+            if step.spec.is_gang:
+                stop_gang(self._context, step, run.run_id.number, now_ms)
+            else:
+                stop_run(self._context, run, now_ms)
+            return
+        run.state = RunState.STARTING
+        run.placed_ms = now_ms
+        self._context.orders.starts.append(run)
 
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
@@ -319,6 +372,10 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def workspace_summaries(self) -> list[WorkspaceSummary]:
+        """Returns what operators see of each workspace; empty without quotas and weights."""
+        return summarize_workspaces(self._context)
+
     def find_jobs_ended_before(self, before_ms: int) -> list[str]:
         """Returns the ids of stored jobs that ended before `before_ms` and have no live runs."""
         job_ids: list[str] = []
@@ -332,7 +389,7 @@
 
     def remove_job(self, job_id: str) -> None:
         """Removes a job that `find_jobs_ended_before` returned."""
-        del self.tables.jobs_by_id[job_id]
+        self._context.arrivals.remove(self.tables.jobs_by_id.pop(job_id))
 
     def _attach_run(self, run: Run) -> None:
         executor = self.tables.executors_by_id.get(run.executor_id)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -28,7 +28,8 @@
 
     `CLAIMED`: reserves capacity that preempted runs have not released yet.  `PLACED`: placed, but
     the placement is not known to be stored.  `STARTING`: the start order was issued and is not
-    confirmed.  `STOPPING`: a stop order was issued.
+    confirmed.  `STOPPING`: a stop order was issued.  `ENDED`: detached from its task; orders that
+    still refer to it must not be sent.
     """
 
     CLAIMED = 1
@@ -36,6 +37,7 @@
     STARTING = 3
     RUNNING = 4
     STOPPING = 5
+    ENDED = 6
 
 
 @dataclass(slots=True)
@@ -151,6 +153,15 @@
         """Whether all steps that `step` depends on are done."""
         return all(self.steps[index].is_done for index in step.spec.after)
 
+    def pending_tasks(self, step: Step) -> list[Task]:
+        """Returns the tasks to place; those of a gang only when no run of the gang is left."""
+        pending = [task for task in step.tasks if not task.is_done and task.run is None]
+        if not pending or not self.is_step_ready(step):
+            return []
+        if step.spec.is_gang and len(pending) < len(step.tasks):
+            return []
+        return pending
+
 
 @dataclass(slots=True)
 class PendingEnd:
--- a/tests/adapter/test_fuzz.py
+++ b/tests/adapter/test_fuzz.py
@@ -53,7 +53,8 @@
         {"name": "r", "host": "h", "path_prefix": "/q/", "service": "s", "priority": 0,
          "max_attempts": 3, "stretch": 2.5, "target_latency_ms": 900.5}
     ],
-    "tenants": [{"name": "w", "api_keys": ["k1"], "guaranteed": {"gpu": 32}}],
+    "tenants": [{"name": "w", "api_keys": ["k1"], "guaranteed": {"gpu": 32}, "weight": 2.0,
+                 "max_count": {"cpu": 9, "mem_mb": 9, "gpu": 9}}],
     "limits": {"max_body_bytes": 1000},
 }  # fmt: skip
 SERVER = {
@@ -130,6 +131,7 @@
         spec = decode_job_body(json.dumps(JOB).encode()).unwrap()
         round(objective_ms(spec, route.queue))
     encode((event.policy.version, event.policy.guaranteed_accelerators_by_workspace))
+    encode((event.policy.quota_by_workspace, event.policy.weight_by_workspace))
 
 
 @fuzz
