--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -423,13 +423,6 @@
         return self.runs.pop(task_id)
 
 
-def make_policy() -> PolicyView:
-    """Returns a policy without quotas: an owner that has none plans nothing."""
-    policy = PolicyView()
-    policy.apply_if_newer(RoutingPolicy(1, (), {}))
-    return policy
-
-
 class Node:
     """A process with the real election and ownership; its ports lead into the world."""
 
@@ -571,7 +564,7 @@
             self.store,
             NodeGateway(self),
             FakeRowDecoder(),
-            make_policy(),
+            make_policy_view(),
             owner,
             version,
             self,
@@ -583,6 +576,13 @@
         )
 
 
+def make_policy_view() -> PolicyView:
+    """Returns a view with a configuration; an owner without one plans nothing."""
+    view = PolicyView()
+    view.apply_if_newer(RoutingPolicy(1, (), {}))
+    return view
+
+
 class FakeRowDecoder:
     """Decodes executor rows; b"?" is a row that can't be read."""
 
