Group the services of an ownership; separate the exchange rules from the link

An ownership took 13 arguments, and the clock, lease and acknowledgement rules of an executor were part of the owner's link. Relays need the same rules, so they are a module of their own. No change in behaviour.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -4,16 +4,7 @@
 the executor responds as soon as a run ends.  Up to `ORDER_WORKERS` starts and stops are sent
 concurrently with the polling.
 
-Clocks: a lease ends at a time on the executor's clock, which may run slow by up to
-`CLOCK_SLOWNESS`.  Each response gives a lower bound for the executor's clock, and lease end times
-are computed from this bound.  All runs on an unreachable executor have ended once its clock must
-have passed the latest lease end that was sent to it.  For this bound to stay fixed, the requests
-that follow a failed one don't renew leases.
-
-Acknowledgements: a restarted executor numbers the ends of its runs from 1 again.  If it received an
-acknowledgement meant for the earlier process, it would discard ends that the owner has not read.
-Ends are therefore acknowledged only while the executor reports them, with a request that returns
-immediately, and not after a failed request or a pause of more than `MIN_RESTART_MS`.
+The clock and acknowledgement rules are in `_executor_exchange`.
 """
 
 from __future__ import annotations
@@ -27,6 +18,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
+from jacinthreel_node._executor_exchange import ExecutorExchange
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
@@ -51,45 +43,9 @@
 RETRY_PAUSE_MS: Final = 200
 ORDER_WORKERS: Final = 2
 MAX_STOP_ATTEMPTS: Final = 4
-CLOCK_SLOWNESS: Final = 0.02
-LEASE_MARGIN_MS: Final = 200
-MIN_RESTART_MS: Final = 600  # An executor takes longer than this to restart.
 DRAINING_LEASE_MS: Final = 2_500  # Shorter, to place its runs elsewhere soon after it leaves.
 
 
-@dataclass(slots=True)
-class ExecutorClock:
-    """A reading of an executor's clock, the local time of the reading, and the latest lease end.
-
-    `lease_until_ms` is the latest lease end that was sent, on the executor's clock.
-    """
-
-    executor_time_ms: int = 0
-    local_time_ms: int | None = None
-    lease_until_ms: int = 0
-
-    def record_reading(self, executor_time_ms: int, local_time_ms: int) -> None:
-        """Records the clock reading of a response that arrived at `local_time_ms`."""
-        self.executor_time_ms = executor_time_ms
-        self.local_time_ms = local_time_ms
-
-    def earliest_time_ms(self, now_ms: int) -> int | None:
-        """Returns a lower bound for the executor's clock now, or None before the first reading."""
-        if self.local_time_ms is None:
-            return None
-        return self.executor_time_ms + int((now_ms - self.local_time_ms) * (1 - CLOCK_SLOWNESS))
-
-    def lease_end_ms(self, default_ms: int) -> int:
-        """Returns the local time by which the latest lease has certainly ended.
-
-        `default_ms` is returned before the first reading.
-        """
-        if self.local_time_ms is None:
-            return default_ms
-        remaining_ms = max(0, self.lease_until_ms - self.executor_time_ms)
-        return self.local_time_ms + int(remaining_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
-
-
 @dataclass(frozen=True, slots=True)
 class LinkContext:
     """Dependencies that all links of one ownership share.
@@ -122,14 +78,10 @@
     def __init__(self, context: LinkContext, executor_id: str) -> None:
         self._context = context
         self._executor_id = executor_id
-        self._executor_clock = ExecutorClock()
-        self._incarnation = 0
+        self._exchange = ExecutorExchange()
         self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
-        self._is_unreachable = False
-        self._last_response_ms = 0
-        self._lowest_reported_end: int | None = None
 
     def close(self) -> None:
         """Stops polling, drops queued orders and closes the connections."""
@@ -144,7 +96,7 @@
     def lease_end_ms(self) -> int:
         """Returns the local time by which all runs have ended if the executor is unreachable."""
         former_end_ms = self._context.former_leases.end_ms(self._executor_id)
-        return self._executor_clock.lease_end_ms(former_end_ms)
+        return self._exchange.clock.lease_end_ms(former_end_ms)
 
     async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
         """Runs a loop of the link; an error ends the ownership, as the link needs its loops."""
@@ -163,7 +115,7 @@
     async def _request_report(self, executor: Executor) -> bool:
         """Requests a report and applies it; returns whether to poll again without a pause."""
         context = self._context
-        self._update_incarnation(executor)
+        self._exchange.set_incarnation(executor.listing.incarnation)
         sent_ms = context.clock.now_ms()
         has_unstored_ends = context.scheduler.has_unstored_ends(self._executor_id)
         acknowledged_upto = self._acknowledged_upto(sent_ms)
@@ -191,19 +143,12 @@
         return False
 
     def _may_renew(self) -> bool:
-        return not self._is_unreachable and self._context.may_order()
+        return not self._exchange.is_unreachable and self._context.may_order()
 
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
-        if response.incarnation != self._incarnation:
-            self._incarnation = response.incarnation
-            self._executor_clock = ExecutorClock()
-        self._executor_clock.record_reading(response.clock_ms, now_ms)
-        self._last_response_ms = now_ms
-        self._lowest_reported_end = min((end.sequence for end in response.ended), default=None)
-        if self._is_unreachable:
-            self._is_unreachable = False
+        if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
         report = ExecutorReport(response.incarnation, sent_ms, response.running, response.ended)
         context.scheduler.apply_report(self._executor_id, report, now_ms)
@@ -224,36 +169,14 @@
             await context.wait_stored(remaining_ms)
 
     def _acknowledged_upto(self, now_ms: int) -> int:
-        """Returns the highest end that the executor may discard.
-
-        The result is 0 if the executor reported no stored end or may have restarted.
-        """
-        if self._is_unreachable or now_ms - self._last_response_ms > MIN_RESTART_MS:
-            return 0
+        """Returns the highest end that the executor may discard, 0 for none."""
         stored_upto = self._context.scheduler.acknowledged_upto(self._executor_id)
-        if self._lowest_reported_end is None or self._lowest_reported_end > stored_upto:
-            return 0
-        return stored_upto
-
-    def _update_incarnation(self, executor: Executor) -> None:
-        if executor.listing.incarnation != self._incarnation:
-            self._incarnation = executor.listing.incarnation
-            self._executor_clock = ExecutorClock()
+        return self._exchange.acknowledged_upto(stored_upto, now_ms)
 
     def _lease_until_ms(self, executor: Executor) -> int | None:
-        """Returns the lease end to request, on the executor's clock; None before the first reading.
-
-        Leases at a draining executor are shorter.
-        """
-        clock_ms = self._executor_clock.earliest_time_ms(self._context.clock.now_ms())
-        if clock_ms is None:
-            return None
-        lease_ms = self._context.task_lease_ms
-        if executor.listing.is_draining:
-            lease_ms = min(lease_ms, DRAINING_LEASE_MS)
-        until_ms = clock_ms + lease_ms
-        self._executor_clock.lease_until_ms = max(self._executor_clock.lease_until_ms, until_ms)
-        return until_ms
+        """Returns the lease end to request, or None before the first clock reading."""
+        lease_ms = lease_ms_of(executor.listing, self._context.task_lease_ms)
+        return self._exchange.extend_lease(lease_ms, self._context.clock.now_ms())
 
     def _expire_unreachable(self, executor: Executor) -> None:
         """Ends the runs of an unreachable executor once its leases have expired."""
@@ -335,7 +258,11 @@
         return ExecutorTarget(self._executor_id, executor.listing.address)
 
     def _mark_unreachable(self, fault: Fault) -> None:
-        if self._is_unreachable:
-            return
-        self._is_unreachable = True
-        self._context.log("executor_lost", {"executor": self._executor_id, "reason": fault.detail})
+        if self._exchange.record_failure():
+            fields = {"executor": self._executor_id, "reason": fault.detail}
+            self._context.log("executor_lost", fields)
+
+
+def lease_ms_of(listing: ExecutorListing, task_lease_ms: int) -> int:
+    """Returns the duration of leases at an executor; leases at a draining one are shorter."""
+    return min(task_lease_ms, DRAINING_LEASE_MS) if listing.is_draining else task_lease_ms
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -53,7 +53,7 @@
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._operator_rows import OperatorRows
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ownership import Ownership, OwnershipServices
 from jacinthreel_node._ports import (
     ExecutorGateway,
     KeyedStore,
@@ -112,7 +112,6 @@
         self.is_draining = False
         self._operator = OperatorRows(row_decoder, self.policy, self.log, self._on_policy_changed)
         self._store = MonitoredStore(store, clock)
-        self._gateway = gateway
         self._row_decoder = row_decoder
         self._clock = clock
         self._rng = random.Random()
@@ -120,6 +119,16 @@
         hello = Hello(settings.host_id, ROLE, settings.zone)
         self._hub = StreamHub(hello, clock, self._rng, self.log.warning)
         self._owner_view = OwnerView(clock)
+        self._ownership_services = OwnershipServices(
+            settings,
+            self._store,
+            gateway,
+            row_decoder,
+            self.policy,
+            clock,
+            metrics,
+            self.log.info,
+        )
         self._elector = Elector(
             settings,
             self._store,
@@ -237,16 +246,9 @@
         self, owner: OwnerRow, version: int, has_former_owner_stopped: bool
     ) -> Ownership:
         return Ownership(
-            self.settings,
-            self._store,
-            self._gateway,
-            self._row_decoder,
-            self.policy,
+            self._ownership_services,
             owner,
             version,
-            self._clock,
-            self.metrics,
-            self.log.info,
             self._elector.end_ownership,
             lambda: self._elector.is_lease_usable,
             has_former_owner_stopped,
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -10,6 +10,7 @@
 import asyncio
 import traceback
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -17,12 +18,8 @@
 from jacinthreel_common import Fault, LeasesLeft
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
 from jacinthreel_node._ended_job_sweeper import EndedJobSweeper
-from jacinthreel_node._executor_link import (
-    CLOCK_SLOWNESS,
-    LEASE_MARGIN_MS,
-    ExecutorLink,
-    LinkContext,
-)
+from jacinthreel_node._executor_exchange import CLOCK_SLOWNESS, LEASE_MARGIN_MS
+from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._ports import (
@@ -56,6 +53,20 @@
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
 
 
+@dataclass(frozen=True, slots=True)
+class OwnershipServices:
+    """Parts of the process that every ownership uses; they outlast each ownership."""
+
+    settings: NodeSettings
+    store: KeyedStore
+    gateway: ExecutorGateway
+    row_decoder: PlatformRowDecoder
+    policy: PolicyView
+    clock: Clock
+    metrics: MetricsRegistry
+    log: Callable[[str, dict[str, Any]], None]
+
+
 class Ownership:
     """One ownership of all jobs, from the takeover to its end.
 
@@ -65,30 +76,24 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
-        store: KeyedStore,
-        gateway: ExecutorGateway,
-        row_decoder: PlatformRowDecoder,
-        policy: PolicyView,
+        services: OwnershipServices,
         owner: OwnerRow,
         owner_version: int,
-        clock: Clock,
-        metrics: MetricsRegistry,
-        log: Callable[[str, dict[str, Any]], None],
         on_lost: Callable[[str], None],
         may_order: Callable[[], bool],
         has_former_owner_stopped: bool,
     ) -> None:
+        settings, store, clock = services.settings, services.store, services.clock
         self._store = store
-        self._row_decoder = row_decoder
-        self._policy = policy
+        self._row_decoder = services.row_decoder
+        self._policy = services.policy
         self._clock = clock
-        self._metrics = metrics
-        self._log = log
+        self._metrics = services.metrics
+        self._log = services.log
         self._on_lost = on_lost
         self.epoch = owner.epoch
         self.is_loaded = False
-        self.scheduler = Scheduler(log, settings.run_stop_limit_ms)
+        self.scheduler = Scheduler(services.log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
         unreached_lease_ms = _unreached_lease_ms(settings.task_lease_ms, has_former_owner_stopped)
         self.former_leases = FormerLeases(self._takeover_ms + unreached_lease_ms)
@@ -103,17 +108,17 @@
             owner_version,
             owner.nonce,
             clock,
-            metrics,
+            services.metrics,
             self._on_batch_stored,
             on_lost,
-            log,
+            services.log,
         )
         self._ended_job_sweeper = EndedJobSweeper(
-            store, self.scheduler, settings.status_keep_ms, owner_version, log
+            store, self.scheduler, settings.status_keep_ms, owner_version, services.log
         )
-        self._speed_store = ExecutorSpeedStore(store, self.scheduler, log)
+        self._speed_store = ExecutorSpeedStore(store, self.scheduler, services.log)
         self._link_context = LinkContext(
-            gateway,
+            services.gateway,
             self.scheduler,
             clock,
             owner.epoch,
@@ -124,7 +129,7 @@
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} reports a newer owner"),
             self._end_after_error,
-            log,
+            services.log,
         )
 
     def start(self) -> None:
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -11,7 +11,8 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_node import ReportRequest, ReportResponse
-from jacinthreel_node._executor_link import ExecutorClock, ExecutorLink, LinkContext
+from jacinthreel_node._executor_exchange import ExecutorClock
+from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_steps import (
     EndReason,
