Exchange messages with executors through relays

With more than 400 executors, the owner assigns each one to a relay on another node, which polls it, renews leases while its permission is valid and sends starts and stops. Below that the links are direct as before.

--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -294,6 +294,26 @@
     row_version: int
 
 
+@dataclass(frozen=True, slots=True)
+class RelayOrders:
+    """Orders of the owner of `epoch` to a relay of executor exchanges.
+
+    `body` is encoded by the node package: these messages are frequent, and their entries are
+    decoded directly into types.
+    """
+
+    epoch: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RelayReport:
+    """What a relay reports to the owner of `epoch`; see `RelayOrders` for `body`."""
+
+    epoch: int
+    body: bytes
+
+
 MESSAGES_BY_KIND: Final[dict[str, type]] = {
     message_class.__name__: message_class
     for message_class in (
@@ -320,5 +340,7 @@
         LeaseQuery,
         LeasesLeft,
         OwnerAnnouncement,
+        RelayOrders,
+        RelayReport,
     )
 }
--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -221,6 +221,24 @@
             )
         return list(connections_by_process.values())
 
+    def open_connections(self, role: str) -> list[StreamConnection]:
+        """Returns all open connections to processes of a role, several of one peer included."""
+        opened = [link.connection for link in self._links_by_address.values()]
+        connections: list[StreamConnection] = []
+        for connection in (*opened, *self._accepted):
+            if connection is None or not connection.is_open or connection.peer is None:
+                continue
+            if connection.peer.role == role:
+                connections.append(connection)
+        return connections
+
+    def notify_peer(self, peer: Hello, message: object) -> None:
+        """Sends a notice on the connection on which `peer` was received, if it is open."""
+        for connection in self.open_connections(peer.role):
+            if connection.peer is peer:
+                connection.notify(message)
+                return
+
     def accepted_peers(self) -> set[tuple[str, str]]:
         """Returns host id and role of each process that has connected to this one."""
         peers = [connection.peer for connection in self._accepted if connection.is_open]
--- a/packages/node/src/jacinthreel_node/_executor_exchange.py
+++ b/packages/node/src/jacinthreel_node/_executor_exchange.py
@@ -26,6 +26,11 @@
 MIN_RESTART_MS: Final = 600  # An executor takes longer than this to restart.
 
 
+def longest_lease_ms(task_lease_ms: int) -> int:
+    """Returns the longest time, on the local clock, for which a lease granted now may be valid."""
+    return int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+
+
 @dataclass(slots=True)
 class ExecutorClock:
     """A reading of an executor's clock, the local time of the reading, and the latest lease end.
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -73,11 +73,15 @@
 
 
 class ExecutorLink:
-    """The connection to one executor during one ownership."""
+    """The connection to one executor during one ownership.
 
-    def __init__(self, context: LinkContext, executor_id: str) -> None:
+    `bound_ms` is the local time by which leases that relays granted there have certainly ended.
+    """
+
+    def __init__(self, context: LinkContext, executor_id: str, bound_ms: int = 0) -> None:
         self._context = context
         self._executor_id = executor_id
+        self._bound_ms = bound_ms
         self._exchange = ExecutorExchange()
         self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
@@ -96,7 +100,7 @@
     def lease_end_ms(self) -> int:
         """Returns the local time by which all runs have ended if the executor is unreachable."""
         former_end_ms = self._context.former_leases.end_ms(self._executor_id)
-        return self._exchange.clock.lease_end_ms(former_end_ms)
+        return max(self._bound_ms, self._exchange.clock.lease_end_ms(former_end_ms))
 
     async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
         """Runs a loop of the link; an error ends the ownership, as the link needs its loops."""
--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -16,13 +16,23 @@
 class FormerLeases:
     """The latest lease end at each executor, on the clock of this process.
 
-    `default_end_ms` applies to executors without an end of their own.
+    `default_end_ms` applies to executors without an end of their own; it is later by
+    `relay_extension_ms` while earlier owners may have used relays.
     """
 
-    def __init__(self, default_end_ms: int) -> None:
-        self._default_end_ms = default_end_ms
+    def __init__(self, default_end_ms: int, relay_extension_ms: int = 0) -> None:
+        self._direct_end_ms = default_end_ms
+        self._relay_extension_ms = relay_extension_ms
         self._end_ms_by_executor: dict[str, int] = {}
 
+    @property
+    def _default_end_ms(self) -> int:
+        return self._direct_end_ms + self._relay_extension_ms
+
+    def exclude_relays(self) -> None:
+        """Records that no earlier owner has used relays."""
+        self._relay_extension_ms = 0
+
     def end_ms(self, executor_id: str) -> int:
         """Returns the time by which all runs of earlier owners at the executor have ended."""
         return self._end_ms_by_executor.get(executor_id, self._default_end_ms)
@@ -37,15 +47,16 @@
         for executor_id, remaining_ms in response.left_ms_by_executor.items():
             end_ms = min(self.end_ms(executor_id), now_ms + remaining_ms)
             self._end_ms_by_executor[executor_id] = end_ms
-        self._default_end_ms = min(self._default_end_ms, now_ms + response.others_ms)
+        self._direct_end_ms = min(self._direct_end_ms, now_ms + response.others_ms)
 
     def remaining(self, end_ms_by_executor: dict[str, int], now_ms: int) -> LeasesLeft:
         """Returns the remaining lease times to hand over to the next owner.
 
         `end_ms_by_executor` holds the lease ends at executors that the current owner has a link to.
+        The next owner allows for relays itself, as this one does.
         """
         ends = {**self._end_ms_by_executor, **end_ms_by_executor}
         remaining_ms_by_executor = {
             executor_id: max(0, end_ms - now_ms) for executor_id, end_ms in ends.items()
         }
-        return LeasesLeft(remaining_ms_by_executor, max(0, self._default_end_ms - now_ms))
+        return LeasesLeft(remaining_ms_by_executor, max(0, self._direct_end_ms - now_ms))
--- a/packages/node/src/jacinthreel_node/_lease_handover.py
+++ b/packages/node/src/jacinthreel_node/_lease_handover.py
@@ -25,7 +25,8 @@
     to_plain,
 )
 from jacinthreel_daemon.plumbing import Clock, EventLog, StreamHub
-from jacinthreel_node._ownership import Ownership, longest_lease_ms
+from jacinthreel_node._executor_exchange import longest_lease_ms
+from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._records import OwnerRow
 
 QUERY_TIMEOUT_MS: Final = 600
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import random
+import resource
 import signal
 from collections.abc import Coroutine
 from typing import Any, Final, Protocol
@@ -29,6 +30,8 @@
     OwnerHeartbeat,
     PolicyPull,
     PolicyRows,
+    RelayOrders,
+    RelayReport,
     ResultCode,
     StoredRow,
     StreamReply,
@@ -65,6 +68,7 @@
     OWNER_TABLE,
     OwnerRow,
 )
+from jacinthreel_node._relays._relay import Relay
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._store_health import MonitoredStore
@@ -127,7 +131,18 @@
             self.policy,
             clock,
             metrics,
+            self._hub,
+            self.log.info,
+        )
+        self._relay = Relay(
+            gateway,
+            clock,
+            metrics,
             self.log.info,
+            self._hub.notify_peer,
+            settings.cores,
+            resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+            lambda: self.is_draining,
         )
         self._elector = Elector(
             settings,
@@ -188,6 +203,8 @@
         self._hub.on_notice(OwnerHeartbeat, self._handle_heartbeat)
         self._hub.on_notice(IntakeNotice, self._handle_intake_notice)
         self._hub.on_notice(OwnerAnnouncement, self._handle_announcement)
+        self._hub.on_notice(RelayOrders, self._relay.handle_orders)
+        self._hub.on_notice(RelayReport, self._handle_relay_report)
         self._hub.listen(*self.settings.stream_address)
         server.start()
         self._start_followers()
@@ -195,6 +212,7 @@
         self._timers.every(LEASE_RENEWAL_PERIOD_MS, lambda now_ms: self._elector.renew_lease())
         self._timers.every(OWNER_CHECK_PERIOD_MS, lambda now_ms: self._elector.check_owner())
         self._timers.every(LIVENESS_CHECK_PERIOD_MS, self._hub.check_liveness)
+        self._timers.every(LIVENESS_CHECK_PERIOD_MS, lambda now_ms: self._relay.check())
         self._timers.every(
             PROBE_PERIOD_MS, lambda now_ms: self._spawn(self._store.probe_suspect_groups())
         )
@@ -214,6 +232,7 @@
         await server.stop(self.settings.stop_grace_ms - spent_ms)
         for task in self._tasks:
             task.cancel()
+        self._relay.close()
         self._hub.close()
         self._timers.stop()
 
@@ -313,6 +332,10 @@
     def _handle_announcement(self, peer: Hello, announcement: OwnerAnnouncement) -> None:
         self._elector.apply_announcement(announcement)
 
+    def _handle_relay_report(self, peer: Hello, report: RelayReport) -> None:
+        if self._elector.ownership is not None:
+            self._elector.ownership.handle_relay_report(peer, report)
+
     def _apply_intake_row(self, row: StoredRow) -> None:
         if self._elector.ownership is not None:
             self._elector.ownership.apply_intake_row(
@@ -321,6 +344,7 @@
 
     def _handle_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         self._owner_view.apply_heartbeat(peer, heartbeat)
+        self._relay.observe_epoch(heartbeat.epoch)
         self._store.record_owner_silence(self._owner_view.lease_age_ms)
         policy = self.policy.current
         if self._store.health_of(self._row_decoder.operator_table).is_lost and (
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -15,11 +15,11 @@
 
 from returns.result import Failure, Result, Success
 
-from jacinthreel_common import Fault, LeasesLeft
+from jacinthreel_common import Fault, Hello, LeasesLeft, RelayReport
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
 from jacinthreel_node._ended_job_sweeper import EndedJobSweeper
-from jacinthreel_node._executor_exchange import CLOCK_SLOWNESS, LEASE_MARGIN_MS
-from jacinthreel_node._executor_link import ExecutorLink, LinkContext
+from jacinthreel_node._executor_exchange import longest_lease_ms
+from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._ports import (
@@ -27,6 +27,7 @@
     KeyedStore,
     PlatformRowDecoder,
     Row,
+    RowWrite,
     Snapshot,
 )
 from jacinthreel_node._progress_writer import ProgressWriter
@@ -34,10 +35,17 @@
     CANCEL_PREFIX,
     INTAKE_TABLE,
     JOB_PREFIX,
+    LEASE_TABLE,
     PROGRESS_TABLE,
+    RELAYS_KEY,
+    LeaseRow,
     OwnerRow,
     decode_job,
+    encode_record,
 )
+from jacinthreel_node._relays._fleet import ExecutorFleet
+from jacinthreel_node._relays._relay_links import RelayStreams
+from jacinthreel_node._relays._relay_session import LONGEST_PERMISSION_MS
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._speed_store import ExecutorSpeedStore
@@ -45,6 +53,7 @@
 from jacinthreel_steps import ExecutorListing, JobState, Scheduler, StoredProgress
 
 MIN_PLAN_INTERVAL_MS: Final = 20
+PLAN_SHARE_DIVISOR: Final = 4  # A pass over thousands of executors takes tens of milliseconds.
 PERIODIC_CHECK_MS: Final = 250
 FEED_WAIT_MS: Final = 1_500
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
@@ -64,6 +73,7 @@
     policy: PolicyView
     clock: Clock
     metrics: MetricsRegistry
+    streams: RelayStreams
     log: Callable[[str, dict[str, Any]], None]
 
 
@@ -96,12 +106,15 @@
         self.scheduler = Scheduler(services.log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
         unreached_lease_ms = _unreached_lease_ms(settings.task_lease_ms, has_former_owner_stopped)
-        self.former_leases = FormerLeases(self._takeover_ms + unreached_lease_ms)
-        self._links_by_id: dict[str, ExecutorLink] = {}
+        self.former_leases = FormerLeases(
+            self._takeover_ms + unreached_lease_ms, LONGEST_PERMISSION_MS
+        )
+        self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._are_orphans_expired = False
         self._is_plan_pending = False
         self._last_plan_ms = 0
+        self._plan_took_ms = 0
         self._writer = ProgressWriter(
             store,
             self.scheduler,
@@ -117,7 +130,7 @@
             store, self.scheduler, settings.status_keep_ms, owner_version, services.log
         )
         self._speed_store = ExecutorSpeedStore(store, self.scheduler, services.log)
-        self._link_context = LinkContext(
+        link_context = LinkContext(
             services.gateway,
             self.scheduler,
             clock,
@@ -131,6 +144,7 @@
             self._end_after_error,
             services.log,
         )
+        self.fleet = ExecutorFleet(link_context, services.streams, self._record_relay_use)
 
     def start(self) -> None:
         """Starts loading the tables, followed by the owner's work."""
@@ -140,14 +154,15 @@
         """Cancels all tasks and closes all links; no orders are sent afterwards."""
         for task in self._tasks:
             task.cancel()
-        for link in self._links_by_id.values():
-            link.close()
-        self._links_by_id.clear()
+        self.fleet.close()
 
     def remaining_leases(self) -> LeasesLeft:
         """Returns the remaining lease times; call before `stop`, and send no orders afterwards."""
-        ends = {key: link.lease_end_ms() for key, link in self._links_by_id.items()}
-        return self.former_leases.remaining(ends, self._clock.now_ms())
+        return self.former_leases.remaining(self.fleet.lease_ends(), self._clock.now_ms())
+
+    def handle_relay_report(self, peer: Hello, message: RelayReport) -> None:
+        """Applies a report of a relay."""
+        self.fleet.handle_report(peer, message)
 
     async def flush(self, timeout_ms: int) -> None:
         """Waits until all scheduler decisions are stored, or until the timeout."""
@@ -194,9 +209,15 @@
         if self._is_plan_pending or not self.is_loaded:
             return
         self._is_plan_pending = True
-        delay_ms = max(0, self._last_plan_ms + MIN_PLAN_INTERVAL_MS - self._clock.now_ms())
+        delay_ms = max(0, self._last_plan_ms + self._plan_interval_ms() - self._clock.now_ms())
         asyncio.get_running_loop().call_later(delay_ms / 1000, self._plan)
 
+    def _plan_interval_ms(self) -> int:
+        """Returns the least time between passes; with relays, passes take a quarter at most."""
+        if not self.fleet.uses_relays:
+            return MIN_PLAN_INTERVAL_MS
+        return max(MIN_PLAN_INTERVAL_MS, PLAN_SHARE_DIVISOR * self._plan_took_ms)
+
     def _plan(self) -> None:
         self._is_plan_pending = False
         if not self.is_loaded:
@@ -204,23 +225,21 @@
         started_ms = self._clock.now_ms()
         self._last_plan_ms = started_ms
         self.scheduler.plan(started_ms)
-        self._metrics.observe_ms("plan_ms", self._clock.now_ms() - started_ms)
+        self._plan_took_ms = self._clock.now_ms() - started_ms
+        self._metrics.observe_ms("plan_ms", self._plan_took_ms)
         self._send_orders()
         self._writer.wake()
 
     def _on_batch_stored(self) -> None:
         self._send_orders()
+        self.fleet.relays.acknowledge_stored()
         self.request_plan()
 
     def _send_orders(self) -> None:
         for stop in self.scheduler.take_stops():
-            link = self._links_by_id.get(stop.executor_id)
-            if link is not None:
-                link.send(stop)
+            self.fleet.send(stop)
         for run in self.scheduler.take_starts():
-            link = self._links_by_id.get(run.executor_id)
-            if link is not None:
-                link.send(run)
+            self.fleet.send(run)
 
     async def _load_and_run(self) -> None:
         versions, _ = await asyncio.gather(self._load(), self._speed_store.load())
@@ -248,6 +267,7 @@
             LISTING_FEED_PAUSE_MS,
         )
         self._spawn(self._run_periodic_checks())
+        self._spawn(self.fleet.run())
         self._spawn(self._ended_job_sweeper.run(self._clock))
         self._spawn(self._speed_store.run())
         self.request_plan()
@@ -276,6 +296,10 @@
         progress = await self._read_until_available(PROGRESS_TABLE)
         intake = await self._read_until_available(INTAKE_TABLE)
         listings = await self._read_until_available(self._row_decoder.executor_table)
+        relay_use = await self._read_until_available(LEASE_TABLE, RELAYS_KEY)
+        self._are_relays_recorded = bool(relay_use.rows)
+        if not relay_use.rows:
+            self.former_leases.exclude_relays()
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         progress_by_id = {
             row.key: StoredProgress(row.value, row.version)
@@ -285,15 +309,27 @@
         self._add_and_cancel_jobs(intake.rows, progress_by_id)
         accepted_ids = {row.key.removeprefix(JOB_PREFIX) for row in intake.rows}
         self._ended_job_sweeper.add_orphaned_progress(progress_by_id.keys() - accepted_ids)
+        self.fleet.begin(len(listings.rows))
         self._apply_listing_snapshot(listings.rows)
         return {
             INTAKE_TABLE: intake.version,
             self._row_decoder.executor_table: listings.version,
         }
 
-    async def _read_until_available(self, table: str) -> Snapshot:
+    async def _record_relay_use(self) -> bool:
+        """Stores that relays are used, for later owners; returns whether that is stored."""
+        if not self._are_relays_recorded:
+            row = RowWrite(LEASE_TABLE, RELAYS_KEY, encode_record(LeaseRow(self.epoch, 0)))
+            match await self._store.commit([], [row], LOAD_TIMEOUT_MS):
+                case Success(_):
+                    self._are_relays_recorded = True
+                case Failure(Fault(detail=detail)):
+                    self._log("relay_use_not_recorded", {"reason": detail})
+        return self._are_relays_recorded
+
+    async def _read_until_available(self, table: str, key: str | None = None) -> Snapshot:
         while True:
-            match await self._store.read(table, LOAD_TIMEOUT_MS):
+            match await self._store.read(table, LOAD_TIMEOUT_MS, key):
                 case Success(Snapshot() as snapshot):
                     return snapshot
                 case Failure(Fault() as fault):
@@ -356,8 +392,7 @@
                 continue
             if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
                 self._log_listed(listing)
-            if row.key not in self._links_by_id:
-                self._links_by_id[row.key] = ExecutorLink(self._link_context, row.key)
+            self.fleet.add(row.key)
         self.request_plan()
 
     def _remove_listing(self, executor_id: str) -> None:
@@ -385,9 +420,9 @@
             self.request_plan()
 
     def _close_unlisted_links(self) -> None:
-        for executor_id in list(self._links_by_id):
+        for executor_id in self.fleet.executor_ids:
             if executor_id not in self.scheduler.tables.executors_by_id:
-                self._links_by_id.pop(executor_id).close()
+                self.fleet.remove(executor_id)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.create_task(self._guard(coroutine)))
@@ -408,11 +443,6 @@
         self._on_lost(f"unexpected error: {error!r}")
 
 
-def longest_lease_ms(task_lease_ms: int) -> int:
-    """Returns the longest time, on the local clock, for which a lease granted now may be valid."""
-    return int(task_lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
-
-
 def _unreached_lease_ms(task_lease_ms: int, has_former_owner_stopped: bool) -> int:
     """Returns the time after which all runs of the former owner at unreached executors have ended.
 
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -14,6 +14,8 @@
 OWNER_TABLE: Final = "owner"
 LEASE_TABLE: Final = "lease"
 OWNER_KEY: Final = "owner"
+RELAYS_KEY: Final = "relays"
+"""Key of the row of the lease table that is written before the first use of relays."""
 SPEEDS_TABLE: Final = "speeds"
 SPEEDS_KEY: Final = "speeds"
 INTAKE_GROUPS: Final = tuple(f"intake-{index}" for index in range(8))
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_relays/__init__.py
@@ -0,0 +1,1 @@
+"""Relays: nodes that exchange messages with executors on behalf of the owner."""
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -0,0 +1,540 @@
+"""The owner's links to executors through relays; the counterpart of `ExecutorLink`.
+
+Opens a session on each stream to a node, assigns executors to the relays that respond, and applies
+their reports to the scheduler.  Lease bounds: see docs/design/relays.md.
+
+Invariant: at every moment, `lease_end_ms` of an executor is at or after the time by which all
+leases that any relay may have granted there have certainly ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Final, Protocol
+
+from jacinthreel_common import Hello, RelayReport
+from jacinthreel_node._executor_exchange import (
+    CLOCK_SLOWNESS,
+    LEASE_MARGIN_MS,
+    longest_lease_ms,
+)
+from jacinthreel_node._executor_link import LinkContext, lease_ms_of
+from jacinthreel_node._relays._assignment import (
+    AssignedExecutor,
+    RelayCandidate,
+    assign,
+    select_relays,
+)
+from jacinthreel_node._relays._messages import (
+    Acknowledgement,
+    Assignment,
+    ReportBody,
+    SlotLoss,
+    SlotReport,
+    decode_end,
+    decode_report,
+    decode_running,
+)
+from jacinthreel_node._relays._relay_session import OwnerRelaySession, PeerConnection
+from jacinthreel_steps import (
+    Executor,
+    ExecutorReport,
+    Run,
+    RunState,
+    StartOutcome,
+    StopOrder,
+)
+
+CHECK_PERIOD_MS: Final = 250
+SETTLE_MS: Final = 200  # Without another relay becoming ready, the first assignment starts.
+MAX_SETTLE_MS: Final = 1_000
+SETTLED_PER_CHECK: Final = 50
+UNREACHED_MOVE_MS: Final = 3_000  # Then another relay tries; doubles up to the maximum.
+MAX_UNREACHED_MOVE_MS: Final = 48_000
+RELAY_ROLE: Final = "node"
+
+
+class RelayStreams(Protocol):
+    """The streams of this process to other nodes."""
+
+    def open_connections(self, role: str) -> Sequence[PeerConnection]:
+        """Returns all open connections to processes of a role."""
+
+
+@dataclass(slots=True)
+class _RelayedLink:
+    """What the owner knows of the exchange with one executor.
+
+    `contact` is the relay's current one; it is reached only while `is_reached`, and leases are
+    granted in it only if it equals `granted_contact`.  `bound_ms` is the lease bound of earlier
+    slots and contacts.  `assigned` is the part of the listing that the slot was made for.
+    """
+
+    executor_id: str
+    bound_ms: int = 0
+    session: OwnerRelaySession | None = None
+    slot: int = 0
+    contact: int = 1
+    granted_contact: int = 0
+    is_reached: bool = False
+    is_lost_logged: bool = False
+    assigned: tuple[str, int, int] = ("", 0, 0)
+    assigned_ms: int = 0
+    unreached_moves: int = 0
+    avoided_host: str = ""
+    acknowledged: int = 0
+    held_starts: list[Run] = field(default_factory=list)
+
+
+class RelayLinks:
+    """All links through relays of one ownership."""
+
+    def __init__(self, context: LinkContext, streams: RelayStreams) -> None:
+        self._context = context
+        self._streams = streams
+        self._sessions: dict[int, OwnerRelaySession] = {}
+        self._sessions_by_peer: dict[int, OwnerRelaySession] = {}
+        self._links: dict[str, _RelayedLink] = {}
+        self._unplaced: dict[str, None] = {}
+        self._unacknowledged: dict[str, None] = {}
+        self._last_session = 0
+        self._last_slot = 0
+        self._first_ready_ms: int | None = None
+        self._last_ready_ms = 0
+        self._is_settled = False
+        self._has_placed = False
+        self._checked_ms = 0
+        self._settled_cursor = 0
+        self._is_flush_scheduled = False
+        self.message_count = 0
+        self.report_count = 0
+
+    @property
+    def executor_ids(self) -> list[str]:
+        """The ids of all executors that are exchanged with through relays."""
+        return list(self._links)
+
+    @property
+    def count(self) -> int:
+        """The number of executors that are exchanged with through relays."""
+        return len(self._links)
+
+    @property
+    def has_sessions(self) -> bool:
+        """Whether there are sessions with relays."""
+        return bool(self._sessions)
+
+    def has(self, executor_id: str) -> bool:
+        """Whether the executor is exchanged with through relays."""
+        return executor_id in self._links
+
+    @property
+    def ready_count(self) -> int:
+        """The number of relays that respond and don't drain."""
+        return sum(
+            session.ready_ms is not None and not session.is_draining
+            for session in self._sessions.values()
+        )
+
+    @property
+    def assigned_count(self) -> int:
+        """The number of executors that are assigned to a relay."""
+        return len(self._links) - len(self._unplaced)
+
+    def add(self, executor_id: str, bound_ms: int = 0) -> None:
+        """Adds an executor; `bound_ms` is the lease bound of an earlier direct link."""
+        if executor_id not in self._links:
+            self._links[executor_id] = _RelayedLink(executor_id, bound_ms)
+            self._unplaced[executor_id] = None
+
+    def remove(self, executor_id: str) -> int:
+        """Removes an executor; returns the bound of the leases that its relays may have granted."""
+        link = self._links[executor_id]
+        self._unassign(link)
+        del self._links[executor_id]
+        self._unplaced.pop(executor_id, None)
+        self._unacknowledged.pop(executor_id, None)
+        return link.bound_ms
+
+    def lease_end_ms(self, executor_id: str) -> int:
+        """Returns the local time by which all runs have ended if the executor is unreachable."""
+        link = self._links[executor_id]
+        former_end_ms = self._context.former_leases.end_ms(executor_id)
+        return max(former_end_ms, link.bound_ms, self._current_bound_ms(link))
+
+    def send(self, order: Run | StopOrder) -> None:
+        """Queues a start or a stop; a start waits until the executor's contact is granted."""
+        link = self._links[order.executor_id]
+        session = link.session
+        if isinstance(order, StopOrder):
+            if session is not None:
+                session.stop(link.slot, order)
+        elif session is None or not link.is_reached:
+            if not any(held is order for held in link.held_starts):
+                link.held_starts.append(order)
+        else:
+            self._start(link, session, order)
+        self._schedule_flush()
+
+    def handle_report(self, peer: Hello, message: RelayReport) -> None:
+        """Applies a report of a relay; those of earlier sessions and slots have no effect."""
+        session = self._sessions_by_peer.get(id(peer))
+        if session is None or message.epoch != self._context.epoch:
+            return
+        body = decode_report(message.body)
+        if body is None:
+            self._context.log("relay_report_unreadable", {"relay": peer.host_id})
+            return
+        if body.session != session.number:
+            return
+        self._apply_body(session, body)
+
+    def acknowledge_stored(self) -> None:
+        """Queues acknowledgements of ends that have been stored."""
+        for executor_id in list(self._unacknowledged):
+            link = self._links[executor_id]
+            executor = self._find_executor(executor_id)
+            if executor is None or link.session is None:
+                del self._unacknowledged[executor_id]
+                continue
+            stored_upto = self._context.scheduler.acknowledged_upto(executor_id)
+            if stored_upto > link.acknowledged:
+                link.acknowledged = stored_upto
+                incarnation = executor.listing.incarnation
+                link.session.acknowledge(Acknowledgement(link.slot, incarnation, stored_upto))
+                self._schedule_flush()
+            if not executor.pending_ends:
+                del self._unacknowledged[executor_id]
+
+    def run_timers(self) -> None:
+        """Does what is due; called several times for each `CHECK_PERIOD_MS`."""
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._checked_ms >= CHECK_PERIOD_MS:
+            self._checked_ms = now_ms
+            self._check_sessions(now_ms)
+            self._check_links(now_ms)
+        self._assign_executors(now_ms)
+        self._flush()
+
+    def close(self) -> None:
+        """Drops all sessions; nothing is sent afterwards."""
+        self._sessions.clear()
+        self._sessions_by_peer.clear()
+
+    def _check_sessions(self, now_ms: int) -> None:
+        for session in list(self._sessions.values()):
+            if session.is_lost(now_ms):
+                self._end_session(session)
+        for connection in self._streams.open_connections(RELAY_ROLE):
+            if connection.peer is not None and id(connection.peer) not in self._sessions_by_peer:
+                self._last_session += 1
+                session = OwnerRelaySession(
+                    self._last_session, self._context.epoch, connection, now_ms
+                )
+                self._sessions[session.number] = session
+                self._sessions_by_peer[id(connection.peer)] = session
+
+    def _end_session(self, session: OwnerRelaySession) -> None:
+        del self._sessions[session.number]
+        del self._sessions_by_peer[id(session.connection.peer)]
+        executor_ids = list(session.executor_by_slot.values())
+        for executor_id in executor_ids:
+            self._unassign(self._links[executor_id])
+        if session.ready_ms is not None:
+            fields = {
+                "relay": session.host_id,
+                "executors": len(executor_ids),
+                "connected": session.connection.is_open,
+            }
+            self._context.log("relay_lost", fields)
+
+    def _check_links(self, now_ms: int) -> None:
+        """Expires runs whose leases have ended, and replaces slots of changed listings."""
+        for link in list(self._links.values()):
+            executor = self._find_executor(link.executor_id)
+            if executor is None:
+                self.remove(link.executor_id)
+                continue
+            if not link.is_reached and (executor.runs_by_task or not executor.is_listed):
+                self._expire_if_due(link, now_ms)
+            session = link.session
+            if session is None:
+                continue
+            if self._assignable(executor) != link.assigned:
+                self._unassign(link)
+                self._assign(link, session, executor, now_ms)
+            elif not link.is_reached:
+                self._release_unreached(link, session, now_ms)
+
+    def _expire_if_due(self, link: _RelayedLink, now_ms: int) -> None:
+        if now_ms < self.lease_end_ms(link.executor_id):
+            return
+        self._context.scheduler.expire_executor(link.executor_id, "lease expired", now_ms)
+        self._context.request_plan()
+
+    def _release_unreached(
+        self, link: _RelayedLink, session: OwnerRelaySession, now_ms: int
+    ) -> None:
+        """Moves an executor away from a relay that doesn't reach it for some time."""
+        limit_ms = min(UNREACHED_MOVE_MS * 2**link.unreached_moves, MAX_UNREACHED_MOVE_MS)
+        if now_ms - link.assigned_ms < limit_ms or self.ready_count < 2:
+            return
+        link.unreached_moves = min(link.unreached_moves + 1, 10)
+        link.avoided_host = session.host_id
+        self._unassign(link)
+
+    def _assign_executors(self, now_ms: int) -> None:
+        """Assigns executors without a relay, those of draining ones, and a few to better ones."""
+        if not self._may_assign(now_ms):
+            return
+        draining = [
+            link
+            for session in self._sessions.values()
+            if session.is_draining
+            for link in map(self._links.__getitem__, session.executor_by_slot.values())
+        ]
+        unplaced = [self._links[executor_id] for executor_id in self._unplaced] + draining
+        is_check = now_ms == self._checked_ms
+        if not is_check and not (unplaced and self._has_placed):
+            return
+        relays = self._select_relays()
+        if not relays:
+            return
+        settled = self._next_settled() if is_check else []
+        moves = assign(map(self._entry, unplaced), map(self._entry, settled), relays, now_ms)
+        self._has_placed = bool(moves.session_by_executor)
+        for executor_id, number in moves.session_by_executor.items():
+            link = self._links[executor_id]
+            executor = self._find_executor(executor_id)
+            if executor is None:
+                continue
+            self._unassign(link)
+            self._assign(link, self._sessions[number], executor, now_ms)
+        if moves.session_by_executor:
+            fields = {
+                "assigned": len(moves.session_by_executor),
+                "rebalanced": moves.moved,
+                "unassigned": len(self._unplaced),
+                "relays": len(relays),
+            }
+            self._context.log("relays_assigned", fields)
+
+    def _may_assign(self, now_ms: int) -> bool:
+        """Whether the number of ready relays has settled since the start of the ownership."""
+        if self._is_settled:
+            return True
+        if self._first_ready_ms is None:
+            return False
+        self._is_settled = (
+            now_ms - self._last_ready_ms >= SETTLE_MS
+            or now_ms - self._first_ready_ms >= MAX_SETTLE_MS
+        )
+        return self._is_settled
+
+    def _select_relays(self) -> list[RelayCandidate]:
+        candidates = [
+            RelayCandidate(
+                session.number,
+                session.host_id,
+                session.zone,
+                session.weight,
+                session.max_executors,
+                session.ready_ms,
+                session.is_draining,
+                len(session.executor_by_slot),
+            )
+            for session in self._sessions.values()
+            if session.ready_ms is not None
+        ]
+        count_by_zone: dict[str, int] = {}
+        for executor_id in self._links:
+            executor = self._find_executor(executor_id)
+            if executor is not None:
+                zone = executor.listing.zone
+                count_by_zone[zone] = count_by_zone.get(zone, 0) + 1
+        return select_relays(candidates, count_by_zone)
+
+    def _next_settled(self) -> list[_RelayedLink]:
+        """Returns the next few assigned executors to compare with other relays, in turn."""
+        links = list(self._links.values())
+        start = self._settled_cursor % max(1, len(links))
+        self._settled_cursor = start + SETTLED_PER_CHECK
+        window = links[start : start + SETTLED_PER_CHECK]
+        return [link for link in window if link.session is not None and link.is_reached]
+
+    def _entry(self, link: _RelayedLink) -> AssignedExecutor:
+        executor = self._find_executor(link.executor_id)
+        zone = executor.listing.zone if executor is not None else ""
+        number = link.session.number if link.session is not None else None
+        return AssignedExecutor(link.executor_id, zone, number, link.avoided_host)
+
+    def _assign(
+        self, link: _RelayedLink, session: OwnerRelaySession, executor: Executor, now_ms: int
+    ) -> None:
+        self._last_slot += 1
+        link.session = session
+        link.slot = self._last_slot
+        link.contact = 1
+        link.granted_contact = 0
+        link.is_reached = False
+        link.acknowledged = 0
+        link.assigned = self._assignable(executor)
+        link.assigned_ms = now_ms
+        address, incarnation, lease_ms = link.assigned
+        session.assign(Assignment(link.slot, link.executor_id, address, incarnation, lease_ms))
+        self._unplaced.pop(link.executor_id, None)
+
+    def _unassign(self, link: _RelayedLink) -> None:
+        """Ends the current slot; starts without an outcome count as unanswered."""
+        session = link.session
+        if session is None:
+            return
+        link.bound_ms = max(link.bound_ms, self._current_bound_ms(link))
+        link.session = None
+        link.is_reached = False
+        link.granted_contact = 0
+        self._unplaced[link.executor_id] = None
+        now_ms = self._context.clock.now_ms()
+        for run in session.drop(link.slot):
+            self._context.scheduler.record_start_outcome(run, StartOutcome.UNKNOWN, now_ms)
+        self._context.request_plan()
+
+    def _current_bound_ms(self, link: _RelayedLink) -> int:
+        """Returns the bound of the leases of the current contact, 0 if none were granted."""
+        if link.session is None or link.granted_contact != link.contact:
+            return 0
+        lease_ms = longest_lease_ms(self._context.task_lease_ms)
+        return link.session.permission_end_ms() + lease_ms
+
+    def _assignable(self, executor: Executor) -> tuple[str, int, int]:
+        listing = executor.listing
+        lease_ms = lease_ms_of(listing, self._context.task_lease_ms)
+        return listing.address, listing.incarnation, lease_ms
+
+    def _apply_body(self, session: OwnerRelaySession, body: ReportBody) -> None:
+        now_ms = self._context.clock.now_ms()
+        self.report_count += 1
+        if session.ready_ms is None:
+            self._last_ready_ms = now_ms
+            self._first_ready_ms = self._first_ready_ms or now_ms
+        session.record_report(body, now_ms)
+        for loss in body.losses:
+            self._apply_loss(session, loss, now_ms)
+        self._apply_outcomes(session, body, now_ms)
+        for report in body.reports:
+            self._apply_report(session, report, now_ms)
+        self._apply_ages(session, body, now_ms)
+        for slot in body.fenced_slots:
+            if slot in session.executor_by_slot:
+                self._context.on_fenced(session.executor_by_slot[slot])
+                return
+        if body.losses or body.start_results or body.confirmed_stops or body.reports:
+            self._context.request_plan()
+            self.acknowledge_stored()
+
+    def _apply_outcomes(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
+        scheduler = self._context.scheduler
+        for result in body.start_results:
+            start = session.starts_by_order.pop(result.order, None)
+            if start is not None:
+                scheduler.record_start_outcome(start[1], result.outcome, now_ms)
+        for order in body.confirmed_stops:
+            stop = session.stops_by_order.pop(order, None)
+            if stop is not None:
+                scheduler.record_stop_confirmation(stop[1], now_ms)
+
+    def _apply_report(self, session: OwnerRelaySession, report: SlotReport, now_ms: int) -> None:
+        link = self._find_link(session, report.slot)
+        if link is None or report.contact < link.contact:
+            return
+        if report.contact > link.contact:
+            link.bound_ms = max(link.bound_ms, self._current_bound_ms(link))
+            link.contact = report.contact
+        running = tuple(decode_running(entry) for entry in report.running)
+        ended = tuple(decode_end(entry) for entry in report.ended)
+        self._context.scheduler.apply_report(
+            link.executor_id,
+            ExecutorReport(report.incarnation, report.sent_ms, running, ended, report.age_ms),
+            now_ms,
+        )
+        if report.ended:
+            # The relay may have lost the acknowledgement with the contact that it came in.
+            lowest = min(end.sequence for end in report.ended)
+            link.acknowledged = min(link.acknowledged, lowest - 1)
+            self._unacknowledged[link.executor_id] = None
+        if not link.is_reached:
+            self._begin_contact(link, session)
+
+    def _begin_contact(self, link: _RelayedLink, session: OwnerRelaySession) -> None:
+        link.is_reached = True
+        link.unreached_moves = 0
+        link.granted_contact = link.contact
+        session.grant(link.slot, link.contact)
+        if link.is_lost_logged:
+            link.is_lost_logged = False
+            self._context.log("executor_regained", {"executor": link.executor_id})
+        held, link.held_starts = link.held_starts, []
+        for run in held:
+            self._start(link, session, run)
+        self._schedule_flush()
+
+    def _apply_loss(self, session: OwnerRelaySession, loss: SlotLoss, now_ms: int) -> None:
+        """Ends a contact: the relay renews no lease of it, and starts nothing, from now on."""
+        link = self._find_link(session, loss.slot)
+        if link is None or loss.contact < link.contact:
+            return
+        left_ms = int(loss.left_ms / (1 - CLOCK_SLOWNESS))
+        if link.granted_contact:
+            link.bound_ms = max(link.bound_ms, now_ms + left_ms + LEASE_MARGIN_MS)
+        link.contact = loss.contact + 1
+        link.granted_contact = 0
+        link.assigned_ms = now_ms if link.is_reached else link.assigned_ms
+        link.is_reached = False
+        if not link.is_lost_logged:
+            link.is_lost_logged = True
+            fields = {
+                "executor": link.executor_id,
+                "reason": loss.detail,
+                "relay": session.host_id,
+            }
+            self._context.log("executor_lost", fields)
+        executor = self._find_executor(link.executor_id)
+        if loss.is_replaced and executor and self._assignable(executor) == link.assigned:
+            self._context.scheduler.expire_executor(link.executor_id, "executor replaced", now_ms)
+
+    def _apply_ages(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
+        """Records the time of the last response of each executor that the relay reaches."""
+        stale_age_by_slot = {entry.slot: entry.age_ms for entry in body.stale}
+        for slot, executor_id in session.executor_by_slot.items():
+            if not self._links[executor_id].is_reached:
+                continue
+            executor = self._find_executor(executor_id)
+            if executor is not None and executor.has_reported:
+                age_ms = stale_age_by_slot.get(slot, body.age_ms)
+                executor.last_report_ms = max(executor.last_report_ms, now_ms - age_ms)
+
+    def _start(self, link: _RelayedLink, session: OwnerRelaySession, run: Run) -> None:
+        job = self._context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
+        if job is not None and run.state is RunState.STARTING:
+            session.start(link.slot, run, job.record.spec.payload)
+
+    def _schedule_flush(self) -> None:
+        """Sends queued orders in the next iteration of the event loop, grouped by relay."""
+        if not self._is_flush_scheduled:
+            self._is_flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._is_flush_scheduled = False
+        for session in self._sessions.values():
+            now_ms = self._context.clock.now_ms()
+            self.message_count += session.flush(now_ms, self._context.may_order())
+
+    def _find_link(self, session: OwnerRelaySession, slot: int) -> _RelayedLink | None:
+        executor_id = session.executor_by_slot.get(slot)
+        return self._links[executor_id] if executor_id is not None else None
+
+    def _find_executor(self, executor_id: str) -> Executor | None:
+        return self._context.scheduler.tables.executors_by_id.get(executor_id)
--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_session.py
@@ -0,0 +1,194 @@
+"""The owner's side of one session with a relay: its permission and the orders to send."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final, Protocol
+
+from jacinthreel_common import Hello, RelayOrders
+from jacinthreel_node._executor_exchange import (
+    CLOCK_SLOWNESS,
+    LEASE_MARGIN_MS,
+    ExecutorClock,
+)
+from jacinthreel_node._relays._messages import (
+    Acknowledgement,
+    Assignment,
+    Grant,
+    OrdersBody,
+    ReportBody,
+    StartOrder,
+    StopRunOrder,
+    encode_body,
+    name_run,
+)
+from jacinthreel_steps import Run, StopOrder
+
+# Outlasts several lost or late renewals; leases of unreachable executors last longer by this time.
+PERMISSION_MS: Final = 2_500
+PERMISSION_PERIOD_MS: Final = 500
+RELAY_SILENCE_MS: Final = 1_500  # More than three periods of reports.
+MAX_OPEN_STOPS: Final = 1_000
+LONGEST_PERMISSION_MS: Final = int(PERMISSION_MS / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
+"""The longest time, on the owner's clock, for which a permission sent now may be valid."""
+
+
+class PeerConnection(Protocol):
+    """A stream connection to another process."""
+
+    peer: Hello | None
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection is open."""
+
+    def notify(self, message: object) -> None:
+        """Sends a notice, if the connection is open."""
+
+
+@dataclass(slots=True)
+class _PendingOrders:
+    dropped_slots: list[int] = field(default_factory=list)
+    assignments: list[Assignment] = field(default_factory=list)
+    grants: list[Grant] = field(default_factory=list)
+    acknowledgements: list[Acknowledgement] = field(default_factory=list)
+    stops: list[StopRunOrder] = field(default_factory=list)
+    starts: list[StartOrder] = field(default_factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        return not (
+            self.dropped_slots
+            or self.assignments
+            or self.grants
+            or self.acknowledgements
+            or self.stops
+            or self.starts
+        )
+
+
+class OwnerRelaySession:
+    """One session with a relay, for as long as its connection is open and the relay responds.
+
+    `executor_by_slot` holds the ids of the executors that are assigned in this session.
+    """
+
+    def __init__(self, number: int, epoch: int, connection: PeerConnection, now_ms: int) -> None:
+        self.number = number
+        self.connection = connection
+        self.host_id = connection.peer.host_id if connection.peer is not None else ""
+        self.zone = connection.peer.zone if connection.peer is not None else ""
+        self.ready_ms: int | None = None
+        self.last_report_ms = now_ms
+        self.weight = 1
+        self.max_executors = 0
+        self.is_draining = False
+        self.executor_by_slot: dict[int, str] = {}
+        self.starts_by_order: dict[int, tuple[int, Run]] = {}
+        self.stops_by_order: dict[int, tuple[int, StopOrder]] = {}
+        self._epoch = epoch
+        self._clock = ExecutorClock()
+        self._is_started = False
+        self._last_order = 0
+        self._permitted_ms = 0
+        self._pending = _PendingOrders()
+
+    def is_lost(self, now_ms: int) -> bool:
+        """Whether the relay can't be used any more; one that never responded is only unused."""
+        if not self.connection.is_open:
+            return True
+        return self.ready_ms is not None and now_ms - self.last_report_ms > RELAY_SILENCE_MS
+
+    def record_report(self, body: ReportBody, now_ms: int) -> None:
+        """Records the relay's clock and capacity."""
+        if self.ready_ms is None:
+            self.ready_ms = now_ms
+        self.last_report_ms = now_ms
+        self.weight = max(1, body.weight)
+        self.max_executors = body.max_executors
+        self.is_draining = body.is_draining
+        self._clock.record_reading(body.clock_ms, now_ms)
+
+    def permission_end_ms(self) -> int:
+        """Returns the local time by which the relay's permission has certainly ended."""
+        return self._clock.lease_end_ms(0)
+
+    def assign(self, assignment: Assignment) -> None:
+        """Queues an assignment."""
+        self.executor_by_slot[assignment.slot] = assignment.executor_id
+        self._pending.assignments.append(assignment)
+
+    def drop(self, slot: int) -> list[Run]:
+        """Queues the end of an assignment; returns the runs whose start has no outcome yet."""
+        del self.executor_by_slot[slot]
+        pending = self._pending
+        pending.assignments = [item for item in pending.assignments if item.slot != slot]
+        pending.starts = [item for item in pending.starts if item.slot != slot]
+        pending.stops = [item for item in pending.stops if item.slot != slot]
+        pending.dropped_slots.append(slot)
+        orders = [order for order, (of, _) in self.starts_by_order.items() if of == slot]
+        for order in [order for order, (of, _) in self.stops_by_order.items() if of == slot]:
+            del self.stops_by_order[order]
+        return [self.starts_by_order.pop(order)[1] for order in orders]
+
+    def grant(self, slot: int, contact: int) -> None:
+        """Queues the grant of a contact."""
+        self._pending.grants.append(Grant(slot, contact))
+
+    def acknowledge(self, acknowledgement: Acknowledgement) -> None:
+        """Queues an acknowledgement."""
+        self._pending.acknowledgements.append(acknowledgement)
+
+    def start(self, slot: int, run: Run, payload: str) -> None:
+        """Queues a start."""
+        self._last_order += 1
+        self.starts_by_order[self._last_order] = (slot, run)
+        self._pending.starts.append(
+            StartOrder(self._last_order, slot, name_run(run.run_id), payload, run.checkpoint)
+        )
+
+    def stop(self, slot: int, order: StopOrder) -> None:
+        """Queues a stop; of stops that are never confirmed, the latest are remembered."""
+        if len(self.stops_by_order) >= MAX_OPEN_STOPS:
+            del self.stops_by_order[next(iter(self.stops_by_order))]
+        self._last_order += 1
+        self.stops_by_order[self._last_order] = (slot, order)
+        self._pending.stops.append(StopRunOrder(self._last_order, slot, name_run(order.run_id)))
+
+    def flush(self, now_ms: int, may_order: bool) -> bool:
+        """Sends what is due; returns whether a message was sent.
+
+        Without `may_order`, only drops and acknowledgements are sent: the ownership may have ended.
+        """
+        is_permission_due = may_order and now_ms - self._permitted_ms >= PERMISSION_PERIOD_MS
+        if self._is_started and self._pending.is_empty and not is_permission_due:
+            return False
+        pending, self._pending = self._pending, _PendingOrders()
+        body = OrdersBody(
+            self.number,
+            not self._is_started,
+            now_ms,
+            pending.dropped_slots,
+            pending.assignments,
+            self._renew_permission(now_ms) if may_order else 0,
+            pending.grants if may_order else [],
+            pending.acknowledgements,
+            pending.stops if may_order else [],
+            pending.starts if may_order else [],
+        )
+        self._is_started = True
+        self.connection.notify(RelayOrders(self._epoch, encode_body(body)))
+        return True
+
+    def _renew_permission(self, now_ms: int) -> int:
+        """Returns the permission's end on the relay's clock, or 0 before its first message.
+
+        It is computed from the relay's last message, so that orders which are read late grant
+        nothing.
+        """
+        if self._clock.local_time_ms is None:
+            return 0
+        self._permitted_ms = now_ms
+        until_ms = self._clock.executor_time_ms + PERMISSION_MS
+        self._clock.lease_until_ms = max(self._clock.lease_until_ms, until_ms)
+        return until_ms
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -220,13 +220,15 @@
     """All runs in progress on an executor, and all ends that were not acknowledged yet.
 
     `sent_ms` is when the request for the report was sent: the report reflects every order that was
-    answered before then.
+    answered before then.  `age_ms` is the time since the report arrived at the process that
+    requested it.
     """
 
     incarnation: int
     sent_ms: int
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    age_ms: int = 0
 
 
 class StartOutcome(IntEnum):
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -22,7 +22,7 @@
 
 def apply_report(context: Context, executor: Executor, report: ExecutorReport, now_ms: int) -> None:
     """Applies a report of the executor's current incarnation."""
-    executor.last_report_ms = now_ms
+    executor.last_report_ms = now_ms - report.age_ms
     ended: set[RunId] = set()
     for end in sorted(report.ended, key=lambda item: item.sequence):
         ended.add(end.run_id)
