Cut the owner's work per executor: placement, recovered runs, broadcasts

Placing a task compared all executors again, listing an executor scanned all jobs, and a heartbeat was encoded once for each peer. Tasks of a step are now taken from a heap (same order), recovered runs are indexed by executor, and a broadcast is encoded once.

--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -19,6 +19,7 @@
 from jacinthreel_common import Fault, Hello, ResultCode, StreamReply
 from jacinthreel_daemon._backoff import Backoff
 from jacinthreel_daemon._dial import dial
+from jacinthreel_daemon._frames import encode_frame
 from jacinthreel_daemon._ports import CallHandler, Clock
 from jacinthreel_daemon._streams import (
     MAX_BACKLOG_BYTES,
@@ -201,8 +202,12 @@
 
     def notify_all(self, message: object) -> None:
         """Sends a notice to every connected peer; does not block."""
-        for connection in self.connections():
-            connection.notify(message)
+        connections = self.connections()
+        if not connections:
+            return
+        frame = encode_frame(message, 0)  # Once for all peers: an owner has hundreds.
+        for connection in connections:
+            connection.notify_frame(message, frame)
 
     def connections(self, role: str = "") -> list[StreamConnection]:
         """Returns one open connection per peer process, whichever side opened it.
--- a/packages/daemon/src/jacinthreel_daemon/_streams.py
+++ b/packages/daemon/src/jacinthreel_daemon/_streams.py
@@ -126,6 +126,11 @@
         if self.is_open:
             self._write(message, 0)
 
+    def notify_frame(self, message: object, frame: bytes) -> None:
+        """Sends a notice that `encode_frame` has encoded, if the connection is open."""
+        if self.is_open:
+            self._write_frame(message, 0, frame)
+
     def check_liveness(self, now_ms: int) -> None:
         """Sends a due heartbeat or closes an idle connection; called about once a second."""
         if not self.is_open:
@@ -208,7 +213,9 @@
         """Queues a frame; returns false if the connection was closed or the message is dropped."""
         if self._stream.closed():
             return False
-        frame = encode_frame(message, call_id)
+        return self._write_frame(message, call_id, encode_frame(message, call_id))
+
+    def _write_frame(self, message: object, call_id: int, frame: bytes) -> bool:
         if len(frame) - LENGTH_BYTES > MAX_FRAME_BYTES:
             return self._reject_oversize_message(message, call_id)
         self._sent_ms = self._clock.now_ms()
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -293,10 +293,13 @@
 
     async def _load(self) -> dict[str, int]:
         """Loads all tables into the scheduler; returns the versions of the tables to follow."""
+        listing_reads = asyncio.gather(
+            self._read_until_available(self._row_decoder.executor_table),
+            self._read_until_available(LEASE_TABLE, RELAYS_KEY),
+        )
         progress = await self._read_until_available(PROGRESS_TABLE)
         intake = await self._read_until_available(INTAKE_TABLE)
-        listings = await self._read_until_available(self._row_decoder.executor_table)
-        relay_use = await self._read_until_available(LEASE_TABLE, RELAYS_KEY)
+        listings, relay_use = await listing_reads
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -194,19 +194,23 @@
     def acknowledge_stored(self) -> None:
         """Queues acknowledgements of ends that have been stored."""
         for executor_id in list(self._unacknowledged):
-            link = self._links[executor_id]
-            executor = self._find_executor(executor_id)
-            if executor is None or link.session is None:
-                del self._unacknowledged[executor_id]
-                continue
-            stored_upto = self._context.scheduler.acknowledged_upto(executor_id)
-            if stored_upto > link.acknowledged:
-                link.acknowledged = stored_upto
-                incarnation = executor.listing.incarnation
-                link.session.acknowledge(Acknowledgement(link.slot, incarnation, stored_upto))
-                self._schedule_flush()
-            if not executor.pending_ends:
-                del self._unacknowledged[executor_id]
+            self._acknowledge(self._links[executor_id])
+
+    def _acknowledge(self, link: _RelayedLink) -> None:
+        executor = self._find_executor(link.executor_id)
+        if executor is None or link.session is None:
+            self._unacknowledged.pop(link.executor_id, None)
+            return
+        stored_upto = self._context.scheduler.acknowledged_upto(link.executor_id)
+        if stored_upto > link.acknowledged:
+            link.acknowledged = stored_upto
+            incarnation = executor.listing.incarnation
+            link.session.acknowledge(Acknowledgement(link.slot, incarnation, stored_upto))
+            self._schedule_flush()
+        if executor.pending_ends:
+            self._unacknowledged[link.executor_id] = None
+        else:
+            self._unacknowledged.pop(link.executor_id, None)
 
     def run_timers(self) -> None:
         """Does what is due; called several times for each `CHECK_PERIOD_MS`."""
@@ -432,7 +436,6 @@
                 return
         if body.losses or body.start_results or body.confirmed_stops or body.reports:
             self._context.request_plan()
-            self.acknowledge_stored()
 
     def _apply_outcomes(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
         scheduler = self._context.scheduler
@@ -463,7 +466,7 @@
             # The relay may have lost the acknowledgement with the contact that it came in.
             lowest = min(end.sequence for end in report.ended)
             link.acknowledged = min(link.acknowledged, lowest - 1)
-            self._unacknowledged[link.executor_id] = None
+            self._acknowledge(link)
         if not link.is_reached:
             self._begin_contact(link, session)
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
@@ -116,14 +117,29 @@
 def place_independent_tasks(
     step: Step, tasks: list[Task], candidates: list[Candidate], is_urgent: bool
 ) -> Placement:
-    """Places as many of the tasks as fit, each independently of the others."""
+    """Places as many of the tasks as fit, each independently of the others.
+
+    Only the chosen candidate changes with each task, so the others are not compared again.
+    """
+    spec = step.spec
+    heap = [
+        (_fit_key(spec, candidate, is_urgent), index)
+        for index, candidate in enumerate(candidates)
+        if candidate.count_fitting(spec.shape) >= 1
+    ]
+    heapq.heapify(heap)
     placement: Placement = []
     for task in tasks:
-        best = find_best_fit(step.spec, candidates, is_urgent)
-        if best is None:
+        if not heap:
             break
-        best.reserve(step.spec.shape)
+        _, index = heap[0]
+        best = candidates[index]
+        best.reserve(spec.shape)
         placement.append((task, best.executor.executor_id))
+        if best.count_fitting(spec.shape) >= 1:
+            heapq.heapreplace(heap, (_fit_key(spec, best, is_urgent), index))
+        else:
+            heapq.heappop(heap)
     return placement
 
 
@@ -203,24 +219,16 @@
     return grouped
 
 
-def find_best_fit(spec: StepSpec, candidates: list[Candidate], is_urgent: bool) -> Candidate | None:
-    """Returns the best candidate for one task, or None if it fits nowhere.
+def _fit_key(
+    spec: StepSpec, candidate: Candidate, is_urgent: bool
+) -> tuple[Trust, bool, int, float]:
+    """Returns the order of candidates for one task; the lowest is the best.
 
     Ordered by trust, nearness to the data, preferred speed, and least capacity left over.
     """
-    best: Candidate | None = None
-    best_key: tuple[Trust, bool, int, float] | None = None
-    for candidate in candidates:
-        if candidate.count_fitting(spec.shape) < 1:
-            continue
-        is_far = bool(spec.rack_near_data) and (
-            candidate.executor.listing.rack != spec.rack_near_data
-        )
-        speed = -candidate.speed_class if is_urgent else candidate.speed_class
-        key = (candidate.trust, is_far, speed, _leftover_share(candidate, spec.shape))
-        if best_key is None or key < best_key:
-            best, best_key = candidate, key
-    return best
+    is_far = bool(spec.rack_near_data) and candidate.executor.listing.rack != spec.rack_near_data
+    speed = -candidate.speed_class if is_urgent else candidate.speed_class
+    return candidate.trust, is_far, speed, _leftover_share(candidate, spec.shape)
 
 
 def fits_on_empty_rack(step: Step, executors: Sequence[Executor], count: int) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -87,6 +87,8 @@
         self.tables = Tables()
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
+        # Runs restored from storage, by executor, until their executor is listed.
+        self._unattached_runs: dict[str, list[Run]] = {}
 
     def apply_policy(self, policy: Policy) -> None:
         """Replaces the policy, without comparing versions."""
@@ -317,13 +319,15 @@
         executor = self.tables.executors_by_id.get(run.executor_id)
         if executor is not None:
             executor.add_run(run)
+        else:
+            self._unattached_runs.setdefault(run.executor_id, []).append(run)
 
     def _attach_recovered_runs(self, executor: Executor, now_ms: int) -> None:
         """Attaches runs that were restored from storage before their executor was listed."""
-        for job in self.tables.jobs_by_id.values():
-            for run in job.live_runs():
-                if run.executor_id == executor.executor_id:
-                    executor.add_run(run)
+        for run in self._unattached_runs.pop(executor.executor_id, ()):
+            task = self.tables.task(run.run_id.task)
+            if task is not None and task.run is run:
+                executor.add_run(run)
         self._end_runs_of_older_incarnations(executor, now_ms)
 
     def _reset_for_new_incarnation(
