Test relays under load and under failures on virtual time

An executor moves to a better relay only from one that has far more than its share: selecting a spare relay in place of a lost one had moved half of the executors of another.

--- a/packages/node/src/jacinthreel_node/_relays/_assignment.py
+++ b/packages/node/src/jacinthreel_node/_relays/_assignment.py
@@ -3,8 +3,9 @@
 The relay with the highest score for an executor gets it; the scores depend only on the two names
 and the relay's weight.  A new owner therefore computes nearly the same assignment, and a lost relay
 moves only its own executors.  Relays in the executor's zone come first.  A current relay keeps its
-executors until it can't serve them, or until a better one has been ready for `MOVE_READY_MS`; such
-moves are limited to `MAX_MOVES_PER_ROUND`, because new connections to executors are expensive.
+executors until it can't serve them, is not selected any more, or has far more than its share while
+a better one has been ready for `MOVE_READY_MS`.  Such moves are limited to `MAX_MOVES_PER_ROUND`,
+because new connections to executors are expensive.
 
 Only as many relays are selected as the executors need, because each one costs the owner messages.
 """
@@ -19,6 +20,7 @@
 
 MOVE_READY_MS: Final = 3_000
 MAX_MOVES_PER_ROUND: Final = 20
+OVERLOAD_FACTOR: Final = 1.5  # Hashing alone deviates by about a third from the fair share.
 MAX_SCORES_PER_ROUND: Final = 20_000  # About 25 ms; longer rounds would delay other events.
 # A relay of 20 executors polls 25 times a second, which keeps it near 1 % of a core.
 EXECUTORS_PER_RELAY: Final = 20
@@ -111,6 +113,8 @@
             moves.session_by_executor[executor.executor_id] = best.session
             best.count += 1
     by_session = {relay.session: relay for relay in relays}
+    total_weight = sum(relay.weight for relay in relays)
+    count_per_weight = sum(relay.count for relay in relays) / max(1, total_weight)
     for executor in settled:
         current = by_session.get(executor.session) if executor.session is not None else None
         if pools.score_count >= MAX_SCORES_PER_ROUND or moves.moved >= MAX_MOVES_PER_ROUND:
@@ -118,7 +122,7 @@
         best = pools.best(executor, lambda relay: _may_attract(relay, now_ms))
         if best is None or best is current:
             continue
-        if current is None or _beats(best, current, executor):
+        if current is None or _beats(best, current, executor.zone, count_per_weight):
             moves.session_by_executor[executor.executor_id] = best.session
             moves.moved += 1
             best.count += 1
@@ -131,11 +135,14 @@
     return relay.has_room and now_ms - relay.ready_ms >= MOVE_READY_MS
 
 
-def _beats(best: RelayCandidate, current: RelayCandidate, executor: AssignedExecutor) -> bool:
-    is_nearer = (best.zone == executor.zone) > (current.zone == executor.zone)
-    is_farther = (best.zone == executor.zone) < (current.zone == executor.zone)
-    name_hash = _hash_name(executor.executor_id)
-    return is_nearer or (not is_farther and _score(best, name_hash) > _score(current, name_hash))
+def _beats(
+    best: RelayCandidate, current: RelayCandidate, zone: str, count_per_weight: float
+) -> bool:
+    """Whether an executor moves: to its own zone, or away from a relay with too many."""
+    if (best.zone == zone) != (current.zone == zone):
+        return best.zone == zone
+    is_overloaded = current.count > OVERLOAD_FACTOR * current.weight * count_per_weight
+    return is_overloaded and best.count < best.weight * count_per_weight
 
 
 class _Pools:
--- a/packages/node/tests/relay_harness.py
+++ b/packages/node/tests/relay_harness.py
@@ -131,6 +131,10 @@
         self.next_end += 1
         self.changed.set()
 
+    def percent_done(self, run_id: RunId) -> int:
+        """Returns the progress of a run; without any, it would count as stalled."""
+        return min(97, (self.clock.now_ms() - self.started_ms_by_run[run_id]) // 500)
+
     def advance(self) -> None:
         """Ends runs that are due or whose lease has expired."""
         now_ms = self.clock.now_ms()
@@ -194,7 +198,10 @@
         if self._reach(target) is None:
             return Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply"))
         executor.advance()
-        running = tuple(ReportedRun(run_id, "", 10) for run_id in executor.lease_until_by_run)
+        running = tuple(
+            ReportedRun(run_id, "", executor.percent_done(run_id))
+            for run_id in executor.lease_until_by_run
+        )
         return Success(ReportResponse(executor.clock.now_ms(), 1, running, tuple(executor.ends)))
 
     async def start(self, target: ExecutorTarget, command: StartCommand) -> StartResponse:
