Test grants, epochs, settling and late reports of relays

Sessions are opened at each tick until the number of relays has settled: nodes that connected within a second had left all executors to the first one.

--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -48,7 +48,7 @@
 )
 
 CHECK_PERIOD_MS: Final = 250
-SETTLE_MS: Final = 200  # Without another relay becoming ready, the first assignment starts.
+SETTLE_MS: Final = 300  # Without another relay becoming ready, the first assignment starts.
 MAX_SETTLE_MS: Final = 1_000
 SETTLED_PER_CHECK: Final = 50
 UNREACHED_MOVE_MS: Final = 3_000  # Then another relay tries; doubles up to the maximum.
@@ -219,6 +219,8 @@
             self._checked_ms = now_ms
             self._check_sessions(now_ms)
             self._check_links(now_ms)
+        elif not self._is_settled:
+            self._check_sessions(now_ms)
         self._assign_executors(now_ms)
         self._flush()
 
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -7,8 +7,9 @@
 import pytest
 from relay_harness import LEASE_MS, LoopClock, RelayCluster, RelayHost, run_virtual
 
-from jacinthreel_common import RelayOrders
+from jacinthreel_common import RelayOrders, RelayReport
 from jacinthreel_node._relays import _fleet
+from jacinthreel_node._relays._messages import ReportBody, SlotReport, encode_body
 from jacinthreel_steps import MAX_REPORT_AGE_MS, Run
 
 SETTLED_MS = 2_000
@@ -144,13 +145,13 @@
 
 def test_draining_relay_passes_its_executors_on(few_executors: None) -> None:
     async def scenario() -> None:
-        cluster = RelayCluster(40, 4)
-        await run_long_tasks(cluster, 40)
+        cluster = RelayCluster(200, 4)
+        await run_long_tasks(cluster, 200)
         draining = cluster.host_of("e0")
         draining.is_draining = True
-        await cluster.run_for(2_000)
+        await cluster.run_for(1_000)  # A node serves for 2.3 s after it has begun to drain.
         assert draining.relay.executor_count == 0
-        assert len(cluster.executors.running_tasks()) == 40
+        assert len(cluster.executors.running_tasks()) == 200
 
     run_virtual(scenario())
 
@@ -198,6 +199,74 @@
     run_virtual(scenario())
 
 
+def test_regained_executor_gets_no_lease_before_the_owner_grants_it(few_executors: None) -> None:
+    # The owner bounds the leases by the reported loss until it has granted the next contact.
+    async def scenario() -> None:
+        cluster = RelayCluster(40, 2)
+        await run_long_tasks(cluster, 40)
+        host = cluster.hosts[0]
+        assert host.to_owner is not None
+        host.gateway.is_cut_off = True
+        await cluster.run_for(1_200)  # All waiting polls have failed by then.
+        host.to_owner.delayed = []
+        host.gateway.is_cut_off = False
+        host.gateway.requests.clear()
+        await asyncio.sleep(1)
+        assert host.gateway.requests
+        assert all(request.lease_until_ms is None for request in host.gateway.requests)
+
+    run_virtual(scenario())
+
+
+def test_report_from_before_a_start_does_not_end_its_run(few_executors: None) -> None:
+    # The report was requested before the start, so the run is missing from it.
+    async def scenario() -> None:
+        cluster = RelayCluster(20, 2)
+        cluster.start()
+        await cluster.run_for(SETTLED_MS)
+        sent_ms = cluster.owner.clock.now_ms()
+        cluster.submit("j1", 20)
+        await cluster.run_for(500)
+        links = cluster.owner.fleet.relays
+        for session in links._sessions.values():
+            reports = [
+                SlotReport(slot, 1, 1, sent_ms, 0, [], []) for slot in session.executor_by_slot
+            ]
+            body = ReportBody(session.number, 10**9, 1, 99, False, reports=reports)
+            assert session.connection.peer is not None
+            links.handle_report(session.connection.peer, RelayReport(1, encode_body(body)))
+        assert len(runs_of(cluster)) == 20
+
+    run_virtual(scenario())
+
+
+def test_relay_drops_its_work_when_it_sees_a_higher_epoch(few_executors: None) -> None:
+    async def scenario() -> None:
+        cluster = RelayCluster(40, 2)
+        await run_long_tasks(cluster, 40)
+        for host in cluster.hosts:
+            host.relay.observe_epoch(2)
+        assert [host.relay.executor_count for host in cluster.hosts] == [0, 0]
+        await cluster.run_for(1_000)  # Orders of the former owner have no effect any more.
+        assert [host.relay.executor_count for host in cluster.hosts] == [0, 0]
+
+    run_virtual(scenario())
+
+
+def test_nodes_that_connect_within_a_second_share_the_executors(few_executors: None) -> None:
+    # An assignment to the first ones would have to be moved again, with new connections.
+    async def scenario() -> None:
+        cluster = RelayCluster(200, 10)
+        cluster.owner.start(cluster.listings)
+        for host in cluster.hosts:
+            cluster.owner.connect(host)
+            await asyncio.sleep(0.06)
+        await cluster.run_for(SETTLED_MS)
+        assert max(host.relay.executor_count for host in cluster.hosts) < 50
+
+    run_virtual(scenario())
+
+
 def test_run_is_ended_only_when_no_relay_can_have_renewed_its_lease(few_executors: None) -> None:
     # The relay goes on renewing after its last message, until its permission ends.
     async def scenario() -> None:
