Read replies that arrived during a delay of the event loop before timing out

After a delay, due timers ran before the replies that had arrived meanwhile, so all waiting requests failed together: every executor counted as unreachable. A timeout that is due late is now extended by 100 ms, once. The test fails without the change.

Also: the test of a draining relay has more executors than the limit of moves lets pass.

--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -26,6 +26,9 @@
 MAX_HEADER_BYTES: Final = 64 * 1024
 MAX_IDLE_CONNECTIONS: Final = 4
 BODY_TIMEOUT_S: Final = 6.0  # A large reply body on a slow link takes several seconds.
+LATE_S: Final = 0.05  # A timer that runs later than this shows a delay of the event loop.
+LATE_EXTENSION_S: Final = 0.1
+TIMER_ORDER_S: Final = 0.001  # Runs the check before the timeout, where both are due.
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,8 +136,10 @@
         if not may_send():
             self._return_to_pool(stream)
             return Failure(HttpFailure(False, "not sent: cancelled by the caller"))
+        late_check: asyncio.TimerHandle | None = None
         try:
             async with asyncio.timeout_at(end_s) as reply_timeout:
+                late_check = _check_lateness(reply_timeout, end_s)
                 return await self._exchange(
                     stream, method, path, body, headers or {}, reply_timeout
                 )
@@ -143,6 +148,8 @@
         except (OSError, StreamClosedError, httputil.HTTPInputError) as error:
             return Failure(HttpFailure(True, f"connection lost: {_describe_error(error)}"))
         finally:
+            if late_check is not None:
+                late_check.cancel()
             self._return_to_pool(stream)
 
     async def _exchange(
@@ -203,6 +210,22 @@
             self._idle.remove(stream)
 
 
+def _check_lateness(timeout: asyncio.Timeout, end_s: float) -> asyncio.TimerHandle:
+    """Extends a timeout that is due after the event loop was delayed, so that replies are read.
+
+    Replies that arrived during the delay are handled after the timers that are due.  Without this,
+    one delay would fail all requests that wait.
+    """
+    loop = asyncio.get_running_loop()
+
+    def extend_if_late() -> None:
+        now_s = loop.time()
+        if now_s - end_s > LATE_S and timeout.when() == end_s:
+            timeout.reschedule(now_s + LATE_EXTENSION_S)
+
+    return loop.call_at(end_s - TIMER_ORDER_S, extend_if_late)
+
+
 def _describe_error(error: BaseException) -> str:
     if isinstance(error, StreamClosedError) and error.real_error is not None:
         error = error.real_error
--- /dev/null
+++ b/packages/daemon/tests/test_http_pool.py
@@ -0,0 +1,28 @@
+"""Tests of the HTTP connection pool."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from returns.result import Result
+
+from jacinthreel_daemon.plumbing import HttpFailure, HttpPool, HttpReply
+
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+def test_delay_of_the_event_loop_does_not_fail_a_request_that_was_answered() -> None:
+    # Timers that are due run before the replies that arrived meanwhile: all polls failed together.
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"{}")
+        writer.write(REPLY)
+        time.sleep(0.4)  # Blocks the event loop beyond the time limit of the request.
+
+    async def run() -> Result[HttpReply, HttpFailure]:
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server:
+            return await HttpPool("127.0.0.1", port, 1_000).post("/x", b"{}", 200)
+
+    assert asyncio.run(run()).unwrap().status == 200
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -145,13 +145,13 @@
 
 def test_draining_relay_passes_its_executors_on(few_executors: None) -> None:
     async def scenario() -> None:
-        cluster = RelayCluster(200, 4)
-        await run_long_tasks(cluster, 200)
+        cluster = RelayCluster(400, 4)
+        await run_long_tasks(cluster, 400)
         draining = cluster.host_of("e0")
         draining.is_draining = True
         await cluster.run_for(1_000)  # A node serves for 2.3 s after it has begun to drain.
         assert draining.relay.executor_count == 0
-        assert len(cluster.executors.running_tasks()) == 200
+        assert len(cluster.executors.running_tasks()) == 400
 
     run_virtual(scenario())
 
