--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -12,6 +12,7 @@
     ownership: Ownership | None,
     policy_version: int,
     is_store_lost: bool,
+    relay_executor_count: int,
     now_ms: int,
 ) -> None:
     """Sets all gauges; the ones about jobs and executors are 0 unless the node is the owner."""
@@ -19,6 +20,7 @@
     metrics.gauge("store_lost", int(is_store_lost))
     metrics.gauge("owner_epoch", ownership.epoch if ownership is not None else 0)
     open_jobs = waiting_jobs = runs = listed = responsive = 0
+    ready_relays = relayed = direct = 0
     if ownership is not None:
         tables = ownership.scheduler.tables
         open_jobs = len(tables.open_jobs_by_id)
@@ -27,6 +29,13 @@
             runs += len(executor.runs_by_task)
             listed += executor.is_listed
             responsive += now_ms - executor.last_report_ms <= MAX_REPORT_AGE_MS
+        ready_relays = ownership.fleet.relays.ready_count
+        relayed = ownership.fleet.relays.assigned_count
+        direct = ownership.fleet.direct_count
+    metrics.gauge("relays_ready", ready_relays)
+    metrics.gauge("executors_relayed", relayed)
+    metrics.gauge("executors_linked", direct)
+    metrics.gauge("relay_executors", relay_executor_count)
     metrics.gauge("jobs_open", open_jobs)
     metrics.gauge("jobs_waiting", waiting_jobs)
     metrics.gauge("runs_held", runs)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -186,6 +186,7 @@
             self._elector.ownership,
             policy.version if policy is not None else 0,
             self._store.is_intake_lost,
+            self._relay.executor_count,
             self._clock.now_ms(),
         )
 
--- a/packages/node/tests/relay_harness.py
+++ b/packages/node/tests/relay_harness.py
@@ -313,6 +313,7 @@
         self.clock = clock
         self.may_order = True
         self.is_storing = True
+        self.is_use_recorded = True
         self.events: list[tuple[str, dict[str, Any]]] = []
         self.errors: list[Exception] = []
         self.fenced: list[str] = []
@@ -389,7 +390,7 @@
             self.fleet.send(run)
 
     async def _record_relay_use(self) -> bool:
-        return True
+        return self.is_use_recorded
 
     async def _wait_stored(self, timeout_ms: int) -> None:
         await asyncio.sleep(timeout_ms / 1000)
--- a/packages/node/tests/test_former_leases.py
+++ b/packages/node/tests/test_former_leases.py
@@ -27,6 +27,16 @@
     assert remaining == LeasesLeft({"e1": 0, "e2": 500}, 2_000)
 
 
+def test_permissions_of_relays_extend_the_default_end_until_they_are_excluded() -> None:
+    # Relays go on renewing after the former owner has stopped, also where it answered.
+    leases = FormerLeases(17_000, relay_extension_ms=2_500)
+    assert leases.end_ms("e1") == 19_500
+    leases.apply_response(LeasesLeft({"e2": 2_000}, 5_000), 1_000)
+    assert (leases.end_ms("e1"), leases.end_ms("e2")) == (8_500, 3_000)
+    leases.exclude_relays()
+    assert (leases.end_ms("e1"), leases.latest_end_ms) == (6_000, 6_000)
+
+
 @given(st.integers(0, 20_000), st.dictionaries(st.sampled_from("abc"), st.integers(0, 30_000)))
 def test_answers_never_extend_a_lease_end(
     others_ms: int, left_ms_by_executor: dict[str, int]
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -336,6 +336,21 @@
     run_virtual(scenario())
 
 
+def test_no_permission_is_given_before_the_use_of_relays_is_stored(few_executors: None) -> None:
+    # The next owner would not count with the leases that relays go on renewing.
+    async def scenario() -> None:
+        cluster = RelayCluster(20, 2)
+        cluster.owner.is_use_recorded = False
+        cluster.start()
+        await cluster.run_for(SETTLED_MS)
+        assert all(item.message_count == 0 for item in cluster.owner.connections)
+        cluster.owner.is_use_recorded = True
+        await cluster.run_for(SETTLED_MS)
+        assert sum(host.relay.executor_count for host in cluster.hosts) == 20
+
+    run_virtual(scenario())
+
+
 def test_fleet_without_enough_relays_is_linked_directly(few_executors: None) -> None:
     async def scenario() -> None:
         cluster = RelayCluster(20, 3)
--- a/packages/steps/tests/test_large_cluster.py
+++ b/packages/steps/tests/test_large_cluster.py
@@ -9,10 +9,15 @@
 from hypothesis import strategies as st
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
-from jacinthreel_steps import Resources, StepSpec
-from jacinthreel_steps._planning._placement import find_candidates, place_gang
+from jacinthreel_steps import Resources, StepSpec, TaskId
+from jacinthreel_steps._planning._placement import (
+    _fit_key,
+    find_candidates,
+    place_gang,
+    place_independent_tasks,
+)
 from jacinthreel_steps._planning._slot_index import SlotIndex
-from jacinthreel_steps._tables import Executor
+from jacinthreel_steps._tables import Executor, Step, Task
 
 SHAPES = (Resources(1_000, 1_000, 1), Resources(60_000, 9_000, 2), Resources(9_000, 300_000, 8))
 
@@ -98,6 +103,36 @@
             assert all(item.count_fitting(job.steps[0].spec.shape) < 1 for item in candidates)
 
 
+@settings(max_examples=60, deadline=None)
+@given(st.integers(0, 10_000), st.booleans())
+def test_tasks_go_to_the_best_fit_of_each_moment(seed: int, is_urgent: bool) -> None:
+    # The candidates are kept in a heap; a stale entry would place a task elsewhere.
+    rng = random.Random(seed)
+    executors = [Executor(listing(f"e{index}", f"r{index % 3}")) for index in range(9)]
+    for executor in executors:
+        executor.used = Resources(rng.randint(0, 90_000), 0, rng.randint(0, 8))
+        executor.health.speed_class = rng.randint(-1, 1)
+    spec = StepSpec(
+        rng.randint(1, 40),
+        rng.choice(SHAPES),
+        rack_near_data="r1",
+        max_per_executor=rng.choice([0, 3]),
+    )
+    placed_step = Step(spec, [Task(TaskId("j", 0, index)) for index in range(spec.count)])
+    candidates = find_candidates(placed_step, executors, 3, 0)
+    expected: list[str] = []
+    for _ in placed_step.tasks:
+        fitting = [item for item in candidates if item.count_fitting(spec.shape) >= 1]
+        if not fitting:
+            break
+        best = min(fitting, key=lambda item: _fit_key(spec, item, is_urgent))
+        best.reserve(spec.shape)
+        expected.append(best.executor.executor_id)
+    fresh = find_candidates(placed_step, executors, 3, 0)
+    placement = place_independent_tasks(placed_step, placed_step.tasks, fresh, is_urgent)
+    assert [executor_id for _, executor_id in placement] == expected
+
+
 @settings(max_examples=60, deadline=None)
 @given(st.integers(0, 10_000))
 def test_slot_index_agrees_with_a_recount_after_changes(seed: int) -> None:
