--- a/packages/steps/tests/test_recovery.py
+++ b/packages/steps/tests/test_recovery.py
@@ -4,7 +4,8 @@
 
 from scheduler_harness import SchedulerHarness, listing, step
 
-from jacinthreel_steps import EndReason
+from jacinthreel_steps import EndReason, Scheduler, StoredProgress
+from jacinthreel_steps._runs._progress_rows import encode_progress
 
 
 def test_completed_job_stays_completed_after_a_takeover() -> None:
@@ -72,3 +73,18 @@
     harness.settle()
 
     assert harness.runs("j1") == []
+
+
+def test_run_restored_before_its_executor_is_listed_uses_capacity_there() -> None:
+    # Otherwise the executor looks free, and other tasks are placed on top of the run.
+    harness = SchedulerHarness(listing("e1"))
+    harness.submit("j1", step(accelerators=8))
+    harness.settle()
+    restored = Scheduler(lambda event, fields: None)
+    job = harness.scheduler.tables.jobs_by_id["j1"]
+    progress = StoredProgress(encode_progress(job, "w"), 1)
+    restored.add_job(job.record, progress, 0, 0)
+    restored.apply_listing(listing("e1"), 0)
+    executor = restored.tables.executors_by_id["e1"]
+    assert [run.run_id for run in executor.runs_by_task.values()] == [harness.runs("j1")[0].run_id]
+    assert executor.free_resources.accelerators == 0
