Count leases of a former owner after an executor's first response

The lease bound of an executor that had answered came from this owner's own renewals only. At a draining executor these are shorter (2.5 s) than what the former owner may have granted just before (5.35 s), so its runs could count as ended while they still ran. The former leases now count until a full lease after the first response, from which on the executor refuses the former owner. The test fails without the change.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -18,7 +18,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
-from jacinthreel_node._executor_exchange import ExecutorExchange
+from jacinthreel_node._executor_exchange import ExecutorExchange, longest_lease_ms
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
@@ -82,6 +82,7 @@
         self._context = context
         self._executor_id = executor_id
         self._bound_ms = bound_ms
+        self._first_response_ms: int | None = None
         self._exchange = ExecutorExchange()
         self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
@@ -98,9 +99,18 @@
         self._orders.put_nowait(order)
 
     def lease_end_ms(self) -> int:
-        """Returns the local time by which all runs have ended if the executor is unreachable."""
-        former_end_ms = self._context.former_leases.end_ms(self._executor_id)
-        return max(self._bound_ms, self._exchange.clock.lease_end_ms(former_end_ms))
+        """Returns the local time by which all runs have ended if the executor is unreachable.
+
+        Leases of former owners count until one full lease after the first response: from then on,
+        the executor refuses their renewals.
+        """
+        context = self._context
+        former_end_ms = context.former_leases.end_ms(self._executor_id)
+        if self._first_response_ms is not None:
+            longest_ms = longest_lease_ms(context.task_lease_ms)
+            former_end_ms = min(former_end_ms, self._first_response_ms + longest_ms)
+        own_end_ms = self._exchange.clock.lease_end_ms(former_end_ms)
+        return max(self._bound_ms, former_end_ms, own_end_ms)
 
     async def _guard(self, loop: Coroutine[Any, Any, None]) -> None:
         """Runs a loop of the link; an error ends the ownership, as the link needs its loops."""
@@ -152,6 +162,8 @@
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
+        if self._first_response_ms is None:
+            self._first_response_ms = now_ms
         if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
         report = ExecutorReport(response.incarnation, sent_ms, response.running, response.ended)
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -227,6 +227,27 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_leases_of_a_former_owner_count_after_the_first_response() -> None:
+    # Leases at a draining executor are shorter than those granted before it began to drain.
+    async def scenario(harness: LinkHarness) -> None:
+        now_ms = harness.clock.now_ms()
+        harness.scheduler.apply_report("e1", ExecutorReport(1, now_ms, (), ()), now_ms)
+        harness.place_task()
+        harness.scheduler.apply_listing(replace(LISTING, is_draining=True), now_ms)
+        await wait_until(lambda: len(harness.gateway.requests) > 1)
+        harness.is_reachable = False
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 1)
+        harness.clock.time_ms += 4_000
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 2)
+        assert harness.held_run_count == 1
+        harness.clock.time_ms += 4_000
+        await wait_until(lambda: harness.held_run_count == 0)
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_runs_are_lost_immediately_if_another_executor_replies_at_the_address() -> None:
     async def scenario(harness: LinkHarness) -> None:
         await wait_until(lambda: len(harness.gateway.requests) > 2)
