Flush only relays with new orders; bound former leases by the first contact

An order made the owner look at all sessions; now at those with orders. An executor that a relay has reached no longer waits for the longest lease of former owners. A test changes the links of a fleet that grows and shrinks.

--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -68,7 +68,8 @@
     """What the owner knows of the exchange with one executor.
 
     `contact` is the relay's current one; it is reached only while `is_reached`, and leases are
-    granted in it only if it equals `granted_contact`.  `bound_ms` is the lease bound of earlier
+    granted in it only if it equals `granted_contact`.  From `first_contact_ms` on, the executor
+    refuses former owners.  `bound_ms` is the lease bound of earlier
     slots and contacts.  `assigned` is the part of the listing that the slot was made for.
     """
 
@@ -80,6 +81,7 @@
     granted_contact: int = 0
     is_reached: bool = False
     is_lost_logged: bool = False
+    first_contact_ms: int | None = None
     assigned: tuple[str, int, int] = ("", 0, 0)
     assigned_ms: int = 0
     unreached_moves: int = 0
@@ -107,7 +109,7 @@
         self._has_placed = False
         self._checked_ms = 0
         self._settled_cursor = 0
-        self._is_flush_scheduled = False
+        self._dirty: dict[int, OwnerRelaySession] = {}
         self.message_count = 0
         self.report_count = 0
 
@@ -162,6 +164,9 @@
         """Returns the local time by which all runs have ended if the executor is unreachable."""
         link = self._links[executor_id]
         former_end_ms = self._context.former_leases.end_ms(executor_id)
+        if link.first_contact_ms is not None:
+            longest_ms = longest_lease_ms(self._context.task_lease_ms)
+            former_end_ms = min(former_end_ms, link.first_contact_ms + longest_ms)
         return max(former_end_ms, link.bound_ms, self._current_bound_ms(link))
 
     def send(self, order: Run | StopOrder) -> None:
@@ -171,12 +176,13 @@
         if isinstance(order, StopOrder):
             if session is not None:
                 session.stop(link.slot, order)
+                self._schedule_flush(session)
         elif session is None or not link.is_reached:
             if not any(held is order for held in link.held_starts):
                 link.held_starts.append(order)
         else:
             self._start(link, session, order)
-        self._schedule_flush()
+            self._schedule_flush(session)
 
     def handle_report(self, peer: Hello, message: RelayReport) -> None:
         """Applies a report of a relay; those of earlier sessions and slots have no effect."""
@@ -206,7 +212,7 @@
             link.acknowledged = stored_upto
             incarnation = executor.listing.incarnation
             link.session.acknowledge(Acknowledgement(link.slot, incarnation, stored_upto))
-            self._schedule_flush()
+            self._schedule_flush(link.session)
         if executor.pending_ends:
             self._unacknowledged[link.executor_id] = None
         else:
@@ -222,11 +228,13 @@
         elif not self._is_settled:
             self._check_sessions(now_ms)
         self._assign_executors(now_ms)
-        self._flush()
+        for session in self._sessions.values():
+            self._flush(session)
 
     def close(self) -> None:
         """Drops all sessions; nothing is sent afterwards."""
         self._sessions.clear()
+        self._dirty.clear()
         self._sessions_by_peer.clear()
 
     def _check_sessions(self, now_ms: int) -> None:
@@ -258,6 +266,7 @@
 
     def _check_links(self, now_ms: int) -> None:
         """Expires runs whose leases have ended, and replaces slots of changed listings."""
+        ready_count = self.ready_count
         for link in list(self._links.values()):
             executor = self._find_executor(link.executor_id)
             if executor is None:
@@ -271,7 +280,7 @@
             if self._assignable(executor) != link.assigned:
                 self._unassign(link)
                 self._assign(link, session, executor, now_ms)
-            elif not link.is_reached:
+            elif not link.is_reached and ready_count >= 2:
                 self._release_unreached(link, session, now_ms)
 
     def _expire_if_due(self, link: _RelayedLink, now_ms: int) -> None:
@@ -285,7 +294,7 @@
     ) -> None:
         """Moves an executor away from a relay that doesn't reach it for some time."""
         limit_ms = min(UNREACHED_MOVE_MS * 2**link.unreached_moves, MAX_UNREACHED_MOVE_MS)
-        if now_ms - link.assigned_ms < limit_ms or self.ready_count < 2:
+        if now_ms - link.assigned_ms < limit_ms:
             return
         link.unreached_moves = min(link.unreached_moves + 1, 10)
         link.avoided_host = session.host_id
@@ -474,6 +483,8 @@
 
     def _begin_contact(self, link: _RelayedLink, session: OwnerRelaySession) -> None:
         link.is_reached = True
+        if link.first_contact_ms is None:
+            link.first_contact_ms = self._context.clock.now_ms()
         link.unreached_moves = 0
         link.granted_contact = link.contact
         session.grant(link.slot, link.contact)
@@ -483,7 +494,7 @@
         held, link.held_starts = link.held_starts, []
         for run in held:
             self._start(link, session, run)
-        self._schedule_flush()
+        self._schedule_flush(session)
 
     def _apply_loss(self, session: OwnerRelaySession, loss: SlotLoss, now_ms: int) -> None:
         """Ends a contact: the relay renews no lease of it, and starts nothing, from now on."""
@@ -525,17 +536,22 @@
         if job is not None and run.state is RunState.STARTING:
             session.start(link.slot, run, job.record.spec.payload)
 
-    def _schedule_flush(self) -> None:
+    def _schedule_flush(self, session: OwnerRelaySession) -> None:
         """Sends queued orders in the next iteration of the event loop, grouped by relay."""
-        if not self._is_flush_scheduled:
-            self._is_flush_scheduled = True
-            asyncio.get_running_loop().call_soon(self._flush)
-
-    def _flush(self) -> None:
-        self._is_flush_scheduled = False
-        for session in self._sessions.values():
-            now_ms = self._context.clock.now_ms()
-            self.message_count += session.flush(now_ms, self._context.may_order())
+        if not self._dirty:
+            asyncio.get_running_loop().call_soon(self._flush_dirty)
+        self._dirty[session.number] = session
+
+    def _flush_dirty(self) -> None:
+        dirty, self._dirty = self._dirty, {}
+        for session in dirty.values():
+            if session.number in self._sessions:
+                self._flush(session)
+
+    def _flush(self, session: OwnerRelaySession) -> None:
+        """Sends what is due; whether this process may send orders is checked for each message."""
+        now_ms = self._context.clock.now_ms()
+        self.message_count += session.flush(now_ms, self._context.may_order())
 
     def _find_link(self, session: OwnerRelaySession, slot: int) -> _RelayedLink | None:
         executor_id = session.executor_by_slot.get(slot)
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -351,6 +351,33 @@
     run_virtual(scenario())
 
 
+def test_fleet_that_grows_and_shrinks_changes_its_links_without_losing_runs(
+    few_executors: None,
+) -> None:
+    async def scenario() -> None:
+        cluster = RelayCluster(20, 3)
+        listings = cluster.listings
+        cluster.listings = listings[:9]
+        await run_long_tasks(cluster, 9)
+        owner = cluster.owner
+        assert owner.fleet.direct_count == 9
+        for listing in listings[9:]:
+            owner.scheduler.apply_listing(listing, owner.clock.now_ms())
+            owner.fleet.add(listing.executor_id)
+        await cluster.run_for(4_000)
+        assert owner.fleet.direct_count == 0
+        assert sum(host.relay.executor_count for host in cluster.hosts) == 20
+        for listing in listings[7:]:
+            owner.fleet.remove(listing.executor_id)
+        await cluster.run_for(4_000)
+        assert owner.fleet.direct_count == 7
+        assert len(cluster.executors.running_tasks()) >= 7
+        assert count_events(cluster, "run_lost") == 0
+        owner.stop()
+
+    run_virtual(scenario())
+
+
 def test_fleet_without_enough_relays_is_linked_directly(few_executors: None) -> None:
     async def scenario() -> None:
         cluster = RelayCluster(20, 3)
