--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -82,6 +82,13 @@
 PULL_TIMEOUT_MS: Final = 800
 PROBE_PERIOD_MS: Final = 300
 LIVENESS_CHECK_PERIOD_MS: Final = 1_000
+UNLIMITED_DESCRIPTORS: Final = 65_536
+
+
+def _descriptor_limit() -> int:
+    """Returns how many file descriptors this process may open."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return limit if limit != resource.RLIM_INFINITY else UNLIMITED_DESCRIPTORS
 
 
 class CallerServer(Protocol):
@@ -141,7 +148,7 @@
             self.log.info,
             self._hub.notify_peer,
             settings.cores,
-            resource.getrlimit(resource.RLIMIT_NOFILE)[0],
+            _descriptor_limit(),
             lambda: self.is_draining,
         )
         self._elector = Elector(
@@ -265,6 +272,7 @@
     def _make_ownership(
         self, owner: OwnerRow, version: int, has_former_owner_stopped: bool
     ) -> Ownership:
+        self._relay.observe_epoch(owner.epoch)
         return Ownership(
             self._ownership_services,
             owner,
--- a/packages/node/src/jacinthreel_node/_relays/_relay.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay.py
@@ -31,11 +31,12 @@
 from jacinthreel_node._relays._relayed_executor import RelayedExecutor, RelaySession
 from jacinthreel_steps import StartOutcome
 
-REPORT_PERIOD_MS: Final = 400
+REPORT_PERIOD_MS: Final = 350
+IDLE_REPORT_PERIOD_MS: Final = 1_000  # Without executors.
 URGENT_DELAY_MS: Final = 25  # Groups the ends of a gang's members into one report.
-FRESH_AGE_MS: Final = 950
+FRESH_AGE_MS: Final = 850
 CONNECTION_KEEP_MS: Final = 10_000
-SESSION_KEEP_MS: Final = 10_000  # After the permission; the executors have other relays by then.
+SESSION_KEEP_MS: Final = 10_000  # After the last orders; the executors have other relays by then.
 WEIGHT_PER_CORE: Final = 100
 RESERVED_DESCRIPTORS: Final = 200
 DESCRIPTORS_PER_EXECUTOR: Final = 5
@@ -120,7 +121,7 @@
     def check(self) -> None:
         """Closes unused connections, and ends a session without an owner; called periodically."""
         now_ms = self._clock.now_ms()
-        if self._permission_until_ms and now_ms - self._permission_until_ms >= SESSION_KEEP_MS:
+        if self._owner is not None and now_ms - self._owner_clock_read_ms >= SESSION_KEEP_MS:
             self._log("relay_session_expired", {"epoch": self._epoch})
             self._drop_session()
         for executor_id, unused_ms in list(self._unused_since_ms.items()):
@@ -156,7 +157,7 @@
                 executor.start(start)
         if body.session_start:
             self._request_flush(True)
-        elif self._flush_handle is None:
+        else:
             self._request_flush(False)
 
     def _make_session(self) -> RelaySession:
@@ -229,7 +230,8 @@
     def _request_flush(self, is_urgent: bool) -> None:
         """Schedules a report, unless an earlier one is scheduled."""
         loop = asyncio.get_running_loop()
-        due_s = loop.time() + (URGENT_DELAY_MS if is_urgent else REPORT_PERIOD_MS) / 1000
+        period_ms = REPORT_PERIOD_MS if self._executors_by_slot else IDLE_REPORT_PERIOD_MS
+        due_s = loop.time() + (URGENT_DELAY_MS if is_urgent else period_ms) / 1000
         if self._flush_handle is not None:
             if self._flush_due_s <= due_s:
                 return
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -37,7 +37,11 @@
     decode_report,
     decode_running,
 )
-from jacinthreel_node._relays._relay_session import OwnerRelaySession, PeerConnection
+from jacinthreel_node._relays._relay_session import (
+    RELAY_SILENCE_MS,
+    OwnerRelaySession,
+    PeerConnection,
+)
 from jacinthreel_steps import (
     Executor,
     ExecutorReport,
@@ -314,7 +318,7 @@
         is_check = now_ms == self._checked_ms
         if not is_check and not (unplaced and self._has_placed):
             return
-        relays = self._select_relays()
+        relays = self._select_relays(now_ms)
         if not relays:
             return
         settled = self._next_settled() if is_check else []
@@ -348,7 +352,7 @@
         )
         return self._is_settled
 
-    def _select_relays(self) -> list[RelayCandidate]:
+    def _select_relays(self, now_ms: int) -> list[RelayCandidate]:
         candidates = [
             RelayCandidate(
                 session.number,
@@ -361,7 +365,7 @@
                 len(session.executor_by_slot),
             )
             for session in self._sessions.values()
-            if session.ready_ms is not None
+            if session.ready_ms is not None and now_ms - session.last_report_ms <= RELAY_SILENCE_MS
         ]
         count_by_zone: dict[str, int] = {}
         for executor_id in self._links:
--- a/packages/node/src/jacinthreel_node/_relays/_relay_session.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_session.py
@@ -27,7 +27,9 @@
 # Outlasts several lost or late renewals; leases of unreachable executors last longer by this time.
 PERMISSION_MS: Final = 2_500
 PERMISSION_PERIOD_MS: Final = 500
+IDLE_PERMISSION_PERIOD_MS: Final = 2_500  # Without executors; shows the relay that it is in use.
 RELAY_SILENCE_MS: Final = 1_500  # More than three periods of reports.
+IDLE_SILENCE_MS: Final = 3_000  # Three periods of reports without executors.
 MAX_OPEN_STOPS: Final = 1_000
 LONGEST_PERMISSION_MS: Final = int(PERMISSION_MS / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
 """The longest time, on the owner's clock, for which a permission sent now may be valid."""
@@ -97,7 +99,8 @@
         """Whether the relay can't be used any more; one that never responded is only unused."""
         if not self.connection.is_open:
             return True
-        return self.ready_ms is not None and now_ms - self.last_report_ms > RELAY_SILENCE_MS
+        limit_ms = RELAY_SILENCE_MS if self.executor_by_slot else IDLE_SILENCE_MS
+        return self.ready_ms is not None and now_ms - self.last_report_ms > limit_ms
 
     def record_report(self, body: ReportBody, now_ms: int) -> None:
         """Records the relay's clock and capacity."""
@@ -160,7 +163,8 @@
 
         Without `may_order`, only drops and acknowledgements are sent: the ownership may have ended.
         """
-        is_permission_due = may_order and now_ms - self._permitted_ms >= PERMISSION_PERIOD_MS
+        period_ms = PERMISSION_PERIOD_MS if self.executor_by_slot else IDLE_PERMISSION_PERIOD_MS
+        is_permission_due = may_order and now_ms - self._permitted_ms >= period_ms
         if self._is_started and self._pending.is_empty and not is_permission_due:
             return False
         pending, self._pending = self._pending, _PendingOrders()
--- a/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
@@ -42,7 +42,7 @@
 
 # With `REPORT_PERIOD_MS` of the relay, the age of an executor's last response at the owner stays
 # below the planner's limit of 1,400 ms.
-RELAY_POLL_WAIT_MS: Final = 800
+RELAY_POLL_WAIT_MS: Final = 700
 PROGRESS_PERIOD_MS: Final = 1_200  # Progress must reach the owner at least every 2 s.
 IDLE_REPORT_PERIOD_MS: Final = 5_000
 ORDER_REPORT_MS: Final = 3_000  # The owner compares outcomes of orders with later reports.
