Leave nodes alone that don't answer as relays

A relay that had not answered yet got an empty message every 50 ms, because the permission counted as due. A node of an earlier version closes its connection on a message that it doesn't support; without the pause of 30 s it would lose its connection to the owner again and again.

--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -57,6 +57,7 @@
 SETTLED_PER_CHECK: Final = 50
 UNREACHED_MOVE_MS: Final = 3_000  # Then another relay tries; doubles up to the maximum.
 MAX_UNREACHED_MOVE_MS: Final = 48_000
+UNANSWERED_PAUSE_MS: Final = 30_000
 RELAY_ROLE: Final = "node"
 
 
@@ -104,6 +105,8 @@
         self._sessions_by_peer: dict[int, OwnerRelaySession] = {}
         self._links: dict[str, _RelayedLink] = {}
         self._unplaced: dict[str, None] = {}
+        # Nodes of an earlier version close the connection on a message that they don't support.
+        self._paused_until_ms_by_host: dict[str, int] = {}
         self._unacknowledged: dict[str, None] = {}
         self._last_session = 0
         self._last_slot = 0
@@ -246,7 +249,9 @@
             if session.is_lost(now_ms):
                 self._end_session(session)
         for connection in self._streams.open_connections(RELAY_ROLE):
-            if connection.peer is not None and id(connection.peer) not in self._sessions_by_peer:
+            if connection.peer is None or id(connection.peer) in self._sessions_by_peer:
+                continue
+            if now_ms >= self._paused_until_ms_by_host.get(connection.peer.host_id, now_ms):
                 self._last_session += 1
                 session = OwnerRelaySession(
                     self._last_session, self._context.epoch, connection, now_ms
@@ -260,7 +265,10 @@
         executor_ids = list(session.executor_by_slot.values())
         for executor_id in executor_ids:
             self._unassign(self._links[executor_id])
-        if session.ready_ms is not None:
+        if session.ready_ms is None:
+            until_ms = self._context.clock.now_ms() + UNANSWERED_PAUSE_MS
+            self._paused_until_ms_by_host[session.host_id] = until_ms
+        else:
             fields = {
                 "relay": session.host_id,
                 "executors": len(executor_ids),
--- a/packages/node/src/jacinthreel_node/_relays/_relay_session.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_session.py
@@ -164,7 +164,11 @@
         Without `may_order`, only drops and acknowledgements are sent: the ownership may have ended.
         """
         period_ms = PERMISSION_PERIOD_MS if self.executor_by_slot else IDLE_PERMISSION_PERIOD_MS
-        is_permission_due = may_order and now_ms - self._permitted_ms >= period_ms
+        is_permission_due = (
+            may_order
+            and self._clock.local_time_ms is not None
+            and now_ms - self._permitted_ms >= period_ms
+        )
         if self._is_started and self._pending.is_empty and not is_permission_due:
             return False
         pending, self._pending = self._pending, _PendingOrders()
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -351,6 +351,25 @@
     run_virtual(scenario())
 
 
+def test_node_that_closes_its_connection_unanswered_is_left_alone(few_executors: None) -> None:
+    # A node of an earlier version would lose its connection to the owner again and again.
+    async def scenario() -> None:
+        cluster = RelayCluster(20, 3)
+        old = cluster.hosts.pop()
+        cluster.start()
+        cluster.owner.connect(old)
+        assert old.from_owner is not None
+        first = old.from_owner
+        first.delayed = []
+        await cluster.run_for(500)
+        first.is_open = False
+        cluster.owner.connect(old)
+        await cluster.run_for(SETTLED_MS)
+        assert (first.message_count, old.from_owner.message_count) == (1, 0)
+
+    run_virtual(scenario())
+
+
 def test_fleet_that_grows_and_shrinks_changes_its_links_without_losing_runs(
     few_executors: None,
 ) -> None:
