--- a/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
+++ b/packages/daemon/src/jacinthreel_daemon/_stream_hub.py
@@ -19,6 +19,7 @@
 from jacinthreel_common import Fault, Hello, ResultCode, StreamReply
 from jacinthreel_daemon._backoff import Backoff
 from jacinthreel_daemon._dial import dial
+from jacinthreel_daemon._frames import encode_frame
 from jacinthreel_daemon._ports import CallHandler, Clock
 from jacinthreel_daemon._streams import (
     MAX_BACKLOG_BYTES,
@@ -201,8 +202,12 @@
 
     def notify_all(self, message: object) -> None:
         """Sends a notice to every connected peer; does not block."""
-        for connection in self.connections():
-            connection.notify(message)
+        connections = self.connections()
+        if not connections:
+            return
+        frame = encode_frame(message, 0)  # Once for all peers: an owner has hundreds.
+        for connection in connections:
+            connection.notify_frame(message, frame)
 
     def connections(self, role: str = "") -> list[StreamConnection]:
         """Returns one open connection per peer process, whichever side opened it.
@@ -221,6 +226,24 @@
             )
         return list(connections_by_process.values())
 
+    def open_connections(self, role: str) -> list[StreamConnection]:
+        """Returns all open connections to processes of a role, several of one peer included."""
+        opened = [link.connection for link in self._links_by_address.values()]
+        connections: list[StreamConnection] = []
+        for connection in (*opened, *self._accepted):
+            if connection is None or not connection.is_open or connection.peer is None:
+                continue
+            if connection.peer.role == role:
+                connections.append(connection)
+        return connections
+
+    def notify_peer(self, peer: Hello, message: object) -> None:
+        """Sends a notice on the connection on which `peer` was received, if it is open."""
+        for connection in self.open_connections(peer.role):
+            if connection.peer is peer:
+                connection.notify(message)
+                return
+
     def accepted_peers(self) -> set[tuple[str, str]]:
         """Returns host id and role of each process that has connected to this one."""
         peers = [connection.peer for connection in self._accepted if connection.is_open]
--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -17,6 +17,7 @@
     ownership: Ownership | None,
     policy_version: int,
     is_store_lost: bool,
+    relay_executor_count: int,
     now_ms: int,
 ) -> None:
     """Sets all gauges; the ones about jobs and executors are 0 unless the node is the owner."""
@@ -25,6 +26,7 @@
     metrics.gauge("owner_epoch", ownership.epoch if ownership is not None else 0)
     open_jobs = waiting_jobs = runs = listed = responsive = 0
     long_leases = slow = run_time_queues = 0
+    ready_relays = relayed = direct = 0
     if ownership is not None:
         long_leases = ownership.long_lease_count
         tables = ownership.scheduler.tables
@@ -36,9 +38,16 @@
             listed += executor.is_listed
             slow += executor.health.slow_until_ms > now_ms
             responsive += now_ms - executor.last_report_ms <= MAX_REPORT_AGE_MS
+        ready_relays = ownership.fleet.relays.ready_count
+        relayed = ownership.fleet.relays.assigned_count
+        direct = ownership.fleet.direct_count
     workspace_gauges.set_all(
         ownership.scheduler.workspace_summaries() if ownership is not None else []
     )
+    metrics.gauge("relays_ready", ready_relays)
+    metrics.gauge("executors_relayed", relayed)
+    metrics.gauge("executors_linked", direct)
+    metrics.gauge("relay_executors", relay_executor_count)
     metrics.gauge("jobs_open", open_jobs)
     metrics.gauge("jobs_waiting", waiting_jobs)
     metrics.gauge("runs_held", runs)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import random
+import resource
 import signal
 from collections.abc import Coroutine
 from typing import Any, Final, Protocol
@@ -29,6 +30,8 @@
     OwnerHeartbeat,
     PolicyPull,
     PolicyRows,
+    RelayOrders,
+    RelayReport,
     ResultCode,
     StoredRow,
     StreamReply,
@@ -54,7 +57,7 @@
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._operator_rows import OperatorRows
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ownership import Ownership, OwnershipServices
 from jacinthreel_node._ports import (
     ExecutorGateway,
     KeyedStore,
@@ -66,6 +69,7 @@
     OWNER_TABLE,
     OwnerRow,
 )
+from jacinthreel_node._relays._relay import Relay
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
 from jacinthreel_node._store_health import MonitoredStore
@@ -80,6 +84,13 @@
 PULL_TIMEOUT_MS: Final = 800
 PROBE_PERIOD_MS: Final = 300
 LIVENESS_CHECK_PERIOD_MS: Final = 1_000
+UNLIMITED_DESCRIPTORS: Final = 65_536
+
+
+def _descriptor_limit() -> int:
+    """Returns how many file descriptors this process may open."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    return limit if limit != resource.RLIM_INFINITY else UNLIMITED_DESCRIPTORS
 
 
 class CallerServer(Protocol):
@@ -114,7 +125,6 @@
         self.is_draining = False
         self._operator = OperatorRows(row_decoder, self.policy, self.log, self._on_policy_changed)
         self._store = MonitoredStore(store, clock)
-        self._gateway = gateway
         self._row_decoder = row_decoder
         self._clock = clock
         self._rng = random.Random()
@@ -122,6 +132,27 @@
         hello = Hello(settings.host_id, ROLE, settings.zone)
         self._hub = StreamHub(hello, clock, self._rng, self.log.warning)
         self._owner_view = OwnerView(clock)
+        self._ownership_services = OwnershipServices(
+            settings,
+            self._store,
+            gateway,
+            row_decoder,
+            self.policy,
+            clock,
+            metrics,
+            self._hub,
+            self.log.info,
+        )
+        self._relay = Relay(
+            gateway,
+            clock,
+            metrics,
+            self.log.info,
+            self._hub.notify_peer,
+            settings.cores,
+            _descriptor_limit(),
+            lambda: self.is_draining,
+        )
         self._elector = Elector(
             settings,
             self._store,
@@ -167,6 +198,7 @@
             self._elector.ownership,
             policy.version if policy is not None else 0,
             self._store.is_intake_lost,
+            self._relay.executor_count,
             self._clock.now_ms(),
         )
         set_forecast_gauges(self.metrics, policy, self._owner_view)
@@ -185,6 +217,8 @@
         self._hub.on_notice(OwnerHeartbeat, self._handle_heartbeat)
         self._hub.on_notice(IntakeNotice, self._handle_intake_notice)
         self._hub.on_notice(OwnerAnnouncement, self._handle_announcement)
+        self._hub.on_notice(RelayOrders, self._relay.handle_orders)
+        self._hub.on_notice(RelayReport, self._handle_relay_report)
         self._hub.listen(*self.settings.stream_address)
         server.start()
         self._start_followers()
@@ -195,6 +229,7 @@
         self._timers.every(LEASE_RENEWAL_PERIOD_MS, lambda now_ms: self._elector.renew_lease())
         self._timers.every(OWNER_CHECK_PERIOD_MS, lambda now_ms: self._elector.check_owner())
         self._timers.every(LIVENESS_CHECK_PERIOD_MS, self._hub.check_liveness)
+        self._timers.every(LIVENESS_CHECK_PERIOD_MS, lambda now_ms: self._relay.check())
         self._timers.every(
             PROBE_PERIOD_MS, lambda now_ms: self._spawn(self._store.probe_suspect_groups())
         )
@@ -214,6 +249,7 @@
         await server.stop(self.settings.stop_grace_ms - spent_ms)
         for task in self._tasks:
             task.cancel()
+        self._relay.close()
         self._hub.close()
         self._timers.stop()
 
@@ -245,17 +281,11 @@
     def _make_ownership(
         self, owner: OwnerRow, version: int, has_former_owner_stopped: bool
     ) -> Ownership:
+        self._relay.observe_epoch(owner.epoch)
         return Ownership(
-            self.settings,
-            self._store,
-            self._gateway,
-            self._row_decoder,
-            self.policy,
+            self._ownership_services,
             owner,
             version,
-            self._clock,
-            self.metrics,
-            self.log.info,
             self._elector.end_ownership,
             lambda: self._elector.is_lease_usable,
             has_former_owner_stopped,
@@ -320,6 +350,10 @@
     def _handle_announcement(self, peer: Hello, announcement: OwnerAnnouncement) -> None:
         self._elector.apply_announcement(announcement)
 
+    def _handle_relay_report(self, peer: Hello, report: RelayReport) -> None:
+        if self._elector.ownership is not None:
+            self._elector.ownership.handle_relay_report(peer, report)
+
     def _apply_intake_row(self, row: StoredRow) -> None:
         if self._elector.ownership is not None:
             self._elector.ownership.apply_intake_row(
@@ -328,6 +362,7 @@
 
     def _handle_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         self._owner_view.apply_heartbeat(peer, heartbeat)
+        self._relay.observe_epoch(heartbeat.epoch)
         self._store.record_owner_silence(self._owner_view.lease_age_ms)
         policy = self.policy.current
         if self._store.health_of(self._row_decoder.operator_table).is_lost and (
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -56,7 +56,7 @@
     OWNER_FEED_WAIT_MS,
 )
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ownership import Ownership, OwnershipServices
 from jacinthreel_node._records import (
     JOB_PREFIX,
     OWNER_TABLE,
@@ -64,6 +64,7 @@
     OwnerRow,
     encode_record,
 )
+from jacinthreel_node._relays._relay_session import PeerConnection
 from jacinthreel_node._table_follower import TableFollower
 from jacinthreel_steps import (
     EndReason,
@@ -559,23 +560,34 @@
                 self.elector.apply_announcement(message)
 
     def _make_ownership(self, owner: OwnerRow, version: int, has_stopped: bool) -> Ownership:
-        return Ownership(
+        services = OwnershipServices(
             self.settings,
             self.store,
             NodeGateway(self),
             FakeRowDecoder(),
             make_policy_view(),
-            owner,
-            version,
             self,
             MetricsRegistry(),
+            NoStreams(),
             self.info,
+        )
+        return Ownership(
+            services,
+            owner,
+            version,
             self.elector.end_ownership,
             lambda: self.elector.is_lease_usable,
             has_stopped,
         )
 
 
+class NoStreams:
+    """Streams of a fleet that is too small for relays."""
+
+    def open_connections(self, role: str) -> list[PeerConnection]:
+        return []
+
+
 def make_policy_view() -> PolicyView:
     """Returns a view with a configuration; an owner without one plans nothing."""
     view = PolicyView()
--- a/packages/node/tests/test_gauges.py
+++ b/packages/node/tests/test_gauges.py
@@ -23,6 +23,6 @@
     scheduler.restore_run_times({"q1": (20.0, 1.5, 4.25, 9.75, 0.5, 0.375)})
     metrics = Mock(spec=MetricsRegistry)
     ownership = cast(Ownership, Mock(scheduler=scheduler, epoch=3))
-    set_gauges(metrics, WorkspaceGauges(metrics), ownership, 1, False, 1_000)
+    set_gauges(metrics, WorkspaceGauges(metrics), ownership, 1, False, 0, 1_000)
     value_by_name = dict(call.args for call in metrics.gauge.call_args_list)
     assert (value_by_name["executors_slow"], value_by_name["run_time_queues"]) == (1, 1)
--- a/packages/node/tests/test_ownership_policy.py
+++ b/packages/node/tests/test_ownership_policy.py
@@ -11,7 +11,7 @@
 
 from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node import PolicyView, RoutingPolicy
-from jacinthreel_node._ownership import Ownership
+from jacinthreel_node._ownership import Ownership, OwnershipServices
 from jacinthreel_node._records import OwnerRow
 from jacinthreel_steps import LeaseLimits
 
@@ -20,17 +20,21 @@
     settings = SimpleNamespace(
         run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
     )
-    ownership = Ownership(
+    services = OwnershipServices(
         cast(Any, settings),
         MemoryStore(),
         cast(Any, None),
         cast(Any, None),
         policy,
-        OwnerRow(1, "h", "10.0.0.1", 7000, "n"),
-        1,
         ManualClock(),
         MetricsRegistry(),
+        cast(Any, None),
         lambda event, fields: None,
+    )
+    ownership = Ownership(
+        services,
+        OwnerRow(1, "h", "10.0.0.1", 7000, "n"),
+        1,
         lambda reason: None,
         lambda: True,
         False,
