--- a/packages/daemon/src/jacinthreel_daemon/_frames.py
+++ b/packages/daemon/src/jacinthreel_daemon/_frames.py
@@ -55,8 +55,8 @@
 def _omit_absent_fields(message_class: Any, body: dict[str, Any]) -> dict[str, Any]:
     """Returns the body without fields that are None by default and None in the message.
 
-    Receivers refuse unknown fields, so that a new field reaches older processes only where it is
-    used.
+    Receivers refuse unknown fields.  Without the absent ones, older processes can decode messages
+    that don't use a new field.
     """
     optional = {field.name for field in fields(message_class) if field.default is None}
     return {key: value for key, value in body.items() if value is not None or key not in optional}
--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -27,7 +27,7 @@
 MAX_IDLE_CONNECTIONS: Final = 4
 BODY_TIMEOUT_S: Final = 6.0  # A large reply body on a slow link takes several seconds.
 LATE_S: Final = 0.05  # A timer that runs later than this shows a delay of the event loop.
-LATE_EXTENSION_S: Final = 0.1
+LATE_EXTENSION_S: Final = 0.1  # Time to read the replies that arrived during the delay.
 TIMER_ORDER_S: Final = 0.001  # Runs the check before the timeout, where both are due.
 
 
--- a/packages/node/src/jacinthreel_node/_executor_exchange.py
+++ b/packages/node/src/jacinthreel_node/_executor_exchange.py
@@ -28,10 +28,10 @@
 MIN_RESTART_MS: Final = 600  # An executor takes longer than this to restart.
 
 
-def longest_lease_ms(lease_ms: int) -> int:
+def max_lease_validity_ms(lease_ms: int) -> int:
     """Returns the longest time, on the local clock, for which a lease granted now may be valid.
 
-    `lease_ms` is the longest lease that is requested.
+    `lease_ms` is the duration of the lease on the executor's clock, which may run slow.
     """
     return int(lease_ms / (1 - CLOCK_SLOWNESS)) + LEASE_MARGIN_MS
 
@@ -71,7 +71,7 @@
 
 @dataclass(slots=True)
 class ExecutorExchange:
-    """What the responses of one executor have shown.
+    """The state of the exchange with one executor, from its responses.
 
     `incarnation` is that of the last response, or the listed one before the first.
     """
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -18,7 +18,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
-from jacinthreel_node._executor_exchange import ExecutorExchange, longest_lease_ms
+from jacinthreel_node._executor_exchange import ExecutorExchange, max_lease_validity_ms
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
@@ -56,9 +56,8 @@
     `former_leases` holds the lease ends at executors that this owner has not reached yet.
     `may_order` is checked immediately before each start and lease renewal is sent: the process may
     have been paused for longer than its ownership was valid.  `wait_stored` waits for the next
-    stored batch, up to a timeout in milliseconds.  `on_fenced`
-    is called with the id of an executor that reports a newer owner, `on_error` with an unexpected
-    exception.
+    stored batch, up to a timeout in milliseconds.  `on_fenced` is called with the id of an executor
+    that reports a newer owner, `on_error` with an unexpected exception.
     """
 
     gateway: ExecutorGateway
@@ -111,7 +110,7 @@
         context = self._context
         former_end_ms = context.former_leases.end_ms(self._executor_id)
         if self._first_response_ms is not None:
-            longest_ms = longest_lease_ms(context.lease_limits.longest_ms)
+            longest_ms = max_lease_validity_ms(context.lease_limits.longest_ms)
             former_end_ms = min(former_end_ms, self._first_response_ms + longest_ms)
         own_end_ms = self._exchange.clock.lease_end_ms(former_end_ms)
         return max(self._bound_ms, former_end_ms, own_end_ms)
--- a/packages/node/src/jacinthreel_node/_forecaster.py
+++ b/packages/node/src/jacinthreel_node/_forecaster.py
@@ -10,8 +10,8 @@
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_steps import Scheduler
 
-PAUSE_PER_TIME_SPENT: Final = 20  # At most 5 % of the time is spent on forecasts...
-MAX_PAUSE_MS: Final = 1_000  # ...unless the forecast would become too old to be used.
+PAUSE_PER_TIME_SPENT: Final = 20  # Limits forecasts to 5 % of the process's time.
+MAX_PAUSE_MS: Final = 1_000  # With longer pauses, forecasts would become too old to be used.
 
 
 class ForecastSource(Protocol):
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -2,10 +2,10 @@
 
 A job is accepted by inserting an intake row, which the owner reads from the table.  An insert whose
 outcome is unknown is retried until it is known or time runs out; the row's key makes the insert
-idempotent.  Jobs that would be done too late are refused before (`_admission_control`).  If the
-store doesn't serve this host, the insert is sent to the owner.  Once an insert
-may have taken effect, the result is never that the job has not run.  Job states are queried from
-the owner, or read from the store if the owner is unreachable.
+idempotent.  Jobs that would be done too late are refused before the insert (`_admission_control`).
+If the store doesn't serve this host, the insert is sent to the owner.  Once an insert may have
+taken effect, the result is never that the job has not run.  Job states are queried from the owner,
+or read from the store if the owner is unreachable.
 """
 
 from __future__ import annotations
@@ -127,7 +127,7 @@
         runs), JOB_OUTCOME_UNKNOWN, JOB_EXCEEDS_QUOTA and JOB_TOO_LATE (the job never runs).
         """
         started_ms = self._clock.now_ms()
-        excess = await self._find_excess(call, job_id, spec, deadline_ms)
+        excess = await self._find_quota_fault(call, job_id, spec, deadline_ms)
         if excess is not None:
             self._metrics.count("jobs_beyond_quota_total")
             refusal_fields = {"job_id": job_id, "workspace": call.workspace}
@@ -159,7 +159,7 @@
             case _:
                 raise AssertionError("a Result is Success or Failure")
 
-    async def _find_excess(
+    async def _find_quota_fault(
         self, call: RoutedCall, job_id: str, spec: JobSpec, deadline_ms: int
     ) -> Fault | None:
         """Returns the fault of a new job that its workspace's quota can never admit, or None.
--- a/packages/node/src/jacinthreel_node/_lease_handover.py
+++ b/packages/node/src/jacinthreel_node/_lease_handover.py
@@ -25,7 +25,7 @@
     to_plain,
 )
 from jacinthreel_daemon.plumbing import Clock, EventLog, StreamHub
-from jacinthreel_node._executor_exchange import longest_lease_ms
+from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._records import OwnerRow
 
@@ -90,7 +90,7 @@
         self.highest_epoch = max(self.highest_epoch, query.epoch)
         ended = self._ended
         if ended is None or ended.epoch != query.former_epoch:
-            leases = LeasesLeft({}, longest_lease_ms(self._longest_ms))
+            leases = LeasesLeft({}, max_lease_validity_ms(self._longest_ms))
             return StreamReply(ResultCode.OK, body=to_plain(leases))
         spent_ms = self._clock.now_ms() - ended.ended_ms
         remaining_ms_by_executor = ended.leases.left_ms_by_executor
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -18,7 +18,7 @@
 from jacinthreel_common import Fault, Hello, LeasesLeft, RelayReport
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
 from jacinthreel_node._ended_job_sweeper import EndedJobSweeper
-from jacinthreel_node._executor_exchange import longest_lease_ms
+from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._intake import insert_intake_row
@@ -54,7 +54,7 @@
 from jacinthreel_steps import ExecutorListing, JobState, Scheduler, StoredProgress
 
 MIN_PLAN_INTERVAL_MS: Final = 20
-PLAN_SHARE_DIVISOR: Final = 4  # A pass over thousands of executors takes tens of milliseconds.
+PLAN_SHARE_DIVISOR: Final = 4  # With relays, passes may take 1/4 of the process's time.
 PERIODIC_CHECK_MS: Final = 250
 FEED_WAIT_MS: Final = 1_500
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
@@ -221,7 +221,10 @@
         asyncio.get_running_loop().call_later(delay_ms / 1000, self._plan)
 
     def _plan_interval_ms(self) -> int:
-        """Returns the least time between passes; with relays, passes take a quarter at most."""
+        """Returns the minimum time between the starts of passes.
+
+        With relays it depends on the last pass: one over thousands of executors takes tens of ms.
+        """
         if not self.fleet.uses_relays:
             return MIN_PLAN_INTERVAL_MS
         return max(MIN_PLAN_INTERVAL_MS, PLAN_SHARE_DIVISOR * self._plan_took_ms)
@@ -473,5 +476,5 @@
     A former owner that may still be running can renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without
     the store.
     """
-    lease_ms = longest_lease_ms(longest_ms)
+    lease_ms = max_lease_validity_ms(longest_ms)
     return lease_ms if has_former_owner_stopped else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
--- a/packages/node/src/jacinthreel_node/_relays/_assignment.py
+++ b/packages/node/src/jacinthreel_node/_relays/_assignment.py
@@ -66,7 +66,10 @@
 
 @dataclass(slots=True)
 class Moves:
-    """The result of one round: the new session of each executor that changes."""
+    """The result of one round: the new session of each executor that changes.
+
+    `moved` counts those that were settled.
+    """
 
     session_by_executor: dict[str, int] = field(default_factory=dict)
     moved: int = 0
@@ -104,7 +107,7 @@
     only to a better relay.  What exceeds the limits of a round is left for the next one.
     """
     moves = Moves()
-    pools = _Pools(relays)
+    pools = _RelayPools(relays)
     for executor in unplaced:
         if pools.score_count >= MAX_SCORES_PER_ROUND:
             return moves
@@ -119,10 +122,10 @@
         current = by_session.get(executor.session) if executor.session is not None else None
         if pools.score_count >= MAX_SCORES_PER_ROUND or moves.moved >= MAX_MOVES_PER_ROUND:
             break
-        best = pools.best(executor, lambda relay: _may_attract(relay, now_ms))
+        best = pools.best(executor, lambda relay: _can_attract_moves(relay, now_ms))
         if best is None or best is current:
             continue
-        if current is None or _beats(best, current, executor.zone, count_per_weight):
+        if current is None or _should_move(best, current, executor.zone, count_per_weight):
             moves.session_by_executor[executor.executor_id] = best.session
             moves.moved += 1
             best.count += 1
@@ -131,11 +134,11 @@
     return moves
 
 
-def _may_attract(relay: RelayCandidate, now_ms: int) -> bool:
+def _can_attract_moves(relay: RelayCandidate, now_ms: int) -> bool:
     return relay.has_room and now_ms - relay.ready_ms >= MOVE_READY_MS
 
 
-def _beats(
+def _should_move(
     best: RelayCandidate, current: RelayCandidate, zone: str, count_per_weight: float
 ) -> bool:
     """Whether an executor moves: to its own zone, or away from a relay with too many."""
@@ -145,8 +148,8 @@
     return is_overloaded and best.count < best.weight * count_per_weight
 
 
-class _Pools:
-    """The relays by zone; those of another zone are used where the own has none with room."""
+class _RelayPools:
+    """The relays by zone; other zones are used if the executor's zone has no usable relay."""
 
     def __init__(self, relays: list[RelayCandidate]) -> None:
         self.score_count = 0
@@ -185,6 +188,9 @@
 
 
 def _score(relay: RelayCandidate, executor_hash: int) -> float:
-    """Returns the score of weighted rendezvous hashing; each relay wins by its share of weight."""
+    """Returns the score of weighted rendezvous hashing.
+
+    The probability that a relay has the highest score is its share of the total weight.
+    """
     uniform = (_mix(relay.name_hash ^ executor_hash) + 1) / (_MASK + 2)
     return -relay.weight / math.log(uniform) if uniform < 1 else math.inf
--- a/packages/node/src/jacinthreel_node/_relays/_fleet.py
+++ b/packages/node/src/jacinthreel_node/_relays/_fleet.py
@@ -1,8 +1,8 @@
 """Chooses how the owner exchanges messages with executors: itself, or through relays.
 
 Relays are used while there are more executors than one host should talk to and at least
-`MIN_RELAYS` nodes respond.  Executors change over a few at a time; the lease bound of the former
-link passes to the next one.
+`MIN_RELAYS` nodes respond.  A change between the two moves a limited number of executors at a time;
+the new link of an executor gets the lease bound of the former one.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from jacinthreel_node._relays._relay_links import CHECK_PERIOD_MS, RelayLinks, RelayStreams
 from jacinthreel_steps import Run, StopOrder
 
-# The owner's own exchange takes 40 % of a core and 2,200 connections at 1,000 executors.
+# At 1,000 executors, direct links take the owner 40 % of a core and 2,200 connections.
 RELAY_ENTRY_EXECUTORS: Final = 400
 RELAY_EXIT_EXECUTORS: Final = 350
 MIN_RELAYS: Final = 2
@@ -113,13 +113,13 @@
         self.relays.close()
 
     async def run(self) -> None:
-        """Runs the timers of the relays and changes between both ways, until cancelled."""
+        """Runs the timers periodically, until cancelled."""
         while True:
             await asyncio.sleep(TICK_MS / 1000)
             await self.run_timers()
 
     async def run_timers(self) -> None:
-        """Does what is due."""
+        """Chooses between relays and direct links, and runs the timers of the relays."""
         now_ms = self._context.clock.now_ms()
         if now_ms - self._checked_ms >= CHECK_PERIOD_MS:
             self._checked_ms = now_ms
--- a/packages/node/src/jacinthreel_node/_relays/_relay.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay.py
@@ -34,7 +34,7 @@
 REPORT_PERIOD_MS: Final = 350
 IDLE_REPORT_PERIOD_MS: Final = 1_000  # Without executors.
 URGENT_DELAY_MS: Final = 25  # Groups the ends of a gang's members into one report.
-FRESH_AGE_MS: Final = 850
+FRESH_AGE_MS: Final = 850  # Older last responses are reported with their own age.
 CONNECTION_KEEP_MS: Final = 10_000
 SESSION_KEEP_MS: Final = 10_000  # After the last orders; the executors have other relays by then.
 WEIGHT_PER_CORE: Final = 100
@@ -155,10 +155,7 @@
             executor = self._executors_by_slot.get(start.slot)
             if executor is not None:
                 executor.start(start)
-        if body.session_start:
-            self._request_flush(True)
-        else:
-            self._request_flush(False)
+        self._request_flush(body.session_start)
 
     def _make_session(self) -> RelaySession:
         """Returns the callbacks of the current session; they have no effect in a later one."""
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -18,7 +18,7 @@
 from jacinthreel_node._executor_exchange import (
     CLOCK_SLOWNESS,
     LEASE_MARGIN_MS,
-    longest_lease_ms,
+    max_lease_validity_ms,
 )
 from jacinthreel_node._executor_link import LinkContext, lease_ms_of
 from jacinthreel_node._relays._assignment import (
@@ -70,12 +70,12 @@
 
 @dataclass(slots=True)
 class _RelayedLink:
-    """What the owner knows of the exchange with one executor.
+    """The owner's state of the exchange with one executor.
 
     `contact` is the relay's current one; it is reached only while `is_reached`, and leases are
     granted in it only if it equals `granted_contact`.  From `first_contact_ms` on, the executor
-    refuses former owners.  `bound_ms` is the lease bound of earlier
-    slots and contacts.  `assigned` is the part of the listing that the slot was made for.
+    refuses former owners.  `bound_ms` is the lease bound of earlier slots and contacts.  `assigned`
+    holds the address, incarnation and lease duration that the slot was assigned with.
     """
 
     executor_id: str
@@ -116,7 +116,7 @@
         self._has_placed = False
         self._checked_ms = 0
         self._settled_cursor = 0
-        self._dirty: dict[int, OwnerRelaySession] = {}
+        self._sessions_to_flush: dict[int, OwnerRelaySession] = {}
         self.message_count = 0
         self.report_count = 0
 
@@ -172,7 +172,7 @@
         link = self._links[executor_id]
         former_end_ms = self._context.former_leases.end_ms(executor_id)
         if link.first_contact_ms is not None:
-            longest_ms = longest_lease_ms(self._context.lease_limits.longest_ms)
+            longest_ms = max_lease_validity_ms(self._context.lease_limits.longest_ms)
             former_end_ms = min(former_end_ms, link.first_contact_ms + longest_ms)
         return max(former_end_ms, link.bound_ms, self._current_bound_ms(link))
 
@@ -226,7 +226,10 @@
             self._unacknowledged.pop(link.executor_id, None)
 
     def run_timers(self) -> None:
-        """Does what is due; called several times for each `CHECK_PERIOD_MS`."""
+        """Checks sessions and links if due, assigns executors, and sends queued orders.
+
+        Called several times for each `CHECK_PERIOD_MS`.
+        """
         now_ms = self._context.clock.now_ms()
         if now_ms - self._checked_ms >= CHECK_PERIOD_MS:
             self._checked_ms = now_ms
@@ -241,7 +244,7 @@
     def close(self) -> None:
         """Drops all sessions; nothing is sent afterwards."""
         self._sessions.clear()
-        self._dirty.clear()
+        self._sessions_to_flush.clear()
         self._sessions_by_peer.clear()
 
     def _check_sessions(self, now_ms: int) -> None:
@@ -289,7 +292,7 @@
             session = link.session
             if session is None:
                 continue
-            if self._assignable(executor) != link.assigned:
+            if self._assignment_terms(executor) != link.assigned:
                 self._unassign(link)
                 self._assign(link, session, executor, now_ms)
             elif not link.is_reached and ready_count >= 2:
@@ -323,14 +326,16 @@
             for link in map(self._links.__getitem__, session.executor_by_slot.values())
         ]
         unplaced = [self._links[executor_id] for executor_id in self._unplaced] + draining
-        is_check = now_ms == self._checked_ms
-        if not is_check and not (unplaced and self._has_placed):
+        is_check_due = now_ms == self._checked_ms
+        if not is_check_due and not (unplaced and self._has_placed):
             return
         relays = self._select_relays(now_ms)
         if not relays:
             return
-        settled = self._next_settled() if is_check else []
-        moves = assign(map(self._entry, unplaced), map(self._entry, settled), relays, now_ms)
+        settled = self._next_settled() if is_check_due else []
+        moves = assign(
+            map(self._make_entry, unplaced), map(self._make_entry, settled), relays, now_ms
+        )
         self._has_placed = bool(moves.session_by_executor)
         for executor_id, number in moves.session_by_executor.items():
             link = self._links[executor_id]
@@ -391,7 +396,7 @@
         window = links[start : start + SETTLED_PER_CHECK]
         return [link for link in window if link.session is not None and link.is_reached]
 
-    def _entry(self, link: _RelayedLink) -> AssignedExecutor:
+    def _make_entry(self, link: _RelayedLink) -> AssignedExecutor:
         executor = self._find_executor(link.executor_id)
         zone = executor.listing.zone if executor is not None else ""
         number = link.session.number if link.session is not None else None
@@ -407,7 +412,7 @@
         link.granted_contact = 0
         link.is_reached = False
         link.acknowledged = 0
-        link.assigned = self._assignable(executor)
+        link.assigned = self._assignment_terms(executor)
         link.assigned_ms = now_ms
         address, incarnation, lease_ms = link.assigned
         session.assign(Assignment(link.slot, link.executor_id, address, incarnation, lease_ms))
@@ -432,10 +437,10 @@
         """Returns the bound of the leases of the current contact, 0 if none were granted."""
         if link.session is None or link.granted_contact != link.contact:
             return 0
-        lease_ms = longest_lease_ms(self._context.lease_limits.shortest_ms)
+        lease_ms = max_lease_validity_ms(self._context.lease_limits.shortest_ms)
         return link.session.permission_end_ms() + lease_ms
 
-    def _assignable(self, executor: Executor) -> tuple[str, int, int]:
+    def _assignment_terms(self, executor: Executor) -> tuple[str, int, int]:
         listing = executor.listing
         lease_ms = lease_ms_of(listing, self._context.lease_limits.shortest_ms)
         return listing.address, listing.incarnation, lease_ms
@@ -529,7 +534,7 @@
             }
             self._context.log("executor_lost", fields)
         executor = self._find_executor(link.executor_id)
-        if loss.is_replaced and executor and self._assignable(executor) == link.assigned:
+        if loss.is_replaced and executor and self._assignment_terms(executor) == link.assigned:
             self._context.scheduler.expire_executor(link.executor_id, "executor replaced", now_ms)
 
     def _apply_ages(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
@@ -550,13 +555,13 @@
 
     def _schedule_flush(self, session: OwnerRelaySession) -> None:
         """Sends queued orders in the next iteration of the event loop, grouped by relay."""
-        if not self._dirty:
-            asyncio.get_running_loop().call_soon(self._flush_dirty)
-        self._dirty[session.number] = session
+        if not self._sessions_to_flush:
+            asyncio.get_running_loop().call_soon(self._flush_queued)
+        self._sessions_to_flush[session.number] = session
 
-    def _flush_dirty(self) -> None:
-        dirty, self._dirty = self._dirty, {}
-        for session in dirty.values():
+    def _flush_queued(self) -> None:
+        sessions, self._sessions_to_flush = self._sessions_to_flush, {}
+        for session in sessions.values():
             if session.number in self._sessions:
                 self._flush(session)
 
--- a/packages/node/src/jacinthreel_node/_relays/_relay_session.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -69,6 +70,11 @@
         )
 
 
+def _orders_of_slot(orders: Mapping[int, tuple[int, object]], slot: int) -> list[int]:
+    """Returns the numbers of the orders for a slot; the entries are slot and order."""
+    return [order for order, (order_slot, _) in orders.items() if order_slot == slot]
+
+
 class OwnerRelaySession:
     """One session with a relay, for as long as its connection is open and the relay responds.
 
@@ -89,6 +95,7 @@
         self.starts_by_order: dict[int, tuple[int, Run]] = {}
         self.stops_by_order: dict[int, tuple[int, StopOrder]] = {}
         self._epoch = epoch
+        # The relay's clock; its latest lease end is the end of the relay's permission.
         self._clock = ExecutorClock()
         self._is_started = False
         self._last_order = 0
@@ -129,10 +136,10 @@
         pending.starts = [item for item in pending.starts if item.slot != slot]
         pending.stops = [item for item in pending.stops if item.slot != slot]
         pending.dropped_slots.append(slot)
-        orders = [order for order, (of, _) in self.starts_by_order.items() if of == slot]
-        for order in [order for order, (of, _) in self.stops_by_order.items() if of == slot]:
+        for order in _orders_of_slot(self.stops_by_order, slot):
             del self.stops_by_order[order]
-        return [self.starts_by_order.pop(order)[1] for order in orders]
+        starts = _orders_of_slot(self.starts_by_order, slot)
+        return [self.starts_by_order.pop(order)[1] for order in starts]
 
     def grant(self, slot: int, contact: int) -> None:
         """Queues the grant of a contact."""
--- a/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
@@ -53,9 +53,9 @@
 class RelaySession:
     """What all executors of one session share.
 
-    `is_permitted` is whether the relay's permission is valid now.  `owner_time_ms` converts a local
-    time to a lower bound on the owner's clock.  `request_flush` asks for a report to the owner, at
-    once if its argument is true.
+    `is_permitted` returns whether the relay's permission is valid now.  `owner_time_ms` converts a
+    local time to a lower bound on the owner's clock.  `request_flush` schedules a report to the
+    owner, without waiting for the end of the period if its argument is true.
     """
 
     gateway: ExecutorGateway
@@ -277,6 +277,7 @@
                     return
                 case Failure(Fault(code=ResultCode.WORKER_RESTARTED)):
                     return
+        # If the run is still running, the owner repeats the stop after the next report.
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(self._guard(coroutine))
--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -22,15 +22,15 @@
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 
 LENGTH_UNIT_MS: Final = 128  # Run times are grouped, so that thousands of runs need no sorting.
-CAPACITY_REPORT_AGE_MS: Final = 10_000  # Longer than the interruptions seen, of up to 6.5 s.
+CAPACITY_REPORT_AGE_MS: Final = 10_000  # Interruptions of executors last up to 6.5 s.
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingStep:
     """The pending tasks of a ready step.
 
-    `accelerators` and `work` are those of all pending tasks together.  `useless_in_ms` is when the
-    job becomes useless.
+    `accelerators` and `work` are those of all pending tasks together.  `useless_in_ms` is the time
+    until the result of the job becomes useless, negative if it already is.
     """
 
     rank: int
@@ -46,8 +46,8 @@
 class RunningLoad:
     """The work left in a set of runs.
 
-    `accelerators_by_length` holds the accelerators by the time left in units of `LENGTH_UNIT_MS`,
-    rounded up.
+    `accelerators_by_length` holds the number of accelerators by the remaining run time, in units of
+    `LENGTH_UNIT_MS` and rounded up.
     """
 
     work: float = 0.0
@@ -66,8 +66,9 @@
     """The backlog of one service.
 
     `capacity` counts all accelerators that may be used in the next seconds.  `urgent` is the load
-    of runs of priority 0, `other` that of all other runs.  `free_urgent` and `free` are the
-    accelerators that jobs of priority 0, also by preemption, and of other priorities could use now.
+    of runs of priority 0, `other` that of all other runs.  `free_urgent` is the number of
+    accelerators that jobs of priority 0 could use now, by preemption if necessary; `free` is the
+    number that jobs of other priorities could use now.
     """
 
     waiting: list[WaitingStep]
@@ -83,8 +84,8 @@
 ) -> dict[str, ServiceBacklog]:
     """Returns the backlog of each service that has executors and enough waiting work.
 
-    Enough is work that takes at least `min_wait_ms` on the whole capacity; without it, the runs are
-    not looked at.
+    Services whose waiting work would take less than `min_wait_ms` on the whole capacity are left
+    out, without reading their runs.
     """
     tables = context.tables
     backlogs = _collect_waiting_steps(tables, over_share, now_ms)
@@ -198,7 +199,7 @@
 
 
 def _remaining_ms(run: Run, estimate_ms: int, now_ms: int) -> float:
-    """Returns how long a run lasts, by its progress or its age, whichever is less."""
+    """Returns the remaining run time, by the progress or by the age, whichever gives less."""
     by_progress_ms = estimate_ms * (1 - run.percent / 100)
     if run.start_confirmed_ms is None:
         return by_progress_ms
--- a/packages/steps/src/jacinthreel_steps/_admission/_forecast.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_forecast.py
@@ -16,7 +16,8 @@
 OPTIMISM: Final = 2.0
 """The factor by which work is assumed to be done sooner than estimated.
 
-Submitters' estimates are off by up to 1.9, and half of the executors may have returned by then.
+Submitters' estimates are off by a factor of up to 1.9, and up to half of the executors may become
+available again.
 """
 RANKS_PER_PRIORITY: Final = 2
 
@@ -53,9 +54,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
-    """The starts that are predicted to be late, and who is treated apart.
+    """The starts that are predicted to be late, and the workspaces with rules of their own.
 
     `guarantee_left_by_workspace` holds the guaranteed accelerators that a workspace does not use.
+    Jobs of `over_share_workspaces` are scheduled after others of their priority.
     """
 
     starts: list[PredictedStart]
--- a/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_prediction.py
@@ -2,8 +2,8 @@
 
 By the time at which the last task ahead of the new job starts, all work is done except that of the
 tasks then running, which is at most the work of the longest tasks that fill the capacity once.  So
-the work less that amount, divided by the capacity, bounds the start from below.  Waiting jobs that
-are useless at their predicted start are skipped, as the planner skips them.
+the work less that amount, divided by the capacity, bounds the start from below.  Waiting jobs whose
+result would be useless at their predicted start are skipped, because the planner skips them too.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 from jacinthreel_steps._tables import Tables
 
 MIN_GAIN: Final = 1.1  # Predictions less than 10 % later than a more general one are left out.
-MIN_START_MS: Final = 500  # Earlier starts are left out: no job is refused for less.
+MIN_START_MS: Final = 500  # Earlier starts are left out: they cause no refusals.
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,21 +67,21 @@
     if not starts:
         return None
     has_urgent = any(_is_urgent(predicted.rank) for predicted in starts)
-    guarantee_left = _guarantee_left(context.tables) if has_urgent else {}
-    return Forecast(_without_redundant(starts), guarantee_left, sorted(over_share))
+    guarantee_left = _find_unused_guarantees(context.tables) if has_urgent else {}
+    return Forecast(_remove_redundant(starts), guarantee_left, sorted(over_share))
 
 
-def _without_redundant(starts: list[PredictedStart]) -> list[PredictedStart]:
+def _remove_redundant(starts: list[PredictedStart]) -> list[PredictedStart]:
     """Returns the predictions that are clearly later than all more general ones."""
     kept: list[PredictedStart] = []
-    for start in sorted(starts, key=_generality):
+    for start in sorted(starts, key=_generality_key):
         general = [other.start_ms for other in kept if other.applies_to(start)]
         if start.start_ms >= MIN_GAIN * max(general, default=0):
             kept.append(start)
     return kept
 
 
-def _generality(start: PredictedStart) -> tuple[bool, int, int]:
+def _generality_key(start: PredictedStart) -> tuple[bool, int, int]:
     return (start.wants_one_rack, start.rank, start.accelerators)
 
 
@@ -98,9 +98,9 @@
             load = urgent_load if _is_urgent(rank) else other_load
             for step in group:
                 total_work += step.work
-                if _start_ms(load, ahead_work, backlog.capacity) <= step.useless_in_ms:
+                if _earliest_start_ms(load, ahead_work, backlog.capacity) <= step.useless_in_ms:
                     ahead_work += step.work
-            start_ms = _start_ms(load, ahead_work, backlog.capacity)
+            start_ms = _earliest_start_ms(load, ahead_work, backlog.capacity)
             if start_ms < MIN_START_MS:
                 continue
             drain_ms = (load.running_work + total_work) / backlog.capacity
@@ -151,13 +151,13 @@
     return _Load(sum(load.work for load in running), unfinished_work)
 
 
-def _start_ms(load: _Load, ahead_work: int, capacity: int) -> float:
+def _earliest_start_ms(load: _Load, ahead_work: int, capacity: int) -> float:
     """Returns the earliest start of a task that is scheduled after `ahead_work`."""
     work = load.running_work + ahead_work - load.unfinished_work
     return max(0.0, work) / (OPTIMISM * capacity)
 
 
-def _guarantee_left(tables: Tables) -> dict[str, int]:
+def _find_unused_guarantees(tables: Tables) -> dict[str, int]:
     used = count_used_accelerators(tables)
     guaranteed = tables.policy.guaranteed_accelerators_by_workspace
     left = {key: amount - used.get(key, 0) for key, amount in guaranteed.items()}
--- a/packages/steps/src/jacinthreel_steps/_admission/_refusal.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_refusal.py
@@ -89,18 +89,18 @@
 
 
 def retry_after_ms(refusal: Refusal, job_id: str) -> int:
-    """Returns when the backlog will have drained so far that the job would be accepted.
+    """Returns the time in ms until the backlog is small enough for the job to be accepted.
 
-    The time is spread by a hash of the job id, so that refused callers don't return together.
+    The time is spread by a hash of the job id, so that refused callers don't retry together.
     """
     excess_ms = OPTIMISM * (refusal.result_ms - refusal.limit_ms)
     delay_ms = min(MAX_RETRY_MS, max(MIN_RETRY_MS, min(excess_ms, refusal.drain_ms)))
-    share = zlib.crc32(job_id.encode()) / 2**32
-    return round(delay_ms + share * max(MIN_SPREAD_MS, delay_ms))
+    spread = zlib.crc32(job_id.encode()) / 2**32
+    return round(delay_ms + spread * max(MIN_SPREAD_MS, delay_ms))
 
 
 def _make_request(queue: QueueTerms, spec: JobSpec, is_over_share: bool) -> _Request | None:
-    """Returns the least that a first step needs, or None if one needs no accelerators."""
+    """Returns the smallest need of a first step, or None if one needs no accelerators."""
     roots = [step for step in spec.steps if not step.after]
     accelerators = min((accelerators_at_once(step) for step in roots), default=0)
     if not accelerators:
@@ -127,7 +127,10 @@
 def _find_latest_start(
     forecast: Forecast, request: _Request, max_rank: int
 ) -> PredictedStart | None:
-    """Returns the latest start predicted for ranks up to `max_rank`; all bounds hold at once."""
+    """Returns the latest start predicted for the request at ranks up to `max_rank`.
+
+    Each prediction that applies is a lower bound, so the latest one is used.
+    """
     latest: PredictedStart | None = None
     for predicted in forecast.starts:
         if predicted.service != request.service or predicted.rank > max_rank:
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True)
 class Context:
-    """The tables, pending orders and log, and what is learnt or counted from events.
+    """The tables, pending orders and log, and models and counters that events update.
 
     `stop_limit_ms` is the longest time that a responsive executor takes to stop a run.
     """
--- a/packages/steps/src/jacinthreel_steps/_executors/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/__init__.py
@@ -1,1 +1,1 @@
-"""What is known of executors: health, speed, and the ones that are about to shut down."""
+"""The state of executors: health, speed, and runs on those that are about to shut down."""
--- a/packages/steps/src/jacinthreel_steps/_executors/_run_time_model.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_run_time_model.py
@@ -28,7 +28,7 @@
 MAX_FULL_WEIGHT_DEVIATION: Final = 0.45  # Weights of larger deviations are reduced (Huber).
 HIGH_QUANTILE: Final = 0.9
 INITIAL_HIGH_DEVIATION: Final = 0.5
-# After 200 runs, 0.79 to 0.98 of the runs are below the quantile in 40 seeds; with 0.1, from 0.64.
+# With 0.1, the tracked quantile varies too much.
 HIGH_DEVIATION_STEP: Final = 0.04
 MAX_HIGH_DEVIATION: Final = 3.0
 MAX_LOG_CORRECTION: Final = math.log(8.0)
@@ -159,7 +159,7 @@
 
 
 def _restore_queue(numbers: tuple[float, ...]) -> _QueueModel | None:
-    """Returns the model with these numbers, or None if no observations can have given them."""
+    """Returns the model with these numbers, or None if they are out of range or inconsistent."""
     limit = 1e6  # Far above the sums that observations with decreasing weights can reach.
     if len(numbers) != STORED_NUMBERS or not all(abs(number) < limit for number in numbers):
         return None
--- a/packages/steps/src/jacinthreel_steps/_executors/_run_times.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_run_times.py
@@ -20,7 +20,7 @@
     runs = [run]
     if step.spec.is_gang:
         runs += [task.run for task in step.tasks if task.run is not None and task.run is not run]
-    if not all(_is_whole(context, step, each) for each in runs):
+    if not all(_shows_whole_run_time(context, step, each) for each in runs):
         return
     speed = min(context.speeds.speed(each.executor_id) for each in runs)
     weight = 1.0 if step.spec.is_gang else 1 / len(step.tasks)
@@ -47,7 +47,7 @@
             predict_run_times(context, job)
 
 
-def _is_whole(context: Context, step: Step, run: Run) -> bool:
+def _shows_whole_run_time(context: Context, step: Step, run: Run) -> bool:
     executor = context.tables.executors_by_id.get(run.executor_id)
     data_rack = step.spec.rack_near_data
     return (
--- a/packages/steps/src/jacinthreel_steps/_executors/_slow_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_evidence.py
@@ -4,8 +4,8 @@
 About 3 % of tasks run seven times as long as others, so a single lagging run says little about its
 executor.  An executor counts as slow if its newest verdicts, of different tasks, lag, and no run in
 progress there is normal: two verdicts, or three if two are not more than half of the runs there.
-Verdicts are counted by run and not by time, because long tasks are in progress seven times as long
-and are therefore a large share of the work in progress.
+Each run counts once, however long it is in progress; otherwise long tasks, which are in progress
+seven times as long, would have too much weight.
 
 Invariants: the decision is made only when the verdict on a run changes, so that one fact excludes
 an executor at most once; at most `MAX_EXCLUDED_SHARE` of a service's capacity, or one executor, is
@@ -111,7 +111,7 @@
         "is_confirmed": newest[-1][1].is_confirmed,
     }
     if not is_excluded:
-        excluded_share, is_only_one = _share_with(context, executor, now_ms)
+        excluded_share, is_only_one = _excluded_share_with(context, executor, now_ms)
         fields["excluded_share"] = round(excluded_share, 3)
         if excluded_share > MAX_EXCLUDED_SHARE and not is_only_one:
             context.log("slow_executor_kept", fields)
@@ -160,7 +160,7 @@
     health.slow_until_ms = 0
 
 
-def _share_with(context: Context, executor: Executor, now_ms: int) -> tuple[float, bool]:
+def _excluded_share_with(context: Context, executor: Executor, now_ms: int) -> tuple[float, bool]:
     """Returns the share of its service that is excluded as slow if the executor is excluded too.
 
     The second value is whether no other executor of the service is excluded as slow.  Capacity is
@@ -209,8 +209,8 @@
 def _resolve_move(context: Context, run: Run, is_lagging: bool, now_ms: int) -> None:
     """Applies the verdict on a moved task to the executor on which it lagged before.
 
-    If the task lags again, it is long and proves nothing.  If it is normal, its former executor is
-    slow, unless that executor has newer verdicts.
+    If the task lags again, the task itself is long, and its verdict is dropped.  If it is normal,
+    its former executor is slow, unless that executor has newer verdicts.
     """
     move = _step_of(context, run).move
     if move is None or move.is_resolved:
--- a/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
@@ -4,7 +4,7 @@
 gang's median rate, corrected by the speeds of the executors, is evidence for or against a slow
 executor (`_slow_evidence`).  The slowest member determines when a gang is done, so a gang of
 priority 0 is stopped and placed on other executors, at most once, if that ends it much sooner.  One
-lagging member suffices, because the move costs little beside waiting for it.
+lagging member suffices, because the move costs little compared with waiting for it.
 
 Gangs that resumed from a checkpoint or were adopted from an earlier owner are ignored, because the
 time at which they reached a given progress is unknown, as are gangs of which only a part is on the
@@ -111,7 +111,7 @@
     Returns none if only some of them are on the rack of the step's data.
     """
     members: list[_Member] = []
-    is_near: set[bool] = set()
+    is_near_values: set[bool] = set()
     for task in step.tasks:
         run = task.run
         if run is None or run.state is not RunState.RUNNING or not run.is_from_zero:
@@ -122,5 +122,5 @@
         # Progress of 0 counts as one percent, so that the rate is positive.
         rate = max(1, run.percent) / (executor.last_report_ms - run.placed_ms)
         members.append(_Member(run, executor, rate, expected_speed(context, executor)))
-        is_near.add(executor.listing.rack == step.spec.rack_near_data)
-    return members if not step.spec.rack_near_data or len(is_near) == 1 else []
+        is_near_values.add(executor.listing.rack == step.spec.rack_near_data)
+    return members if not step.spec.rack_near_data or len(is_near_values) == 1 else []
--- a/packages/steps/src/jacinthreel_steps/_planning/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -1,7 +1,7 @@
 """Claims of capacity for jobs of priority 0: made by preemption, placed once the capacity is free.
 
 Claimed capacity counts as used, so that no other job takes the capacity that was freed for a claim.
-A claim is placed only if the runs of its workspace, with it, are within the quota.
+A claim is placed only if it and the runs of its workspace together are within the quota.
 A claim whose capacity is not free within the time of a stop and `CLAIM_MARGIN_MS` is released, and
 the job is scheduled anew.
 """
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -23,7 +23,7 @@
 from jacinthreel_steps._model import Resources, StepSpec
 from jacinthreel_steps._tables import Executor, GangMove, Step, Tables, Task
 
-MOVED_GANG_AVOID_MS = 6_000  # A gang does not return before to the executor it was moved from.
+MOVED_GANG_AVOID_MS = 6_000  # How long a gang avoids the executor that it was moved from.
 LEFTOVER_CPU_WEIGHT = 0.5  # Weight of leftover CPU, relative to leftover accelerators.
 
 Placement = list[tuple[Task, str]]
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -5,7 +5,7 @@
 priority are preempted for them, and, for a job within its workspace's guarantee, also runs of
 priority 0 of other workspaces that use more than their guarantee.
 
-Tasks are left out that would bring their workspace above its quota (`_workspaces`).
+Tasks that would bring their workspace above its quota are not placed (`_workspaces`).
 
 Invariants: a gang is placed as a whole or not at all; a task that has a run is not placed; claimed
 capacity counts as used, so that no other job takes the capacity that was freed for a claim.
--- a/packages/steps/src/jacinthreel_steps/_planning/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_victims.py
@@ -26,8 +26,8 @@
     """Runs that are stopped together, and the cost of stopping them; compared by identity.
 
     `urgent_workspace` is the workspace of a victim of priority 0, None for lower priorities.
-    `is_entitled` is set with weights if the workspace is not over its entitlement; at equal cost,
-    other victims are preferred.
+    `is_entitled` is set if the policy has weights and the workspace is not over its entitlement; at
+    equal cost, other victims are preferred.
     """
 
     runs: list[Run]
--- a/packages/steps/src/jacinthreel_steps/_runs/_lease_choice.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lease_choice.py
@@ -1,9 +1,9 @@
 """Chooses the length of an executor's lease from the work that runs there.
 
-An executor stops its runs when its lease expires.  A longer lease saves them when the executor is
-silent for some seconds.  If the executor is lost, they can be restarted only after the lease has
-expired.  The longest lease is chosen where the work that an expiry would destroy exceeds the time
-that the tasks would wait longer for their restart.  A gang of priority 0 that has done little work
+An executor stops its runs when its lease expires.  A longer lease saves them if the executor is
+unreachable for some seconds.  If the executor is lost, they can be restarted only after the lease
+has expired.  The longest lease is chosen if the work that an expiry would destroy exceeds the time
+by which it would delay the restart of the tasks.  A gang of priority 0 that has done little work
 makes the lease short in any case, because its workspace's guarantee depends on its restart.
 """
 
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -100,8 +100,8 @@
         self.tables = Tables()
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
-        # Runs restored from storage, by executor, until their executor is listed.
-        self._unattached_runs: dict[str, list[Run]] = {}
+        # Runs restored from storage whose executor is not listed yet.
+        self._unattached_runs_by_executor: dict[str, list[Run]] = {}
 
     @property
     def usage(self) -> WorkspaceUsage:
@@ -139,7 +139,7 @@
             self.tables.open_jobs_by_id[job.job_id] = job
         self._context.arrivals.record(job)
         if record.queue.priority == 0 and progress is None:
-            self._context.headroom.record_arrival(self._first_accelerators(job), now_ms)
+            self._context.headroom.record_arrival(self._count_first_accelerators(job), now_ms)
         for run in job.live_runs():
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
@@ -147,7 +147,7 @@
             self._attach_run(run)
         return True
 
-    def _first_accelerators(self, job: Job) -> int:
+    def _count_first_accelerators(self, job: Job) -> int:
         """Returns the accelerators of the first steps, as far as the quota admits them now.
 
         Jobs beyond the rate of their workspace count none.
@@ -424,11 +424,11 @@
         if executor is not None:
             executor.add_run(run)
         else:
-            self._unattached_runs.setdefault(run.executor_id, []).append(run)
+            self._unattached_runs_by_executor.setdefault(run.executor_id, []).append(run)
 
     def _attach_recovered_runs(self, executor: Executor, now_ms: int) -> None:
         """Attaches runs that were restored from storage before their executor was listed."""
-        for run in self._unattached_runs.pop(executor.executor_id, ()):
+        for run in self._unattached_runs_by_executor.pop(executor.executor_id, ()):
             task = self.tables.task(run.run_id.task)
             if task is not None and task.run is run:
                 executor.add_run(run)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -241,9 +241,9 @@
     """An executor and the runs that may use its capacity.
 
     `is_listed` is false once the registry has no usable entry for it; `has_unreadable_entry` is
-    true while its entry can't be decoded.  `has_reported` is true once its
-    current incarnation has sent a report.  `applied_end_sequence` is the highest sequence number of
-    a run's end that was applied, `acknowledged_upto` the highest one that may be acknowledged.
+    true while its entry can't be decoded.  `has_reported` is true once its current incarnation has
+    sent a report.  `applied_end_sequence` is the highest sequence number of a run's end that was
+    applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
     `earliest_shutdown_ms` is the earliest time at which a draining executor may shut down.
     """
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_arrivals.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_arrivals.py
@@ -1,8 +1,8 @@
 """Finds the jobs that workspaces submit beyond their weight in jobs a second.
 
-A job exceeds the rate if the window before it holds as many jobs of its workspace that do not.
-The answer depends only on the accepted records, so that each owner finds the same, in whatever
-order it learns of the jobs.
+With a limit of the weight rounded up, a job exceeds the rate if the `limit / weight` seconds before
+it already hold `limit` jobs of its workspace that don't exceed it.  The result depends only on the
+accepted records, so that each owner computes the same, in whatever order it reads the jobs.
 
 Targets bursts: a workspace that sends many times its usual load does not delay the others.
 """
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_limits.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_limits.py
@@ -30,8 +30,25 @@
     >>> fits_empty_quota(Resources(0, 0, 8), 5, Resources(1_000, 1_000, 2))
     False
     """
-    unused = unused_quota(quota, shape.times(task_count))
-    return unused.cpu_milli >= 0 and unused.memory_mb >= 0 and unused.accelerators >= 0
+    return is_not_negative(unused_quota(quota, shape.times(task_count)))
+
+
+def is_not_negative(amounts: Resources) -> bool:
+    """Whether none of the three amounts is negative."""
+    return amounts.cpu_milli >= 0 and amounts.memory_mb >= 0 and amounts.accelerators >= 0
+
+
+def uses_exceeded_amount(unused: Resources, shape: Resources) -> bool:
+    """Whether a shape has some of an amount whose unused quota is negative.
+
+    >>> uses_exceeded_amount(Resources(-1_000, 500, 2), Resources(0, 100, 1))
+    False
+    """
+    return (
+        (unused.cpu_milli < 0 < shape.cpu_milli)
+        or (unused.memory_mb < 0 < shape.memory_mb)
+        or (unused.accelerators < 0 < shape.accelerators)
+    )
 
 
 def find_step_beyond_quota(spec: JobSpec, quota: Resources) -> int | None:
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_quota_preemption.py
@@ -1,7 +1,7 @@
 """Chooses which runs of its own workspace a job of priority 0 preempts if the quota is full.
 
-Such a job must not wait for runs of lower priority that fill the quota of the same workspace, as
-it does not wait for those that fill the executors.  The cheapest of them are stopped.  Runs that
+Such a job must not wait for runs of lower priority of the same workspace that fill the quota, just
+as it does not wait for runs that fill the executors.  The cheapest of them are stopped.  Runs that
 are already stopping are expected to free their part of the quota, unless the stop takes so long
 that their executor may be ignoring it.
 """
@@ -11,7 +11,12 @@
 from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._pass_state import PassState
 from jacinthreel_steps._planning._victims import Victim
-from jacinthreel_steps._workspaces._limits import fits_empty_quota, unused_quota
+from jacinthreel_steps._workspaces._limits import (
+    fits_empty_quota,
+    is_not_negative,
+    unused_quota,
+    uses_exceeded_amount,
+)
 
 
 def find_quota_victims(
@@ -33,13 +38,13 @@
     chosen: list[Victim] = []
     for victim in _find_own_victims(state, workspace):
         unused = unused_quota(quota, expected)
-        if _is_not_negative(unused):
+        if is_not_negative(unused):
             break
         amount = victim.resources
-        if _reduces_excess(amount, unused):
+        if uses_exceeded_amount(unused, amount):
             chosen.append(victim)
             expected = expected.minus(amount)
-    if not _is_not_negative(unused_quota(quota, expected)):
+    if not is_not_negative(unused_quota(quota, expected)):
         state.failed_quota_searches[workspace] = wanted
         return None
     return _drop_unneeded(chosen, quota, expected)
@@ -60,7 +65,7 @@
 
 
 def _stopping_soon(state: PassState, workspace: str) -> Resources:
-    """Returns what the workspace's runs use that are about to stop."""
+    """Returns the resources of those of the workspace's runs that are about to stop."""
     jobs = state.context.tables.jobs_by_id
     total = NO_RESOURCES
     for executor in state.context.tables.executors_by_id.values():
@@ -77,25 +82,12 @@
     needed: list[Victim] = []
     for victim in reversed(victims):
         without = expected.plus(victim.resources)
-        if _is_not_negative(unused_quota(quota, without)):
+        if is_not_negative(unused_quota(quota, without)):
             expected = without
         else:
             needed.append(victim)
     return needed
 
 
-def _is_not_negative(amount: Resources) -> bool:
-    return amount.cpu_milli >= 0 and amount.memory_mb >= 0 and amount.accelerators >= 0
-
-
 def _is_at_least(amount: Resources, other: Resources) -> bool:
-    return _is_not_negative(amount.minus(other))
-
-
-def _reduces_excess(amount: Resources, unused: Resources) -> bool:
-    """Whether stopping runs that use `amount` frees some of an amount that is exceeded."""
-    return (
-        (unused.cpu_milli < 0 < amount.cpu_milli)
-        or (unused.memory_mb < 0 < amount.memory_mb)
-        or (unused.accelerators < 0 < amount.accelerators)
-    )
+    return is_not_negative(amount.minus(other))
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_quotas.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_quotas.py
@@ -1,15 +1,15 @@
 """What the quota of a workspace still admits.
 
 New placements and claims have to fit within the quota together with all runs and claims of the
-workspace.  A claim becomes a run only if the runs alone, with it, are within the quota: a job that
-preempts runs of its own workspace claims before they have ended.
+workspace.  A claim becomes a run only if it and the runs, without other claims, are within the
+quota: a job that preempts runs of its own workspace makes its claims before they have ended.
 """
 
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import NO_RESOURCES, UNBOUNDED_FIT, Resources
-from jacinthreel_steps._workspaces._limits import unused_quota
+from jacinthreel_steps._workspaces._limits import unused_quota, uses_exceeded_amount
 
 
 def count_admitted(
@@ -41,8 +41,4 @@
     if quota is None:
         return False
     unused = unused_quota(quota, context.usage.running(workspace))
-    return (
-        (unused.cpu_milli < 0 < shape.cpu_milli)
-        or (unused.memory_mb < 0 < shape.memory_mb)
-        or (unused.accelerators < 0 < shape.accelerators)
-    )
+    return uses_exceeded_amount(unused, shape)
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_shares.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_shares.py
@@ -1,9 +1,9 @@
 """The shares of workspaces in the capacity, and which of them are over their entitlement.
 
 A workspace's dominant share is the largest of its shares of processors, memory and accelerators.
-What the workspaces that compete for capacity use together is theirs by weight: one whose dominant
-share for its weight is above the average is over its entitlement.  Workspaces whose jobs are all
-placed or held by their quota do not compete.
+A workspace is over its entitlement if its dominant share, divided by its weight, is above the
+weighted average of the workspaces that compete for capacity.  Workspaces whose jobs are all placed
+or held by their quota do not compete.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 
 
 def dominant_share(used: Resources, capacity: Resources) -> float:
-    """Returns the largest share of the three amounts; 0 of an amount that there is none of.
+    """Returns the largest share of the three amounts; amounts without capacity are ignored.
 
     >>> dominant_share(Resources(1_000, 0, 6), Resources(10_000, 1_000, 8))
     0.75
