Mend what the read-through found

- Reads of the tables at a takeover are cancelled together when the ownership ends; the read of the listings went on and logged until the store answered.
- The check for overload gets what is left of the caller's deadline after the look-up for the quota.
- An address without a host, and true or false as the number of a run, are malformed (a case each).

--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -134,7 +134,8 @@
             code_and_reason = {"code": excess.code.value, "reason": excess.detail}
             self._log("job_not_accepted", {**refusal_fields, **code_and_reason})
             return Failure(excess)
-        refused = await self._admission.check(call, job_id, spec, deadline_ms)
+        remaining_ms = max(0, deadline_ms - (self._clock.now_ms() - started_ms))
+        refused = await self._admission.check(call, job_id, spec, remaining_ms)
         if refused is not None:
             fault, inputs = refused
             fields = self._submission_fields(call, job_id, deadline_ms, started_ms)
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -304,13 +304,11 @@
 
     async def _load(self) -> dict[str, int]:
         """Loads all tables into the scheduler; returns the versions of the tables to follow."""
-        listing_reads = asyncio.gather(
+        (progress, intake), listings, relay_use = await asyncio.gather(
+            self._read_jobs(),
             self._read_until_available(self._row_decoder.executor_table),
             self._read_until_available(LEASE_TABLE, RELAYS_KEY),
         )
-        progress = await self._read_until_available(PROGRESS_TABLE)
-        intake = await self._read_until_available(INTAKE_TABLE)
-        listings, relay_use = await listing_reads
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
@@ -330,6 +328,16 @@
             self._row_decoder.executor_table: listings.version,
         }
 
+    async def _read_jobs(self) -> tuple[Snapshot, Snapshot]:
+        """Reads progress and intake.
+
+        Progress is read first, because progress without an intake row counts as that of a deleted
+        job.
+        """
+        progress = await self._read_until_available(PROGRESS_TABLE)
+        intake = await self._read_until_available(INTAKE_TABLE)
+        return progress, intake
+
     async def _record_relay_use(self) -> bool:
         """Stores that relays are used, for later owners; returns whether that is stored."""
         if not self._are_relays_recorded:
--- a/packages/node/src/jacinthreel_node/_relays/_fleet.py
+++ b/packages/node/src/jacinthreel_node/_relays/_fleet.py
@@ -124,8 +124,8 @@
         if now_ms - self._checked_ms >= CHECK_PERIOD_MS:
             self._checked_ms = now_ms
             self._check_mode(now_ms)
-        if self.uses_relays and not self._is_use_recorded:
-            self._is_use_recorded = await self._record_relay_use()
+            if self.uses_relays and not self._is_use_recorded:
+                self._is_use_recorded = await self._record_relay_use()
         if self._is_use_recorded and (self.uses_relays or self.relays.has_sessions):
             self.relays.run_timers()
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -118,6 +118,7 @@
     [
         {"capacity": "much"},
         {"addr": "nowhere"},
+        {"addr": ":8080"},
         {"zone": None},
         {"labels": "a"},
     ],
@@ -192,7 +193,13 @@
     report = {
         "clock_ms": 5,
         "born": 9,
-        "running": [["a.0.1.2", 3, "c", 41, 7], ["x", 1, "", 0], [], ["a.0.1.3", "y", "", 0]],
+        "running": [
+            ["a.0.1.2", 3, "c", 41, 7],
+            ["x", 1, "", 0],
+            [],
+            ["a.0.1.3", "y", "", 0],
+            ["a.0.1.4", True, "", 0],
+        ],
         "ended": [
             [1, "a.0.0.0", 1, "done", ""],
             [2, "a.0.0.1", 1, "vanished", ""],
