Log which runs were lost with an executor, and how many executors at once

The logs of an executor's loss could not tell a task that crashes executors from an outage: run_lost named one run and a reason. executor_runs_lost now gives all runs that were lost together, how long the executor had been silent and how many others were lost at the same time; run_ended tells whether the executor was lost, also for a start without an answer, which ends as stopped in the next incarnation. An executor that had announced to leave counts as left, not as lost. No decision depends on these records yet.

--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from jacinthreel_steps._executors._executor_losses import ExecutorLosses
 from jacinthreel_steps._executors._run_time_model import RunTimeModel
 from jacinthreel_steps._executors._speed_model import SpeedModel
 from jacinthreel_steps._model import RunId
@@ -55,6 +56,7 @@
     held_jobs: HeldJobs = field(default_factory=HeldJobs)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
+    executor_losses: ExecutorLosses = field(default_factory=ExecutorLosses)
 
 
 def run_name(run_id: RunId) -> str:
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -41,13 +41,26 @@
         run.state = RunState.ENDED
 
 
-def end_run(context: Context, run: Run, reason: EndReason, checkpoint: str, now_ms: int) -> None:
-    """Applies the end of a run to its task, job and executor."""
+def end_run(
+    context: Context,
+    run: Run,
+    reason: EndReason,
+    checkpoint: str,
+    now_ms: int,
+    is_executor_lost: bool | None = None,
+) -> None:
+    """Applies the end of a run to its task, job and executor.
+
+    `is_executor_lost` tells whether the executor was lost; None if the caller can't tell.
+    """
     task = context.tables.task(run.run_id.task)
     if task is None:
         return
     job = context.tables.jobs_by_id[run.run_id.task.job_id]
     step = job.steps[run.run_id.task.step_index]
+    if is_executor_lost is None:
+        is_executor_lost = _has_restarted(context, run)
+    has_lost_executor = is_executor_lost and has_started(run)
     release_run(context, task, run)
     context.log(
         "run_ended",
@@ -57,6 +70,7 @@
             "executor": run.executor_id,
             "reason": reason.name.lower(),
             "ran_ms": now_ms - run.placed_ms,
+            "executor_lost": has_lost_executor,
         },
     )
     _record_checkpoint(step, task, checkpoint or run.checkpoint)
@@ -80,6 +94,21 @@
     context.tables.bump_revision(job)
 
 
+def has_started(run: Run) -> bool:
+    """Whether the run has started on its executor, or may have."""
+    if run.state in (RunState.CLAIMED, RunState.PLACED):
+        return False
+    return run.start_confirmed_ms is not None or run.has_unanswered_start or run.is_recovered
+
+
+def _has_restarted(context: Context, run: Run) -> bool:
+    """Whether the executor's incarnation that was to execute the run has ended."""
+    executor = context.tables.executors_by_id.get(run.executor_id)
+    if executor is None:
+        return True
+    return executor.listing.incarnation != (run.reported_incarnation or run.incarnation)
+
+
 def mark_task_done(context: Context, job: Job, step: Step, task: Task, now_ms: int) -> None:
     """Marks a task, or all tasks of its gang, done; completes the job if all its steps are done."""
     for done_task in step.tasks if step.spec.is_gang else [task]:
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -46,12 +46,33 @@
 
 def end_lost_runs(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
     """Ends all runs of an executor that ended without a report."""
+    record_loss(context, executor, reason, now_ms)
+    has_left = executor.listing.is_draining
     for run in list(executor.runs_by_task.values()):
-        end_lost_run(context, run, reason, now_ms)
+        end_lost_run(context, run, reason, now_ms, has_left)
 
 
-def end_lost_run(context: Context, run: Run, reason: str, now_ms: int) -> None:
-    """Ends a run that ended without a report."""
+def record_loss(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
+    """Records that an executor was lost, unless that is already recorded."""
+    if not context.executor_losses.record(executor):
+        return
+    simultaneous = context.executor_losses.find_simultaneous(context.tables, executor, now_ms)
+    context.log(
+        "executor_runs_lost",
+        {
+            "executor": executor.executor_id,
+            "reason": reason,
+            "silent_ms": now_ms - executor.last_report_ms,
+            "runs": [run_name(run.run_id) for run in executor.runs_by_task.values()],
+            "others_lost": sum(1 for _ in simultaneous),
+        },
+    )
+
+
+def end_lost_run(
+    context: Context, run: Run, reason: str, now_ms: int, has_left: bool = False
+) -> None:
+    """Ends a run that ended without a report; `has_left` if its executor had announced to leave."""
     context.log(
         "run_lost",
         {
@@ -59,9 +80,10 @@
             "run": run_name(run.run_id),
             "executor": run.executor_id,
             "reason": reason,
+            "ran_ms": now_ms - run.placed_ms,
         },
     )
-    end_run(context, run, EndReason.LAPSED, "", now_ms)
+    end_run(context, run, EndReason.LAPSED, "", now_ms, is_executor_lost=not has_left)
 
 
 def advance_acknowledged_ends(context: Context, executor: Executor) -> int:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -56,6 +56,7 @@
     apply_report,
     end_lost_run,
     end_lost_runs,
+    record_loss,
 )
 from jacinthreel_steps._runs._stalls import stop_stalled_runs
 from jacinthreel_steps._runs._starts import (
@@ -442,21 +443,25 @@
         incarnation: int | None = None,
     ) -> None:
         """Resets the state of an executor that has restarted; its earlier runs have ended."""
+        has_left = executor.listing.is_draining
+        record_loss(self._context, executor, "executor restarted", now_ms)
         executor.listing = replace(listing, incarnation=incarnation or listing.incarnation)
         executor.applied_end_sequence = 0
         executor.acknowledged_upto = 0
         executor.pending_ends.clear()
         executor.has_reported = False
-        self._end_runs_of_older_incarnations(executor, now_ms)
+        self._end_runs_of_older_incarnations(executor, now_ms, has_left)
 
-    def _end_runs_of_older_incarnations(self, executor: Executor, now_ms: int) -> None:
-        """Ends the runs that an earlier incarnation reported.
+    def _end_runs_of_older_incarnations(
+        self, executor: Executor, now_ms: int, has_left: bool = False
+    ) -> None:
+        """Ends the runs that an earlier incarnation reported; `has_left` if it had been draining.
 
         Runs that it never reported are reconciled with the executor's next report.
         """
         for run in list(executor.runs_by_task.values()):
             if 0 < run.reported_incarnation < executor.listing.incarnation:
-                end_lost_run(self._context, run, "executor restarted", now_ms)
+                end_lost_run(self._context, run, "executor restarted", now_ms, has_left)
 
     def _update_earliest_shutdown(self, executor: Executor, now_ms: int) -> None:
         listing = executor.listing
