--- a/packages/steps/tests/scheduler_harness.py
+++ b/packages/steps/tests/scheduler_harness.py
@@ -39,6 +39,7 @@
 
 
 def listing(name: str, rack: str = "r1", zone: str = "z1", **options: Any) -> ExecutorListing:
+    accelerators = options.pop("capacity_accelerators", CAPACITY.accelerators)
     return ExecutorListing(
         name,
         options.pop("incarnation", 1),
@@ -47,7 +48,7 @@
         zone,
         rack,
         frozenset({"a", rack}),
-        CAPACITY,
+        Resources(CAPACITY.cpu_milli, CAPACITY.memory_mb, accelerators),
         **options,
     )
 
@@ -144,7 +145,7 @@
 
     def report(self, name: str, incarnation: int | None = None) -> None:
         running = tuple(
-            ReportedRun(run.run_id, run.checkpoint, self.percent_by_executor.get(name, 0))
+            ReportedRun(run.run_id, run.checkpoint, self.percent_done(run))
             for run in self.running.get(name, {}).values()
         )
         ended = tuple(self.ends.get(name, []))
@@ -152,6 +153,9 @@
         report = ExecutorReport(reported_incarnation, self.now_ms, running, ended)
         self.scheduler.apply_report(name, report, self.now_ms)
 
+    def percent_done(self, run: Run) -> int:
+        return self.percent_by_executor.get(run.executor_id, 0)
+
     def report_all(self) -> None:
         for name in self.listings:
             self.report(name)
--- /dev/null
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -0,0 +1,105 @@
+"""A task that crashes executors is given up after a few starts, and no sound job with it."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from crash_world import CrashWorld
+from scheduler_harness import listing, queue, step
+
+MAX_STARTS = 5
+MAX_LATE_STARTS = 2
+
+
+def executors(count: int, per_rack: int = 4) -> list[object]:
+    return [listing(f"e{index:03}", rack=f"r{index // per_rack}") for index in range(count)]
+
+
+CASES = {
+    "crash after the answer": {"crash_delay_ms": 500},
+    "crash before the answer": {"crash_delay_ms": 0},
+    "crash late in the run": {"crash_delay_ms": 3_000},
+    "executor away beyond its lease": {"down_ms": 8_000},
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_task_that_crashes_its_executors_is_given_up(name: str) -> None:
+    world = CrashWorld(*executors(8), **CASES[name])
+    world.submit_deadly("deadly", step(1))
+    world.pass_time(90_000)
+    assert world.state("deadly") == "failed"
+    assert max(world.starts.values()) <= MAX_STARTS
+    assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_crashes_are_counted_across_changes_of_owner(is_gang: bool) -> None:
+    world = CrashWorld(*executors(8))
+    world.submit_deadly("deadly", step(3, accelerators=4, is_gang=is_gang))
+    for _ in range(60):
+        world.pass_time(1_250)
+        world.take_over()
+    world.pass_time(10_000)
+    assert world.state("deadly") == "failed"
+    assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
+
+
+def test_wide_step_that_crashes_executors_takes_few_of_them_down() -> None:
+    world = CrashWorld(*executors(24))
+    world.submit_deadly("deadly", step(12, accelerators=8))
+    world.pass_time(60_000)
+    assert world.state("deadly") == "failed"
+    assert world.executor_crashes <= 12 + MAX_STARTS
+
+
+def test_several_jobs_that_crash_executors_at_once_are_given_up() -> None:
+    world = CrashWorld(*executors(24))
+    for index in range(4):
+        world.submit_deadly(f"deadly{index}", step(4, accelerators=4, is_gang=index % 2 == 0))
+    world.pass_time(90_000)
+    assert world.states("deadly") == {"failed"}
+    assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
+
+
+def test_jobs_beside_a_task_that_crashes_executors_are_completed() -> None:
+    world = CrashWorld(*executors(12))
+    world.submit_deadly("deadly", step(2))
+    for index in range(10):
+        world.submit(f"sound{index}", step(4, is_gang=index % 3 == 0), terms=queue(index % 2))
+    world.pass_time(90_000)
+    assert world.state("deadly") == "failed"
+    assert world.states("sound") == {"completed"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_outages_of_many_executors_fail_no_job(seed: int) -> None:
+    rng = random.Random(seed)
+    world = CrashWorld(*executors(40))
+    for index in range(60):
+        shape = step(rng.randint(1, 8), rng.choice([1, 2, 4]), is_gang=rng.random() < 0.4)
+        world.submit(f"sound{index}", shape, terms=queue(rng.randrange(2)))
+        if index % 10 == 9:
+            world.pass_time(2_000)
+            for name in rng.sample(sorted(world.listings), 10):
+                world.crash(name)
+            world.pass_time(2_000)
+    for _ in range(6):
+        for name in rng.sample(sorted(world.listings), 10):
+            world.crash(name)
+        world.pass_time(4_000)
+    world.pass_time(120_000)
+    assert world.states("sound") == {"completed"}
+
+
+def test_start_is_withheld_from_an_executor_that_has_shrunk() -> None:
+    world = CrashWorld(listing("e1"))
+    world.submit("j1", step(1, accelerators=8))
+    world.scheduler.plan(world.now_ms)
+    rows = world.scheduler.take_unstored(100, "w")
+    shrunk = listing("e1", capacity_accelerators=4)
+    world.scheduler.apply_listing(shrunk, world.now_ms)
+    for row in rows:
+        world.scheduler.mark_stored(row, 1, world.now_ms)
+    assert world.scheduler.take_starts() == []
