Give up a task that crashes the executors that start it

Callers saw nothing of such a task but a job that never ended; everybody else lost executors and work: a task that takes its executors down was started again for ever (36 starts in 90 s in the test; a step of twelve took down 288 executors in 60 s).

Cause: an end without a report (executor restarted, replaced or out of reach for a lease) and a stop that only the executor's next incarnation confirms counted against nothing; only ends failed did.

A loss is now counted for each task that ran there, in the job's row, so that a new owner knows it. So a loss is evidence only if no two other executors were lost at the same time that other jobs or tasks under suspicion explain; after two such losses a task is tried alone on an executor that is closed to other jobs, and its job fails if that is lost too. A run that lasts twice as long as those that lost their executor clears its task. Of a step with several such tasks, one starts at a time. Whatever the evidence, two starts remain after the third loss, and these wait for the end of an outage.

--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
@@ -0,0 +1,148 @@
+"""Finds the tasks that crash the executors that start them, and clears those that don't.
+
+A lost executor says little about the tasks that ran there: it may have crashed by itself, in an
+outage with others, or because of any one of them.  Evidence against a task is therefore counted
+only outside outages, and a task that has lost `SUSPECT_UNEXPLAINED` executors is tried alone on an
+executor (`_trials`).  If that is lost too, the task is a culprit and its job fails.  A task with a
+run that lasts much longer than those that lost their executor is cleared.
+
+Whatever the evidence, a task is started at most `STARTS_AFTER_LIMIT` times more once it has lost
+`CRASH_LIMIT` executors: each start of a culprit takes down an executor with all runs beside it.
+
+Targets jobs that crash executor after executor, in clusters that also lose executors for other
+reasons, one by one or many at once.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_steps._context import Context
+from jacinthreel_steps._executors._executor_losses import SILENT_AFTER_MS
+from jacinthreel_steps._tables import CrashRecord, Isolation, Job, Run, RunState, Step, Task
+
+SUSPECT_UNEXPLAINED: Final = 2
+CULPRIT_UNEXPLAINED_ALONE: Final = 3
+CULPRIT_UNEXPLAINED: Final = 4  # Beside other runs, which may have been the cause.
+CRASH_LIMIT: Final = 3
+STARTS_AFTER_LIMIT: Final = 2
+CLEARED_AGE_FACTOR: Final = 2  # An executor may be this much slower than the one that was lost.
+CLEARED_AGE_MS: Final = 600_000
+MAX_ISOLATION_MS: Final = 60_000
+
+
+def record_crash(context: Context, job: Job, step: Step, task: Task, run: Run, now_ms: int) -> None:
+    """Records that the executor of a run was lost while the run was, or may have been, there."""
+    record = _crash_record(context, task)
+    record.crashes += 1
+    if record.crashes == CRASH_LIMIT:
+        record.last_run = run.run_id.number + STARTS_AFTER_LIMIT
+    lost_ms = context.executor_losses.lost_ms(run.executor_id)
+    lasted_ms = max(0, (lost_ms or now_ms) - run.placed_ms) + SILENT_AFTER_MS
+    is_outage = context.executor_losses.is_outage(
+        context.tables, run.executor_id, job.job_id, now_ms
+    )
+    for member in step.tasks_ending_with(task):
+        record = _crash_record(context, member)
+        record.crashed_ms = now_ms
+        record.longest_ms = max(record.longest_ms, lasted_ms)
+        if not is_outage and record.counted_run < run.run_id.number:
+            record.counted_run = run.run_id.number
+            record.unexplained += 1
+
+
+def is_suspect(task: Task) -> bool:
+    """Whether the task is to be tried alone on its executor."""
+    record = task.crash_record
+    if record is None:
+        return False
+    return record.unexplained >= SUSPECT_UNEXPLAINED or record.crashes >= CRASH_LIMIT
+
+
+def is_culprit(task: Task, run: Run) -> bool:
+    """Whether the losses, the last of which ended `run`, show that the task crashes executors."""
+    record = task.crash_record
+    if record is None:
+        return False
+    is_alone = run.isolation is Isolation.ALONE
+    return record.unexplained >= (CULPRIT_UNEXPLAINED_ALONE if is_alone else CULPRIT_UNEXPLAINED)
+
+
+def has_limited_starts(task: Task) -> bool:
+    """Whether the number of further starts is limited."""
+    return task.crash_record is not None and task.crash_record.last_run > 0
+
+
+def has_starts_left(task: Task) -> bool:
+    """Whether the task may be started again."""
+    record = task.crash_record
+    return record is None or not record.last_run or task.run_number < record.last_run
+
+
+def refund_start(task: Task) -> None:
+    """Allows one more run, in place of one that has certainly not started."""
+    record = task.crash_record
+    if record is not None and record.last_run:
+        record.last_run += 1
+
+
+def clear_survivors(context: Context) -> None:
+    """Clears the tasks that have outlived the loss of their executors, and ends long isolations."""
+    tables = context.tables
+    for task_id in list(tables.crashed_task_ids):
+        task = tables.task(task_id)
+        if task is None or task.is_done or task.crash_record is None:
+            del tables.crashed_task_ids[task_id]
+            continue
+        job = tables.jobs_by_id[task_id.job_id]
+        if job.state.is_final:
+            del tables.crashed_task_ids[task_id]
+            continue
+        step = job.steps[task_id.step_index]
+        age_ms = min(_proven_age_ms(context, member) for member in step.tasks_ending_with(task))
+        if task.run is not None and age_ms >= MAX_ISOLATION_MS:
+            task.run.isolation = Isolation.NONE
+        if age_ms >= min(CLEARED_AGE_MS, CLEARED_AGE_FACTOR * task.crash_record.longest_ms):
+            _clear(context, job, step, task, age_ms)
+
+
+def _proven_age_ms(context: Context, task: Task) -> int:
+    """Returns how long the task's run has certainly run, 0 if it is not running."""
+    run = task.run
+    if run is None or run.state is not RunState.RUNNING or run.start_confirmed_ms is None:
+        return 0
+    executor = context.tables.executors_by_id.get(run.executor_id)
+    if executor is None:
+        return 0
+    return max(0, executor.last_report_ms - run.start_confirmed_ms)
+
+
+def _clear(context: Context, job: Job, step: Step, task: Task, age_ms: int) -> None:
+    record, run = task.crash_record, task.run
+    assert record is not None
+    assert run is not None
+    context.log(
+        "task_cleared",
+        {
+            "job_id": job.job_id,
+            "step": task.task_id.step_index,
+            "task": task.task_id.task_index,
+            "executor": run.executor_id,
+            "crashes": record.crashes,
+            "unexplained": record.unexplained,
+            "age_ms": age_ms,
+        },
+    )
+    task.crash_record = None
+    run.isolation = Isolation.NONE
+    step.has_survivor = True
+    del context.tables.crashed_task_ids[task.task_id]
+    context.tables.bump_revision(job)
+
+
+def _crash_record(context: Context, task: Task) -> CrashRecord:
+    """Returns the task's crash record, a new one if it has none."""
+    if task.crash_record is None:
+        task.crash_record = CrashRecord()
+    context.tables.crashed_task_ids[task.task_id] = None
+    return task.crash_record
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
@@ -17,15 +17,22 @@
 
 SAME_TIME_MS: Final = 2_000  # Above the longest time between two reports of an idle executor.
 SILENT_AFTER_MS: Final = 1_400
+CALM_MS: Final = 6_000
+OUTAGE_EXECUTORS: Final = 2  # A single other loss at the same time may be a coincidence.
 RETENTION_MS: Final = 30_000  # Longer than it takes until all losses of one outage are certain.
 
 
 @dataclass(frozen=True, slots=True)
 class ExecutorLoss:
-    """The loss of an executor; `job_ids` are the jobs with runs there."""
+    """The loss of an executor.
+
+    `job_ids` are the jobs with runs there; `has_crashed_task` tells whether one of these tasks had
+    lost an executor before.
+    """
 
     lost_ms: int
     job_ids: frozenset[str]
+    has_crashed_task: bool
 
 
 class ExecutorLosses:
@@ -34,7 +41,7 @@
     def __init__(self) -> None:
         self._loss_by_executor_id: dict[str, ExecutorLoss] = {}
 
-    def record(self, executor: Executor) -> bool:
+    def record(self, tables: Tables, executor: Executor) -> bool:
         """Records that an executor was lost; call before its runs are ended.
 
         Returns false if this loss is already recorded or the executor was to shut down.
@@ -44,25 +51,63 @@
             return False
         if executor.listing.is_draining:
             return False
-        self._loss_by_executor_id[executor.executor_id] = _make_loss(executor)
+        self._loss_by_executor_id[executor.executor_id] = _make_loss(tables, executor)
         return True
 
+    def lost_ms(self, executor_id: str) -> int | None:
+        """Returns when the executor was last lost, None if it was not lost recently."""
+        loss = self._loss_by_executor_id.get(executor_id)
+        return loss.lost_ms if loss is not None else None
+
+    def is_outage(self, tables: Tables, executor_id: str, job_id: str, now_ms: int) -> bool:
+        """Whether more executors were lost with this one than tasks of the job may have crashed.
+
+        Executors whose loss another task may have caused don't count: those with a task that had
+        lost an executor before.  Also true if the time of the loss is not known.
+        """
+        if executor_id not in self._loss_by_executor_id:
+            return True
+        count = 0
+        for loss in self.find_simultaneous(tables, executor_id, now_ms):
+            if job_id in loss.job_ids or loss.has_crashed_task:
+                continue
+            count += 1
+            if count >= OUTAGE_EXECUTORS:
+                return True
+        return False
+
+    def is_outage_current(self, tables: Tables, now_ms: int) -> bool:
+        """Whether several executors were lost within the last `CALM_MS`."""
+        since_ms = now_ms - CALM_MS
+        lost_ids = {
+            executor_id
+            for executor_id, loss in self._loss_by_executor_id.items()
+            if loss.lost_ms > since_ms
+        }
+        for executor in tables.executors_by_id.values():
+            if since_ms < executor.last_report_ms < now_ms - SILENT_AFTER_MS:
+                lost_ids.add(executor.executor_id)
+        return len(lost_ids) >= OUTAGE_EXECUTORS
+
     def find_simultaneous(
-        self, tables: Tables, executor: Executor, now_ms: int
+        self, tables: Tables, executor_id: str, now_ms: int
     ) -> Iterator[ExecutorLoss]:
-        """Yields the losses of other executors at the time at which `executor` was lost."""
+        """Yields the losses of other executors at the time of the last loss of this one."""
         self._discard_old(now_ms)
-        for executor_id, loss in self._loss_by_executor_id.items():
-            if executor_id != executor.executor_id and _is_same_time(loss.lost_ms, executor):
+        own = self._loss_by_executor_id.get(executor_id)
+        if own is None:
+            return
+        for other_id, loss in self._loss_by_executor_id.items():
+            if other_id != executor_id and _is_same_time(loss.lost_ms, own):
                 yield loss
         for other in tables.executors_by_id.values():
-            if other is executor or now_ms - other.last_report_ms <= SILENT_AFTER_MS:
+            if now_ms - other.last_report_ms <= SILENT_AFTER_MS:
                 continue
-            if other.listing.is_draining or not _is_same_time(other.last_report_ms, executor):
+            if other.listing.is_draining or not _is_same_time(other.last_report_ms, own):
                 continue
             known = self._loss_by_executor_id.get(other.executor_id)
             if known is None or known.lost_ms != other.last_report_ms:
-                yield _make_loss(other)
+                yield _make_loss(tables, other)
 
     def _discard_old(self, now_ms: int) -> None:
         oldest_ms = now_ms - RETENTION_MS
@@ -75,10 +120,11 @@
         }
 
 
-def _make_loss(executor: Executor) -> ExecutorLoss:
+def _make_loss(tables: Tables, executor: Executor) -> ExecutorLoss:
     job_ids = frozenset(task_id.job_id for task_id in executor.runs_by_task)
-    return ExecutorLoss(executor.last_report_ms, job_ids)
+    has_crashed_task = any(id in tables.crashed_task_ids for id in executor.runs_by_task)
+    return ExecutorLoss(executor.last_report_ms, job_ids, has_crashed_task)
 
 
-def _is_same_time(lost_ms: int, executor: Executor) -> bool:
-    return abs(lost_ms - executor.last_report_ms) <= SAME_TIME_MS
+def _is_same_time(lost_ms: int, own: ExecutorLoss) -> bool:
+    return abs(lost_ms - own.lost_ms) <= SAME_TIME_MS
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._model import Resources
+from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._placement import UsableExecutors
 from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._victims import VictimIndex
@@ -105,7 +105,7 @@
 
 
 def _free_capacity(executor: Executor) -> Resources:
-    return executor.free_resources
+    return NO_RESOURCES if executor.is_closed else executor.free_resources
 
 
 def _capacity(executor: Executor) -> Resources:
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -74,6 +74,8 @@
     for executor in tables.executors_by_id.values():
         if not executor.is_listed or not executor.has_reported or executor.listing.is_draining:
             continue
+        if executor.is_closed:
+            continue
         if executor.listing.zone in tables.policy.zones_out_of_service:
             continue
         if (
@@ -99,6 +101,8 @@
     is_last_attempt = any(0 < max_attempts - 1 <= task.failures for task in step.tasks)
     candidates: list[Candidate] = []
     for executor in executors:
+        if executor.is_closed:
+            continue
         if spec.required_label and spec.required_label not in executor.listing.labels:
             continue
         if step.move is not None and _was_just_moved_from(step.move, executor, now_ms):
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -38,6 +38,7 @@
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
 from jacinthreel_steps._planning._run_creation import place_tasks
+from jacinthreel_steps._planning._trials import schedule_trials, update_closed_executors
 from jacinthreel_steps._planning._victims import Victim, VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
 from jacinthreel_steps._workspaces._fair_order import make_shares, schedule_in_fair_order
@@ -51,6 +52,7 @@
 def plan(context: Context, now_ms: int) -> None:
     """Places tasks that fit, and claims capacity for those of priority 0 that don't."""
     place_or_release_claims(context, now_ms)
+    update_closed_executors(context.tables)
     jobs = list(context.tables.open_jobs_by_id.values())
     usable = find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS)
     shares = make_shares(context, usable, jobs)
@@ -75,7 +77,9 @@
     for step in job.steps:
         pending = job.pending_tasks(step)
         if pending:
-            _schedule_step(state, job, step, pending)
+            pending = schedule_trials(state, job, step, pending)
+            if pending:
+                _schedule_step(state, job, step, pending)
         elif is_gang_claimed(job, step):
             _place_claimed_gang_elsewhere(state, job, step)
 
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -0,0 +1,154 @@
+"""Trials of the tasks under which executors were lost: which may start, and where.
+
+A suspect task is placed on an executor without runs of other jobs, which is then closed to them, so
+that its loss harms no other job and shows that the task is the cause.  If there is none for
+`TRIAL_WAIT_MS`, the task is placed beside as few runs of other jobs as possible.  A task with a
+limited number of starts waits for the end of an outage, in which a start would show nothing.
+
+If several tasks of a step have lost executors and none is known to survive, only one of them runs
+at a time and the rest of the step waits: otherwise a wide step that crashes executors would take
+down as many at once as it has tasks.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from jacinthreel_steps._executors._crash_evidence import has_limited_starts, is_suspect
+from jacinthreel_steps._model import UNBOUNDED_FIT
+from jacinthreel_steps._planning._pass_state import PassState, ServiceSlots
+from jacinthreel_steps._planning._placement import (
+    Placement,
+    find_candidates,
+    place_gang,
+    place_independent_tasks,
+)
+from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
+from jacinthreel_steps._tables import Executor, Isolation, Job, RunState, Step, Tables, Task
+from jacinthreel_steps._workspaces._quotas import count_admitted
+
+TRIAL_WAIT_MS: Final = 2_000  # Waiting for an empty executor must not starve a sound job.
+OUTAGE_WAIT_MS: Final = 30_000
+ALONE: Final = (0,)
+BESIDE_FEW_RUNS: Final = (0, 1, 2, 4, UNBOUNDED_FIT)
+
+
+def update_closed_executors(tables: Tables) -> None:
+    """Closes the executors with isolated runs to other jobs, and opens the others."""
+    closed_ids = set()
+    for task_id in tables.crashed_task_ids:
+        task = tables.task(task_id)
+        if task is None or task.run is None or task.run.isolation is Isolation.NONE:
+            continue
+        closed_ids.add(task.run.executor_id)
+    for executor in tables.executors_by_id.values():
+        executor.is_closed = executor.executor_id in closed_ids
+
+
+def schedule_trials(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
+    """Places suspect tasks where they may be tried; returns the tasks to schedule as usual."""
+    if all(task.crash_record is None for task in step.tasks):
+        return pending
+    allowed = _select_allowed(step, pending)
+    suspects = [task for task in allowed if is_suspect(task)]
+    if step.spec.is_gang and suspects:
+        suspects = allowed
+    if not suspects:
+        return allowed
+    others = [task for task in allowed if task not in suspects]
+    return others + _try_suspects(state, job, step, suspects)
+
+
+def _select_allowed(step: Step, pending: list[Task]) -> list[Task]:
+    """Returns the tasks that may start now; one at a time while a wide step is under suspicion."""
+    if step.spec.is_gang or step.has_survivor or any(task.is_done for task in step.tasks):
+        return pending
+    crashed = [
+        task
+        for task in step.tasks
+        if task.crash_record is not None and task.crash_record.unexplained
+    ]
+    if len(crashed) < 2:
+        return pending
+    if any(task.run is not None for task in crashed):
+        return []
+    return [max(crashed, key=_unexplained)]
+
+
+def _unexplained(task: Task) -> int:
+    return task.crash_record.unexplained if task.crash_record is not None else 0
+
+
+def _try_suspects(state: PassState, job: Job, step: Step, suspects: list[Task]) -> list[Task]:
+    """Places the suspects; returns those that have waited too long to be placed apart."""
+    slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
+    crashed_ms = max(
+        task.crash_record.crashed_ms for task in suspects if task.crash_record is not None
+    )
+    waited_ms = state.now_ms - crashed_ms
+    has_waited = waited_ms > TRIAL_WAIT_MS
+    if waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects):
+        context = state.context
+        if context.executor_losses.is_outage_current(context.tables, state.now_ms):
+            return []
+    admitted = count_admitted(state.context, job.record.workspace, step.spec.shape)
+    if admitted < (len(suspects) if step.spec.is_gang else 1):
+        return suspects if has_waited else []
+    for max_other_runs in BESIDE_FEW_RUNS if has_waited else ALONE:
+        placement = _find_placement(state, job, step, suspects[:admitted], slots, max_other_runs)
+        if placement:
+            _start_trial(state, job, step, placement)
+            placed = {task.task_id for task, _ in placement}
+            suspects = [task for task in suspects if task.task_id not in placed]
+            break
+    return suspects if has_waited else []
+
+
+def _find_placement(
+    state: PassState,
+    job: Job,
+    step: Step,
+    tasks: list[Task],
+    slots: ServiceSlots,
+    max_other_runs: int,
+) -> Placement | None:
+    """Returns executors with at most that many runs of other jobs; for a gang, for all or none."""
+    spec = step.spec
+    executors = [
+        executor
+        for executor in slots.free.fitting_executors(spec.required_label, spec.shape)
+        if _count_runs_of_others(executor, job) <= max_other_runs
+    ]
+    candidates = find_candidates(step, executors, job.record.queue.max_attempts, state.now_ms)
+    is_urgent = job.record.queue.priority == 0
+    if spec.is_gang:
+        return place_gang(step, tasks, candidates, is_urgent)
+    return place_independent_tasks(step, tasks, candidates, is_urgent)
+
+
+def _start_trial(state: PassState, job: Job, step: Step, placement: Placement) -> None:
+    """Places suspects and closes their executors to other jobs."""
+    executors_by_id = state.context.tables.executors_by_id
+    runs = create_runs(state, job, step, placement, RunState.PLACED)
+    for run in runs:
+        executor = executors_by_id[run.executor_id]
+        is_alone = _count_runs_of_others(executor, job) == 0
+        run.isolation = Isolation.ALONE if is_alone else Isolation.CLOSED
+        executor.is_closed = True
+        state.record_change(run.executor_id)
+    commit_placement(state.context, job, step, runs, state.now_ms)
+    state.context.log(
+        "trial_placed",
+        {
+            "job_id": job.job_id,
+            "step": job.steps.index(step),
+            "tasks": [run.run_id.task.task_index for run in runs],
+            "executors": [run.executor_id for run in runs],
+            "alone": all(run.isolation is Isolation.ALONE for run in runs),
+            "unexplained": max(_unexplained(task) for task, _ in placement),
+        },
+    )
+
+
+def _count_runs_of_others(executor: Executor, job: Job) -> int:
+    return sum(task_id.job_id != job.job_id for task_id in executor.runs_by_task)
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -8,6 +8,12 @@
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context, StopOrder, run_name
+from jacinthreel_steps._executors._crash_evidence import (
+    has_starts_left,
+    is_culprit,
+    record_crash,
+    refund_start,
+)
 from jacinthreel_steps._executors._executor_health import record_failure, record_success
 from jacinthreel_steps._executors._executor_speed import observe_completed_run
 from jacinthreel_steps._executors._run_times import observe_run_time
@@ -35,6 +41,8 @@
     if executor is not None:
         executor.remove_run(run)
     if task.run is run:
+        if run.state in (RunState.CLAIMED, RunState.PLACED):
+            refund_start(task)
         task.run = None
         workspace = context.tables.jobs_by_id[run.run_id.task.job_id].record.workspace
         context.usage.remove(workspace, run.shape, run.state is RunState.CLAIMED)
@@ -88,12 +96,35 @@
             task.last_failed_executor_id = run.executor_id
             _count_failure(context, job, step, task, run, now_ms)
         case _:
-            pass
+            if has_lost_executor:
+                record_crash(context, job, step, task, run, now_ms)
+            _fail_job_of_culprit(context, job, task, run, now_ms)
     if step.spec.is_gang and reason is not EndReason.DONE:
         stop_gang(context, step, run.run_id.number, now_ms)
     context.tables.bump_revision(job)
 
 
+def _fail_job_of_culprit(context: Context, job: Job, task: Task, run: Run, now_ms: int) -> None:
+    """Fails the job if a task crashes executors, or has no starts left after losing several."""
+    record = task.crash_record
+    if record is None or job.state.is_final or task.is_done:
+        return
+    if has_starts_left(task) and not is_culprit(task, run):
+        return
+    context.log(
+        "job_given_up",
+        {
+            "job_id": job.job_id,
+            "run": run_name(run.run_id),
+            "executor": run.executor_id,
+            "crashes": record.crashes,
+            "unexplained": record.unexplained,
+            "isolation": run.isolation.name.lower(),
+        },
+    )
+    finish_job(context, job, JobState.FAILED, now_ms)
+
+
 def has_started(run: Run) -> bool:
     """Whether the run has started on its executor, or may have."""
     if run.state in (RunState.CLAIMED, RunState.PLACED):
@@ -111,7 +142,7 @@
 
 def mark_task_done(context: Context, job: Job, step: Step, task: Task, now_ms: int) -> None:
     """Marks a task, or all tasks of its gang, done; completes the job if all its steps are done."""
-    for done_task in step.tasks if step.spec.is_gang else [task]:
+    for done_task in step.tasks_ending_with(task):
         done_task.is_done = True
         done_task.checkpoint = ""
     if not job.state.is_final and all(job_step.is_done for job_step in job.steps):
@@ -184,7 +215,7 @@
     """Records a checkpoint for the task; one of a gang member applies to the whole gang."""
     if not checkpoint or not step.spec.saves_progress:
         return
-    for resumable_task in step.tasks if step.spec.is_gang else [task]:
+    for resumable_task in step.tasks_ending_with(task):
         resumable_task.checkpoint = checkpoint
 
 
@@ -196,7 +227,7 @@
         if step.counted_failure_run >= run.run_id.number:
             return
         step.counted_failure_run = run.run_id.number
-    for failed_task in step.tasks if step.spec.is_gang else [task]:
+    for failed_task in step.tasks_ending_with(task):
         failed_task.failures += 1
     if not job.state.is_final and task.failures >= job.record.queue.max_attempts:
         finish_job(context, job, JobState.FAILED, now_ms)
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -1,9 +1,9 @@
 """The stored progress of a job.
 
 A row holds, for each task, the number of its newest run, the executor of its current run, its
-failures, whether it is done, and its checkpoint.  Each executor is stored once per row and referred
-to by position.  A row is sufficient for a takeover: executors report the rest of what a new owner
-needs.
+failures, whether it is done, its checkpoint, and its crash record if it has one.  Each executor is
+stored once per row and referred to by position.  A row is sufficient for a takeover: executors
+report the rest of what a new owner needs.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import msgspec
 
 from jacinthreel_steps._model import JobState, Resources, RunId
-from jacinthreel_steps._tables import Job, Run, RunState, Task
+from jacinthreel_steps._tables import CrashRecord, Job, Run, RunState, Step, Task
 
 NOT_PLACED = -1
 
@@ -26,11 +26,26 @@
     checkpoint: str
 
 
+class CrashRow(msgspec.Struct, array_like=True, frozen=True):
+    """The crash record of the task with index `task`."""
+
+    task: int
+    crashes: int
+    unexplained: int
+    counted_run: int
+    longest_ms: int
+    last_run: int
+
+
 class StepRow(msgspec.Struct, array_like=True, frozen=True):
-    """A step's tasks, in order, and the newest run number whose failure was counted."""
+    """A step's tasks, in order, and the newest run number whose failure was counted.
+
+    Rows of earlier versions have no `crashes`.
+    """
 
     counted_failure_run: int
     tasks: list[TaskRow]
+    crashes: list[CrashRow] = []
 
 
 class ProgressRow(msgspec.Struct, array_like=True, frozen=True):
@@ -55,7 +70,7 @@
     steps: list[StepRow] = []
     for step in job.steps:
         tasks = [_make_task_row(task, positions) for task in step.tasks]
-        steps.append(StepRow(step.counted_failure_run, tasks))
+        steps.append(StepRow(step.counted_failure_run, tasks, _make_crash_rows(step)))
     return _encoder.encode(ProgressRow(write_id, int(job.state), list(positions), steps))
 
 
@@ -98,9 +113,37 @@
         step.counted_failure_run = stored.counted_failure_run
         for task_row, task in zip(stored.tasks, step.tasks, strict=True):
             _restore_task(task, task_row, row, step.spec.shape, now_ms)
+        for crash in stored.crashes:
+            if 0 <= crash.task < len(step.tasks):
+                step.tasks[crash.task].crash_record = _restore_crash_record(crash, now_ms)
     return True
 
 
+def _make_crash_rows(step: Step) -> list[CrashRow]:
+    rows: list[CrashRow] = []
+    for index, task in enumerate(step.tasks):
+        record = task.crash_record
+        if record is None or task.is_done:
+            continue
+        rows.append(
+            CrashRow(
+                index,
+                record.crashes,
+                record.unexplained,
+                record.counted_run,
+                record.longest_ms,
+                record.last_run,
+            )
+        )
+    return rows
+
+
+def _restore_crash_record(row: CrashRow, now_ms: int) -> CrashRecord:
+    return CrashRecord(
+        row.crashes, row.unexplained, row.counted_run, row.longest_ms, now_ms, row.last_run
+    )
+
+
 def _make_task_row(task: Task, positions: dict[tuple[str, int], int]) -> TaskRow:
     executor = NOT_PLACED
     run = task.run
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -54,9 +54,11 @@
 
 def record_loss(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
     """Records that an executor was lost, unless that is already recorded."""
-    if not context.executor_losses.record(executor):
+    if not context.executor_losses.record(context.tables, executor):
         return
-    simultaneous = context.executor_losses.find_simultaneous(context.tables, executor, now_ms)
+    simultaneous = context.executor_losses.find_simultaneous(
+        context.tables, executor.executor_id, now_ms
+    )
     context.log(
         "executor_runs_lost",
         {
--- a/packages/steps/src/jacinthreel_steps/_runs/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, run_name
+from jacinthreel_steps._executors._crash_evidence import refund_start
 from jacinthreel_steps._executors._executor_health import (
     NO_ROOM_AVOID_MS,
     UNHEALTHY_AVOID_MS,
@@ -100,6 +101,7 @@
     if run.has_unanswered_start:
         stop_run(context, run, now_ms)
     else:
+        refund_start(task)
         release_run(context, task, run)
         context.tables.bump_revision(job)
     if step.spec.is_gang:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -25,6 +25,7 @@
     StopOrder,
     run_name,
 )
+from jacinthreel_steps._executors._crash_evidence import clear_survivors
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
 from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
@@ -136,6 +137,7 @@
                 self._context.log("progress_unreadable", {"job_id": record.job_id})
                 return False
         self.tables.jobs_by_id[job.job_id] = job
+        self._track_crashed_tasks(job)
         if not job.state.is_final:
             self.tables.open_jobs_by_id[job.job_id] = job
         self._context.arrivals.record(job)
@@ -148,6 +150,12 @@
             self._attach_run(run)
         return True
 
+    def _track_crashed_tasks(self, job: Job) -> None:
+        for step in job.steps:
+            for task in step.tasks:
+                if task.crash_record is not None:
+                    self.tables.crashed_task_ids[task.task_id] = None
+
     def _count_first_accelerators(self, job: Job) -> int:
         """Returns the accelerators of the first steps, as far as the quota admits them now.
 
@@ -288,6 +296,7 @@
         abandon_overdue_starts(self._context, now_ms)
         stop_stalled_runs(self._context, now_ms)
         check_gangs(self._context, now_ms)
+        clear_survivors(self._context)
         update_speed_classes(self._context)
         update_predictions(self._context)
 
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -40,6 +40,18 @@
     ENDED = 6
 
 
+class Isolation(IntEnum):
+    """Whether a run shares its executor with runs of other jobs.
+
+    `NONE`: it may.  `CLOSED`: no run of another job is placed there, but some ran there before.
+    `ALONE`: none did.
+    """
+
+    NONE = 0
+    CLOSED = 1
+    ALONE = 2
+
+
 @dataclass(slots=True)
 class Run:
     """A run of a task on an executor.
@@ -71,6 +83,7 @@
     has_unanswered_start: bool = False
     is_recovered: bool = False
     is_from_zero: bool = False
+    isolation: Isolation = Isolation.NONE
     reported_incarnation: int = 0
     start_confirmed_ms: int | None = None
     stopping_since_ms: int | None = None
@@ -84,12 +97,31 @@
     checkpoint_changed_ms: int = 0
 
 
+@dataclass(slots=True)
+class CrashRecord:
+    """The executors that were lost under a task, since one of its runs last outlived them.
+
+    `crashes` counts them, and `unexplained` the runs that lost an executor outside an outage; the
+    members of a gang share the latter.  `counted_run` is the newest run in `unexplained`.
+    `longest_ms` is the longest time after a start until an executor was lost, `crashed_ms` when one
+    was last counted.  `last_run` is the number of the last run that may be started, 0 for no limit.
+    """
+
+    crashes: int = 0
+    unexplained: int = 0
+    counted_run: int = 0
+    longest_ms: int = 0
+    crashed_ms: int = 0
+    last_run: int = 0
+
+
 @dataclass(slots=True)
 class Task:
     """A task.
 
     `run_number` is the number of its newest run, 0 before the first.  `last_failed_executor_id` is
-    the executor on which the task last failed, "" if it has not failed.
+    the executor on which the task last failed, "" if it has not failed.  `crash_record` is None if
+    no executor was lost under it.
     """
 
     task_id: TaskId
@@ -98,6 +130,7 @@
     is_done: bool = False
     checkpoint: str = ""
     last_failed_executor_id: str = ""
+    crash_record: CrashRecord | None = None
     run: Run | None = None
 
 
@@ -123,19 +156,25 @@
 
     The members of a gang run under the same run number, and a gang counts at most one failure for
     each; `counted_failure_run` is the newest run number whose failure was counted.  `move` is set
-    once a gang was stopped because of a lagging member.
+    once a gang was stopped because of a lagging member.  `has_survivor` is set once a task under
+    which an executor was lost has outlived that.
     """
 
     spec: StepSpec
     tasks: list[Task]
     counted_failure_run: int = 0
     move: GangMove | None = None
+    has_survivor: bool = False
 
     @property
     def is_done(self) -> bool:
         """Whether every task is done."""
         return all(task.is_done for task in self.tasks)
 
+    def tasks_ending_with(self, task: Task) -> list[Task]:
+        """Returns the tasks that end together with `task`: all of a gang, or itself."""
+        return self.tasks if self.spec.is_gang else [task]
+
 
 @dataclass(slots=True)
 class Job:
@@ -246,6 +285,7 @@
     applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
     `earliest_shutdown_ms` is the earliest time at which a draining executor may shut down.
+    `is_closed` is set while an isolated run keeps runs of other jobs away.
     """
 
     listing: ExecutorListing
@@ -260,6 +300,7 @@
     last_report_ms: int = 0
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
     earliest_shutdown_ms: int | None = None
+    is_closed: bool = False
 
     @property
     def executor_id(self) -> str:
@@ -288,7 +329,8 @@
     """The state of the scheduler.
 
     `open_jobs_by_id` holds the jobs whose state is not final.  `unstored_job_ids` is an ordered set
-    of the jobs that have changes to store.
+    of the jobs that have changes to store, `crashed_task_ids` one of the tasks that may have a
+    crash record.
     """
 
     policy: Policy = field(default_factory=lambda: Policy(0))
@@ -296,6 +338,7 @@
     open_jobs_by_id: dict[str, Job] = field(default_factory=dict)
     executors_by_id: dict[str, Executor] = field(default_factory=dict)
     unstored_job_ids: dict[str, None] = field(default_factory=dict)
+    crashed_task_ids: dict[TaskId, None] = field(default_factory=dict)
 
     def bump_revision(self, job: Job) -> None:
         """Increases the job's revision and marks the job to be stored."""
