Withhold a stored start from an executor whose capacity has shrunk

A task is placed with the capacity of that moment; its start follows once the placement is stored, which takes as long as the store does. Only the quota was checked again then, so an executor that had shrunk meanwhile was filled over its capacity; one that doesn't check starts would have taken it. The start is now withdrawn, and its gang with it, as for a lowered quota. Claims don't count: they wait for other runs to end.

--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -344,11 +344,17 @@
                     self._order_start(job, step, run, now_ms)
 
     def _order_start(self, job: Job, step: Step, run: Run, now_ms: int) -> None:
-        """Orders the start of a placed run, or withdraws it if the quota was lowered meanwhile."""
-        if exceeds_quota(self._context, job.record.workspace, run.shape):
+        """Orders the start of a placed run, or withdraws it if it doesn't fit any more.
+
+        The quota or the capacity of the executor may have been lowered since it was placed.
+        """
+        reason = self._withdrawal_reason(job, run)
+        if reason:
             fields = {
                 "job_id": job.job_id,
                 "run": run_name(run.run_id),
+                "reason": reason,
+                "executor": run.executor_id,
                 "workspace": job.record.workspace,
                 "policy_version": self.tables.policy.version,
             }
@@ -362,6 +368,15 @@
         run.placed_ms = now_ms
         self._context.orders.starts.append(run)
 
+    def _withdrawal_reason(self, job: Job, run: Run) -> str:
+        """Returns why a placed run must not start, "" if it may."""
+        if exceeds_quota(self._context, job.record.workspace, run.shape):
+            return "quota"
+        executor = self.tables.executors_by_id.get(run.executor_id)
+        if executor is not None and executor.exceeds_capacity():
+            return "capacity"
+        return ""
+
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
         return advance_acknowledged_ends(self._context, self.tables.executors_by_id[executor_id])
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -312,6 +312,17 @@
         """Free capacity; negative while claims wait for preempted runs to end."""
         return self.listing.capacity.minus(self.used)
 
+    def exceeds_capacity(self) -> bool:
+        """Whether the runs that are placed or running need more than the executor's capacity.
+
+        That happens when the capacity shrinks.  Claims don't count: they wait for runs to end.
+        """
+        free = self.listing.capacity
+        for run in self.runs_by_task.values():
+            if run.state is not RunState.CLAIMED:
+                free = free.minus(run.shape)
+        return min(free.cpu_milli, free.memory_mb, free.accelerators) < 0
+
     def add_run(self, run: Run) -> None:
         """Adds a run and allocates its shape."""
         self.runs_by_task[run.run_id.task] = run
