Count reported runs that are being stopped against the executor's capacity

A run that an executor reports and the tables don't have (a start that was carried out late, after the task was placed again) was stopped, but its capacity counted as free until the stop took effect. The next task was started beside it, over the capacity of an executor that doesn't check. Such runs now use capacity until a report lacks them.

--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -14,7 +14,15 @@
 from jacinthreel_steps._executors._executor_health import record_progress
 from jacinthreel_steps._executors._executor_speed import observe_progress
 from jacinthreel_steps._executors._slow_evidence import apply_new_verdicts
-from jacinthreel_steps._model import EndReason, ExecutorReport, ReportedEnd, ReportedRun, RunId
+from jacinthreel_steps._model import (
+    NO_RESOURCES,
+    EndReason,
+    ExecutorReport,
+    ReportedEnd,
+    ReportedRun,
+    Resources,
+    RunId,
+)
 from jacinthreel_steps._runs._lifecycle import end_run, mark_task_done, send_stop, stop_run
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
 
@@ -30,6 +38,7 @@
         if end.sequence > executor.applied_end_sequence:
             _apply_end(context, executor, end, now_ms)
     running: set[RunId] = set()
+    executor.untracked = NO_RESOURCES
     for reported in report.running:
         running.add(reported.run_id)
         _apply_reported_run(context, executor, reported, now_ms)
@@ -169,6 +178,14 @@
     context.orders.stops.append(
         StopOrder(executor.executor_id, executor.listing.incarnation, run_id)
     )
+    executor.untracked = executor.untracked.plus(_shape(context, run_id))
+
+
+def _shape(context: Context, run_id: RunId) -> Resources:
+    """Returns what a run uses, nothing if its task is unknown."""
+    if context.tables.task(run_id.task) is None:
+        return NO_RESOURCES
+    return context.tables.jobs_by_id[run_id.task.job_id].steps[run_id.task.step_index].spec.shape
 
 
 def _has_ended(run: Run, sent_ms: int) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -31,6 +31,7 @@
 from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
 from jacinthreel_steps._executors._slow_executors import check_gangs
 from jacinthreel_steps._model import (
+    NO_RESOURCES,
     EndReason,
     ExecutorListing,
     ExecutorReport,
@@ -473,6 +474,7 @@
         executor.applied_end_sequence = 0
         executor.acknowledged_upto = 0
         executor.pending_ends.clear()
+        executor.untracked = NO_RESOURCES
         executor.has_reported = False
         self._end_runs_of_older_incarnations(executor, now_ms, has_left)
 
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -2,7 +2,8 @@
 
 Invariants: a task has at most one `Run`; a run stays in its executor's `runs_by_task` for as long
 as it may use capacity there; an executor's `free_resources` are its capacity less the shapes of
-these runs.  A job's `revision` increases with each change that has to be stored.
+these runs and of the untracked ones.  A job's `revision` increases with each change that has to be
+stored.
 """
 
 from __future__ import annotations
@@ -285,7 +286,8 @@
     applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
     `earliest_shutdown_ms` is the earliest time at which a draining executor may shut down.
-    `is_closed` is set while an isolated run keeps runs of other jobs away.
+    `is_closed` is set while an isolated run keeps runs of other jobs away.  `untracked` is what the
+    reported runs use that are not in `runs_by_task`, until they have stopped.
     """
 
     listing: ExecutorListing
@@ -301,6 +303,7 @@
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
     earliest_shutdown_ms: int | None = None
     is_closed: bool = False
+    untracked: Resources = NO_RESOURCES
 
     @property
     def executor_id(self) -> str:
@@ -310,14 +313,14 @@
     @property
     def free_resources(self) -> Resources:
         """Free capacity; negative while claims wait for preempted runs to end."""
-        return self.listing.capacity.minus(self.used)
+        return self.listing.capacity.minus(self.used).minus(self.untracked)
 
     def exceeds_capacity(self) -> bool:
         """Whether the runs that are placed or running need more than the executor's capacity.
 
         That happens when the capacity shrinks.  Claims don't count: they wait for runs to end.
         """
-        free = self.listing.capacity
+        free = self.listing.capacity.minus(self.untracked)
         for run in self.runs_by_task.values():
             if run.state is not RunState.CLAIMED:
                 free = free.minus(run.shape)
