Don't repeat an unanswered start at an executor that may have crashed

An order to start that got no answer was repeated for 1.5 s. If the run had crashed the executor, its next incarnation under the same id obeyed the repeated order: two executors were lost to one run, and one was counted. The order is no longer repeated while the executor is out of reach or after it has restarted; the run is stopped, as after the time limit, and placed again once that is confirmed. Both new tests failed before.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -247,6 +247,11 @@
         executor = self._find_executor()
         if executor is None or run.state is not RunState.STARTING or not context.may_order():
             return
+        if run.has_unanswered_start and self._exchange.is_unreachable:
+            # The earlier order may have crashed the executor; its next incarnation would obey too.
+            outcome = StartOutcome.REFUSED_UNHEALTHY
+            context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
+            return
         until_ms = self._lease_until_ms(executor)
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -281,6 +281,23 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_start_without_an_answer_is_not_repeated_at_an_executor_that_may_have_crashed() -> None:
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        run = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[0]
+        run.state = RunState.STARTING
+        run.has_unanswered_start = True
+        harness.is_reachable = False
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 1)
+        harness.link.send(run)
+        await wait_until(lambda: run.state is RunState.STOPPING)
+        assert harness.gateway.starts == []
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_process_that_was_paused_beyond_its_ownership_sends_no_start_and_renews_nothing() -> None:
     async def scenario(harness: LinkHarness) -> None:
         await wait_until(lambda: len(harness.gateway.requests) > 2)
--- a/packages/steps/src/jacinthreel_steps/_runs/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -35,11 +35,16 @@
 
 
 def handle_unanswered_start(context: Context, run: Run, now_ms: int) -> None:
-    """Retries a start that got no answer, or stops its run after `START_RETRY_LIMIT_MS`."""
+    """Retries a start that got no answer, or stops its run after `START_RETRY_LIMIT_MS`.
+
+    A restarted executor gets no retry: the run may have crashed its previous incarnation.
+    """
     run.has_unanswered_start = True
     if run.state is not RunState.STARTING:
         return
-    if now_ms - run.placed_ms < START_RETRY_LIMIT_MS:
+    executor = context.tables.executors_by_id[run.executor_id]
+    has_restarted = executor.listing.incarnation != run.incarnation
+    if now_ms - run.placed_ms < START_RETRY_LIMIT_MS and not has_restarted:
         context.orders.starts.append(run)
         return
     _abandon_start(context, run, now_ms)
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -109,3 +109,15 @@
     harness.pass_time(6_000)
 
     assert [run.run_id.number for run in harness.runs("j1")] == [2, 2]
+
+
+def test_unanswered_start_is_not_repeated_at_a_restarted_executor() -> None:
+    harness = SchedulerHarness(listing("e1"))
+    harness.submit("j1", step())
+    harness.scheduler.plan(harness.now_ms)
+    harness.store()
+    run = harness.scheduler.take_starts()[0]
+    harness.scheduler.apply_listing(listing("e1", incarnation=2), harness.now_ms)
+    harness.scheduler.record_start_outcome(run, StartOutcome.UNKNOWN, harness.now_ms)
+    assert harness.scheduler.take_starts() == []
+    assert [stop.run_id for stop in harness.scheduler.take_stops()] == [run.run_id]
