Tell an executor that crashes by itself from tasks that crash executors

The new test with one executor that crashes every 1.5 s failed on the first version of the evidence: after each crash the executor was the emptiest, took the same tasks again, and after the third loss a sound job was given up. Losses now count as evidence against a task once for each address, and an executor that was lost alone is the last choice for all tasks for 30 s (the mirror of the same fault: a loss without a report counted against the executor as little as against the task). A task with limited starts isn't placed on such an executor before 30 s have passed.

--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -27,6 +27,7 @@
     open_jobs = waiting_jobs = runs = listed = responsive = 0
     long_leases = slow = run_time_queues = 0
     ready_relays = relayed = direct = 0
+    suspects = 0
     if ownership is not None:
         long_leases = ownership.long_lease_count
         tables = ownership.scheduler.tables
@@ -41,6 +42,7 @@
         ready_relays = ownership.fleet.relays.ready_count
         relayed = ownership.fleet.relays.assigned_count
         direct = ownership.fleet.direct_count
+        suspects = ownership.scheduler.suspect_count
     workspace_gauges.set_all(
         ownership.scheduler.workspace_summaries() if ownership is not None else []
     )
@@ -55,6 +57,7 @@
     metrics.gauge("executors_heard", responsive)
     metrics.gauge("executors_long_lease", long_leases)
     metrics.gauge("executors_slow", slow)
+    metrics.gauge("tasks_suspected", suspects)
     metrics.gauge("run_time_queues", run_time_queues)
 
 
--- a/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
@@ -2,9 +2,10 @@
 
 A lost executor says little about the tasks that ran there: it may have crashed by itself, in an
 outage with others, or because of any one of them.  Evidence against a task is therefore counted
-only outside outages, and a task that has lost `SUSPECT_UNEXPLAINED` executors is tried alone on an
-executor (`_trials`).  If that is lost too, the task is a culprit and its job fails.  A task with a
-run that lasts much longer than those that lost their executor is cleared.
+only outside outages and once for each address, and a task that has lost `SUSPECT_UNEXPLAINED`
+executors is tried alone on an executor (`_trials`).  If that is lost too, the task is a culprit and
+its job fails.  A task with a run that lasts much longer than those that lost their executor is
+cleared.
 
 Whatever the evidence, a task is started at most `STARTS_AFTER_LIMIT` times more once it has lost
 `CRASH_LIMIT` executors: each start of a culprit takes down an executor with all runs beside it.
@@ -37,8 +38,9 @@
     record.crashes += 1
     if record.crashes == CRASH_LIMIT:
         record.last_run = run.run_id.number + STARTS_AFTER_LIMIT
-    lost_ms = context.executor_losses.lost_ms(run.executor_id)
-    lasted_ms = max(0, (lost_ms or now_ms) - run.placed_ms) + SILENT_AFTER_MS
+    loss = context.executor_losses.last_loss(run.executor_id)
+    lost_ms = loss.lost_ms if loss is not None else now_ms
+    lasted_ms = max(0, lost_ms - run.placed_ms) + SILENT_AFTER_MS
     is_outage = context.executor_losses.is_outage(
         context.tables, run.executor_id, job.job_id, now_ms
     )
@@ -46,9 +48,11 @@
         record = _crash_record(context, member)
         record.crashed_ms = now_ms
         record.longest_ms = max(record.longest_ms, lasted_ms)
-        if not is_outage and record.counted_run < run.run_id.number:
-            record.counted_run = run.run_id.number
-            record.unexplained += 1
+        if is_outage or loss is None or record.counted_run >= run.run_id.number:
+            continue
+        record.counted_run = run.run_id.number
+        if loss.address not in record.addresses:
+            record.addresses.append(loss.address)
 
 
 def is_suspect(task: Task) -> bool:
@@ -89,17 +93,28 @@
 def clear_survivors(context: Context) -> None:
     """Clears the tasks that have outlived the loss of their executors, and ends long isolations."""
     tables = context.tables
+    gang_age_by_step: dict[tuple[str, int], int] = {}
     for task_id in list(tables.crashed_task_ids):
         task = tables.task(task_id)
-        if task is None or task.is_done or task.crash_record is None:
-            del tables.crashed_task_ids[task_id]
-            continue
-        job = tables.jobs_by_id[task_id.job_id]
-        if job.state.is_final:
+        job = tables.jobs_by_id.get(task_id.job_id)
+        if (
+            task is None
+            or job is None
+            or job.state.is_final
+            or task.is_done
+            or task.crash_record is None
+        ):
             del tables.crashed_task_ids[task_id]
             continue
         step = job.steps[task_id.step_index]
-        age_ms = min(_proven_age_ms(context, member) for member in step.tasks_ending_with(task))
+        if step.spec.is_gang:
+            key = (task_id.job_id, task_id.step_index)
+            if key not in gang_age_by_step:
+                ages = [_proven_age_ms(context, member) for member in step.tasks]
+                gang_age_by_step[key] = min(ages)
+            age_ms = gang_age_by_step[key]
+        else:
+            age_ms = _proven_age_ms(context, task)
         if task.run is not None and age_ms >= MAX_ISOLATION_MS:
             task.run.isolation = Isolation.NONE
         if age_ms >= min(CLEARED_AGE_MS, CLEARED_AGE_FACTOR * task.crash_record.longest_ms):
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
@@ -10,29 +10,33 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import islice
 from typing import Final
 
 from jacinthreel_steps._tables import Executor, Tables
 
 SAME_TIME_MS: Final = 2_000  # Above the longest time between two reports of an idle executor.
 SILENT_AFTER_MS: Final = 1_400
+SUSPECT_ADDRESS_MS: Final = 30_000
 CALM_MS: Final = 6_000
 OUTAGE_EXECUTORS: Final = 2  # A single other loss at the same time may be a coincidence.
-RETENTION_MS: Final = 30_000  # Longer than it takes until all losses of one outage are certain.
+RETENTION_MS: Final = 60_000  # Longer than it takes until all losses of one outage are certain.
 
 
 @dataclass(frozen=True, slots=True)
 class ExecutorLoss:
-    """The loss of an executor.
+    """The loss of an executor, which had the last report before it at `lost_ms`.
 
     `job_ids` are the jobs with runs there; `has_crashed_task` tells whether one of these tasks had
-    lost an executor before.
+    lost an executor before, `is_alone` whether few others were lost at the same time.
     """
 
     lost_ms: int
+    address: str
     job_ids: frozenset[str]
     has_crashed_task: bool
+    is_alone: bool = False
 
 
 class ExecutorLosses:
@@ -41,7 +45,7 @@
     def __init__(self) -> None:
         self._loss_by_executor_id: dict[str, ExecutorLoss] = {}
 
-    def record(self, tables: Tables, executor: Executor) -> bool:
+    def record(self, tables: Tables, executor: Executor, now_ms: int) -> bool:
         """Records that an executor was lost; call before its runs are ended.
 
         Returns false if this loss is already recorded or the executor was to shut down.
@@ -51,13 +55,35 @@
             return False
         if executor.listing.is_draining:
             return False
-        self._loss_by_executor_id[executor.executor_id] = _make_loss(tables, executor)
+        self._discard_old(now_ms)
+        self._loss_by_executor_id.pop(executor.executor_id, None)
+        loss = _make_loss(tables, executor)
+        self._loss_by_executor_id[executor.executor_id] = loss
+        others = self.count_simultaneous(tables, executor.executor_id, now_ms, OUTAGE_EXECUTORS)
+        if others < OUTAGE_EXECUTORS:
+            self._loss_by_executor_id[executor.executor_id] = replace(loss, is_alone=True)
         return True
 
-    def lost_ms(self, executor_id: str) -> int | None:
-        """Returns when the executor was last lost, None if it was not lost recently."""
-        loss = self._loss_by_executor_id.get(executor_id)
-        return loss.lost_ms if loss is not None else None
+    def suspect_addresses(self, now_ms: int) -> set[str]:
+        """Returns the addresses of executors that were lost alone recently.
+
+        They may crash by themselves, and do so again.
+        """
+        since_ms = now_ms - SUSPECT_ADDRESS_MS
+        return {
+            loss.address
+            for loss in self._loss_by_executor_id.values()
+            if loss.is_alone and loss.lost_ms >= since_ms
+        }
+
+    def count_simultaneous(self, tables: Tables, executor_id: str, now_ms: int, limit: int) -> int:
+        """Returns how many other executors were lost at the same time, at most `limit`."""
+        losses = self._find_simultaneous(tables, executor_id, now_ms)
+        return sum(1 for _ in islice(losses, limit))
+
+    def last_loss(self, executor_id: str) -> ExecutorLoss | None:
+        """Returns the executor's last loss, None if it was not lost recently."""
+        return self._loss_by_executor_id.get(executor_id)
 
     def is_outage(self, tables: Tables, executor_id: str, job_id: str, now_ms: int) -> bool:
         """Whether more executors were lost with this one than tasks of the job may have crashed.
@@ -68,7 +94,7 @@
         if executor_id not in self._loss_by_executor_id:
             return True
         count = 0
-        for loss in self.find_simultaneous(tables, executor_id, now_ms):
+        for loss in self._find_simultaneous(tables, executor_id, now_ms):
             if job_id in loss.job_ids or loss.has_crashed_task:
                 continue
             count += 1
@@ -89,15 +115,14 @@
                 lost_ids.add(executor.executor_id)
         return len(lost_ids) >= OUTAGE_EXECUTORS
 
-    def find_simultaneous(
+    def _find_simultaneous(
         self, tables: Tables, executor_id: str, now_ms: int
     ) -> Iterator[ExecutorLoss]:
         """Yields the losses of other executors at the time of the last loss of this one."""
-        self._discard_old(now_ms)
         own = self._loss_by_executor_id.get(executor_id)
         if own is None:
             return
-        for other_id, loss in self._loss_by_executor_id.items():
+        for other_id, loss in reversed(self._loss_by_executor_id.items()):
             if other_id != executor_id and _is_same_time(loss.lost_ms, own):
                 yield loss
         for other in tables.executors_by_id.values():
@@ -123,7 +148,9 @@
 def _make_loss(tables: Tables, executor: Executor) -> ExecutorLoss:
     job_ids = frozenset(task_id.job_id for task_id in executor.runs_by_task)
     has_crashed_task = any(id in tables.crashed_task_ids for id in executor.runs_by_task)
-    return ExecutorLoss(executor.last_report_ms, job_ids, has_crashed_task)
+    return ExecutorLoss(
+        executor.last_report_ms, executor.listing.address, job_ids, has_crashed_task
+    )
 
 
 def _is_same_time(lost_ms: int, own: ExecutorLoss) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -36,7 +36,8 @@
     `used_by_workspace` counts the accelerators used by runs of priority 0.
     `failed_quota_searches` holds, by workspace, the usage for which no victims were found within
     its quota, so that the search is not repeated for each waiting job.  `shares` is None without
-    weights.  The jobs in `best_effort_ids` preempt nothing.
+    weights.  The jobs in `best_effort_ids` preempt nothing.  Executors at `suspect_addresses` may
+    crash by themselves.
     """
 
     context: Context
@@ -47,6 +48,7 @@
     shares: Shares | None = None
     failed_quota_searches: dict[str, Resources] = field(default_factory=dict)
     best_effort_ids: set[str] = field(default_factory=set)
+    suspect_addresses: set[str] = field(default_factory=set)
     _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -88,9 +88,16 @@
 
 
 def find_candidates(
-    step: Step, executors: Sequence[Executor], max_attempts: int, now_ms: int
+    step: Step,
+    executors: Sequence[Executor],
+    max_attempts: int,
+    now_ms: int,
+    suspect_addresses: Set[str] = frozenset(),
 ) -> list[Candidate]:
-    """Returns a candidate for each of `executors` that has the label required by the step."""
+    """Returns a candidate for each of `executors` that has the label required by the step.
+
+    Executors at `suspect_addresses` are less preferred.
+    """
     spec = step.spec
     placed_count_by_executor = _count_tasks_by_executor(step) if spec.max_per_executor else {}
     failed_executor_ids = {
@@ -112,7 +119,11 @@
             placed_count = placed_count_by_executor.get(executor.executor_id, 0)
             slots_left = spec.max_per_executor - placed_count
         trust = Trust.HEALTHY
-        if executor.executor_id in failed_executor_ids or is_suspect(executor, now_ms):
+        if (
+            executor.executor_id in failed_executor_ids
+            or executor.listing.address in suspect_addresses
+            or is_suspect(executor, now_ms)
+        ):
             trust = Trust.SUSPECT
         elif is_last_attempt and not is_proven(executor, now_ms):
             trust = Trust.UNPROVEN
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -63,6 +63,7 @@
         count_used_accelerators(context.tables),
         VictimIndex(context.tables, context.stop_limit_ms, now_ms, shares),
         shares,
+        suspect_addresses=context.executor_losses.suspect_addresses(now_ms),
     )
     ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
     if context.tables.policy.quota_by_workspace or shares is not None:
@@ -168,7 +169,8 @@
     """Returns the candidates for a step on which at least one task fits now."""
     spec = step.spec
     executors = slots.free.fitting_executors(spec.required_label, spec.shape)
-    return find_candidates(step, executors, job.record.queue.max_attempts, state.now_ms)
+    max_attempts = job.record.queue.max_attempts
+    return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
 
 
 def _may_span_racks(state: PassState, job: Job, step: Step, slots: ServiceSlots) -> bool:
@@ -223,7 +225,9 @@
         most = shape_slots.widest_rack if needs_one_rack else shape_slots.total
         if most < len(pending):
             return False
-    candidates = find_candidates(step, slots.free.executors, queue.max_attempts, state.now_ms)
+    candidates = find_candidates(
+        step, slots.free.executors, queue.max_attempts, state.now_ms, state.suspect_addresses
+    )
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -3,7 +3,8 @@
 A suspect task is placed on an executor without runs of other jobs, which is then closed to them, so
 that its loss harms no other job and shows that the task is the cause.  If there is none for
 `TRIAL_WAIT_MS`, the task is placed beside as few runs of other jobs as possible.  A task with a
-limited number of starts waits for the end of an outage, in which a start would show nothing.
+limited number of starts waits for the end of an outage, in which a start would show nothing, and
+executors that were lost recently are the last choice: they may crash by themselves.
 
 If several tasks of a step have lost executors and none is known to survive, only one of them runs
 at a time and the rest of the step waits: otherwise a wide step that crashes executors would take
@@ -12,6 +13,7 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import Final
 
 from jacinthreel_steps._executors._crash_evidence import has_limited_starts, is_suspect
@@ -29,8 +31,20 @@
 
 TRIAL_WAIT_MS: Final = 2_000  # Waiting for an empty executor must not starve a sound job.
 OUTAGE_WAIT_MS: Final = 30_000
-ALONE: Final = (0,)
-BESIDE_FEW_RUNS: Final = (0, 1, 2, 4, UNBOUNDED_FIT)
+OTHER_RUNS_LIMITS: Final = (0, 1, 2, 4, UNBOUNDED_FIT)
+
+
+class TrialScope(IntEnum):
+    """Where suspects may be placed.
+
+    `NONE`: nowhere yet.  `EMPTY`: on executors without runs of other jobs that were not lost alone
+    recently.  `SOUND`: beside other runs too.  `ANY`: on all executors.
+    """
+
+    NONE = 0
+    EMPTY = 1
+    SOUND = 2
+    ANY = 3
 
 
 def update_closed_executors(tables: Tables) -> None:
@@ -47,6 +61,8 @@
 
 def schedule_trials(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
     """Places suspect tasks where they may be tried; returns the tasks to schedule as usual."""
+    if not state.context.tables.crashed_task_ids:
+        return pending
     if all(task.crash_record is None for task in step.tasks):
         return pending
     allowed = _select_allowed(step, pending)
@@ -81,27 +97,31 @@
 
 def _try_suspects(state: PassState, job: Job, step: Step, suspects: list[Task]) -> list[Task]:
     """Places the suspects; returns those that have waited too long to be placed apart."""
+    scope = _choose_scope(state, suspects)
+    if scope is TrialScope.NONE:
+        return []
     slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
-    crashed_ms = max(
-        task.crash_record.crashed_ms for task in suspects if task.crash_record is not None
-    )
-    waited_ms = state.now_ms - crashed_ms
-    has_waited = waited_ms > TRIAL_WAIT_MS
-    if waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects):
-        context = state.context
-        if context.executor_losses.is_outage_current(context.tables, state.now_ms):
-            return []
     admitted = count_admitted(state.context, job.record.workspace, step.spec.shape)
-    if admitted < (len(suspects) if step.spec.is_gang else 1):
-        return suspects if has_waited else []
-    for max_other_runs in BESIDE_FEW_RUNS if has_waited else ALONE:
-        placement = _find_placement(state, job, step, suspects[:admitted], slots, max_other_runs)
+    tasks = suspects[:admitted]
+    if tasks and not (step.spec.is_gang and len(tasks) < len(suspects)):
+        placement = _find_placement(state, job, step, tasks, slots, scope)
         if placement:
             _start_trial(state, job, step, placement)
             placed = {task.task_id for task, _ in placement}
             suspects = [task for task in suspects if task.task_id not in placed]
-            break
-    return suspects if has_waited else []
+    return suspects if scope is TrialScope.ANY else []
+
+
+def _choose_scope(state: PassState, suspects: list[Task]) -> TrialScope:
+    """Returns where the suspects may be placed now, by the time that they have waited."""
+    context = state.context
+    records = [task.crash_record for task in suspects if task.crash_record is not None]
+    waited_ms = state.now_ms - max(record.crashed_ms for record in records)
+    if waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects):
+        if context.executor_losses.is_outage_current(context.tables, state.now_ms):
+            return TrialScope.NONE
+        return TrialScope.SOUND if waited_ms > TRIAL_WAIT_MS else TrialScope.EMPTY
+    return TrialScope.ANY if waited_ms > TRIAL_WAIT_MS else TrialScope.EMPTY
 
 
 def _find_placement(
@@ -110,18 +130,34 @@
     step: Step,
     tasks: list[Task],
     slots: ServiceSlots,
-    max_other_runs: int,
+    scope: TrialScope,
 ) -> Placement | None:
-    """Returns executors with at most that many runs of other jobs; for a gang, for all or none."""
-    spec = step.spec
-    executors = [
-        executor
-        for executor in slots.free.fitting_executors(spec.required_label, spec.shape)
-        if _count_runs_of_others(executor, job) <= max_other_runs
-    ]
-    candidates = find_candidates(step, executors, job.record.queue.max_attempts, state.now_ms)
+    """Returns executors for the tasks, with as few runs of other jobs as possible."""
+    fitting = slots.free.fitting_executors(step.spec.required_label, step.spec.shape)
+    sound = [item for item in fitting if item.listing.address not in state.suspect_addresses]
+    searches = [(sound, 0)]
+    if scope >= TrialScope.SOUND:
+        searches += [(sound, limit) for limit in OTHER_RUNS_LIMITS]
+    if scope >= TrialScope.ANY:
+        searches += [(fitting, limit) for limit in OTHER_RUNS_LIMITS]
+    for eligible, limit in searches:
+        executors = [item for item in eligible if _count_runs_of_others(item, job) <= limit]
+        placement = _place_among(state, job, step, tasks, executors)
+        if placement:
+            return placement
+    return None
+
+
+def _place_among(
+    state: PassState, job: Job, step: Step, tasks: list[Task], executors: list[Executor]
+) -> Placement | None:
+    """Places the tasks on these executors, those of a gang all or none."""
+    max_attempts = job.record.queue.max_attempts
+    candidates = find_candidates(
+        step, executors, max_attempts, state.now_ms, state.suspect_addresses
+    )
     is_urgent = job.record.queue.priority == 0
-    if spec.is_gang:
+    if step.spec.is_gang:
         return place_gang(step, tasks, candidates, is_urgent)
     return place_independent_tasks(step, tasks, candidates, is_urgent)
 
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -96,20 +96,22 @@
             task.last_failed_executor_id = run.executor_id
             _count_failure(context, job, step, task, run, now_ms)
         case _:
-            if has_lost_executor:
+            if has_lost_executor and not job.state.is_final:
                 record_crash(context, job, step, task, run, now_ms)
-            _fail_job_of_culprit(context, job, task, run, now_ms)
+            _fail_job_of_culprit(context, job, task, run, has_lost_executor, now_ms)
     if step.spec.is_gang and reason is not EndReason.DONE:
         stop_gang(context, step, run.run_id.number, now_ms)
     context.tables.bump_revision(job)
 
 
-def _fail_job_of_culprit(context: Context, job: Job, task: Task, run: Run, now_ms: int) -> None:
+def _fail_job_of_culprit(
+    context: Context, job: Job, task: Task, run: Run, has_lost_executor: bool, now_ms: int
+) -> None:
     """Fails the job if a task crashes executors, or has no starts left after losing several."""
     record = task.crash_record
     if record is None or job.state.is_final or task.is_done:
         return
-    if has_starts_left(task) and not is_culprit(task, run):
+    if has_starts_left(task) and not (has_lost_executor and is_culprit(task, run)):
         return
     context.log(
         "job_given_up",
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -31,7 +31,7 @@
 
     task: int
     crashes: int
-    unexplained: int
+    addresses: list[str]
     counted_run: int
     longest_ms: int
     last_run: int
@@ -129,7 +129,7 @@
             CrashRow(
                 index,
                 record.crashes,
-                record.unexplained,
+                record.addresses,
                 record.counted_run,
                 record.longest_ms,
                 record.last_run,
@@ -140,7 +140,7 @@
 
 def _restore_crash_record(row: CrashRow, now_ms: int) -> CrashRecord:
     return CrashRecord(
-        row.crashes, row.unexplained, row.counted_run, row.longest_ms, now_ms, row.last_run
+        row.crashes, list(row.addresses), row.counted_run, row.longest_ms, now_ms, row.last_run
     )
 
 
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -27,6 +27,7 @@
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
 
 STOP_REPEAT_MS: Final = 500
+MAX_LOGGED_LOSSES: Final = 20  # Counting all would take long when a large zone is lost.
 
 
 def apply_report(context: Context, executor: Executor, report: ExecutorReport, now_ms: int) -> None:
@@ -63,10 +64,10 @@
 
 def record_loss(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
     """Records that an executor was lost, unless that is already recorded."""
-    if not context.executor_losses.record(context.tables, executor):
+    if not context.executor_losses.record(context.tables, executor, now_ms):
         return
-    simultaneous = context.executor_losses.find_simultaneous(
-        context.tables, executor.executor_id, now_ms
+    others_lost = context.executor_losses.count_simultaneous(
+        context.tables, executor.executor_id, now_ms, MAX_LOGGED_LOSSES
     )
     context.log(
         "executor_runs_lost",
@@ -75,7 +76,7 @@
             "reason": reason,
             "silent_ms": now_ms - executor.last_report_ms,
             "runs": [run_name(run.run_id) for run in executor.runs_by_task.values()],
-            "others_lost": sum(1 for _ in simultaneous),
+            "others_lost": others_lost,
         },
     )
 
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -25,7 +25,7 @@
     StopOrder,
     run_name,
 )
-from jacinthreel_steps._executors._crash_evidence import clear_survivors
+from jacinthreel_steps._executors._crash_evidence import clear_survivors, is_suspect
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
 from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
@@ -404,6 +404,12 @@
         """Restores the run-time models of an earlier scheduler, from the next pass on."""
         self._context.run_times.restore(numbers_by_queue)
 
+    @property
+    def suspect_count(self) -> int:
+        """How many tasks are suspected to crash their executors."""
+        tasks = [self.tables.task(task_id) for task_id in self.tables.crashed_task_ids]
+        return sum(task is not None and is_suspect(task) for task in tasks)
+
     def waiting_by_queue(self) -> dict[str, int]:
         """Returns how many open jobs of each queue have not started any task."""
         counts: dict[str, int] = {}
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -102,19 +102,25 @@
 class CrashRecord:
     """The executors that were lost under a task, since one of its runs last outlived them.
 
-    `crashes` counts them, and `unexplained` the runs that lost an executor outside an outage; the
-    members of a gang share the latter.  `counted_run` is the newest run in `unexplained`.
-    `longest_ms` is the longest time after a start until an executor was lost, `crashed_ms` when one
-    was last counted.  `last_run` is the number of the last run that may be started, 0 for no limit.
+    `crashes` counts them.  `addresses` are the different ones of executors that were lost outside
+    an outage, at most one for each run; the members of a gang share them.  `counted_run` is the
+    newest run that was considered for it.  `longest_ms` is the longest time after a start until an
+    executor was lost, `crashed_ms` when one was last counted.  `last_run` is the number of the last
+    run that may be started, 0 for no limit.
     """
 
     crashes: int = 0
-    unexplained: int = 0
+    addresses: list[str] = field(default_factory=list)
     counted_run: int = 0
     longest_ms: int = 0
     crashed_ms: int = 0
     last_run: int = 0
 
+    @property
+    def unexplained(self) -> int:
+        """How many different executors were lost outside an outage, each under another run."""
+        return len(self.addresses)
+
 
 @dataclass(slots=True)
 class Task:
--- a/packages/steps/tests/scheduler_harness.py
+++ b/packages/steps/tests/scheduler_harness.py
@@ -43,7 +43,7 @@
     return ExecutorListing(
         name,
         options.pop("incarnation", 1),
-        "10.0.0.1:80",
+        f"{name}:80",
         SERVICE,
         zone,
         rack,
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -91,3 +91,14 @@
         world.pass_time(4_000)
     world.pass_time(120_000)
     assert world.states("sound") == {"completed"}
+
+
+def test_executor_that_crashes_by_itself_fails_no_job() -> None:
+    world = CrashWorld(*executors(6), down_ms=1_000)
+    for index in range(12):
+        world.submit(f"sound{index}", step(4, accelerators=2, is_gang=index % 2 == 0))
+    for _ in range(30):
+        world.crash("e000")
+        world.pass_time(1_500)
+    world.pass_time(60_000)
+    assert world.states("sound") == {"completed"}
