Count failed runs among the last starts of a task that has lost three executors

Only an end without a report was checked against the number of starts that remain, so a task that fails now and then could be started once more for each failure. The new test failed before.

--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -98,7 +98,7 @@
         case _:
             if has_lost_executor and not job.state.is_final:
                 record_crash(context, job, step, task, run, now_ms)
-            _fail_job_of_culprit(context, job, task, run, has_lost_executor, now_ms)
+    _fail_job_of_culprit(context, job, task, run, has_lost_executor, now_ms)
     if step.spec.is_gang and reason is not EndReason.DONE:
         stop_gang(context, step, run.run_id.number, now_ms)
     context.tables.bump_revision(job)
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -8,6 +8,8 @@
 from crash_world import CrashWorld
 from scheduler_harness import listing, queue, step
 
+from jacinthreel_steps import EndReason
+
 MAX_STARTS = 5
 MAX_LATE_STARTS = 2
 
@@ -102,3 +104,18 @@
         world.pass_time(1_500)
     world.pass_time(60_000)
     assert world.states("sound") == {"completed"}
+
+
+def test_failed_run_uses_one_of_the_last_starts() -> None:
+    world = CrashWorld(*executors(8))
+    world.submit("unlucky", step(1), terms=queue(max_attempts=9))
+    world.pass_time(500)
+    for index in range(3):  # In outages, so that nothing is shown about the task.
+        names = ["e005", "e006", "e007", world.runs("unlucky")[0].executor_id]
+        for name in names:
+            world.crash(name)
+        world.pass_time(8_500 if index == 2 else 3_000)
+    for _ in range(MAX_LATE_STARTS):
+        world.end(world.runs("unlucky")[0], EndReason.FAILED)
+        world.pass_time(500)
+    assert world.state("unlucky") == "failed"
