Back off before restarting a gang that loses its workers soon after each start

The count is in the job's row. Nothing is given up, because here no evidence tells such a gang from sound ones beside it; a single loss, or losses after long runs, cause no delay, as before. Requests to executors are not affected: they are bounded by three failed attempts and the retry budget.

--- a/packages/common/src/jacinthreel_common/_jobs.py
+++ b/packages/common/src/jacinthreel_common/_jobs.py
@@ -85,7 +85,8 @@
     `attempt` counts the placements; workers identify the tasks of a placement by this number.
     `borrowed` is true while the placement uses cells beyond the workspace's guarantee.  `run_s` is
     the work stored by checkpoints, in seconds of run time.  `failed_workers` are the workers on
-    which the job failed.
+    which the job failed.  `early_losses` counts the attempts in a row that lost a worker soon after
+    their start.
     """
 
     spec: JobSpec
@@ -101,3 +102,4 @@
     cancel_requested: bool = False
     result: ResultCode = ResultCode.OK
     detail: str = ""
+    early_losses: int = 0
--- a/packages/jobs/src/jacinthreel_jobs/_gang.py
+++ b/packages/jobs/src/jacinthreel_jobs/_gang.py
@@ -87,7 +87,8 @@
     """One placement of a job.
 
     `previous` is the stored record before the placement, which is restored if the placement is
-    not stored.  No reserve or start command is sent after `start_deadline_ms`.
+    not stored.  No reserve or start command is sent after `start_deadline_ms`.  `has_early_loss` is
+    set if the placement was stopped because a worker was lost soon after the start.
     """
 
     job: JobEntry
@@ -98,6 +99,7 @@
     start_deadline_ms: int = 0
     cause: DownCause | None = None
     detail: str = ""
+    has_early_loss: bool = False
 
     @property
     def job_id(self) -> str:
--- a/packages/jobs/src/jacinthreel_jobs/_gang_down.py
+++ b/packages/jobs/src/jacinthreel_jobs/_gang_down.py
@@ -27,6 +27,9 @@
     TaskPhase,
 )
 from jacinthreel_jobs._limits import (
+    CRASH_BACKOFF_MAX_MS,
+    CRASH_BACKOFF_MS,
+    EARLY_LOSS_MS,
     FAILS_EVERYWHERE_WORKERS,
     MAX_TASK_FAILURES,
     REQUEUE_DELAY_MS,
@@ -36,6 +39,7 @@
 from jacinthreel_jobs._worker_links import drop_queued_commands, enqueue
 
 FINISHED_TASK_PHASES = frozenset({TaskPhase.FINISHED})
+WORKER_LOSS_CAUSES = frozenset({DownCause.WORKER_LOST, DownCause.TASK_LOST})
 REQUEUE_DELAY_CAUSES = frozenset({DownCause.TASK_FAILED, DownCause.REFUSED, DownCause.NO_REPLY})
 
 
@@ -43,6 +47,8 @@
     """Stops every task of a gang; does nothing if the gang is already in phase `down`."""
     if gang.phase is GangPhase.DOWN:
         return
+    ran_ms = ctx.now_ms - gang.job.started_ms if gang.phase is GangPhase.RUNNING else 0
+    gang.has_early_loss = cause in WORKER_LOSS_CAUSES and ran_ms < EARLY_LOSS_MS
     gang.phase = GangPhase.DOWN
     gang.cause = cause
     gang.detail = detail
@@ -138,10 +144,32 @@
         placement=[],
         borrowed=False,
         run_s=checkpointed_run_s(gang),
+        early_losses=_count_early_losses(gang, stored),
         detail=f"{gang.cause.value if gang.cause else ''} {gang.detail}".strip(),
     )
 
 
+def _count_early_losses(gang: Gang, stored: JobRecord) -> int:
+    """Returns the early losses in a row; only a loss after a long run ends the row."""
+    if gang.has_early_loss:
+        return stored.early_losses + 1
+    return 0 if gang.cause in WORKER_LOSS_CAUSES else stored.early_losses
+
+
+def crash_backoff_ms(early_losses: int) -> int:
+    """Returns how long a job waits for its next placement after losing workers.
+
+    A gang that crashes its workers would otherwise take down one after another.  The first loss
+    causes no delay, because the worker is the likelier cause.
+
+    >>> [crash_backoff_ms(losses) for losses in (0, 1, 2, 3, 100)]
+    [0, 0, 10000, 20000, 600000]
+    """
+    if early_losses < 2:
+        return 0
+    return min(CRASH_BACKOFF_MAX_MS, CRASH_BACKOFF_MS << min(early_losses - 2, 10))
+
+
 def _terminal_failure_code(ctx: ShardContext, stored: JobRecord) -> ResultCode:
     """Returns the code with which a job ends after its failures, or OK if it is retried.
 
@@ -199,7 +227,10 @@
     job.preempting_for = ""
     job.reported_run_s = 0.0
     job.reported_checkpoint_s = record.run_s
+    delay_ms = crash_backoff_ms(record.early_losses) if gang.has_early_loss else 0
     if gang.cause in REQUEUE_DELAY_CAUSES:
-        job.not_before_ms = ctx.now_ms + REQUEUE_DELAY_MS
-        ctx.timers.once(REQUEUE_DELAY_MS, ctx.request_plan, ctx.now_ms)
+        delay_ms = REQUEUE_DELAY_MS
+    if delay_ms:
+        job.not_before_ms = ctx.now_ms + delay_ms
+        ctx.timers.once(delay_ms, ctx.request_plan, ctx.now_ms)
     ctx.enqueue_job(job)
--- a/packages/jobs/src/jacinthreel_jobs/_limits.py
+++ b/packages/jobs/src/jacinthreel_jobs/_limits.py
@@ -36,6 +36,12 @@
 """A queue that is not empty is planned again after this time, even if nothing changed."""
 REQUEUE_DELAY_MS: Final = 1_000
 """How long a job waits before its next placement after its start or one of its tasks failed."""
+EARLY_LOSS_MS: Final = 60_000
+"""A gang that loses a worker within this time after its start may have crashed the worker."""
+CRASH_BACKOFF_MS: Final = 10_000
+"""Delay before a gang's placement after its second early loss in a row; doubles with each further
+one up to `CRASH_BACKOFF_MAX_MS`."""
+CRASH_BACKOFF_MAX_MS: Final = 600_000
 RETRY_AFTER_MS: Final = 1_000
 """Retry delay returned to callers while the shard has no owner or the store is unavailable."""
 QUEUE_FULL_RETRY_MS: Final = 10_000
--- a/packages/jobs/src/jacinthreel_jobs/_recovery.py
+++ b/packages/jobs/src/jacinthreel_jobs/_recovery.py
@@ -11,7 +11,12 @@
 from jacinthreel_common import ENDED_STATES, JobRecord, JobState, Row, convert_stored, job_prefix
 from jacinthreel_jobs._context import ShardContext
 from jacinthreel_jobs._gang import SETTLED_TASK_PHASES, DownCause, Gang
-from jacinthreel_jobs._gang_down import mark_task_settled, sync_row, take_down
+from jacinthreel_jobs._gang_down import (
+    crash_backoff_ms,
+    mark_task_settled,
+    sync_row,
+    take_down,
+)
 from jacinthreel_jobs._gang_start import recover_gang
 from jacinthreel_jobs._planning import Planner
 from jacinthreel_jobs._tables import JobEntry
@@ -50,6 +55,7 @@
     if record.state in ENDED_STATES:
         return job
     if record.state is JobState.QUEUED:
+        job.not_before_ms = ctx.now_ms + crash_backoff_ms(record.early_losses)
         ctx.enqueue_job(job)
         return job
     gang = recover_gang(ctx, job)
