Start a task under suspicion on executors that it has not yet lost

Several jobs that crash executors at once excused each other in the first attempts, and were then tried again and again on the executors that they had already lost, which shows nothing new: jobs of independent tasks used up all five starts (30 losses for four jobs on 24 executors).

--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -96,7 +96,7 @@
 ) -> list[Candidate]:
     """Returns a candidate for each of `executors` that has the label required by the step.
 
-    Executors at `suspect_addresses` are less preferred.
+    Executors at `suspect_addresses`, and those lost under the step, are less preferred.
     """
     spec = step.spec
     placed_count_by_executor = _count_tasks_by_executor(step) if spec.max_per_executor else {}
@@ -105,6 +105,7 @@
         for task in step.tasks
         if task.last_failed_executor_id and not task.is_done
     }
+    suspect_addresses = suspect_addresses | step.lost_addresses()
     is_last_attempt = any(0 < max_attempts - 1 <= task.failures for task in step.tasks)
     candidates: list[Candidate] = []
     for executor in executors:
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -4,7 +4,8 @@
 that its loss harms no other job and shows that the task is the cause.  If there is none for
 `TRIAL_WAIT_MS`, the task is placed beside as few runs of other jobs as possible.  A task with a
 limited number of starts waits for the end of an outage, in which a start would show nothing, and
-executors that were lost recently are the last choice: they may crash by themselves.
+executors that were lost recently are the last choice: they may crash by themselves.  So are those
+that were lost under the step, because losing them again would show nothing new.
 
 If several tasks of a step have lost executors and none is known to survive, only one of them runs
 at a time and the rest of the step waits: otherwise a wide step that crashes executors would take
@@ -37,8 +38,9 @@
 class TrialScope(IntEnum):
     """Where suspects may be placed.
 
-    `NONE`: nowhere yet.  `EMPTY`: on executors without runs of other jobs that were not lost alone
-    recently.  `SOUND`: beside other runs too.  `ANY`: on all executors.
+    `NONE`: nowhere yet.  `EMPTY`: on executors without runs of other jobs that were neither lost
+    alone recently nor lost under the step.  `SOUND`: beside other runs too.  `ANY`: on all
+    executors.
     """
 
     NONE = 0
@@ -134,7 +136,8 @@
 ) -> Placement | None:
     """Returns executors for the tasks, with as few runs of other jobs as possible."""
     fitting = slots.free.fitting_executors(step.spec.required_label, step.spec.shape)
-    sound = [item for item in fitting if item.listing.address not in state.suspect_addresses]
+    avoided = state.suspect_addresses | step.lost_addresses()
+    sound = [item for item in fitting if item.listing.address not in avoided]
     searches = [(sound, 0)]
     if scope >= TrialScope.SOUND:
         searches += [(sound, limit) for limit in OTHER_RUNS_LIMITS]
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -178,6 +178,15 @@
         """Whether every task is done."""
         return all(task.is_done for task in self.tasks)
 
+    def lost_addresses(self) -> set[str]:
+        """Returns the addresses of executors that were lost under tasks that are not done."""
+        return {
+            address
+            for task in self.tasks
+            if task.crash_record is not None and not task.is_done
+            for address in task.crash_record.addresses
+        }
+
     def tasks_ending_with(self, task: Task) -> list[Task]:
         """Returns the tasks that end together with `task`: all of a gang, or itself."""
         return self.tasks if self.spec.is_gang else [task]
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -65,6 +65,24 @@
     assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
 
 
+def test_task_is_given_up_once_it_has_lost_an_executor_alone() -> None:
+    world = CrashWorld(*executors(8))
+    world.submit_deadly("deadly", step(1))
+    world.pass_time(30_000)
+    assert world.state("deadly") == "failed"
+    assert world.executor_crashes == 3
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_jobs_that_crash_executors_at_once_do_not_excuse_each_other(is_gang: bool) -> None:
+    world = CrashWorld(*executors(60))
+    for index in range(6):
+        world.submit_deadly(f"deadly{index}", step(1, accelerators=8, is_gang=is_gang))
+    world.pass_time(60_000)
+    assert world.states("deadly") == {"failed"}
+    assert max(world.starts.values()) < MAX_STARTS
+
+
 def test_jobs_beside_a_task_that_crashes_executors_are_completed() -> None:
     world = CrashWorld(*executors(12))
     world.submit_deadly("deadly", step(2))
