Track isolated runs apart, so that a pass doesn't visit all tasks that lost an executor

In an outage of a large fleet thousands of tasks have lost an executor, and each pass looked at all of them to find the few that are isolated. A new test shows that a closed executor opens again after the trial.

--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -27,7 +27,16 @@
     place_independent_tasks,
 )
 from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
-from jacinthreel_steps._tables import Executor, Isolation, Job, RunState, Step, Tables, Task
+from jacinthreel_steps._tables import (
+    Executor,
+    Isolation,
+    Job,
+    Run,
+    RunState,
+    Step,
+    Tables,
+    Task,
+)
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 TRIAL_WAIT_MS: Final = 2_000  # Waiting for an empty executor must not starve a sound job.
@@ -51,14 +60,24 @@
 
 def update_closed_executors(tables: Tables) -> None:
     """Closes the executors with isolated runs to other jobs, and opens the others."""
-    closed_ids = set()
-    for task_id in tables.crashed_task_ids:
-        task = tables.task(task_id)
-        if task is None or task.run is None or task.run.isolation is Isolation.NONE:
-            continue
-        closed_ids.add(task.run.executor_id)
-    for executor in tables.executors_by_id.values():
-        executor.is_closed = executor.executor_id in closed_ids
+    for executor_id in tables.closed_executor_ids:
+        if executor_id in tables.executors_by_id:
+            tables.executors_by_id[executor_id].is_closed = False
+    tables.closed_executor_ids.clear()
+    tables.isolated_runs = [
+        run
+        for run in tables.isolated_runs
+        if run.isolation is not Isolation.NONE and run.state is not RunState.ENDED
+    ]
+    for run in tables.isolated_runs:
+        _close_executor(tables, run)
+
+
+def _close_executor(tables: Tables, run: Run) -> None:
+    executor = tables.executors_by_id.get(run.executor_id)
+    if executor is not None:
+        executor.is_closed = True
+        tables.closed_executor_ids.add(run.executor_id)
 
 
 def schedule_trials(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
@@ -167,13 +186,13 @@
 
 def _start_trial(state: PassState, job: Job, step: Step, placement: Placement) -> None:
     """Places suspects and closes their executors to other jobs."""
-    executors_by_id = state.context.tables.executors_by_id
+    tables = state.context.tables
     runs = create_runs(state, job, step, placement, RunState.PLACED)
     for run in runs:
-        executor = executors_by_id[run.executor_id]
-        is_alone = _count_runs_of_others(executor, job) == 0
+        is_alone = _count_runs_of_others(tables.executors_by_id[run.executor_id], job) == 0
         run.isolation = Isolation.ALONE if is_alone else Isolation.CLOSED
-        executor.is_closed = True
+        tables.isolated_runs.append(run)
+        _close_executor(tables, run)
         state.record_change(run.executor_id)
     commit_placement(state.context, job, step, runs, state.now_ms)
     state.context.log(
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -359,7 +359,8 @@
 
     `open_jobs_by_id` holds the jobs whose state is not final.  `unstored_job_ids` is an ordered set
     of the jobs that have changes to store, `crashed_task_ids` one of the tasks that may have a
-    crash record.
+    crash record.  `isolated_runs` holds the runs that may be isolated, `closed_executor_ids` the
+    executors that are closed.
     """
 
     policy: Policy = field(default_factory=lambda: Policy(0))
@@ -368,6 +369,8 @@
     executors_by_id: dict[str, Executor] = field(default_factory=dict)
     unstored_job_ids: dict[str, None] = field(default_factory=dict)
     crashed_task_ids: dict[TaskId, None] = field(default_factory=dict)
+    isolated_runs: list[Run] = field(default_factory=list)
+    closed_executor_ids: set[str] = field(default_factory=set)
 
     def bump_revision(self, job: Job) -> None:
         """Increases the job's revision and marks the job to be stored."""
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -137,3 +137,18 @@
         world.end(world.runs("unlucky")[0], EndReason.FAILED)
         world.pass_time(500)
     assert world.state("unlucky") == "failed"
+
+
+def test_executor_is_closed_to_other_jobs_only_during_a_trial() -> None:
+    world = CrashWorld(*executors(3), work_ms=20_000)
+    world.submit("suspect", step(1))
+    for _ in range(2):
+        world.pass_time(1_000)
+        world.crash(world.runs("suspect")[0].executor_id)
+        world.pass_time(3_000)
+    tried = world.runs("suspect")[0].executor_id
+    world.submit("others", step(24))
+    world.pass_time(500)
+    assert tried not in {run.executor_id for run in world.runs("others")}
+    world.pass_time(12_000)
+    assert tried in {run.executor_id for run in world.runs("others")}
