--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from enum import IntEnum
 from typing import Final
 
@@ -118,10 +119,10 @@
 
 def _try_suspects(state: PassState, job: Job, step: Step, suspects: list[Task]) -> list[Task]:
     """Places the suspects; returns those that have waited too long to be placed apart."""
-    scope = _choose_scope(state, suspects)
+    slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
+    scope = _choose_scope(state, step, suspects, slots)
     if scope is TrialScope.NONE:
         return []
-    slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
     admitted = count_admitted(state.context, job.record.workspace, step.spec.shape)
     tasks = suspects[:admitted]
     if tasks and not (step.spec.is_gang and len(tasks) < len(suspects)):
@@ -133,16 +134,39 @@
     return suspects if scope is TrialScope.ANY else []
 
 
-def _choose_scope(state: PassState, suspects: list[Task]) -> TrialScope:
+def _choose_scope(
+    state: PassState, step: Step, suspects: list[Task], slots: ServiceSlots
+) -> TrialScope:
     """Returns where the suspects may be placed now, by the time that they have waited."""
     context = state.context
     records = [task.crash_record for task in suspects if task.crash_record is not None]
     waited_ms = state.now_ms - max(record.crashed_ms for record in records)
-    if waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects):
-        if context.executor_losses.is_outage_current(context.tables, state.now_ms):
-            return TrialScope.NONE
-        return TrialScope.SOUND if waited_ms > TRIAL_WAIT_MS else TrialScope.EMPTY
-    return TrialScope.ANY if waited_ms > TRIAL_WAIT_MS else TrialScope.EMPTY
+    may_wait = waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects)
+    if may_wait and context.executor_losses.is_outage_current(context.tables, state.now_ms):
+        return TrialScope.NONE
+    if waited_ms <= TRIAL_WAIT_MS:
+        return TrialScope.EMPTY
+    sound = _sound_executors(state, step, slots.free.executors)
+    if may_wait and _could_hold(step, sound, len(suspects) if step.spec.is_gang else 1):
+        return TrialScope.SOUND  # They are only busy.
+    return TrialScope.ANY
+
+
+def _sound_executors(state: PassState, step: Step, executors: Sequence[Executor]) -> list[Executor]:
+    """Returns the executors that were neither lost alone recently nor lost under the step."""
+    avoided = state.suspect_addresses | step.lost_addresses()
+    return [item for item in executors if item.listing.address not in avoided]
+
+
+def _could_hold(step: Step, executors: list[Executor], count: int) -> bool:
+    """Whether the executors could hold `count` tasks of the step if nothing else ran there."""
+    spec = step.spec
+    slots = sum(
+        spec.shape.count_fitting_into(executor.listing.capacity)
+        for executor in executors
+        if not spec.required_label or spec.required_label in executor.listing.labels
+    )
+    return slots >= count
 
 
 def _find_placement(
@@ -155,8 +179,7 @@
 ) -> Placement | None:
     """Returns executors for the tasks, with as few runs of other jobs as possible."""
     fitting = slots.free.fitting_executors(step.spec.required_label, step.spec.shape)
-    avoided = state.suspect_addresses | step.lost_addresses()
-    sound = [item for item in fitting if item.listing.address not in avoided]
+    sound = _sound_executors(state, step, fitting)
     searches = [(sound, 0)]
     if scope >= TrialScope.SOUND:
         searches += [(sound, limit) for limit in OTHER_RUNS_LIMITS]
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -152,3 +152,11 @@
     assert tried not in {run.executor_id for run in world.runs("others")}
     world.pass_time(12_000)
     assert tried in {run.executor_id for run in world.runs("others")}
+
+
+def test_gang_that_fits_only_on_executors_that_it_has_lost_does_not_wait_for_others() -> None:
+    world = CrashWorld(*executors(2))
+    world.submit_deadly("deadly", step(4, accelerators=4, is_gang=True))
+    world.pass_time(50_000)
+    assert world.state("deadly") == "failed"
+    assert max(world.late_starts.values()) <= MAX_LATE_STARTS
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
     3: "a gang that crashed its executors was started for ever",
     4: "a gang that crashed its executors was started for ever, across changes of owner",
     6: "a task that crashed its executors was started for ever",
+    7: "a gang waited 30 s before each start for executors that could not hold it",
     62: "a restarted executor got the acknowledgement meant for its earlier incarnation",
 }
 """Seeds outside `CI_SEEDS` that have failed, with the cause.
