Start nothing on unguarded executors by an outdated registry

The registry and the jobs' progress lie in different parts of the store, so that an owner can store placements while it can't read the registry. An executor that doesn't check its capacity and has shrunk since the last read was filled to its former capacity. Services without enforces_capacity now get no start while the registry was not read for 3 s; all others are served as before. With the guard made a no-op the new test fails at the stored start by its assertion; the check at the plan alone is pinned by none, because the start is withdrawn anyway.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -276,6 +276,7 @@
             self._apply_listing_changes,
             versions[self._row_decoder.executor_table],
             LISTING_FEED_PAUSE_MS,
+            self._record_registry_read,
         )
         self._spawn(self._run_periodic_checks())
         self._spawn(self.fleet.run())
@@ -290,6 +291,7 @@
         on_changes: Callable[[tuple[Row, ...]], None],
         version: int,
         read_pause_ms: int = 0,
+        on_read: Callable[[], None] = lambda: None,
     ) -> None:
         follower = TableFollower(
             self._store,
@@ -299,6 +301,7 @@
             on_changes,
             self._log,
             read_pause_ms=read_pause_ms,
+            on_read=on_read,
         )
         self._spawn(follower.run(version))
 
@@ -323,6 +326,7 @@
         self._ended_job_sweeper.add_orphaned_progress(progress_by_id.keys() - accepted_ids)
         self.fleet.begin(len(listings.rows))
         self._apply_listing_snapshot(listings.rows)
+        self._record_registry_read()
         return {
             INTAKE_TABLE: intake.version,
             self._row_decoder.executor_table: listings.version,
@@ -418,6 +422,9 @@
                     self._suspend_listing(row.key, reason)
         self.request_plan()
 
+    def _record_registry_read(self) -> None:
+        self.scheduler.record_registry_read(self._clock.now_ms())
+
     def _apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
         executor_id = listing.executor_id
         if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
--- a/packages/node/src/jacinthreel_node/_routing.py
+++ b/packages/node/src/jacinthreel_node/_routing.py
@@ -36,6 +36,7 @@
     """The parts of an operator configuration that a node uses.
 
     `quota_by_workspace` and `weight_by_workspace` have no entry for a workspace without one.
+    `unguarded_services` are those whose executors do not guard their capacity.
     """
 
     version: int
@@ -45,6 +46,7 @@
     max_body_bytes: int = 1_048_576
     quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
     weight_by_workspace: dict[str, float] = field(default_factory=dict)
+    unguarded_services: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +108,7 @@
             self._zones_out,
             self._policy.quota_by_workspace,
             self._policy.weight_by_workspace,
+            self._policy.unguarded_services,
         )
 
     def route(self, host: str, path: str, key: str | None) -> Result[RoutedCall, Fault]:
--- a/packages/node/src/jacinthreel_node/_table_follower.py
+++ b/packages/node/src/jacinthreel_node/_table_follower.py
@@ -6,7 +6,8 @@
 
 The timeout of a poll is slightly longer than its wait, so that a dead connection is detected.  For
 a table that changes constantly, `read_pause_ms` batches the changes: it is the pause between polls,
-each of which returns all changes since the previous one.
+each of which returns all changes since the previous one.  `on_read` is called after each successful
+read or poll: all earlier changes have been passed on then.
 """
 
 from __future__ import annotations
@@ -40,7 +41,9 @@
         log: Callable[[str, dict[str, Any]], None],
         rereads_after_failure: bool = False,
         read_pause_ms: int = 0,
+        on_read: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_read = on_read
         self._read_pause_ms = read_pause_ms
         self._rereads_after_failure = rereads_after_failure
         self._store = store
@@ -67,6 +70,7 @@
             case Success(Snapshot(rows=rows, version=version)):
                 self._mark_regained()
                 self._on_snapshot(rows)
+                self._on_read()
                 return version
             case Failure(Fault() as fault):
                 self._mark_lost(fault)
@@ -79,6 +83,7 @@
                     self._mark_regained()
                     if rows:
                         self._on_changes(rows)
+                    self._on_read()
                     version = max(version, newer)
                     await asyncio.sleep(self._read_pause_ms / 1000)
                 case Failure(Fault(code=ResultCode.STORE_HISTORY_LOST)):
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -162,7 +162,8 @@
 
     `quota_by_workspace` limits what each workspace may have running at the same time; an amount of
     0 is not limited.  `weight_by_workspace` holds each workspace's share of a full system, relative
-    to the others.  Workspaces without an entry have no quota, or no weight.
+    to the others.  Workspaces without an entry have no quota, or no weight.  The executors of
+    `unguarded_services` start what they are ordered to, whatever their capacity.
     """
 
     version: int
@@ -171,6 +172,7 @@
     zones_out_of_service: frozenset[str] = frozenset()
     quota_by_workspace: dict[str, Resources] = field(default_factory=dict)
     weight_by_workspace: dict[str, float] = field(default_factory=dict)
+    unguarded_services: frozenset[str] = frozenset()
 
 
 class EndReason(IntEnum):
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -74,7 +74,7 @@
     for executor in tables.executors_by_id.values():
         if not executor.is_listed or not executor.has_reported or executor.listing.is_draining:
             continue
-        if executor.is_closed:
+        if executor.is_closed or tables.is_capacity_outdated(executor, now_ms):
             continue
         if executor.listing.zone in tables.policy.zones_out_of_service:
             continue
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -200,6 +200,10 @@
         self._update_earliest_shutdown(executor, now_ms)
         return is_new
 
+    def record_registry_read(self, now_ms: int) -> None:
+        """Records that all changes of the registry up to now have been applied."""
+        self.tables.registry_read_ms = now_ms
+
     def remove_listing(self, executor_id: str) -> bool:
         """Marks an executor as removed from the registry; its runs may continue for a while.
 
@@ -349,7 +353,7 @@
 
         The quota or the capacity of the executor may have been lowered since it was placed.
         """
-        reason = self._withdrawal_reason(job, run)
+        reason = self._withdrawal_reason(job, run, now_ms)
         if reason:
             fields = {
                 "job_id": job.job_id,
@@ -369,14 +373,16 @@
         run.placed_ms = now_ms
         self._context.orders.starts.append(run)
 
-    def _withdrawal_reason(self, job: Job, run: Run) -> str:
+    def _withdrawal_reason(self, job: Job, run: Run, now_ms: int) -> str:
         """Returns why a placed run must not start, "" if it may."""
         if exceeds_quota(self._context, job.record.workspace, run.shape):
             return "quota"
         executor = self.tables.executors_by_id.get(run.executor_id)
-        if executor is not None and executor.exceeds_capacity():
+        if executor is None:
+            return ""
+        if executor.exceeds_capacity():
             return "capacity"
-        return ""
+        return "registry" if self.tables.is_capacity_outdated(executor, now_ms) else ""
 
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Final
 
 from jacinthreel_steps._model import (
     NO_RESOURCES,
@@ -23,6 +24,9 @@
     TaskId,
 )
 
+# Changes of capacity apply after a heartbeat of the executor and the time to notice an outage.
+MAX_REGISTRY_AGE_MS: Final = 3_000
+
 
 class RunState(IntEnum):
     """The state of a run.
@@ -360,7 +364,8 @@
     `open_jobs_by_id` holds the jobs whose state is not final.  `unstored_job_ids` is an ordered set
     of the jobs that have changes to store, `crashed_task_ids` one of the tasks that may have a
     crash record.  `isolated_runs` holds the runs that may be isolated, `closed_executor_ids` the
-    executors that are closed.
+    executors that are closed.  `registry_read_ms` is when the registry of executors was last known
+    to be read completely.
     """
 
     policy: Policy = field(default_factory=lambda: Policy(0))
@@ -371,6 +376,13 @@
     crashed_task_ids: dict[TaskId, None] = field(default_factory=dict)
     isolated_runs: list[Run] = field(default_factory=list)
     closed_executor_ids: set[str] = field(default_factory=set)
+    registry_read_ms: int = 0
+
+    def is_capacity_outdated(self, executor: Executor, now_ms: int) -> bool:
+        """Whether the executor may have shrunk unnoticed and would start too much."""
+        if executor.listing.service not in self.policy.unguarded_services:
+            return False
+        return now_ms - self.registry_read_ms > MAX_REGISTRY_AGE_MS
 
     def bump_revision(self, job: Job) -> None:
         """Increases the job's revision and marks the job to be stored."""
--- a/packages/steps/tests/test_capacity_changes.py
+++ b/packages/steps/tests/test_capacity_changes.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from scheduler_harness import SchedulerHarness, listing, step
+from scheduler_harness import SERVICE, SchedulerHarness, listing, step
 
-from jacinthreel_steps import Run, RunId, TaskId
+from jacinthreel_steps import Policy, Run, RunId, TaskId
 
 
 def test_start_is_withheld_from_an_executor_that_has_shrunk() -> None:
@@ -43,3 +43,22 @@
     assert harness.scheduler.tables.jobs_by_id["j1"].live_runs() == []
     harness.settle()
     assert [run.run_id.number for run in harness.runs("j1")] == [current.run_id.number + 1]
+
+
+def test_unguarded_executor_gets_no_start_while_its_capacity_may_be_outdated() -> None:
+    policy = Policy(1, unguarded_services=frozenset({SERVICE}))
+    harness = SchedulerHarness(listing("e1"), policy=policy)
+    harness.scheduler.record_registry_read(harness.now_ms)
+    harness.submit("j1", step(1))
+    harness.scheduler.plan(harness.now_ms)
+    rows = harness.scheduler.take_unstored(100, "w")
+    harness.now_ms += 3_100
+    for row in rows:
+        harness.scheduler.mark_stored(row, 1, harness.now_ms)
+    assert harness.scheduler.take_starts() == []
+    harness.report("e1")
+    harness.settle()
+    assert harness.runs("j1") == []
+    harness.scheduler.record_registry_read(harness.now_ms)
+    harness.settle()
+    assert len(harness.runs("j1")) == 1
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -184,6 +184,7 @@
         config = {
             "version": self.config_version,
             "routes": routes,
+            "services": [{"name": "soak", "enforces_capacity": False}],
             "tenants": [{"name": "w", "api_keys": [API_KEY], "guaranteed": {"gpu": 8}}],
         }
         self.store.put("op", "config", json.dumps(config).encode())
