--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -332,7 +332,8 @@
     @property
     def free_resources(self) -> Resources:
         """Free capacity; negative while claims wait for preempted runs to end."""
-        return self.listing.capacity.minus(self.used).minus(self.untracked)
+        free = self.listing.capacity.minus(self.used)
+        return free if self.untracked is NO_RESOURCES else free.minus(self.untracked)
 
     def exceeds_capacity(self) -> bool:
         """Whether the runs that are placed or running need more than the executor's capacity.
