--- a/packages/jobs/tests/test_worker_losses.py
+++ b/packages/jobs/tests/test_worker_losses.py
@@ -26,26 +26,26 @@
 
 
 def make_job(run_s: int) -> JobSpec:
-    return JobSpec("deadly", "lab", 1, 8, command=f"run={run_s}")
+    return JobSpec("crashing", "lab", 1, 8, command=f"run={run_s}")
 
 
 def test_gang_that_restarts_its_workers_is_started_less_and_less_often() -> None:
     cluster = Cluster()
     cluster.run(2_000)
     cluster.submit(make_job(600))
-    assert restart_workers_of(cluster, "deadly", HOUR_MS, after_ms=1_000) <= 12
+    assert restart_workers_of(cluster, "crashing", HOUR_MS, after_ms=1_000) <= 12
 
 
 def test_gang_that_lost_a_worker_once_is_restarted_at_once() -> None:
     cluster = Cluster()
     cluster.run(2_000)
     cluster.submit(make_job(20))
-    assert restart_workers_of(cluster, "deadly", 1_000, after_ms=1_000) == 1
-    assert cluster.run_until(lambda: cluster.state("deadly") is JobState.FINISHED, 40_000)
+    assert restart_workers_of(cluster, "crashing", 1_000, after_ms=1_000) == 1
+    assert cluster.run_until(lambda: cluster.state("crashing") is JobState.FINISHED, 40_000)
 
 
 def test_gang_that_ran_for_long_before_each_loss_is_restarted_at_once() -> None:
     cluster = Cluster()
     cluster.run(2_000)
     cluster.submit(make_job(10_000))
-    assert restart_workers_of(cluster, "deadly", HOUR_MS, after_ms=120_000) >= 25
+    assert restart_workers_of(cluster, "crashing", HOUR_MS, after_ms=120_000) >= 25
--- a/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
@@ -2,13 +2,13 @@
 
 A lost executor says little about the tasks that ran there: it may have crashed by itself, in an
 outage with others, or because of any one of them.  Evidence against a task is therefore counted
-only outside outages and once for each address, and a task that has lost `SUSPECT_UNEXPLAINED`
-executors is tried alone on an executor (`_trials`).  If that is lost too, the task is a culprit and
-its job fails.  A task with a run that lasts much longer than those that lost their executor is
-cleared.
+only outside outages and once for each address, and a task that has lost `SUSPECT_LOSSES`
+executors is tried on an executor of its own (`_trials`).  If that is lost too, the task is taken to
+crash its executors, and its job fails.  A task with a run that lasts much longer than those that
+lost their executor is cleared.
 
 Whatever the evidence, a task is started at most `STARTS_AFTER_LIMIT` times more once it has lost
-`CRASH_LIMIT` executors: each start of a culprit takes down an executor with all runs beside it.
+`CRASH_LIMIT` executors: each start of a crashing task takes down an executor with all runs on it.
 
 Targets jobs that crash executor after executor, in clusters that also lose executors for other
 reasons, one by one or many at once.
@@ -22,9 +22,9 @@
 from jacinthreel_steps._executors._executor_losses import SILENT_AFTER_MS
 from jacinthreel_steps._tables import CrashRecord, Isolation, Job, Run, RunState, Step, Task
 
-SUSPECT_UNEXPLAINED: Final = 2
-CULPRIT_UNEXPLAINED_ALONE: Final = 3
-CULPRIT_UNEXPLAINED: Final = 4  # Beside other runs, which may have been the cause.
+SUSPECT_LOSSES: Final = 2
+CRASHING_LOSSES_EXCLUSIVE: Final = 3
+CRASHING_LOSSES: Final = 4  # Beside other runs, which may have been the cause.
 CRASH_LIMIT: Final = 3
 STARTS_AFTER_LIMIT: Final = 2
 CLEARED_AGE_FACTOR: Final = 2  # An executor may be this much slower than the one that was lost.
@@ -56,20 +56,21 @@
 
 
 def is_suspect(task: Task) -> bool:
-    """Whether the task is to be tried alone on its executor."""
+    """Whether the task is to be tried on an executor of its own."""
     record = task.crash_record
     if record is None:
         return False
-    return record.unexplained >= SUSPECT_UNEXPLAINED or record.crashes >= CRASH_LIMIT
+    return record.unexplained >= SUSPECT_LOSSES or record.crashes >= CRASH_LIMIT
 
 
-def is_culprit(task: Task, run: Run) -> bool:
+def is_crashing(task: Task, run: Run) -> bool:
     """Whether the losses, the last of which ended `run`, show that the task crashes executors."""
     record = task.crash_record
     if record is None:
         return False
-    is_alone = run.isolation is Isolation.ALONE
-    return record.unexplained >= (CULPRIT_UNEXPLAINED_ALONE if is_alone else CULPRIT_UNEXPLAINED)
+    if run.isolation is Isolation.EXCLUSIVE:
+        return record.unexplained >= CRASHING_LOSSES_EXCLUSIVE
+    return record.unexplained >= CRASHING_LOSSES
 
 
 def has_limited_starts(task: Task) -> bool:
@@ -93,28 +94,21 @@
 def clear_survivors(context: Context) -> None:
     """Clears the tasks that have outlived the loss of their executors, and ends long isolations."""
     tables = context.tables
-    gang_age_by_step: dict[tuple[str, int], int] = {}
+    age_by_gang: dict[tuple[str, int], int] = {}
     for task_id in list(tables.crashed_task_ids):
         task = tables.task(task_id)
-        job = tables.jobs_by_id.get(task_id.job_id)
-        if (
-            task is None
-            or job is None
-            or job.state.is_final
-            or task.is_done
-            or task.crash_record is None
-        ):
+        job = tables.open_jobs_by_id.get(task_id.job_id)
+        if task is None or job is None or task.is_done or task.crash_record is None:
             del tables.crashed_task_ids[task_id]
             continue
         step = job.steps[task_id.step_index]
-        if step.spec.is_gang:
-            key = (task_id.job_id, task_id.step_index)
-            if key not in gang_age_by_step:
-                ages = [_proven_age_ms(context, member) for member in step.tasks]
-                gang_age_by_step[key] = min(ages)
-            age_ms = gang_age_by_step[key]
-        else:
+        gang = (task_id.job_id, task_id.step_index)
+        if not step.spec.is_gang:
             age_ms = _proven_age_ms(context, task)
+        else:
+            if gang not in age_by_gang:
+                age_by_gang[gang] = min(_proven_age_ms(context, member) for member in step.tasks)
+            age_ms = age_by_gang[gang]
         if task.run is not None and age_ms >= MAX_ISOLATION_MS:
             task.run.isolation = Isolation.NONE
         if age_ms >= min(CLEARED_AGE_MS, CLEARED_AGE_FACTOR * task.crash_record.longest_ms):
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
@@ -29,14 +29,14 @@
     """The loss of an executor, which had the last report before it at `lost_ms`.
 
     `job_ids` are the jobs with runs there; `has_crashed_task` tells whether one of these tasks had
-    lost an executor before, `is_alone` whether few others were lost at the same time.
+    lost an executor before, `is_single` whether few others were lost at the same time.
     """
 
     lost_ms: int
     address: str
     job_ids: frozenset[str]
     has_crashed_task: bool
-    is_alone: bool = False
+    is_single: bool = False
 
 
 class ExecutorLosses:
@@ -61,11 +61,11 @@
         self._loss_by_executor_id[executor.executor_id] = loss
         others = self.count_simultaneous(tables, executor.executor_id, now_ms, OUTAGE_EXECUTORS)
         if others < OUTAGE_EXECUTORS:
-            self._loss_by_executor_id[executor.executor_id] = replace(loss, is_alone=True)
+            self._loss_by_executor_id[executor.executor_id] = replace(loss, is_single=True)
         return True
 
     def suspect_addresses(self, now_ms: int) -> set[str]:
-        """Returns the addresses of executors that were lost alone recently.
+        """Returns the addresses of executors that were lost singly and recently.
 
         They may crash by themselves, and do so again.
         """
@@ -73,7 +73,7 @@
         return {
             loss.address
             for loss in self._loss_by_executor_id.values()
-            if loss.is_alone and loss.lost_ms >= since_ms
+            if loss.is_single and loss.lost_ms >= since_ms
         }
 
     def count_simultaneous(self, tables: Tables, executor_id: str, now_ms: int, limit: int) -> int:
@@ -86,10 +86,11 @@
         return self._loss_by_executor_id.get(executor_id)
 
     def is_outage(self, tables: Tables, executor_id: str, job_id: str, now_ms: int) -> bool:
-        """Whether more executors were lost with this one than tasks of the job may have crashed.
+        """Whether the executor's last loss was part of an outage, which no task of the job caused.
 
-        Executors whose loss another task may have caused don't count: those with a task that had
-        lost an executor before.  Also true if the time of the loss is not known.
+        It was if several other executors were lost at the same time.  Executors that ran a task of
+        the job, or any task that had lost an executor before, don't count: that task may have
+        crashed them.  Also true if the loss is not recorded.
         """
         if executor_id not in self._loss_by_executor_id:
             return True
@@ -147,7 +148,7 @@
 
 def _make_loss(tables: Tables, executor: Executor) -> ExecutorLoss:
     job_ids = frozenset(task_id.job_id for task_id in executor.runs_by_task)
-    has_crashed_task = any(id in tables.crashed_task_ids for id in executor.runs_by_task)
+    has_crashed_task = any(key in tables.crashed_task_ids for key in executor.runs_by_task)
     return ExecutorLoss(
         executor.last_report_ms, executor.listing.address, job_ids, has_crashed_task
     )
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -49,7 +49,7 @@
     """Where suspects may be placed.
 
     `NONE`: nowhere yet.  `EMPTY`: on executors without runs of other jobs that were neither lost
-    alone recently nor lost under the step.  `SOUND`: beside other runs too.  `ANY`: on all
+    singly and recently nor under the step.  `SOUND`: beside other runs too.  `ANY`: on all
     executors.
     """
 
@@ -153,7 +153,7 @@
 
 
 def _sound_executors(state: PassState, step: Step, executors: Sequence[Executor]) -> list[Executor]:
-    """Returns the executors that were neither lost alone recently nor lost under the step."""
+    """Returns the executors that were neither lost singly and recently nor under the step."""
     avoided = state.suspect_addresses | step.lost_addresses()
     return [item for item in executors if item.listing.address not in avoided]
 
@@ -212,8 +212,8 @@
     tables = state.context.tables
     runs = create_runs(state, job, step, placement, RunState.PLACED)
     for run in runs:
-        is_alone = _count_runs_of_others(tables.executors_by_id[run.executor_id], job) == 0
-        run.isolation = Isolation.ALONE if is_alone else Isolation.CLOSED
+        has_others = _count_runs_of_others(tables.executors_by_id[run.executor_id], job) > 0
+        run.isolation = Isolation.CLOSED if has_others else Isolation.EXCLUSIVE
         tables.isolated_runs.append(run)
         _close_executor(tables, run)
         state.record_change(run.executor_id)
@@ -225,7 +225,7 @@
             "step": job.steps.index(step),
             "tasks": [run.run_id.task.task_index for run in runs],
             "executors": [run.executor_id for run in runs],
-            "alone": all(run.isolation is Isolation.ALONE for run in runs),
+            "exclusive": all(run.isolation is Isolation.EXCLUSIVE for run in runs),
             "unexplained": max(_unexplained(task) for task, _ in placement),
         },
     )
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -10,7 +10,7 @@
 from jacinthreel_steps._context import Context, StopOrder, run_name
 from jacinthreel_steps._executors._crash_evidence import (
     has_starts_left,
-    is_culprit,
+    is_crashing,
     record_crash,
     refund_start,
 )
@@ -98,20 +98,20 @@
         case _:
             if has_lost_executor and not job.state.is_final:
                 record_crash(context, job, step, task, run, now_ms)
-    _fail_job_of_culprit(context, job, task, run, has_lost_executor, now_ms)
+    _fail_job_if_crashing(context, job, task, run, has_lost_executor, now_ms)
     if step.spec.is_gang and reason is not EndReason.DONE:
         stop_gang(context, step, run.run_id.number, now_ms)
     context.tables.bump_revision(job)
 
 
-def _fail_job_of_culprit(
+def _fail_job_if_crashing(
     context: Context, job: Job, task: Task, run: Run, has_lost_executor: bool, now_ms: int
 ) -> None:
     """Fails the job if a task crashes executors, or has no starts left after losing several."""
     record = task.crash_record
     if record is None or job.state.is_final or task.is_done:
         return
-    if has_starts_left(task) and not (has_lost_executor and is_culprit(task, run)):
+    if has_starts_left(task) and not (has_lost_executor and is_crashing(task, run)):
         return
     context.log(
         "job_given_up",
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -49,12 +49,12 @@
     """Whether a run shares its executor with runs of other jobs.
 
     `NONE`: it may.  `CLOSED`: no run of another job is placed there, but some ran there before.
-    `ALONE`: none did.
+    `EXCLUSIVE`: none did.
     """
 
     NONE = 0
     CLOSED = 1
-    ALONE = 2
+    EXCLUSIVE = 2
 
 
 @dataclass(slots=True)
--- a/packages/steps/tests/crash_world.py
+++ b/packages/steps/tests/crash_world.py
@@ -14,7 +14,7 @@
 
 
 class CrashWorld(SchedulerHarness):
-    """Executors whose runs take `work_ms`, and crash `crash_delay_ms` after a deadly job's start.
+    """Executors whose runs take `work_ms`, and crash `crash_delay_ms` after a crashing job's start.
 
     A crashed executor is silent for `down_ms`; then it reports as a new incarnation.  With no crash
     delay a start gets no answer.  `late_starts` counts each task's starts after three executors
@@ -30,7 +30,7 @@
     ) -> None:
         self.back_ms: dict[str, int] = {}
         super().__init__(*executors)
-        self.deadly_job_ids: set[str] = set()
+        self.crashing_job_ids: set[str] = set()
         self.crash_delay_ms = crash_delay_ms
         self.down_ms = down_ms
         self.work_ms = work_ms
@@ -40,8 +40,8 @@
         self.started_ms: dict[str, int] = {}
         self.executor_crashes = 0
 
-    def submit_deadly(self, job_id: str, *steps: Any, **options: Any) -> None:
-        self.deadly_job_ids.add(job_id)
+    def submit_crashing(self, job_id: str, *steps: Any, **options: Any) -> None:
+        self.crashing_job_ids.add(job_id)
         self.submit(job_id, *steps, **options)
 
     def crash(self, name: str) -> None:
@@ -97,7 +97,7 @@
             self.late_starts[task] = self.late_starts.get(task, 0) + 1
         self.running.setdefault(name, {})[str(run.run_id)] = run
         self.started_ms[str(run.run_id)] = self.now_ms
-        if task.job_id in self.deadly_job_ids and not self.crash_delay_ms:
+        if task.job_id in self.crashing_job_ids and not self.crash_delay_ms:
             self.crash(name)
             return StartOutcome.UNKNOWN
         return StartOutcome.STARTED
@@ -116,7 +116,7 @@
         if str(run.run_id) not in self.running.get(run.executor_id, {}):
             return
         age_ms = self.now_ms - self.started_ms[str(run.run_id)]
-        if run.run_id.task.job_id in self.deadly_job_ids and age_ms >= self.crash_delay_ms:
+        if run.run_id.task.job_id in self.crashing_job_ids and age_ms >= self.crash_delay_ms:
             self.crash(run.executor_id)
         elif age_ms >= self.work_ms:
             self.end(run, EndReason.DONE)
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -29,9 +29,9 @@
 @pytest.mark.parametrize("name", CASES)
 def test_task_that_crashes_its_executors_is_given_up(name: str) -> None:
     world = CrashWorld(*executors(8), **CASES[name])
-    world.submit_deadly("deadly", step(1))
+    world.submit_crashing("crashing", step(1))
     world.pass_time(90_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert max(world.starts.values()) <= MAX_STARTS
     assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
 
@@ -39,57 +39,57 @@
 @pytest.mark.parametrize("is_gang", [False, True])
 def test_crashes_are_counted_across_changes_of_owner(is_gang: bool) -> None:
     world = CrashWorld(*executors(8))
-    world.submit_deadly("deadly", step(3, accelerators=4, is_gang=is_gang))
+    world.submit_crashing("crashing", step(3, accelerators=4, is_gang=is_gang))
     for _ in range(60):
         world.pass_time(1_250)
         world.take_over()
     world.pass_time(10_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
 
 
 def test_wide_step_that_crashes_executors_takes_few_of_them_down() -> None:
     world = CrashWorld(*executors(24))
-    world.submit_deadly("deadly", step(12, accelerators=8))
+    world.submit_crashing("crashing", step(12, accelerators=8))
     world.pass_time(60_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert world.executor_crashes <= 12 + MAX_STARTS
 
 
 def test_several_jobs_that_crash_executors_at_once_are_given_up() -> None:
     world = CrashWorld(*executors(24))
     for index in range(4):
-        world.submit_deadly(f"deadly{index}", step(4, accelerators=4, is_gang=index % 2 == 0))
+        world.submit_crashing(f"crashing{index}", step(4, accelerators=4, is_gang=index % 2 == 0))
     world.pass_time(90_000)
-    assert world.states("deadly") == {"failed"}
+    assert world.states("crashing") == {"failed"}
     assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
 
 
-def test_task_is_given_up_once_it_has_lost_an_executor_alone() -> None:
+def test_task_is_given_up_once_it_has_lost_an_executor_of_its_own() -> None:
     world = CrashWorld(*executors(8))
-    world.submit_deadly("deadly", step(1))
+    world.submit_crashing("crashing", step(1))
     world.pass_time(30_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert world.executor_crashes == 3
 
 
 @pytest.mark.parametrize("is_gang", [False, True])
-def test_jobs_that_crash_executors_at_once_do_not_excuse_each_other(is_gang: bool) -> None:
+def test_jobs_that_crash_executors_at_once_do_not_explain_each_others_losses(is_gang: bool) -> None:
     world = CrashWorld(*executors(60))
     for index in range(6):
-        world.submit_deadly(f"deadly{index}", step(1, accelerators=8, is_gang=is_gang))
+        world.submit_crashing(f"crashing{index}", step(1, accelerators=8, is_gang=is_gang))
     world.pass_time(60_000)
-    assert world.states("deadly") == {"failed"}
+    assert world.states("crashing") == {"failed"}
     assert max(world.starts.values()) < MAX_STARTS
 
 
 def test_jobs_beside_a_task_that_crashes_executors_are_completed() -> None:
     world = CrashWorld(*executors(12))
-    world.submit_deadly("deadly", step(2))
+    world.submit_crashing("crashing", step(2))
     for index in range(10):
         world.submit(f"sound{index}", step(4, is_gang=index % 3 == 0), terms=queue(index % 2))
     world.pass_time(90_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert world.states("sound") == {"completed"}
 
 
@@ -156,7 +156,7 @@
 
 def test_gang_that_fits_only_on_executors_that_it_has_lost_does_not_wait_for_others() -> None:
     world = CrashWorld(*executors(2))
-    world.submit_deadly("deadly", step(4, accelerators=4, is_gang=True))
+    world.submit_crashing("crashing", step(4, accelerators=4, is_gang=True))
     world.pass_time(50_000)
-    assert world.state("deadly") == "failed"
+    assert world.state("crashing") == "failed"
     assert max(world.late_starts.values()) <= MAX_LATE_STARTS
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -42,8 +42,8 @@
 FIRST_PORT = 12_000
 PORT_WINDOWS = 30
 WINDOW_PORTS = 600
-DEADLY_SHARE = 0.1  # Of the jobs; their tasks crash the executors that start them.
-DEADLY_DELAYS_MS = (0, 100, 400)
+CRASHING_SHARE = 0.1  # Of the jobs; their tasks crash the executors that start them.
+CRASH_DELAYS_MS = (0, 100, 400)
 REFUSED_STATUSES = frozenset({429, 503})
 
 
@@ -206,10 +206,10 @@
         job = SubmittedJob(f"{self.seed & 0xFFFFFFFF:08x}{index:08x}")
         self.jobs.append(job)
         # Drawn apart, so that the other choices of a seed that failed before stay as they were.
-        deadly_rng = random.Random(f"{self.seed} deadly {index}")
-        if deadly_rng.random() < DEADLY_SHARE:
-            delay_ms = deadly_rng.choice(DEADLY_DELAYS_MS)
-            self.observations.deadly_delay_by_job[job.job_id] = delay_ms
+        crash_rng = random.Random(f"{self.seed} deadly {index}")
+        if crash_rng.random() < CRASHING_SHARE:
+            delay_ms = crash_rng.choice(CRASH_DELAYS_MS)
+            self.observations.crash_delay_by_job[job.job_id] = delay_ms
         steps = self._choose_steps()
         self.observations.steps_by_job[job.job_id] = steps
         path = f"/{self.rng.choice(['urgent', 'batch'])}/{job.job_id}"
@@ -383,7 +383,7 @@
         if state == "completed":
             self._check_completed(job)
         if state == "failed":
-            return job.job_id in self.observations.deadly_delay_by_job
+            return job.job_id in self.observations.crash_delay_by_job
         return state in ("completed", "cancelled")
 
     def _check_completed(self, job: SubmittedJob) -> None:
--- a/tests/soak/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -152,7 +152,7 @@
 
     `violations` are the broken invariants.  A done task may start again only if its executor
     crashed before the end was acknowledged; `acknowledged_done_tasks` must not start again.
-    `deadly_delay_by_job` holds the jobs whose tasks crash their executor, and after how many
+    `crash_delay_by_job` holds the jobs whose tasks crash their executor, and after how many
     milliseconds; `crashes_by_task` and `late_starts_by_task` count for their tasks.
     """
 
@@ -164,14 +164,14 @@
     started_jobs: set[str] = field(default_factory=set)
     tasks_by_gang: dict[str, set[str]] = field(default_factory=dict)
     cancelled_ms_by_job: dict[str, int] = field(default_factory=dict)
-    deadly_delay_by_job: dict[str, int] = field(default_factory=dict)
+    crash_delay_by_job: dict[str, int] = field(default_factory=dict)
     crashes_by_task: dict[str, int] = field(default_factory=dict)
     late_starts_by_task: dict[str, int] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
 
-    def count_deadly_start(self, job: str, task: str) -> None:
+    def count_crashing_start(self, job: str, task: str) -> None:
         """Counts a start, which is a violation if too many executors have crashed before."""
-        if job not in self.deadly_delay_by_job or self.crashes_by_task.get(task, 0) < MAX_CRASHES:
+        if job not in self.crash_delay_by_job or self.crashes_by_task.get(task, 0) < MAX_CRASHES:
             return
         self.late_starts_by_task[task] = self.late_starts_by_task.get(task, 0) + 1
         if self.late_starts_by_task[task] > MAX_LATE_STARTS:
@@ -257,7 +257,7 @@
                 continue
             if now_ms() > self.lease_until_ms:
                 self._end_run(task, "lapsed")
-            elif self._is_deadly_now(run):
+            elif self._crashes_now(run):
                 self.is_crash_due = True
             elif run.due_ms is not None and now_ms() >= run.due_ms:
                 self._end_run(task, "done")
@@ -282,8 +282,8 @@
         if not (is_recent and self._has_capacity(step, self.former_capacity)):
             self.observations.violations.append(f"{task} exceeds the capacity of {self.name}")
 
-    def _is_deadly_now(self, run: StandinRun) -> bool:
-        delay_ms = self.observations.deadly_delay_by_job.get(run.task.split(".")[0])
+    def _crashes_now(self, run: StandinRun) -> bool:
+        delay_ms = self.observations.crash_delay_by_job.get(run.task.split(".")[0])
         return delay_ms is not None and now_ms() - run.started_ms >= delay_ms
 
     def _begin_run(self, task: str, number: int, job: str, step: dict[str, Any], gang: str) -> None:
@@ -295,7 +295,7 @@
         if task in self.observations.acknowledged_done_tasks:
             self.observations.violations.append(f"{task} started after its end was acknowledged")
         self.observations.started_ms_by_task[task] = now_ms()
-        self.observations.count_deadly_start(job, task)
+        self.observations.count_crashing_start(job, task)
         cancelled_ms = self.observations.cancelled_ms_by_job.get(job)
         if cancelled_ms is not None and now_ms() - cancelled_ms > 3_000:
             self.observations.violations.append(
