--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -24,7 +24,7 @@
     TaskId,
 )
 
-# Changes of capacity apply after a heartbeat of the executor and the time to notice an outage.
+# Starts must respect a lower capacity a few seconds after the executor's registry entry changed.
 MAX_REGISTRY_AGE_MS: Final = 3_000
 
 
