--- a/packages/daemon/src/jacinthreel_daemon/_budget.py
+++ b/packages/daemon/src/jacinthreel_daemon/_budget.py
@@ -8,6 +8,8 @@
 immediately.  After each backoff one operation is admitted as a probe; a success closes the
 breaker.  During an outage each process therefore sends at most one operation per backoff, and a
 store that recovers receives one probe from each process instead of all pending operations.
+Operations of priority `LEASE_PRIORITY` are always admitted, because the owner's lease has to be
+valid as soon as the store is back; there is one such operation each second from one process.
 """
 
 from __future__ import annotations
@@ -141,12 +143,12 @@
         """Returns the retry delay to suggest to callers, at least `PROBE_BACKOFF_BASE_MS`."""
         return max(PROBE_BACKOFF_BASE_MS, self._next_probe_ms - self._clock.now_ms())
 
-    def admit(self) -> Admission:
-        """Returns whether an operation may be sent now.
+    def admit(self, priority: int) -> Admission:
+        """Returns whether an operation of a priority may be sent now.
 
         Unless the result is `REFUSED`, the caller must call `finish_operation` afterwards.
         """
-        if not self.is_open:
+        if not self.is_open or priority <= LEASE_PRIORITY:
             return Admission.NORMAL
         if self._probing or self._clock.now_ms() < self._next_probe_ms:
             return Admission.REFUSED
--- a/packages/daemon/src/jacinthreel_daemon/_election_driver.py
+++ b/packages/daemon/src/jacinthreel_daemon/_election_driver.py
@@ -60,7 +60,7 @@
         self._clock = clock
         self._spawn = spawn
         self._on_change = on_change
-        self._write_task: asyncio.Task[None] | None = None
+        self._write_tasks: set[asyncio.Task[None]] = set()
         self._releasing = False
 
     def is_lease_valid(self) -> bool:
@@ -79,13 +79,13 @@
     async def release(self) -> None:
         """Ends the ownership and deletes the lease row, so that a candidate takes over immediately.
 
-        Waits first for a write in flight, for at most `RELEASE_TIMEOUT_S`.  A renewal that took
+        Waits first for the writes in flight, for at most `RELEASE_TIMEOUT_S`.  A renewal that took
         effect after the deletion would recreate the lease row; a takeover that did would leave a
         lease that no running process holds.
         """
         self._releasing = True
-        if self._write_task is not None and not self._write_task.done():
-            await asyncio.wait({self._write_task}, timeout=RELEASE_TIMEOUT_S)
+        if self._write_tasks:
+            await asyncio.wait(self._write_tasks, timeout=RELEASE_TIMEOUT_S)
         for effect in self.election.handle(StopRequested(), self._clock.now_ms()):
             match effect:
                 case SendRelease(transaction=transaction):
@@ -115,9 +115,9 @@
     def _execute_effect(self, effect: ElectionEffect) -> None:
         match effect:
             case SendTakeover(transaction=transaction):
-                self._write_task = self._spawn(self._take_over(transaction))
+                self._spawn_write(self._take_over(transaction))
             case SendRenewal(transaction=transaction):
-                self._write_task = self._spawn(self._renew(transaction))
+                self._spawn_write(self._renew(transaction))
             case SendRelease(transaction=transaction):
                 self._spawn(self._release(transaction))
             case ShardGained() | ShardLeaseRenewed() | ShardLost():
@@ -125,6 +125,11 @@
             case _:
                 assert_never(effect)
 
+    def _spawn_write(self, write: Coroutine[Any, Any, None]) -> None:
+        task = self._spawn(write)
+        self._write_tasks.add(task)
+        task.add_done_callback(self._write_tasks.discard)
+
     async def _take_over(self, transaction: Transaction) -> None:
         result = await self._store.transact(transaction, LEASE_PRIORITY)
         outcome = classify_write_result(result)
--- a/packages/daemon/src/jacinthreel_daemon/_ownership.py
+++ b/packages/daemon/src/jacinthreel_daemon/_ownership.py
@@ -18,10 +18,12 @@
 outcome is unknown, the candidate continues to poll, and finds its own write id in the epoch row if
 the transaction was applied.
 
-The owner's renewals are conditional on the epoch row being unchanged since the owner wrote it; one
-renewal is in flight at a time.  A renewal with an unknown outcome does not extend the lease.  A
-conflict means that another process took over.  An owner whose lease has expired continues to
-renew, because the lease can become valid again as long as no other process has taken over.
+The owner's renewals are conditional on the epoch row being unchanged since the owner wrote it.  One
+is sent each period, even if earlier ones have not been answered: the first one that a store answers
+after a silence then makes the lease valid again, and the newest one keeps it valid.  A renewal with
+an unknown outcome does not extend the lease.  A conflict means that another process took over.  An
+owner whose lease has expired continues to renew, because the lease can become valid again as long
+as no other process has taken over.
 
 Invariant: at any moment at most one process holds a lease that is valid on its own clock, provided
 that two clocks drift apart by less than `WATCH_MARGIN_MS` over `LEASE_MS`.
@@ -202,8 +204,7 @@
         self._watched_version: int | None = None
         self._watched_since_ms = 0
         self._takeovers_by_write_id: dict[str, _PendingTakeover] = {}
-        self._renewal_id = ""
-        self._renewal_sent_ms = 0
+        self._renewals_sent_ms_by_id: dict[str, int] = {}
 
     @property
     def is_owner(self) -> bool:
@@ -290,39 +291,46 @@
         self.epoch_row_version = epoch_row_version
         self.lease_until_ms = takeover.sent_ms + LEASE_MS
         self._takeovers_by_write_id.clear()
-        self._renewal_id = ""
+        self._renewals_sent_ms_by_id.clear()
         return [ShardGained(takeover.epoch, epoch_row_version, self.lease_until_ms)]
 
     def _on_renewal_due(self, now_ms: int) -> list[ElectionEffect]:
-        if self.role is not Role.OWNER or self._renewal_id:
+        if self.role is not Role.OWNER:
             return []
-        self._renewal_id = self._next_write_id()
-        self._renewal_sent_ms = now_ms
+        self._forget_expired_renewals(now_ms)
+        write_id = self._next_write_id()
+        self._renewals_sent_ms_by_id[write_id] = now_ms
         transaction = Transaction(
-            self._renewal_id,
+            write_id,
             [Condition(epoch_key(self._shard), self.epoch_row_version)],
             [RowWrite(lease_key(self._shard), self._lease_value(self.epoch))],
         )
         return [SendRenewal(transaction)]
 
     def _on_renewal_done(self, event: RenewalDone) -> list[ElectionEffect]:
-        if self.role is not Role.OWNER or event.write_id != self._renewal_id:
+        sent_ms = self._renewals_sent_ms_by_id.pop(event.write_id, None)
+        if self.role is not Role.OWNER or sent_ms is None:
             return []
-        self._renewal_id = ""
         match event.outcome:
-            case WriteOutcome.COMMITTED:
-                self.lease_until_ms = self._renewal_sent_ms + LEASE_MS
+            case WriteOutcome.COMMITTED if sent_ms + LEASE_MS > self.lease_until_ms:
+                self.lease_until_ms = sent_ms + LEASE_MS
                 return [ShardLeaseRenewed(self.lease_until_ms)]
             case WriteOutcome.CONFLICT:
                 return self._lose_ownership("another process took over the shard")
         return []
 
+    def _forget_expired_renewals(self, now_ms: int) -> None:
+        """Drops the renewals that were sent too long ago to extend the lease."""
+        for write_id, sent_ms in list(self._renewals_sent_ms_by_id.items()):
+            if sent_ms + LEASE_MS <= now_ms:
+                del self._renewals_sent_ms_by_id[write_id]
+
     def _lose_ownership(self, reason: str) -> list[ElectionEffect]:
         if self.role is not Role.OWNER:
             return []
         self.role = Role.CANDIDATE
         self.lease_until_ms = 0
-        self._renewal_id = ""
+        self._renewals_sent_ms_by_id.clear()
         self._watched_version = None
         return [ShardLost(reason)]
 
--- a/packages/daemon/src/jacinthreel_daemon/_scheduler.py
+++ b/packages/daemon/src/jacinthreel_daemon/_scheduler.py
@@ -55,6 +55,7 @@
 )
 
 TICK_MS: Final = 100
+LEASE_CHECK_MS: Final = 100
 NOT_OWNER_RETRY_AFTER_MS: Final = 500
 IDLE_TIMEOUT_S: Final = 3.0
 BATCH_DRAIN_TIMEOUT_S: Final = 2.0
@@ -89,6 +90,7 @@
         self.election_driver = ElectionDriver(
             election, self.shard, self.store, self.clock, self.spawn, self._on_ownership_change
         )
+        self._lease_was_valid = False
         self._calls_in_progress = 0
         self._tick_subscription: Subscription | None = None
 
@@ -102,6 +104,7 @@
         self.hosts.subscribe(self._on_hosts)
         self.rows.follow(self.election_driver)
         self.timers.every(RENEW_PERIOD_MS, self.election_driver.renew_lease)
+        self.timers.every(LEASE_CHECK_MS, self._log_lease_change)
 
     async def shutdown(self, http: HttpService) -> None:
         """Releases the shard and finishes the calls in progress."""
@@ -172,6 +175,18 @@
                 self.log.warning("ownership_lost", {**fields, "reason": reason})
                 self.shard_driver.feed(OwnershipLost())
 
+    def _log_lease_change(self, now_ms: int) -> None:
+        """Logs when the lease of an owner expires, and when a renewal makes it valid again."""
+        is_valid = self.election_driver.is_lease_valid()
+        if is_valid == self._lease_was_valid:
+            return
+        self._lease_was_valid = is_valid
+        fields = {"shard": self.shard, "epoch": self.owned_epoch()}
+        if is_valid:
+            self.log.info("lease_valid", fields)
+        elif self.election_driver.election.is_owner:
+            self.log.warning("lease_expired", fields)
+
     async def _load_shard(self, gained: ShardGained) -> None:
         election = self.election_driver.election
         query = ReadQuery(prefixes=[job_prefix(self.shard)])
--- a/packages/daemon/src/jacinthreel_daemon/_store_client.py
+++ b/packages/daemon/src/jacinthreel_daemon/_store_client.py
@@ -71,7 +71,7 @@
         STORE_OUTCOME_UNKNOWN (may have been applied).
         """
         rows = max(1, len(transaction.writes))
-        admission = self._circuit.admit()
+        admission = self._circuit.admit(priority)
         if admission is Admission.REFUSED:
             return Failure(self._unavailable_fault("the table service is unavailable"))
         try:
@@ -86,7 +86,7 @@
     async def read(self, query: ReadQuery) -> Result[ReadReply, Fault]:
         """Reads rows.  Errors: STORE_UNAVAILABLE, STORE_BUDGET_SPENT."""
         rows = max(1, len(query.keys) + len(query.prefixes))
-        admission = self._circuit.admit()
+        admission = self._circuit.admit(READ_PRIORITY)
         if admission is Admission.REFUSED:
             return Failure(self._unavailable_fault("the table service is unavailable"))
         try:
--- a/scripts/_local_cluster.py
+++ b/scripts/_local_cluster.py
@@ -157,6 +157,20 @@
             return None
         return str(shard["host_id"]) if shard else None
 
+    def has_valid_lease(self) -> bool:
+        """Whether there is a shard owner and its lease is valid."""
+        owner_id = self.owner_id()
+        if owner_id is None or f"{owner_id}/scheduler" not in self.processes_by_name:
+            return False
+        return self.has_metric(self._scheduler_http_ports_by_id[owner_id], "shard_lease_valid 1")
+
+    def has_metric(self, port: int, line: str) -> bool:
+        """Whether a process serves a metric with a value, given as the line of its metrics page."""
+        try:
+            return line in call(port, "GET", "/metrics").body.decode().splitlines()
+        except (OSError, http.client.HTTPException):
+            return False
+
     def call_platform(self, method: str, path: str, body: object = None) -> Any:
         """Calls the platform stand-in and returns the decoded answer."""
         return call(self.platform_port, method, path, body).json()
