--- a/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
@@ -15,6 +15,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
+from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._runs._lifecycle import stop_gang, stop_run
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step
 
@@ -64,10 +65,11 @@
             "leaves_in_ms": (executor.earliest_shutdown_ms or now_ms) - now_ms,
         },
     )
+    reason = StopReason(StopCause.EXECUTOR_LEAVING, executor.executor_id)
     if step.spec.is_gang:
-        stop_gang(context, step, run.run_id.number, now_ms)
+        stop_gang(context, step, run.run_id.number, reason, now_ms)
     else:
-        stop_run(context, run, now_ms)
+        stop_run(context, run, reason, now_ms)
 
 
 def _estimate_end_ms(context: Context, job: Job, step: Step, run: Run) -> float:
--- a/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_executors.py
@@ -20,13 +20,14 @@
 from statistics import median
 from typing import Final
 
-from jacinthreel_steps._context import Context
+from jacinthreel_steps._context import Context, run_name
 from jacinthreel_steps._executors._slow_evidence import (
     LAGGING_RATE_RATIO,
     apply_new_verdicts,
     expected_speed,
     record_rate_ratio,
 )
+from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._runs._lifecycle import stop_gang
 from jacinthreel_steps._tables import Executor, GangMove, Job, Run, RunState, Step
 
@@ -102,7 +103,8 @@
             "again_ms": restart_ms,
         },
     )
-    stop_gang(context, step, run_id.number, now_ms)
+    reason = StopReason(StopCause.GANG_MOVED, run_name(run_id))
+    stop_gang(context, step, run_id.number, reason, now_ms)
 
 
 def _comparable_members(context: Context, step: Step) -> list[_Member]:
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,10 +57,16 @@
         return max(0, count)
 
 
+CORES_PER_ACCELERATOR = 8  # Cores that cost as much as one accelerator.
 UNBOUNDED_FIT = 1_000_000
 NO_RESOURCES = Resources(0, 0, 0)
 
 
+def weighted_cores(amount: Resources) -> float:
+    """Returns the cores of an amount, an accelerator counted as `CORES_PER_ACCELERATOR`."""
+    return amount.cpu_milli / 1000 + amount.accelerators * CORES_PER_ACCELERATOR
+
+
 @dataclass(frozen=True, slots=True)
 class StepSpec:
     """A step of a job.
@@ -191,6 +197,29 @@
     ALONE = 6
 
 
+class StopCause(StrEnum):
+    """Why a run was ordered to stop."""
+
+    JOB_ENDED = "job ended"
+    PREEMPTED = "preempted"
+    GANG_ENDED = "gang member ended"
+    GANG_MOVED = "gang moved"
+    EXECUTOR_LEAVING = "executor leaving"
+    EXECUTOR_STALLED = "executor stalled"
+    START_FAILED = "start failed"
+    CLAIM_EXPIRED = "claim expired"
+    WITHDRAWN = "placement withdrawn"
+    EARLIER_RUN_DONE = "earlier run done"
+
+
+@dataclass(frozen=True, slots=True)
+class StopReason:
+    """Why a run was ordered to stop; `source` names the job, run or executor that led to it."""
+
+    cause: StopCause
+    source: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class TaskId:
     """Identifies a task of a job."""
--- a/packages/steps/src/jacinthreel_steps/_planning/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context, run_name
+from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._planning._pass_state import PassState
 from jacinthreel_steps._planning._preemption import PreemptionPlan
 from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
@@ -38,11 +39,12 @@
     )
     accelerators = len(preemption.placement) * step.spec.shape.accelerators
     context.headroom.record_claim(accelerators, state.now_ms)
+    reason = StopReason(StopCause.PREEMPTED, job.job_id)
     for victim in preemption.victims:
         if victim.urgent_workspace is not None:
             state.used_by_workspace[victim.urgent_workspace] -= victim.accelerators
         for run in victim.runs:
-            stop_run(context, run, state.now_ms)
+            stop_run(context, run, reason, state.now_ms)
             state.record_change(run.executor_id)
     create_runs(state, job, step, preemption.placement, RunState.CLAIMED)
 
@@ -99,7 +101,8 @@
         if task is not None:
             release_run(context, task, run)
         if step.spec.is_gang:
-            stop_gang(context, step, run.run_id.number, now_ms)
+            expired = StopReason(StopCause.CLAIM_EXPIRED, run_name(run.run_id))
+            stop_gang(context, step, run.run_id.number, expired, now_ms)
 
 
 def _is_satisfied(tables: Tables, run: Run) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_planning/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_victims.py
@@ -11,11 +11,10 @@
 from dataclasses import dataclass
 from typing import Final
 
-from jacinthreel_steps._model import NO_RESOURCES, Resources
+from jacinthreel_steps._model import NO_RESOURCES, Resources, weighted_cores
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 from jacinthreel_steps._workspaces._shares import Shares
 
-CORES_PER_ACCELERATOR: Final = 8  # Cores that cost as much as one accelerator.
 CHECKPOINTED_LOSS_MS: Final = 1_000  # Maximum work lost if progress is saved; added for every run.
 PRIORITY_0_COST_FACTOR: Final = 20.0  # Cost multiplier for victims of priority 0.
 STOP_MARGIN_MS: Final = 400  # A run that takes this much longer to stop ignores the order.
@@ -151,7 +150,6 @@
         ran_ms = max(0, now_ms - run.placed_ms)
         if step.spec.saves_progress:
             ran_ms = min(ran_ms, CHECKPOINTED_LOSS_MS)
-        cores = run.shape.cpu_milli / 1000 + run.shape.accelerators * CORES_PER_ACCELERATOR
-        lost += cores * (CHECKPOINTED_LOSS_MS + ran_ms) / 1000
+        lost += weighted_cores(run.shape) * (CHECKPOINTED_LOSS_MS + ran_ms) / 1000
     priority = job.record.queue.priority
     return lost * PRIORITY_0_COST_FACTOR if priority == 0 else lost / priority
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -17,7 +17,8 @@
 from jacinthreel_steps._executors._executor_health import record_failure, record_success
 from jacinthreel_steps._executors._executor_speed import observe_completed_run
 from jacinthreel_steps._executors._run_times import observe_run_time
-from jacinthreel_steps._model import EndReason, JobState
+from jacinthreel_steps._model import EndReason, JobState, StopCause, StopReason
+from jacinthreel_steps._runs._run_log import log_run_end
 from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
 
 
@@ -70,17 +71,7 @@
         is_executor_lost = _has_restarted(context, run)
     has_lost_executor = is_executor_lost and has_started(run)
     release_run(context, task, run)
-    context.log(
-        "run_ended",
-        {
-            "job_id": job.job_id,
-            "run": run_name(run.run_id),
-            "executor": run.executor_id,
-            "reason": reason.name.lower(),
-            "ran_ms": now_ms - run.placed_ms,
-            "executor_lost": has_lost_executor,
-        },
-    )
+    log_run_end(context, step, run, reason, checkpoint, has_lost_executor, now_ms)
     _record_checkpoint(step, task, checkpoint or run.checkpoint)
     match reason:
         case EndReason.DONE:
@@ -100,7 +91,8 @@
                 record_crash(context, job, step, task, run, now_ms)
     _fail_job_if_crashing(context, job, task, run, has_lost_executor, now_ms)
     if step.spec.is_gang and reason is not EndReason.DONE:
-        stop_gang(context, step, run.run_id.number, now_ms)
+        ended = StopReason(StopCause.GANG_ENDED, f"{run_name(run.run_id)} {reason.name.lower()}")
+        stop_gang(context, step, run.run_id.number, ended, now_ms)
     context.tables.bump_revision(job)
 
 
@@ -168,14 +160,17 @@
             "chain_ms": round(job.chain_ms),
         },
     )
+    reason = StopReason(StopCause.JOB_ENDED, state.name.lower())
     for step in job.steps:
         for task in step.tasks:
             if task.run is not None and not task.is_done:
-                stop_run(context, task.run, now_ms)
+                stop_run(context, task.run, reason, now_ms)
     context.tables.bump_revision(job)
 
 
-def stop_gang(context: Context, step: Step, run_number: int, now_ms: int) -> None:
+def stop_gang(
+    context: Context, step: Step, run_number: int, reason: StopReason, now_ms: int
+) -> None:
     """Stops all runs of a gang that have this run number; a no-op if the step is done.
 
     A gang can't continue once one of its runs has ended.
@@ -184,10 +179,10 @@
         return
     for task in step.tasks:
         if task.run is not None and task.run.run_id.number == run_number:
-            stop_run(context, task.run, now_ms)
+            stop_run(context, task.run, reason, now_ms)
 
 
-def stop_run(context: Context, run: Run, now_ms: int) -> None:
+def stop_run(context: Context, run: Run, reason: StopReason, now_ms: int) -> None:
     """Stops a run: ends it at once if its start was not ordered yet, else orders its executor to.
 
     A no-op if the run is already stopping or has ended.
@@ -201,6 +196,7 @@
             context.tables.bump_revision(context.tables.jobs_by_id[run.run_id.task.job_id])
         case RunState.STARTING | RunState.RUNNING:
             run.state = RunState.STOPPING
+            run.stop_reason = reason
             run.stopping_since_ms = now_ms
             send_stop(context, run, now_ms)
         case RunState.STOPPING | RunState.ENDED:
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -22,6 +22,8 @@
     ReportedRun,
     Resources,
     RunId,
+    StopCause,
+    StopReason,
 )
 from jacinthreel_steps._runs._lifecycle import end_run, mark_task_done, send_stop, stop_run
 from jacinthreel_steps._tables import Executor, PendingEnd, Run, RunState
@@ -127,7 +129,8 @@
         step = job.steps[end.run_id.task.step_index]
         mark_task_done(context, job, step, task, now_ms)
         if run is not None:
-            stop_run(context, run, now_ms)
+            reason = StopReason(StopCause.EARLIER_RUN_DONE, run_name(end.run_id))
+            stop_run(context, run, reason, now_ms)
         tables.bump_revision(job)
     executor.pending_ends.append(PendingEnd(end.sequence, job.job_id, job.revision))
 
--- a/packages/steps/src/jacinthreel_steps/_runs/_stalls.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_stalls.py
@@ -12,6 +12,7 @@
 
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._executors._executor_health import STALLED_AVOID_MS, avoid_executor
+from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._runs._lifecycle import stop_run
 from jacinthreel_steps._tables import Executor, Run, RunState
 
@@ -30,8 +31,9 @@
         if not runs or not all(_is_stalled(context, executor, run) for run in runs):
             continue
         avoid_executor(executor, STALLED_AVOID_MS, "no progress", now_ms, context.log)
+        reason = StopReason(StopCause.EXECUTOR_STALLED, executor.executor_id)
         for run in runs:
-            stop_run(context, run, now_ms)
+            stop_run(context, run, reason, now_ms)
 
 
 def _is_stalled(context: Context, executor: Executor, run: Run) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_runs/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -17,9 +17,9 @@
     UNHEALTHY_AVOID_MS,
     avoid_executor,
 )
-from jacinthreel_steps._model import StartOutcome
+from jacinthreel_steps._model import StartOutcome, StopCause, StopReason
 from jacinthreel_steps._runs._lifecycle import release_run, stop_gang, stop_run
-from jacinthreel_steps._tables import Executor, Run, RunState
+from jacinthreel_steps._tables import Executor, Job, Run, RunState
 
 START_RETRY_LIMIT_MS: Final = 1_500  # After this, an unanswered start is stopped, not retried.
 START_OVERDUE_MS: Final = 3_000  # After this, a start is stopped even if its order is in flight.
@@ -31,7 +31,14 @@
     if run.state is RunState.STARTING:
         run.state = RunState.RUNNING
         run.progress_changed_ms = now_ms
-    context.tables.jobs_by_id[run.run_id.task.job_id].has_begun = True
+    mark_begun(context, context.tables.jobs_by_id[run.run_id.task.job_id], now_ms)
+
+
+def mark_begun(context: Context, job: Job, now_ms: int) -> None:
+    """Records that a task of the job has started; logs the first time since the takeover."""
+    if not job.has_begun:
+        job.has_begun = True
+        context.log("job_begun", {"job_id": job.job_id, "waited_ms": now_ms - job.accepted_ms})
 
 
 def handle_unanswered_start(context: Context, run: Run, now_ms: int) -> None:
@@ -103,11 +110,12 @@
     assert task is not None
     job = context.tables.jobs_by_id[run.run_id.task.job_id]
     step = job.steps[run.run_id.task.step_index]
+    reason = StopReason(StopCause.START_FAILED, run_name(run.run_id))
     if run.has_unanswered_start:
-        stop_run(context, run, now_ms)
+        stop_run(context, run, reason, now_ms)
     else:
         refund_start(task)
         release_run(context, task, run)
         context.tables.bump_revision(job)
     if step.spec.is_gang:
-        stop_gang(context, step, run.run_id.number, now_ms)
+        stop_gang(context, step, run.run_id.number, reason, now_ms)
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -39,6 +39,8 @@
     JobState,
     Policy,
     StartOutcome,
+    StopCause,
+    StopReason,
 )
 from jacinthreel_steps._planning._planner import plan
 from jacinthreel_steps._runs._lifecycle import (
@@ -66,6 +68,7 @@
     confirm_start,
     handle_refused_start,
     handle_unanswered_start,
+    mark_begun,
 )
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, make_job
 from jacinthreel_steps._workspaces._quotas import count_admitted, exceeds_quota
@@ -264,7 +267,7 @@
         for reported in report.running:
             job = self.tables.jobs_by_id.get(reported.run_id.task.job_id)
             if job is not None:
-                job.has_begun = True
+                mark_begun(self._context, job, now_ms)
 
     def record_start_outcome(self, run: Run, outcome: StartOutcome, now_ms: int) -> None:
         """Applies the outcome of an order to start `run`."""
@@ -337,7 +340,7 @@
         job.stored_revision = row.revision
         job.stored_version = version
         if job.revision == row.revision:
-            job.visible_state = job.state
+            self._show_state(job, now_ms)
         elif job.visible_state is JobState.QUEUED:
             job.visible_state = JobState.RUNNING
         for step in job.steps:
@@ -348,6 +351,14 @@
                 if run.needed_revision <= row.revision:
                     self._order_start(job, step, run, now_ms)
 
+    def _show_state(self, job: Job, now_ms: int) -> None:
+        """Makes the stored state visible to callers; logs when they can see that the job ended."""
+        was_final = job.visible_state.is_final
+        job.visible_state = job.state
+        if job.state.is_final and not was_final:
+            fields = {"job_id": job.job_id, "age_ms": now_ms - job.accepted_ms}
+            self._context.log("job_end_stored", fields)
+
     def _order_start(self, job: Job, step: Step, run: Run, now_ms: int) -> None:
         """Orders the start of a placed run, or withdraws it if it doesn't fit any more.
 
@@ -364,10 +375,11 @@
                 "policy_version": self.tables.policy.version,
             }
             self._context.log("placement_withdrawn", fields)
+            withdrawn = StopReason(StopCause.WITHDRAWN, reason)
             if step.spec.is_gang:
-                stop_gang(self._context, step, run.run_id.number, now_ms)
+                stop_gang(self._context, step, run.run_id.number, withdrawn, now_ms)
             else:
-                stop_run(self._context, run, now_ms)
+                stop_run(self._context, run, withdrawn, now_ms)
             return
         run.state = RunState.STARTING
         run.placed_ms = now_ms
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -21,6 +21,7 @@
     Resources,
     RunId,
     StepSpec,
+    StopReason,
     TaskId,
 )
 
@@ -70,9 +71,9 @@
 
     `placed_ms` is when the run was claimed or placed, set again when its start is ordered.
     `start_confirmed_ms` is when the start was confirmed, by an answer or a report.
-    `stopping_since_ms` is when the first stop order was issued, `stop_sent_ms` when the last one
-    was, `stop_confirmed_ms` when the executor first confirmed a stop.  `percent` is the reported
-    progress, and `progress_changed_ms` when it last changed.
+    `stop_reason` is why the first stop order was issued, `stopping_since_ms` when; `stop_sent_ms`
+    is when the last one was, `stop_confirmed_ms` when the executor first confirmed a stop.
+    `percent` is the reported progress, and `progress_changed_ms` when it last changed.
     `span_start_ms` and `span_start_percent` are the time and the progress at the start of the span
     over which the current pace is measured; 0 before the first report.
     `checkpoint_changed_ms` is when this run's newest checkpoint was first reported, 0 before that.
@@ -91,6 +92,7 @@
     isolation: Isolation = Isolation.NONE
     reported_incarnation: int = 0
     start_confirmed_ms: int | None = None
+    stop_reason: StopReason | None = None
     stopping_since_ms: int | None = None
     stop_sent_ms: int | None = None
     stop_confirmed_ms: int | None = None
