--- a/packages/cli/src/jacinthreel_cli/__main__.py
+++ b/packages/cli/src/jacinthreel_cli/__main__.py
@@ -13,6 +13,7 @@
 from jacinthreel_cli._job_commands import job_app
 from jacinthreel_cli._request_commands import codes_app, request_app
 from jacinthreel_cli._session import Common, Session
+from jacinthreel_cli._summary import summary
 from jacinthreel_cli._top import top
 from jacinthreel_cli._views import render_status
 from jacinthreel_common import SystemStatus
@@ -23,6 +24,7 @@
 )
 app.command(init)
 app.command(explain)
+app.command(summary)
 app.command(top)
 for group in (job_app, workspace_app, zone_app, preset_app, request_app, codes_app):
     app.command(group)
--- a/packages/cli/src/jacinthreel_cli/_explain.py
+++ b/packages/cli/src/jacinthreel_cli/_explain.py
@@ -1,41 +1,21 @@
 """Implements `jacinthreel explain`: prints the log lines of one job in order of time.
 
-Reads log lines of any number of processes from files or standard input.  A line may have a prefix
-before its JSON object, such as a host name and a time; lines without a JSON object are skipped.
+For a job that was late, the last line says which stage cost most; for one that was never accepted,
+what its caller was told.
 """
 
 from __future__ import annotations
 
-import json
-import sys
-from collections.abc import Iterable
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from jacinthreel_cli._exit import CommandError, ExitStatus
+from jacinthreel_cli._job_history import JobHistory, read_histories
+from jacinthreel_cli._log_lines import LogLine, read_lines
 from jacinthreel_common import Fault, ResultCode
 
-COMMON_KEYS = frozenset({"time", "level", "event", "host", "role", "job_id"})
-
-
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """A log line; `fields` are its job id and the fields that are specific to its event."""
-
-    time: str
-    host: str
-    event: str
-    fields: dict[str, Any]
-
-    def format(self) -> str:
-        """Returns the line as text for the terminal."""
-        fields = " ".join(f"{key}={_format_value(value)}" for key, value in self.fields.items())
-        return f"{self.time}  {self.host:<22} {self.event:<20} {fields}".rstrip()
-
 
 def explain(job_id: str, files: list[Path] | None = None) -> None:
-    """Prints the log lines that concern a job, in order of time.
+    """Prints the log lines that concern a job, in order of time, and what delayed it.
 
     Parameters
     ----------
@@ -44,57 +24,42 @@
     files
         Log files of any number of processes.  Default: standard input.
     """
-    texts = [path.read_text(errors="replace").splitlines() for path in files or []]
-    lines = [line for text in texts for line in text] if files else sys.stdin
-    job_lines = find_lines(job_id, lines)
+    job_lines = [line for line in read_lines(files) if _concerns_job(line, job_id)]
     if not job_lines:
         fault = Fault(ResultCode.JOB_NOT_FOUND, f"no log line mentions job {job_id}")
         raise CommandError(ExitStatus.REFUSED, fault)
     for line in job_lines:
         print(line.format())
+    history = read_histories(job_lines).get(job_id)
+    conclusion = describe(history) if history is not None else ""
+    if conclusion:
+        print(conclusion)
 
 
-def find_lines(job_id: str, lines: Iterable[str]) -> list[LogLine]:
-    """Returns the lines that concern a job, in order of time.
+def describe(history: JobHistory) -> str:
+    """Returns what delayed, refused or failed a job in one line, "" if nothing did.
 
-    >>> line = 'h1 {"time": "2026-01-01T00:00:01", "event": "job_ended", "job_id": "a"}'
-    >>> [found.event for found in find_lines("a", [line, "noise", "{broken"])]
-    ['job_ended']
+    >>> describe(JobHistory("a", refusal="5001 the store does not answer"))
+    'not accepted; last answer: 5001 the store does not answer'
     """
-    job_lines: list[LogLine] = []
-    for text in lines:
-        line = _parse_line(text)
-        if line is not None and _concerns_job(line, job_id):
-            job_lines.append(line)
-    return sorted(job_lines, key=lambda line: line.time)
-
-
-def _parse_line(text: str) -> LogLine | None:
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        data = json.loads(text[start:])
-    except ValueError:
-        return None
-    if not isinstance(data, dict) or "event" not in data:
-        return None
-    fields = {key: value for key, value in data.items() if key not in COMMON_KEYS}
-    fields["job_id"] = data.get("job_id", "")
-    return LogLine(str(data.get("time", "")), str(data.get("host", "")), str(data["event"]), fields)
+    if not history.accepted_s and history.refusal:
+        return f"not accepted; last answer: {history.refusal}"
+    lost = ", ".join(f"{cause} {core_s:.0f}" for cause, core_s in history.lost_by_cause.items())
+    if history.state == "failed":
+        return f"failed; core-seconds lost: {lost or 'none'}"
+    if not history.is_late:
+        return ""
+    times = history.stage_times().items()
+    stages = ", ".join(f"{stage.value} {time_s:.1f} s" for stage, time_s in times if time_s >= 0.05)
+    late_s = history.completion_s - history.objective_s
+    return f"late by {late_s:.1f} s: {stages}" + (f"; core-seconds lost: {lost}" if lost else "")
 
 
 def _concerns_job(line: LogLine, job_id: str) -> bool:
     """Whether the line has the job id, a path that ends with it, or stopped runs of the job."""
-    if line.fields.get("job_id") == job_id:
+    if line.job_id == job_id:
         return True
-    if str(line.fields.get("path", "")).endswith(job_id):
+    if line.text("path").endswith(job_id):
         return True
     stopped = line.fields.get("stopped")
     return isinstance(stopped, list) and any(str(run).startswith(f"{job_id}.") for run in stopped)
-
-
-def _format_value(value: object) -> str:
-    if isinstance(value, list):
-        return f"[{len(value)}] {','.join(str(item) for item in value[:3])}"
-    return str(value)
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -34,8 +34,10 @@
 
     assert run(["explain", JOB]) is ExitStatus.DONE
 
-    events = [line.split()[1 if "front" not in line else 2] for line in _output(capsys)]
+    *lines, conclusion = _output(capsys)
+    events = [line.split()[1 if "front" not in line else 2] for line in lines]
     assert events == ["call_refused", "job_accepted", "room_claimed", "job_ended"]
+    assert conclusion == "failed; core-seconds lost: none"
 
 
 def test_refused_submission_and_its_retries_are_printed(
@@ -43,9 +45,10 @@
 ) -> None:
     assert run(["explain", "37e6ff218c7a59de", str(LOG)]) is ExitStatus.DONE
 
-    lines = _output(capsys)
+    *lines, conclusion = _output(capsys)
     assert len(lines) == 5
     assert all("job_not_accepted" in line and "code=5001" in line for line in lines)
+    assert conclusion == "not accepted; last answer: 5001 the store does not answer"
 
 
 def test_job_is_printed_from_its_first_refusal_to_its_end(
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -42,7 +42,9 @@
     StopCause,
     StopReason,
 )
-from jacinthreel_steps._planning._planner import plan
+from jacinthreel_steps._planning._fragmentation import sample_fragmentation
+from jacinthreel_steps._planning._placement import find_usable_executors
+from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS, plan
 from jacinthreel_steps._runs._lifecycle import (
     count_attached_run,
     end_run,
@@ -76,6 +78,7 @@
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
 RUN_CHECK_PERIOD_MS: Final = 200
+CAPACITY_SAMPLE_PERIOD_MS: Final = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +109,7 @@
         self.tables = Tables()
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
+        self._capacity_sampled_ms = 0
         # Runs restored from storage whose executor is not listed yet.
         self._unattached_runs_by_executor: dict[str, list[Run]] = {}
 
@@ -298,6 +302,10 @@
             self._check_runs(now_ms)
         stop_runs_on_draining_executors(self._context, now_ms)
         plan(self._context, now_ms)
+        if now_ms - self._capacity_sampled_ms >= CAPACITY_SAMPLE_PERIOD_MS:
+            self._capacity_sampled_ms = now_ms
+            usable = find_usable_executors(self.tables, now_ms, MAX_REPORT_AGE_MS)
+            self._context.log("capacity_sampled", sample_fragmentation(self.tables, usable))
 
     def _check_runs(self, now_ms: int) -> None:
         """Checks all runs for conditions that develop over time: overdue, stalled or slow."""
