--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -34,6 +34,7 @@
 LOST_AFTER_MS: Final = 800
 PROBE_AFTER_MS: Final = 200  # Long enough to recover from a single lost connection.
 RECENT_ANSWER_MS: Final = 300
+MAX_CALL_MS: Final = 600  # A longer call has waited for changes.
 PROBE_TIMEOUT_MS: Final = 400  # Shorter than the time for which peers wait for an insert.
 LOST_PROBE_TIMEOUT_MS: Final = 60  # A store that is back answers within a few milliseconds.
 OWNER_REPORT_MAX_AGE_MS: Final = 600
@@ -76,12 +77,22 @@
         self._clock = clock
         self._suspect_since_ms: int | None = None
         self._last_answered_sent_ms: int | None = None
+        self._last_answer_took_ms = 0
 
     @property
     def has_recent_answer(self) -> bool:
-        """Whether a call that was sent within the last `RECENT_ANSWER_MS` was answered."""
+        """Whether the last answered call was sent recently, as far as its duration allows.
+
+        That is within `RECENT_ANSWER_MS`, and twice the time that the call took: the calls of a slow
+        store were sent long ago when they are answered.
+        """
         sent_ms = self._last_answered_sent_ms
-        return sent_ms is not None and self._clock.now_ms() - sent_ms <= RECENT_ANSWER_MS
+        if sent_ms is None:
+            return False
+        limit_ms = RECENT_ANSWER_MS
+        if self._last_answer_took_ms <= MAX_CALL_MS:
+            limit_ms += 2 * self._last_answer_took_ms
+        return self._clock.now_ms() - sent_ms <= limit_ms
 
     @property
     def is_lost(self) -> bool:
@@ -127,6 +138,7 @@
             self._suspect_since_ms = None
         if self._last_answered_sent_ms is None or sent_ms > self._last_answered_sent_ms:
             self._last_answered_sent_ms = sent_ms
+            self._last_answer_took_ms = self._clock.now_ms() - sent_ms
 
 
 class MonitoredStore:
--- a/packages/node/tests/test_following.py
+++ b/packages/node/tests/test_following.py
@@ -201,6 +201,19 @@
     assert not health.has_recent_answer  # It accepted the call, but `LOST_AFTER_MS` ago.
 
 
+def test_slow_store_is_not_asked_before_each_write_while_it_answers() -> None:
+    """An answer that took 200 ms never counted as recent: each submission waited for a probe."""
+    clock = ManualClock()
+    health = StoreHealth(clock)
+    sent_ms = clock.now_ms()
+    clock.time_ms += 200
+    health.record_outcome(Success(None), sent_ms)
+    clock.time_ms += RECENT_ANSWER_MS
+    assert health.has_recent_answer
+    clock.time_ms += 201
+    assert not health.has_recent_answer
+
+
 def test_store_is_probed_before_it_counts_as_lost() -> None:
     clock = ManualClock()
     health = StoreHealth(clock)
