--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -46,6 +46,7 @@
 RETRY_PAUSE_MS: Final = 200
 ORDER_WORKERS: Final = 2
 MAX_STOP_ATTEMPTS: Final = 4
+CONFIRMATION_AGE_MS: Final = 2  # A report shows a stop that was confirmed before it was requested.
 DRAINING_LEASE_MS: Final = 2_500  # Shorter, to place its runs elsewhere soon after it leaves.
 
 
@@ -282,7 +283,7 @@
                 return
             match await context.gateway.stop(self._target(executor), order.run_id, context.epoch):
                 case Success(_):
-                    context.scheduler.record_stop_confirmation(order, context.clock.now_ms())
+                    await self._confirm_stop(executor, order)
                     return
                 case Failure(Fault(code=ResultCode.STALE_EPOCH)):
                     context.on_fenced(self._executor_id)
@@ -291,6 +292,29 @@
                     return
         # If the run is still running, the next report triggers another stop.
 
+    async def _confirm_stop(self, executor: Executor, order: StopOrder) -> None:
+        """Records a confirmed stop, and asks at once whether a run that never started is gone.
+
+        The end of such a run is never reported, so that the report that is waited for may come a
+        second later; until then the task, and with it its gang, can't be placed again.
+        """
+        context = self._context
+        run = executor.runs_by_task.get(order.run_id.task)
+        context.scheduler.record_stop_confirmation(order, context.clock.now_ms())
+        if run is None or run.run_id != order.run_id or run.start_confirmed_ms is not None:
+            return
+        await asyncio.sleep(CONFIRMATION_AGE_MS / 1000)
+        sent_ms = context.clock.now_ms()
+        request = ReportRequest(context.epoch, 0, None, 0)
+        match await context.gateway.report(self._target(executor), request):
+            case Success(ReportResponse() as response):
+                report = ExecutorReport(
+                    response.incarnation, sent_ms, response.running, response.ended
+                )
+                context.scheduler.apply_report(self._executor_id, report, context.clock.now_ms())
+            case Failure(_):
+                return  # The polling detects that the executor is unreachable.
+
     def _find_executor(self) -> Executor | None:
         return self._context.scheduler.tables.executors_by_id.get(self._executor_id)
 
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -29,6 +29,7 @@
     RunState,
     Scheduler,
     StepSpec,
+    StopOrder,
     TaskId,
 )
 
@@ -312,6 +313,27 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_run_that_never_started_is_gone_as_soon_as_its_stop_is_confirmed() -> None:
+    """Its gang waited up to a second for the next report before it could start elsewhere."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        run = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[0]
+        run.state = RunState.STOPPING
+        harness.clock.time_ms += 10
+        harness.link.send(StopOrder("e1", 1, run.run_id))
+        await wait_until(lambda: harness.held_run_count == 0)
+        immediate = [
+            request
+            for request in harness.gateway.requests[2:]
+            if request.wait_ms == 0 and request.lease_until_ms is None
+        ]
+        assert len(immediate) == 1
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_process_that_was_paused_beyond_its_ownership_sends_no_start_and_renews_nothing() -> None:
     async def scenario(harness: LinkHarness) -> None:
         await wait_until(lambda: len(harness.gateway.requests) > 2)
