--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -324,6 +324,7 @@
     def _mark_unreachable(self, fault: Fault) -> None:
         if not self._exchange.record_failure():
             return
+        self._context.scheduler.record_unreachable(self._executor_id, self._context.clock.now_ms())
         choice = self._lease_choice
         fields = {
             "executor": self._executor_id,
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -527,6 +527,7 @@
         link.is_reached = False
         if not link.is_lost_logged:
             link.is_lost_logged = True
+            self._context.scheduler.record_unreachable(link.executor_id, now_ms)
             fields = {
                 "executor": link.executor_id,
                 "reason": loss.detail,
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -83,7 +83,7 @@
     def has_recent_answer(self) -> bool:
         """Whether the last answered call was sent recently, as far as its duration allows.
 
-        That is within `RECENT_ANSWER_MS`, and twice the time that the call took: the calls of a slow
+        That is within `RECENT_ANSWER_MS` and twice the time that the call took: the calls of a slow
         store were sent long ago when they are answered.
         """
         sent_ms = self._last_answered_sent_ms
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
@@ -8,6 +8,9 @@
 A task on its last attempt prefers proven executors: those where a run that started within
 `PROVEN_MS` has made progress or succeeded.
 
+An executor that was out of reach is less preferred for `SUSPECT_MS` too: it may be lost again, and
+a start that it doesn't answer keeps a whole gang waiting until its stop is confirmed.
+
 Targets executors that seem healthy but fail or hang every run: without this, the capacity that is
 freed by the failures attracts further tasks and uses up their attempts.
 """
@@ -88,6 +91,8 @@
 
 
 def is_suspect(executor: Executor, now_ms: int) -> bool:
-    """Whether a recent failure makes other executors preferred."""
+    """Whether a recent failure, or a time out of reach, makes other executors preferred."""
     health = executor.health
+    if health.unreachable_ms is not None and now_ms - health.unreachable_ms < SUSPECT_MS:
+        return True
     return health.failures > 0 and now_ms - health.failed_ms < SUSPECT_MS
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -237,6 +237,12 @@
         executor.has_unreadable_entry = True
         return True
 
+    def record_unreachable(self, executor_id: str, now_ms: int) -> None:
+        """Records that an executor stopped responding; it is less preferred for a while."""
+        executor = self.tables.executors_by_id.get(executor_id)
+        if executor is not None:
+            executor.health.unreachable_ms = now_ms
+
     def expire_executor(self, executor_id: str, reason: str, now_ms: int) -> None:
         """Ends all runs of an unreachable executor; called once they have certainly ended there."""
         executor = self.tables.executors_by_id.get(executor_id)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -274,7 +274,8 @@
     """An executor's health, derived from recent runs.
 
     `failures` counts the failed runs since the last successful one, and `failed_ms` is the time of
-    the last failure.  The executor gets no new tasks before `avoid_until_ms`, nor before
+    the last failure, `unreachable_ms` that of the last failed exchange with the executor after a
+    successful one.  The executor gets no new tasks before `avoid_until_ms`, nor before
     `slow_until_ms`, which is set to 0 when later runs are normal.  `verdict_by_task` holds the
     verdicts on recent runs, the one that changed last at the end, and `has_new_verdict` is set
     until they are applied.  `proven_ms` is the latest start time among the runs that made progress
@@ -288,6 +289,7 @@
     has_new_verdict: bool = False
     verdict_by_task: dict[TaskId, PaceVerdict] = field(default_factory=dict)
     failed_ms: int = 0
+    unreachable_ms: int | None = None
     proven_ms: int | None = None
     speed_class: int = 0
 
