--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -29,7 +29,12 @@
     RowWrite,
     Snapshot,
 )
-from jacinthreel_node._records import INTAKE_GROUPS, INTAKE_TABLE, transaction_group
+from jacinthreel_node._records import (
+    INTAKE_GROUPS,
+    INTAKE_TABLE,
+    PROGRESS_TABLE,
+    transaction_group,
+)
 
 LOST_AFTER_MS: Final = 800
 PROBE_AFTER_MS: Final = 200  # Long enough to recover from a single lost connection.
@@ -189,6 +194,10 @@
             return False
         return self._clock.now_ms() - reported_ms <= OWNER_REPORT_MAX_AGE_MS
 
+    def is_progress_lost(self) -> bool:
+        """Whether commits of progress are expected to fail."""
+        return self._health_of_all.is_lost or self.health_of(PROGRESS_TABLE, "").is_lost
+
     @property
     def is_intake_lost(self) -> bool:
         """Whether new jobs can't be stored; one group is checked as representative of all."""
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -569,6 +569,7 @@
             self,
             MetricsRegistry(),
             NoStreams(),
+            lambda: False,
             self.info,
         )
         return Ownership(
