--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -227,6 +227,14 @@
     row: StoredRow
 
 
+@dataclass(frozen=True, slots=True)
+class JobAnnouncement:
+    """Announces a job to the owner whose acceptance the sender is storing; it may yet fail."""
+
+    job_id: str
+    value: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class IntakeInsert:
     """Requests that a process with access to the store insert a row into the intake.
@@ -336,6 +344,7 @@
         OwnerHeartbeat,
         StoredRow,
         IntakeNotice,
+        JobAnnouncement,
         IntakeInsert,
         IntakeInserted,
         PolicyPull,
--- a/packages/node/src/jacinthreel_node/_ended_job_sweeper.py
+++ b/packages/node/src/jacinthreel_node/_ended_job_sweeper.py
@@ -60,9 +60,19 @@
         return job_id in self._just_deleted
 
     def add_orphaned_progress(self, job_ids: Iterable[str]) -> None:
-        """Schedules the deletion of progress rows whose intake rows are already deleted."""
+        """Schedules the deletion of progress rows without intake rows.
+
+        Either these are already deleted, or the job was announced and not accepted yet.
+        """
         self._undeleted_progress.extend(job_ids)
 
+    def keep_progress(self, job_id: str) -> bool:
+        """Cancels the deletion of a progress row; returns false if none was scheduled."""
+        if job_id not in self._undeleted_progress:
+            return False
+        self._undeleted_progress.remove(job_id)
+        return True
+
     async def run(self, clock: Clock) -> None:
         """Sweeps every `SWEEP_PERIOD_MS` until cancelled."""
         while True:
@@ -72,6 +82,7 @@
     async def sweep(self, now_ms: int) -> None:
         """Deletes the jobs whose retention time has passed."""
         self._just_deleted = set()
+        self._undeleted_progress += self._scheduler.remove_old_announcements(now_ms - self._keep_ms)
         job_ids = self._scheduler.find_jobs_ended_before(now_ms - self._keep_ms)
         ids_by_group: dict[str, list[str]] = {}
         for job_id in job_ids:
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -3,9 +3,10 @@
 A job is accepted by inserting an intake row, which the owner reads from the table.  An insert whose
 outcome is unknown is retried until it is known or time runs out; the row's key makes the insert
 idempotent.  Jobs that would be done too late are refused before the insert (`_admission_control`).
-If the store doesn't serve this host, the insert is sent to the owner.  Once an insert may have
-taken effect, the result is never that the job has not run.  Job states are queried from the owner,
-or read from the store if the owner is unreachable.
+If the store doesn't serve this host, the insert is sent to the owner.  If the store is slow, the
+owner is told of the job before the insert, so that it can place the job meanwhile.  Once an insert
+may have taken effect, the result is never that the job has not run.  Job states are queried from
+the owner, or read from the store if the owner is unreachable.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
     IntakeInsert,
     IntakeInserted,
     IntakeNotice,
+    JobAnnouncement,
     JobStateAnswer,
     JobStateQuery,
     ResultCode,
@@ -100,12 +102,14 @@
         is_owner: Callable[[], bool],
         owned_waiting_jobs: Callable[[], dict[str, int]],
         apply_owned_row: Callable[[StoredRow], None],
+        announce_owned_job: Callable[[JobAnnouncement], None],
         store_availability: StoreAvailability,
         clock: Clock,
         metrics: MetricsRegistry,
         log: Callable[[str, dict[str, Any]], None],
     ) -> None:
         self._apply_owned_row = apply_owned_row
+        self._announce_owned_job = announce_owned_job
         self._store_availability = store_availability
         self._store = store
         self._hub = hub
@@ -239,12 +243,14 @@
         """Inserts an intake row with retries until the deadline; returns whether it is new."""
         answer_by_ms = started_ms + deadline_ms - _answer_margin_ms(deadline_ms)
         may_be_stored = False
+        is_announced = self._announce_if_slow(key, value)
         while True:
             fault = Fault(ResultCode.STORE_UNAVAILABLE, "the store does not answer")
             remaining_ms = answer_by_ms - self._clock.now_ms()
             if remaining_ms >= MIN_INSERT_MS and await self._store_availability.is_answering(
                 key, remaining_ms
             ):
+                is_announced = is_announced or self._announce_if_slow(key, value)
                 match await self._insert_directly(key, value, answer_by_ms, may_be_stored):
                     case Success(is_new):
                         return Success(is_new)
@@ -264,6 +270,21 @@
                 return Failure(_final_fault(fault, may_be_stored))
             await asyncio.sleep(RETRY_PAUSE_MS / 1000)
 
+    def _announce_if_slow(self, key: str, value: bytes) -> bool:
+        """Announces a job to the owner if its insert will take long; returns whether it did.
+
+        The owner then places the job while the insert is under way.
+        """
+        if not key.startswith(JOB_PREFIX) or not self._store_availability.is_slow:
+            return False
+        announcement = JobAnnouncement(key.removeprefix(JOB_PREFIX), value)
+        owner = self._owner_view.row
+        if self._is_owner():
+            self._announce_owned_job(announcement)
+        elif owner is not None:
+            self._hub.notify(owner.address, owner.port, announcement)
+        return True
+
     async def _insert_directly(
         self, key: str, value: bytes, answer_by_ms: int, is_retry: bool
     ) -> Result[bool, Fault]:
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -23,6 +23,7 @@
     IntakeInsert,
     IntakeInserted,
     IntakeNotice,
+    JobAnnouncement,
     JobStateAnswer,
     JobStateQuery,
     LeaseQuery,
@@ -177,6 +178,7 @@
             self._is_owner,
             self._owned_waiting_jobs,
             self._apply_intake_row,
+            self._announce_owned_job,
             self._store,
             clock,
             metrics,
@@ -217,6 +219,7 @@
         self._hub.on_call(LeaseQuery, self._serve_lease_query)
         self._hub.on_notice(OwnerHeartbeat, self._handle_heartbeat)
         self._hub.on_notice(IntakeNotice, self._handle_intake_notice)
+        self._hub.on_notice(JobAnnouncement, self._handle_job_announcement)
         self._hub.on_notice(OwnerAnnouncement, self._handle_announcement)
         self._hub.on_notice(RelayOrders, self._relay.handle_orders)
         self._hub.on_notice(RelayReport, self._handle_relay_report)
@@ -348,6 +351,13 @@
     def _handle_intake_notice(self, peer: Hello, notice: IntakeNotice) -> None:
         self._apply_intake_row(notice.row)
 
+    def _handle_job_announcement(self, peer: Hello, announcement: JobAnnouncement) -> None:
+        self._announce_owned_job(announcement)
+
+    def _announce_owned_job(self, announcement: JobAnnouncement) -> None:
+        if self._elector.ownership is not None:
+            self._elector.ownership.announce_job(announcement.job_id, announcement.value)
+
     def _handle_announcement(self, peer: Hello, announcement: OwnerAnnouncement) -> None:
         self._elector.apply_announcement(announcement)
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -119,6 +119,8 @@
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._are_orphans_expired = False
+        # Of jobs that the former owner knew as announced, and that may still be accepted.
+        self._orphaned_progress: dict[str, StoredProgress] = {}
         self._is_plan_pending = False
         self._last_plan_ms = 0
         self._plan_took_ms = 0
@@ -189,7 +191,21 @@
     def job_state(self, job_id: str) -> JobState | None:
         """Returns the stored state of a job, or None if the job is unknown."""
         job = self.scheduler.tables.jobs_by_id.get(job_id)
-        return job.visible_state if job is not None else None
+        if job is None or job.announced_ms is not None:
+            return None
+        return job.visible_state
+
+    def announce_job(self, job_id: str, value: bytes) -> None:
+        """Adds a job whose acceptance is being stored; ignored until the tables are loaded."""
+        record = decode_job(value)
+        if not self.is_loaded or record is None or record.job_id != job_id:
+            return
+        if job_id in self._orphaned_progress or self._ended_job_sweeper.was_just_deleted(job_id):
+            return
+        now_ms = self._clock.now_ms()
+        age_ms = max(0, self._clock.unix_ms() - record.accepted_unix_ms)
+        if self.scheduler.announce_job(record, now_ms - age_ms, now_ms):
+            self.request_plan()
 
     def apply_intake_row(self, row: Row) -> None:
         """Applies an intake row that was just stored; ignored until the tables are loaded."""
@@ -328,7 +344,9 @@
         }
         self._add_and_cancel_jobs(intake.rows, progress_by_id)
         accepted_ids = {row.key.removeprefix(JOB_PREFIX) for row in intake.rows}
-        self._ended_job_sweeper.add_orphaned_progress(progress_by_id.keys() - accepted_ids)
+        orphaned_ids = progress_by_id.keys() - accepted_ids
+        self._orphaned_progress = {job_id: progress_by_id[job_id] for job_id in orphaned_ids}
+        self._ended_job_sweeper.add_orphaned_progress(orphaned_ids)
         self.fleet.begin(len(listings.rows))
         self._apply_listing_snapshot(listings.rows)
         self._record_registry_read()
@@ -398,6 +416,8 @@
         if record is None or record.job_id != job_id:
             self._log("job_unreadable", {"job_id": job_id})
             return
+        if progress is None and self._ended_job_sweeper.keep_progress(job_id):
+            progress = self._orphaned_progress.pop(job_id, None)
         age_ms = max(0, unix_ms - record.accepted_unix_ms)
         if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms) and self.is_loaded:
             self._log(
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -39,6 +39,7 @@
 LOST_AFTER_MS: Final = 800
 PROBE_AFTER_MS: Final = 200  # Long enough to recover from a single lost connection.
 RECENT_ANSWER_MS: Final = 300
+SLOW_CALL_MS: Final = 100
 MAX_CALL_MS: Final = 600  # A longer call has waited for changes.
 PROBE_TIMEOUT_MS: Final = 400  # Shorter than the time for which peers wait for an insert.
 LOST_PROBE_TIMEOUT_MS: Final = 60  # A store that is back answers within a few milliseconds.
@@ -60,6 +61,10 @@
 class StoreAvailability(Protocol):
     """Whether the store can accept intake rows; `key` is the key of such a row."""
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether a call of the store takes a noticeable part of callers' latency objectives."""
+
     def is_lost(self, key: str) -> bool:
         """Whether calls for the row are expected to fail."""
 
@@ -159,6 +164,7 @@
         self._health_by_group: dict[str, StoreHealth] = {}
         self._health_of_all = StoreHealth(clock)
         self._probe_count = 0
+        self._last_call_took_ms = 0
         self._owner_reported_ms: int | None = None
         self._are_groups_probed = False
 
@@ -194,6 +200,11 @@
             return False
         return self._clock.now_ms() - reported_ms <= OWNER_REPORT_MAX_AGE_MS
 
+    @property
+    def is_slow(self) -> bool:
+        """Whether the last read or commit that was answered took `SLOW_CALL_MS` or longer."""
+        return self._last_call_took_ms >= SLOW_CALL_MS
+
     def is_progress_lost(self) -> bool:
         """Whether commits of progress are expected to fail."""
         return self._health_of_all.is_lost or self.health_of(PROGRESS_TABLE, "").is_lost
@@ -251,7 +262,7 @@
         health = self.health_of(writes[0].table, writes[0].key)
         sent_ms = self._mark_suspect(health)
         outcome = await self._store.commit(conditions, writes, timeout_ms)
-        self._record_outcome(health, outcome, sent_ms)
+        self._record_call(health, outcome, sent_ms)
         return outcome
 
     async def read(
@@ -261,7 +272,7 @@
         health = self.health_of(table, key)
         sent_ms = self._mark_suspect(health)
         outcome = await self._store.read(table, timeout_ms, key)
-        self._record_outcome(health, outcome, sent_ms)
+        self._record_call(health, outcome, sent_ms)
         return outcome
 
     async def changes(self, table: str, after: int, wait_ms: int) -> Result[Snapshot, Fault]:
@@ -276,6 +287,14 @@
         self._health_of_all.mark_suspect()
         return health.mark_suspect()
 
+    def _record_call(
+        self, health: StoreHealth, outcome: Result[object, Fault], sent_ms: int
+    ) -> None:
+        """Records the outcome of a call that the store answers at once."""
+        if isinstance(outcome, Success):
+            self._last_call_took_ms = self._clock.now_ms() - sent_ms
+        self._record_outcome(health, outcome, sent_ms)
+
     def _record_outcome(
         self, health: StoreHealth, outcome: Result[object, Fault], sent_ms: int
     ) -> None:
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -60,6 +60,8 @@
         self.probe_ms = 0
         self.probe_timeouts_ms: list[int] = []
         self.own_rows: list[Any] = []
+        self.announcements: list[Any] = []
+        self.is_slow = False
         self.is_owner = False
         self.service = JobService(
             self.store,
@@ -69,6 +71,7 @@
             lambda: self.is_owner,
             dict,
             self.own_rows.append,
+            self.announcements.append,
             self,
             self.clock,
             MetricsRegistry(),
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -53,7 +53,7 @@
     """Places tasks that fit, and claims capacity for those of priority 0 that don't."""
     place_or_release_claims(context, now_ms)
     update_closed_executors(context.tables)
-    jobs = list(context.tables.open_jobs_by_id.values())
+    jobs = [job for job in context.tables.open_jobs_by_id.values() if job.may_be_planned(now_ms)]
     usable = find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS)
     shares = make_shares(context, usable, jobs)
     state = PassState(
@@ -93,7 +93,8 @@
     """
     queue = job.record.queue
     admitted = _admitted_tasks(state, job, step, pending)
-    may_claim = queue.priority == 0 and job.job_id not in state.best_effort_ids
+    is_accepted = job.announced_ms is None
+    may_claim = queue.priority == 0 and is_accepted and job.job_id not in state.best_effort_ids
     if not admitted and not may_claim:
         state.context.held_jobs.add(job, step)
         return
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -45,6 +45,12 @@
 from jacinthreel_steps._planning._fragmentation import sample_fragmentation
 from jacinthreel_steps._planning._placement import find_usable_executors
 from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS, plan
+from jacinthreel_steps._runs._announced_jobs import (
+    accept,
+    is_same_submission,
+    withdraw_expired,
+)
+from jacinthreel_steps._runs._announced_jobs import replace as replace_announced
 from jacinthreel_steps._runs._lifecycle import (
     count_attached_run,
     end_run,
@@ -134,9 +140,17 @@
 
         Returns false if the job was already added or its stored progress is unreadable.
         """
-        if record.job_id in self.tables.jobs_by_id:
+        known = self.tables.jobs_by_id.get(record.job_id)
+        if known is not None and known.announced_ms is None:
             return False
-        job = make_job(record, accepted_ms)
+        if known is not None and is_same_submission(known, record):
+            accept(self._context, known, record, accepted_ms)
+            self._order_stored_starts(known, now_ms)
+            return True
+        if known is not None:
+            job = replace_announced(self._context, known, record, accepted_ms, now_ms)
+        else:
+            job = make_job(record, accepted_ms)
         predict_run_times(self._context, job)
         if progress is not None:
             job.stored_version = progress.version
@@ -158,6 +172,32 @@
             self._attach_run(run)
         return True
 
+    def announce_job(self, record: JobRecord, accepted_ms: int, now_ms: int) -> bool:
+        """Adds a job whose acceptance is being stored, so that its tasks are placed meanwhile.
+
+        Nothing starts before `add_job` is called with the accepted record.  Returns false if the
+        job is already known.
+        """
+        if record.job_id in self.tables.jobs_by_id:
+            return False
+        self.add_job(record, None, accepted_ms, now_ms)
+        self.tables.jobs_by_id[record.job_id].announced_ms = now_ms
+        return True
+
+    def remove_old_announcements(self, before_ms: int) -> list[str]:
+        """Removes jobs that were announced before `before_ms` and not accepted; returns their ids.
+
+        Their progress may be stored and has to be deleted.
+        """
+        job_ids: list[str] = []
+        for job in list(self.tables.jobs_by_id.values()):
+            if job.announced_ms is None or job.announced_ms >= before_ms or job.live_runs():
+                continue
+            job_ids.append(job.job_id)
+            self.tables.open_jobs_by_id.pop(job.job_id, None)
+            self.remove_job(job.job_id)
+        return job_ids
+
     def _track_crashed_tasks(self, job: Job) -> None:
         for step in job.steps:
             for task in step.tasks:
@@ -316,6 +356,7 @@
     def _check_runs(self, now_ms: int) -> None:
         """Checks all runs for conditions that develop over time: overdue, stalled or slow."""
         abandon_overdue_starts(self._context, now_ms)
+        withdraw_expired(self._context, now_ms)
         stop_stalled_runs(self._context, now_ms)
         check_gangs(self._context, now_ms)
         clear_survivors(self._context)
@@ -357,12 +398,18 @@
             self._show_state(job, now_ms)
         elif job.visible_state is JobState.QUEUED:
             job.visible_state = JobState.RUNNING
+        self._order_stored_starts(job, now_ms)
+
+    def _order_stored_starts(self, job: Job, now_ms: int) -> None:
+        """Orders the starts whose placement is stored, if the acceptance of the job is too."""
+        if job.announced_ms is not None:
+            return
         for step in job.steps:
             for task in step.tasks:
                 run = task.run
                 if run is None or run.state is not RunState.PLACED:
                     continue
-                if run.needed_revision <= row.revision:
+                if run.needed_revision <= job.stored_revision:
                     self._order_start(job, step, run, now_ms)
 
     def _show_state(self, job: Job, now_ms: int) -> None:
@@ -446,7 +493,7 @@
         """Returns how many open jobs of each queue have not started any task."""
         counts: dict[str, int] = {}
         for job in self.tables.open_jobs_by_id.values():
-            if not job.has_begun:
+            if not job.has_begun and job.announced_ms is None:
                 name = job.record.queue.name
                 counts[name] = counts.get(name, 0) + 1
         return counts
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -27,6 +27,7 @@
 
 # Starts must respect a lower capacity a few seconds after the executor's registry entry changed.
 MAX_REGISTRY_AGE_MS: Final = 3_000
+ANNOUNCEMENT_KEEP_MS: Final = 4_000  # Callers wait 3 s for the answer to a submission.
 
 
 class RunState(IntEnum):
@@ -205,7 +206,8 @@
     `state` is the newest decision; `visible_state` is what has been stored and is reported to
     callers.  `stored_version` is the version of the stored row, 0 for none.  `chain_ms` is the
     predicted run time of the longest chain of steps, and `objective_ms` the latency objective that
-    follows from it.
+    follows from it.  `announced_ms` is when a job was announced whose acceptance is not stored yet,
+    None once it is: until then nothing of it may start.
     """
 
     record: JobRecord
@@ -220,12 +222,17 @@
     has_begun: bool = False
     chain_ms: float = 0.0
     objective_ms: float = 0.0
+    announced_ms: int | None = None
 
     @property
     def job_id(self) -> str:
         """The id chosen by the caller."""
         return self.record.job_id
 
+    def may_be_planned(self, now_ms: int) -> bool:
+        """Whether tasks may be placed: the job is accepted or was announced a short time ago."""
+        return self.announced_ms is None or now_ms - self.announced_ms <= ANNOUNCEMENT_KEEP_MS
+
     def live_runs(self) -> list[Run]:
         """Returns all runs that may use capacity on an executor."""
         return [task.run for step in self.steps for task in step.tasks if task.run is not None]
