--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -9,7 +9,14 @@
 from node_fakes import ManualClock, MemoryStore
 from returns.result import Failure, Result, Success
 
-from jacinthreel_common import Fault, IntakeInserted, ResultCode, StreamReply, to_plain
+from jacinthreel_common import (
+    Fault,
+    IntakeInserted,
+    JobAnnouncement,
+    ResultCode,
+    StreamReply,
+    to_plain,
+)
 from jacinthreel_daemon.plumbing import MetricsRegistry, StreamHub
 from jacinthreel_node import Route, RoutedCall, SubmitResult
 from jacinthreel_node._job_service import MIN_INSERT_MS, JobService
@@ -261,3 +268,24 @@
     harness.submit()
     assert asyncio.run(harness.service.cancel(JOB_ID, 3_000)) == Success(None)
     assert harness.state() == Success(JobState.CANCELLED)
+
+
+def test_job_is_announced_to_the_owner_only_while_the_store_is_slow() -> None:
+    harness = JobServiceHarness()
+    harness.submit()
+    assert not any(isinstance(notice, JobAnnouncement) for notice in harness.hub.notices)
+
+    harness = JobServiceHarness()
+    harness.is_slow = True
+    harness.submit()
+    announcement, stored = harness.hub.notices
+    assert isinstance(announcement, JobAnnouncement) and announcement.job_id == JOB_ID
+    assert announcement.value == stored.row.value
+
+
+def test_owner_announces_its_own_submissions_to_itself() -> None:
+    harness = JobServiceHarness()
+    harness.is_slow = harness.is_owner = True
+    harness.submit()
+    (announcement,) = harness.announcements
+    assert announcement.job_id == JOB_ID
