--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -58,6 +58,7 @@
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership, OwnershipServices
 from jacinthreel_node._records import (
+    INTAKE_TABLE,
     JOB_PREFIX,
     OWNER_TABLE,
     PROGRESS_TABLE,
@@ -253,6 +254,8 @@
         other = self.running_on.get(run_id.task)
         if other is not None:
             self.violations.append(f"{run_id} runs on {other} and {executor_id} at once")
+        if (INTAKE_TABLE, JOB_PREFIX + run_id.task.job_id) not in self.store.rows:
+            self.violations.append(f"{run_id} started before its job was accepted")
         row = self.progress(run_id.task.job_id)
         if row is None:
             self.violations.append(f"{run_id} started before its placement was stored")
@@ -507,6 +510,15 @@
         self.spawn(self._submit(record))
         self.wake_ms = self.world.now_ms
 
+    def announce(self, record: JobRecord) -> None:
+        """Announces a job to this node, if it is the owner."""
+        if self.elector.ownership is not None:
+            self.call_soon(lambda: self._apply_announcement(record))
+
+    def _apply_announcement(self, record: JobRecord) -> None:
+        if self.elector.ownership is not None:
+            self.elector.ownership.announce_job(record.job_id, encode_record(record))
+
     def resign(self) -> None:
         self.elector.is_draining = True
         self.spawn(self.elector.resign())
--- a/packages/node/tests/test_ownership_machine.py
+++ b/packages/node/tests/test_ownership_machine.py
@@ -1,7 +1,8 @@
 """Random takeovers, pauses, lost and late messages, restarts and clocks 2 % apart.
 
 Guards against tasks that run twice at once, orders and writes of an earlier owner after a later
-one, ends that are acknowledged before they are stored, and accepted jobs that are never run.
+one, ends that are acknowledged before they are stored, accepted jobs that are never run, and jobs
+that run although they were only announced.
 """
 
 from __future__ import annotations
@@ -73,6 +74,29 @@
             node.submit(make_job(job_id, work_ms, count, priority, is_gang))
         self.world.advance(200)
 
+    @rule(
+        host=HOST,
+        accepted_after_ms=st.sampled_from([None, 0, 600, 3_000, 6_000]),
+        is_gang=st.booleans(),
+    )
+    def announce(self, host: str, accepted_after_ms: int | None, is_gang: bool) -> None:
+        """Announces a job to the owner; it is accepted later, perhaps under another, or never."""
+        if self.job_count >= MAX_JOBS:
+            return
+        self.job_count += 1
+        job = make_job(f"{self.job_count:016x}", 3_000, 2, 0, is_gang)
+        for node in self.world.nodes.values():
+            if node.is_alive:
+                node.announce(job)
+        self.world.advance(200)
+        if accepted_after_ms is None:
+            return
+        self.world.advance(accepted_after_ms)
+        node = self.world.nodes[host]
+        if node.is_alive:
+            node.submit(job)
+        self.world.advance(200)
+
     @rule(duration_ms=st.sampled_from([50, 300, 1_000, 2_500, 6_000, 11_000]))
     def wait(self, duration_ms: int) -> None:
         self.world.advance(duration_ms)
