--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -42,7 +42,6 @@
 SLOW_CALL_MS: Final = 100
 MAX_CALL_MS: Final = 600  # A longer call has waited for changes.
 PROBE_TIMEOUT_MS: Final = 400  # Shorter than the time for which peers wait for an insert.
-LOST_PROBE_TIMEOUT_MS: Final = 60  # A store that is back answers within a few milliseconds.
 OWNER_REPORT_MAX_AGE_MS: Final = 600
 
 
@@ -217,13 +216,11 @@
     async def is_answering(self, key: str, timeout_ms: int) -> bool:
         """Whether the intake row can be stored, judged by a recent answer or else by a probe.
 
-        A write to an unresponsive store has an unknown outcome; checking first makes this rare.  A
-        store that is lost is asked too, but briefly: a caller that comes just after its return may
-        not come again.
+        A write to an unresponsive store has an unknown outcome; checking first makes this rare.
         """
         health = self.health_of(INTAKE_TABLE, key)
         if self.is_lost(key):
-            return await self._probe(key, min(timeout_ms, LOST_PROBE_TIMEOUT_MS))
+            return False
         return health.has_recent_answer or await self._probe(key, timeout_ms)
 
     async def probe_suspect_groups(self) -> None:
