--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -4,8 +4,7 @@
 This client therefore uses tornado's `HTTP1Connection` directly.  It keeps up to
 `MAX_IDLE_CONNECTIONS` idle connections, follows no redirects, never resends a request, and reports
 for each failure whether the peer may have received the request, which is impossible before the
-first byte is written.  A failure closes all idle connections: what made one unusable, such as an
-outage of the peer, has mostly affected the others too.
+first byte is written.
 """
 
 from __future__ import annotations
@@ -145,10 +144,8 @@
                     stream, method, path, body, headers or {}, reply_timeout
                 )
         except TimeoutError:
-            self.close()
             return Failure(HttpFailure(True, "timed out while waiting for the reply"))
         except (OSError, StreamClosedError, httputil.HTTPInputError) as error:
-            self.close()
             return Failure(HttpFailure(True, f"connection lost: {_describe_error(error)}"))
         finally:
             if late_check is not None:
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -142,12 +142,7 @@
         sent_ms = context.clock.now_ms()
         has_unstored_ends = context.scheduler.has_unstored_ends(self._executor_id)
         acknowledged_upto = self._acknowledged_upto(sent_ms)
-        is_urgent = (
-            has_unstored_ends
-            or acknowledged_upto > 0
-            or not executor.has_reported
-            or self._exchange.is_unreachable
-        )
+        is_urgent = has_unstored_ends or acknowledged_upto > 0 or not executor.has_reported
         request = ReportRequest(
             context.epoch,
             acknowledged_upto,
