--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -205,6 +205,7 @@
         now_ms = self._clock.now_ms()
         age_ms = max(0, self._clock.unix_ms() - record.accepted_unix_ms)
         if self.scheduler.announce_job(record, now_ms - age_ms, now_ms):
+            self._log("job_announced", {"job_id": job_id, "age_ms": age_ms})
             self.request_plan()
 
     def apply_intake_row(self, row: Row) -> None:
