--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Final
 
 from jacinthreel_steps._admission._forecast import Forecast
@@ -26,12 +26,12 @@
     run_name,
 )
 from jacinthreel_steps._executors._crash_evidence import clear_survivors, is_suspect
+from jacinthreel_steps._executors._executor_registry import ExecutorRegistry
 from jacinthreel_steps._executors._executor_speed import update_speed_classes
 from jacinthreel_steps._executors._leaving import stop_runs_on_draining_executors
 from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
 from jacinthreel_steps._executors._slow_executors import check_gangs
 from jacinthreel_steps._model import (
-    NO_RESOURCES,
     EndReason,
     ExecutorListing,
     ExecutorReport,
@@ -66,9 +66,7 @@
 from jacinthreel_steps._runs._reports import (
     advance_acknowledged_ends,
     apply_report,
-    end_lost_run,
     end_lost_runs,
-    record_loss,
 )
 from jacinthreel_steps._runs._stalls import stop_stalled_runs
 from jacinthreel_steps._runs._starts import (
@@ -78,7 +76,7 @@
     handle_unanswered_start,
     mark_begun,
 )
-from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables, make_job
+from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables, make_job
 from jacinthreel_steps._workspaces._quotas import count_admitted, exceeds_quota
 from jacinthreel_steps._workspaces._summary import WorkspaceSummary, summarize_workspaces
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
@@ -116,8 +114,7 @@
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
         self._capacity_sampled_ms = 0
-        # Runs restored from storage whose executor is not listed yet.
-        self._unattached_runs_by_executor: dict[str, list[Run]] = {}
+        self._registry = ExecutorRegistry(self._context)
 
     @property
     def usage(self) -> WorkspaceUsage:
@@ -169,7 +166,7 @@
             if job.state.is_final:
                 run.state = RunState.STOPPING  # The stop is sent on the executor's first report.
             count_attached_run(self._context, run)
-            self._attach_run(run)
+            self._registry.attach_run(run)
         return True
 
     def announce_job(self, record: JobRecord, accepted_ms: int, now_ms: int) -> bool:
@@ -230,52 +227,22 @@
 
     def apply_listing(self, listing: ExecutorListing, now_ms: int) -> bool:
         """Applies an executor's registry entry; returns whether its incarnation is newly listed."""
-        executor = self.tables.executors_by_id.get(listing.executor_id)
-        if executor is None:
-            executor = Executor(listing, last_report_ms=now_ms)
-            self.tables.executors_by_id[listing.executor_id] = executor
-            self._attach_recovered_runs(executor, now_ms)
-            self._update_earliest_shutdown(executor, now_ms)
-            return True
-        is_new = not executor.is_listed or listing.incarnation > executor.listing.incarnation
-        executor.is_listed = True
-        executor.has_unreadable_entry = False
-        if listing.incarnation > executor.listing.incarnation:
-            self._reset_for_new_incarnation(executor, listing, now_ms)
-        elif listing.incarnation == executor.listing.incarnation:
-            executor.listing = listing
-        self._update_earliest_shutdown(executor, now_ms)
-        return is_new
-
-    def record_registry_read(self, now_ms: int) -> None:
-        """Records that all changes of the registry up to now have been applied."""
-        self.tables.registry_read_ms = now_ms
+        return self._registry.apply_listing(listing, now_ms)
 
     def remove_listing(self, executor_id: str) -> bool:
-        """Marks an executor as removed from the registry; its runs may continue for a while.
-
-        Returns whether it was listed before.
-        """
-        executor = self.tables.executors_by_id.get(executor_id)
-        if executor is None or not (executor.is_listed or executor.has_unreadable_entry):
-            return False
-        executor.is_listed = False
-        executor.has_unreadable_entry = False
-        return True
+        """Marks an executor as removed from the registry; returns whether it was listed before."""
+        return self._registry.remove_listing(executor_id)
 
     def suspend_listing(self, executor_id: str) -> bool:
         """Gives an executor no new tasks until its registry entry can be read again.
 
-        Unlike one that was removed from the registry, it stays in the tables while it is
-        unreachable, so that the ends of its runs are read afterwards.  Returns whether the executor
-        is known and was listed before.
+        Returns whether the executor is known and was listed before.
         """
-        executor = self.tables.executors_by_id.get(executor_id)
-        if executor is None or not executor.is_listed:
-            return False
-        executor.is_listed = False
-        executor.has_unreadable_entry = True
-        return True
+        return self._registry.suspend_listing(executor_id)
+
+    def record_registry_read(self, now_ms: int) -> None:
+        """Records that all changes of the registry up to now have been applied."""
+        self.tables.registry_read_ms = now_ms
 
     def record_unreachable(self, executor_id: str, now_ms: int) -> None:
         """Records that an executor stopped responding; it is less preferred for a while."""
@@ -312,7 +279,7 @@
         if executor is None or report.incarnation < executor.listing.incarnation:
             return
         if report.incarnation > executor.listing.incarnation:
-            self._reset_for_new_incarnation(executor, executor.listing, now_ms, report.incarnation)
+            self._registry.begin_incarnation(executor, executor.listing, now_ms, report.incarnation)
         apply_report(self._context, executor, report, now_ms)
         for reported in report.running:
             job = self.tables.jobs_by_id.get(reported.run_id.task.job_id)
@@ -529,60 +496,3 @@
     def remove_job(self, job_id: str) -> None:
         """Removes a job that `find_jobs_ended_before` returned."""
         self._context.arrivals.remove(self.tables.jobs_by_id.pop(job_id))
-
-    def _attach_run(self, run: Run) -> None:
-        executor = self.tables.executors_by_id.get(run.executor_id)
-        if executor is not None:
-            executor.add_run(run)
-        else:
-            self._unattached_runs_by_executor.setdefault(run.executor_id, []).append(run)
-
-    def _attach_recovered_runs(self, executor: Executor, now_ms: int) -> None:
-        """Attaches runs that were restored from storage before their executor was listed."""
-        for run in self._unattached_runs_by_executor.pop(executor.executor_id, ()):
-            task = self.tables.task(run.run_id.task)
-            if task is not None and task.run is run:
-                executor.add_run(run)
-        self._end_runs_of_older_incarnations(executor, now_ms)
-
-    def _reset_for_new_incarnation(
-        self,
-        executor: Executor,
-        listing: ExecutorListing,
-        now_ms: int,
-        incarnation: int | None = None,
-    ) -> None:
-        """Resets the state of an executor that has restarted; its earlier runs have ended."""
-        has_left = executor.listing.is_draining
-        record_loss(self._context, executor, "executor restarted", now_ms)
-        executor.listing = replace(listing, incarnation=incarnation or listing.incarnation)
-        executor.applied_end_sequence = 0
-        executor.acknowledged_upto = 0
-        executor.pending_ends.clear()
-        executor.untracked = NO_RESOURCES
-        executor.has_reported = False
-        self._end_runs_of_older_incarnations(executor, now_ms, has_left)
-
-    def _end_runs_of_older_incarnations(
-        self, executor: Executor, now_ms: int, has_left: bool = False
-    ) -> None:
-        """Ends the runs that an earlier incarnation reported; `has_left` if it had been draining.
-
-        Runs that it never reported are reconciled with the executor's next report.
-        """
-        for run in list(executor.runs_by_task.values()):
-            if 0 < run.reported_incarnation < executor.listing.incarnation:
-                end_lost_run(self._context, run, "executor restarted", now_ms, has_left)
-
-    def _update_earliest_shutdown(self, executor: Executor, now_ms: int) -> None:
-        listing = executor.listing
-        if not listing.is_draining:
-            executor.earliest_shutdown_ms = None
-        elif listing.remaining_ms is not None and executor.earliest_shutdown_ms is None:
-            executor.earliest_shutdown_ms = now_ms + listing.remaining_ms
-            fields = {
-                "executor": listing.executor_id,
-                "remaining_ms": listing.remaining_ms,
-                "runs": len(executor.runs_by_task),
-            }
-            self._context.log("executor_leaving", fields)
