--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -142,7 +142,6 @@
             clock,
             metrics,
             self._hub,
-            self._store.is_progress_lost,
             self.log.info,
         )
         self._relay = Relay(
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -65,10 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnershipServices:
-    """Parts of the process that every ownership uses; they outlast each ownership.
-
-    `is_progress_lost` tells whether commits of progress are expected to fail.
-    """
+    """Parts of the process that every ownership uses; they outlast each ownership."""
 
     settings: NodeSettings
     store: KeyedStore
@@ -78,7 +75,6 @@
     clock: Clock
     metrics: MetricsRegistry
     streams: RelayStreams
-    is_progress_lost: Callable[[], bool]
     log: Callable[[str, dict[str, Any]], None]
 
 
@@ -133,7 +129,6 @@
             services.metrics,
             self._on_batch_stored,
             on_lost,
-            services.is_progress_lost,
             services.log,
         )
         self._ended_job_sweeper = EndedJobSweeper(
--- a/packages/node/src/jacinthreel_node/_progress_writer.py
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -6,9 +6,6 @@
 effect at most once.  A conflict with a row that carries the transaction's own write id means that
 an earlier attempt took effect.
 
-While the store is lost, an attempt is given up soon and repeated, so that what waits is stored just
-after the store's return: an attempt that was sent to a silent store is never answered.
-
 Invariant: while the owner row is as this owner wrote it, no other process changes the progress
 rows.  Any other conflict therefore ends the ownership.
 """
@@ -29,9 +26,8 @@
 
 MAX_BATCH_ROWS: Final = 45
 COMMIT_TIMEOUT_MS: Final = 1_000
-LOST_COMMIT_TIMEOUT_MS: Final = 200
 RETRY_PAUSE_MS: Final = 60
-MAX_RETRY_PAUSE_MS: Final = 150
+MAX_RETRY_PAUSE_MS: Final = 400
 
 
 class ProgressWriter:
@@ -47,7 +43,6 @@
         metrics: MetricsRegistry,
         on_stored: Callable[[], None],
         on_lost: Callable[[str], None],
-        is_store_lost: Callable[[], bool],
         log: Callable[[str, dict[str, Any]], None],
     ) -> None:
         self._store = store
@@ -58,7 +53,6 @@
         self._metrics = metrics
         self._on_stored = on_stored
         self._on_lost = on_lost
-        self._is_store_lost = is_store_lost
         self._log = log
         self._batch_count = 0
         self._wake_requested = asyncio.Event()
@@ -113,8 +107,7 @@
         writes = [RowWrite(PROGRESS_TABLE, row.job_id, row.value) for row in rows]
         pause_ms = RETRY_PAUSE_MS
         while True:
-            timeout_ms = LOST_COMMIT_TIMEOUT_MS if self._is_store_lost() else COMMIT_TIMEOUT_MS
-            match await self._store.commit(conditions, writes, timeout_ms):
+            match await self._store.commit(conditions, writes, COMMIT_TIMEOUT_MS):
                 case Success(Committed(version=version)):
                     self._metrics.count("progress_rows_stored_total", len(rows))
                     return version
--- a/packages/node/src/jacinthreel_node/_store_health.py
+++ b/packages/node/src/jacinthreel_node/_store_health.py
@@ -29,12 +29,7 @@
     RowWrite,
     Snapshot,
 )
-from jacinthreel_node._records import (
-    INTAKE_GROUPS,
-    INTAKE_TABLE,
-    PROGRESS_TABLE,
-    transaction_group,
-)
+from jacinthreel_node._records import INTAKE_GROUPS, INTAKE_TABLE, transaction_group
 
 LOST_AFTER_MS: Final = 800
 PROBE_AFTER_MS: Final = 200  # Long enough to recover from a single lost connection.
@@ -204,10 +199,6 @@
         """Whether the last read or commit that was answered took `SLOW_CALL_MS` or longer."""
         return self._last_call_took_ms >= SLOW_CALL_MS
 
-    def is_progress_lost(self) -> bool:
-        """Whether commits of progress are expected to fail."""
-        return self._health_of_all.is_lost or self.health_of(PROGRESS_TABLE, "").is_lost
-
     @property
     def is_intake_lost(self) -> bool:
         """Whether new jobs can't be stored; one group is checked as representative of all."""
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -581,7 +581,6 @@
             self,
             MetricsRegistry(),
             NoStreams(),
-            lambda: False,
             self.info,
         )
         return Ownership(
--- a/packages/node/tests/test_ownership_policy.py
+++ b/packages/node/tests/test_ownership_policy.py
@@ -29,7 +29,6 @@
         ManualClock(),
         MetricsRegistry(),
         cast(Any, None),
-        lambda: False,
         lambda event, fields: None,
     )
     ownership = Ownership(
