--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -275,7 +275,8 @@
 
         The owner then places the job while the insert is under way.
         """
-        if not key.startswith(JOB_PREFIX) or not self._store_availability.is_slow:
+        availability = self._store_availability
+        if not key.startswith(JOB_PREFIX) or not availability.is_slow or availability.is_lost(key):
             return False
         announcement = JobAnnouncement(key.removeprefix(JOB_PREFIX), value)
         owner = self._owner_view.row
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -283,6 +283,14 @@
     assert announcement.value == stored.row.value
 
 
+def test_job_that_a_lost_store_can_not_accept_is_not_announced() -> None:
+    """Its placement would keep capacity from jobs that are accepted after the store's return."""
+    harness = JobServiceHarness()
+    harness.is_slow = harness.is_store_lost = True
+    assert harness.submit().failure().code is ResultCode.STORE_UNAVAILABLE
+    assert harness.hub.notices == []
+
+
 def test_owner_announces_its_own_submissions_to_itself() -> None:
     harness = JobServiceHarness()
     harness.is_slow = harness.is_owner = True
