--- a/packages/steps/src/jacinthreel_steps/_runs/_announced_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_announced_jobs.py
@@ -27,7 +27,7 @@
     )
 
 
-def accept(context: Context, job: Job, record: JobRecord, accepted_ms: int) -> None:
+def accept_announced(context: Context, job: Job, record: JobRecord, accepted_ms: int) -> None:
     """Records that an announced job is accepted; its stored placements may be started."""
     context.arrivals.remove(job)
     job.record = record
@@ -36,7 +36,9 @@
     context.arrivals.record(job)
 
 
-def replace(context: Context, job: Job, record: JobRecord, accepted_ms: int, now_ms: int) -> Job:
+def replace_announced(
+    context: Context, job: Job, record: JobRecord, accepted_ms: int, now_ms: int
+) -> Job:
     """Returns a new job in place of an announced one that differs from what was accepted.
 
     The new job continues the revisions of the announced one, whose progress may be stored.
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -46,11 +46,11 @@
 from jacinthreel_steps._planning._placement import find_usable_executors
 from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS, plan
 from jacinthreel_steps._runs._announced_jobs import (
-    accept,
+    accept_announced,
     is_same_submission,
+    replace_announced,
     withdraw_expired,
 )
-from jacinthreel_steps._runs._announced_jobs import replace as replace_announced
 from jacinthreel_steps._runs._lifecycle import (
     count_attached_run,
     end_run,
@@ -140,8 +140,8 @@
         known = self.tables.jobs_by_id.get(record.job_id)
         if known is not None and known.announced_ms is None:
             return False
-        if known is not None and is_same_submission(known, record):
-            accept(self._context, known, record, accepted_ms)
+        if known is not None and (known.state.is_final or is_same_submission(known, record)):
+            accept_announced(self._context, known, record, accepted_ms)
             self._order_stored_starts(known, now_ms)
             return True
         if known is not None:
--- a/packages/steps/tests/test_announced_jobs.py
+++ b/packages/steps/tests/test_announced_jobs.py
@@ -124,14 +124,14 @@
     assert len(harness.started) == len(harness.runs("job")) == 2
 
 
-def test_cancelled_announcement_starts_nothing() -> None:
+@pytest.mark.parametrize("accepted_count", [1, 2])
+def test_cancelled_announcement_starts_nothing(accepted_count: int) -> None:
     harness = SchedulerHarness(listing("e1"))
-    job = record(step())
-    announce(harness, job)
+    announce(harness, record(step()))
     harness.settle()
     harness.scheduler.cancel("job", harness.now_ms)
 
-    accept(harness, job)
+    accept(harness, record(step(count=accepted_count)))
     harness.settle()
 
     assert harness.started == []
