--- a/packages/cli/src/jacinthreel_cli/_job_history.py
+++ b/packages/cli/src/jacinthreel_cli/_job_history.py
@@ -29,8 +29,8 @@
     """The history of one job; times are seconds since 1970, 0 for a stage that it did not reach.
 
     `refusal` is the last answer to a submission that was not accepted.  `lost_by_cause` holds the
-    core-seconds of its runs that did not count, `lost_run_s` how long the longest of them worked in
-    each step, summed up.  `objective_s` and `chain_s` are the latency objective and the predicted
+    core-seconds of its runs that did not count, `lost_run_s_by_step` how long the longest of them
+    worked in each step.  `objective_s` and `chain_s` are the latency objective and the predicted
     time of the longest chain of steps.
     """
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -412,8 +412,9 @@
         if record is None or record.job_id != job_id:
             self._log("job_unreadable", {"job_id": job_id})
             return
-        if progress is None and self._ended_job_sweeper.keep_progress(job_id):
-            progress = self._orphaned_progress.pop(job_id, None)
+        orphaned = self._orphaned_progress.pop(job_id, None)
+        if orphaned is not None and self._ended_job_sweeper.keep_progress(job_id):
+            progress = orphaned
         age_ms = max(0, unix_ms - record.accepted_unix_ms)
         if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms) and self.is_loaded:
             self._log(
