--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -82,6 +82,8 @@
         self.nodes: list[Node] = []
         self.processes: list[subprocess.Popen[bytes]] = []
         self.life_count = 0
+        number = os.getpid() % 50_000
+        self.network = f"127.{20 + number // 250}.{number % 250}"
 
     def say(self, text: str) -> None:
         """Writes a line of the record."""
@@ -161,7 +163,7 @@
 
     def add_node(self, index: int, front: int, ready: int, port_range: int) -> None:
         """Prepares a node; the ports are the same on all nodes, the addresses differ."""
-        ip = f"127.0.0.{10 + index}"
+        ip = f"{self.network}.{10 + index}"
         zone = ZONES[index % len(ZONES)]
         name = f"front-{zone}-1"
         settings = {
@@ -197,9 +199,9 @@
         """Starts the nodes and waits until all are ready and one owns the jobs."""
         if not (ROOT / "target/deps/jacinthreel_platform").is_dir():
             raise CannotRun("the build of the deploy file has not run")
-        self.front = free_port("127.0.0.10")
-        self.ready = free_port("127.0.0.10")
-        port_range = free_range("127.0.0.10", 16)
+        self.front = free_port(f"{self.network}.10")
+        self.ready = free_port(f"{self.network}.10")
+        port_range = free_range(f"{self.network}.10", 16)
         for index in range(count):
             self.add_node(index, self.front, self.ready, port_range)
         for node in self.nodes:
@@ -298,6 +300,23 @@
         lines = self.events_path.read_text().splitlines()
         return [json.loads(line) for line in lines if line.endswith("]")]
 
+    def jobs_running_since(self, since_s: float) -> dict[str, int]:
+        """Returns how many runs of each job were in progress at some time since `since_s`."""
+        active: dict[tuple[str, str, int], bool] = {}
+        for seconds, executor_id, kind, task, run, _ in sorted(self.events()):
+            key = (executor_id, task, run)
+            if kind == "start":
+                active[key] = True
+            elif kind == "end" and seconds < since_s:
+                active.pop(key, None)
+            elif kind == "born":
+                active = {item: True for item in active if item[0] != executor_id}
+        counts: dict[str, int] = {}
+        for _, task, _ in active:
+            job_id = task.partition(".")[0]
+            counts[job_id] = counts.get(job_id, 0) + 1
+        return counts
+
     def write_events(self, limit: int = 4_000) -> None:
         """Appends the executors' records to the record."""
         events = sorted(self.events())
