--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -154,13 +154,22 @@
             "id": executor_id, "addr": address, "store": self.store, "service": SERVICE,
             "zone": zone, "rack": rack, "events": str(self.events_path), "capacity": CAPACITY,
             "hold_max_ms": BOUNDS["hold_max_ms"], "stop_ms": BOUNDS["stop_ms"],
-            "checkpoint_s": BOUNDS["checkpoint_s"],
+            "checkpoint_s": BOUNDS["checkpoint_s"], "gang_ms": BOUNDS["gang_ms"],
+            "folder": str(self.folder),
         }  # fmt: skip
         path = self.folder / f"{executor_id}.json"
         path.write_text(json.dumps(config))
         self.say(f"executor {executor_id} starts at {address} in {zone}")
         return self.spawn_standin("executor.py", [str(path)])
 
+    def crash_executor(self, executor_id: str, process: subprocess.Popen[bytes]) -> None:
+        """Kills an executor; the other members of its gangs see that it is gone."""
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+        dead = self.folder / "dead"
+        dead.mkdir(exist_ok=True)
+        (dead / executor_id).touch()
+
     def add_node(self, index: int, front: int, ready: int, port_range: int) -> None:
         """Prepares a node; the ports are the same on all nodes, the addresses differ."""
         ip = f"{self.network}.{10 + index}"
--- a/review/stand/executor.py
+++ b/review/stand/executor.py
@@ -1,10 +1,12 @@
 """Stand-in of an executor, as PROTOCOL.md describes it; one process is one life.
 
 Usage: executor.py CONFIG, a JSON file with `id`, `addr`, `store`, `service`, `zone`, `rack`,
-`events`, `hold_max_ms`, `stop_ms`, `checkpoint_s` and `capacity`.
+`events`, `folder`, `hold_max_ms`, `stop_ms`, `gang_ms`, `checkpoint_s` and `capacity`.
 
 The `spec` of a job tells the executor what its tasks are: JSON with `ms` (the work of a task),
-`cpu`, `mem_mb`, `gpu` and `saves`.  Starts and ends of runs are appended to the file `events`, a
+`cpu`, `mem_mb`, `gpu`, `saves` and `gang`, the number of members of a gang (0 for none).  Members of a
+gang see each other in the folder `gangs`: a file for each member that is present, with the id of its
+executor, and a file `done`.  Executors that have crashed have a file in the folder `dead`.  Starts and ends of runs are appended to the file `events`, a
 JSON array a line: monotonic seconds, executor, kind, task, run, detail.  `POST /standin/mode` makes
 it unhealthy: it then answers starts with 503 and has done nothing.
 """
@@ -29,13 +31,14 @@
 
 @dataclass(slots=True)
 class Run:
-    """A run; `done_ms` is the work that its checkpoint had saved."""
+    """A run; `done_ms` is the work that its checkpoint had saved, `begun_ms` when it began to work."""
 
     task: str
     number: int
     spec: dict[str, Any]
     started_ms: float
     done_ms: float
+    begun_ms: float | None = None
 
 
 class Executor:
@@ -100,7 +103,13 @@
         self.extend_lease(body["until_ms"])
         checkpoint = body.get("checkpoint", "")
         done_ms = int(checkpoint, 16) if checkpoint else 0
-        self.runs[task] = Run(task, number, spec, self.clock_ms(), done_ms)
+        run = Run(task, number, spec, self.clock_ms(), done_ms)
+        self.runs[task] = run
+        if spec.get("gang"):
+            self.gang_folder(run).mkdir(parents=True, exist_ok=True)
+            self.gang_file(run).write_text(self.id)
+        else:
+            run.begun_ms = run.started_ms
         for name in self.used:
             self.used[name] += spec.get(name, 0)
         self.log("start", task, number, checkpoint)
@@ -125,7 +134,33 @@
             self.end(run, "stopped")
 
     def work_ms(self, run: Run) -> float:
-        return run.done_ms + self.clock_ms() - run.started_ms
+        if run.begun_ms is None:
+            return run.done_ms
+        return run.done_ms + self.clock_ms() - run.begun_ms
+
+    def gang_folder(self, run: Run) -> Path:
+        name = f"{run.task.rpartition('.')[0]}#{run.number}"
+        return Path(self.config["folder"]) / "gangs" / name
+
+    def gang_file(self, run: Run) -> Path:
+        return self.gang_folder(run) / run.task.rpartition(".")[2]
+
+    def check_gang(self, run: Run) -> None:
+        """Begins the work of a gang that is whole, and ends the run where that is due."""
+        if (self.gang_folder(run) / "done").exists():
+            self.end(run, "done")
+            return
+        dead = Path(self.config["folder"]) / "dead"
+        members = [path for path in self.gang_folder(run).iterdir() if path.name != "done"]
+        alive = sum(not (dead / path.read_text()).exists() for path in members)
+        if alive == run.spec["gang"]:
+            if run.begun_ms is None:
+                run.begun_ms = self.clock_ms()
+                self.log("whole", run.task, run.number)
+        elif run.begun_ms is not None:
+            self.end(run, "broken")
+        elif self.clock_ms() - run.started_ms > self.config["gang_ms"]:
+            self.end(run, "alone")
 
     def checkpoint(self, run: Run, is_stop: bool = False) -> str:
         if not run.spec.get("saves"):
@@ -137,6 +172,10 @@
 
     def end(self, run: Run, how: str) -> None:
         del self.runs[run.task]
+        if run.spec.get("gang"):
+            if how == "done":
+                (self.gang_folder(run) / "done").touch()
+            self.gang_file(run).unlink(missing_ok=True)
         for name in self.used:
             self.used[name] -= run.spec.get(name, 0)
         closed = self.closed_run_by_task.get(run.task, 0)
@@ -158,6 +197,11 @@
                 self.end(run, "lapsed")
             elif self.work_ms(run) >= run.spec["ms"]:
                 self.end(run, "done")
+            elif run.spec.get("gang"):
+                try:
+                    self.check_gang(run)
+                except FileNotFoundError:  # A member has just ended; seen at the next tick.
+                    continue
 
     async def hold(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if not self.accepts(body):
