--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -384,7 +384,7 @@
             deployment.say(f"BROKEN: {finding}" if finding else "the rule held")
             print(f"broken: {finding}" if finding else "held")
             status = 1 if finding else 0
-        except (CannotRun, TimeoutError, OSError) as error:
+        except Exception as error:  # Whatever it is, the rule was not checked.
             deployment.say(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
         finally:
