--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,6 +30,13 @@
     return (json.dumps(entry)[:-1] + ', "seq": ' + "[" * NESTED + "]" * NESTED + "}").encode()
 
 
+async def repeat_entry(site: Deployment, value: bytes) -> None:
+    """Writes the entry again each heartbeat interval, so that the store keeps it."""
+    while True:
+        await site.put("servers", "other-writer", value, "beat")
+        await asyncio.sleep(1.5)
+
+
 async def case(site: Deployment, is_disturbed: bool) -> str:
     await site.start_store()
     for index in range(4):
@@ -40,11 +47,15 @@
     site.say("traffic begins: a job of two tasks of 1.5 s each second")
     begin_s = time.monotonic()
     pending = []
+    writer: asyncio.Task[None] | None = None
     for second in range(TRAFFIC_S):
         if second == TROUBLE_S and is_disturbed:
             value = bad_entry()
-            await site.put("servers", "other-writer", value)
-            site.say(f"another writer puts servers/other-writer, {len(value)} bytes: {value[:300]}")
+            writer = asyncio.create_task(repeat_entry(site, value))
+            site.say(
+                f"another writer puts servers/other-writer, again each 1.5 s, "
+                f"{len(value)} bytes: {value[:300]}"
+            )
         job_id = f"{0xabc0000000000000 + second:016x}"
         pending.append(asyncio.create_task(site.submit(job_id, SPEC, [STEP])))
         await asyncio.sleep(max(0, begin_s + second + 1 - time.monotonic()))
@@ -64,6 +75,8 @@
         if status == 200 and state in ("completed", "cancelled"):
             continue
         lost.append(f"{job.job_id} ({status} {state})")
+    if writer is not None:
+        writer.cancel()
     for node in site.nodes:
         for event in site.log_events(node, "owner_failed", "task_failed")[:2]:
             site.say(f"{node.name} logs {event['event']}: {event.get('error')}")
--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -129,13 +129,15 @@
             "tenants": [tenant],
         }  # fmt: skip
 
-    async def put(self, table: str, key: str, value: dict[str, Any] | bytes) -> None:
-        """Writes a row on behalf of the operator or another writer."""
+    async def put(
+        self, table: str, key: str, value: dict[str, Any] | bytes, how: str = "put"
+    ) -> None:
+        """Writes a row on behalf of the operator, or as another writer's heartbeat (`beat`)."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         row = {"table": table, "part": "", "key": key, "value": base64.b64encode(data).decode()}
         address, _, port = self.store.rpartition(":")
         body = json.dumps(row).encode()
-        status, _, _ = await request(address, int(port), "POST", "/standin/put", None, body)
+        status, _, _ = await request(address, int(port), "POST", f"/standin/{how}", None, body)
         if status != 200:
             raise CannotRun(f"the store answers {status}")
 
