Tests: close the connection that a test of the HTTP pool left open

What was seen: on arm64 test_operator_api failed with "Exception ignored in StreamWriter.__del__ ... Event loop is closed". The failing test was only where the garbage collector happened to run.

Cause: the server of test_http_pool.py never closed its side of the connection, and the pool's own connection stayed open as well. A run that collects garbage after each test names this test alone: of 171 tests that open sockets (daemon, command line, adapter, soak) one error, its own.

Change: both sides are closed.

--- a/packages/daemon/tests/test_http_pool.py
+++ b/packages/daemon/tests/test_http_pool.py
@@ -18,11 +18,15 @@
         await reader.readuntil(b"{}")
         writer.write(REPLY)
         time.sleep(0.4)  # Blocks the event loop beyond the time limit of the request.
+        writer.close()
 
     async def run() -> Result[HttpReply, HttpFailure]:
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         async with server:
-            return await HttpPool("127.0.0.1", port, 1_000).post("/x", b"{}", 200)
+            pool = HttpPool("127.0.0.1", port, 1_000)
+            reply = await pool.post("/x", b"{}", 200)
+            pool.close()
+            return reply
 
     assert asyncio.run(run()).unwrap().status == 200
