--- a/packages/cli/src/jacinthreel_cli/_log_lines.py
+++ b/packages/cli/src/jacinthreel_cli/_log_lines.py
@@ -83,7 +83,7 @@
         return None
     try:
         data = json.loads(text[start:])
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     if not isinstance(data, dict) or "event" not in data:
         return None
--- a/packages/common/src/jacinthreel_common/__init__.py
+++ b/packages/common/src/jacinthreel_common/__init__.py
@@ -64,6 +64,7 @@
     lease_key,
     request_key,
 )
+from jacinthreel_common._malformed import MALFORMED_INPUT
 from jacinthreel_common._operator_messages import (
     AUTHOR_HEADER,
     CHANGE_ID_HEADER,
@@ -200,6 +201,7 @@
     "PolicyRows",
     "StoredRow",
     "MAX_FRAME_BYTES",
+    "MALFORMED_INPUT",
     "MAX_GANG_TASKS",
     "MESSAGES_BY_KIND",
     "NOT_RUN_HEADER",
--- a/packages/common/src/jacinthreel_common/_codec.py
+++ b/packages/common/src/jacinthreel_common/_codec.py
@@ -18,6 +18,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common._codes import Fault, ResultCode
+from jacinthreel_common._malformed import MALFORMED_INPUT
 
 T = TypeVar("T")
 _field_types_by_class: dict[type, dict[str, Any]] = {}
@@ -38,7 +39,7 @@
         return Failure(Fault(ResultCode.UNKNOWN_FIELD, f"unknown field {unknown_path}"))
     try:
         return Success(msgspec.convert(data, target_type, strict=True))
-    except msgspec.ValidationError as error:
+    except MALFORMED_INPUT as error:
         detail = str(error)
         wrong_type = detail.startswith(("Expected `", "Object missing")) and (
             ", got" in detail or "missing" in detail
@@ -54,7 +55,7 @@
     """
     try:
         return msgspec.convert(data, target_type, strict=True)
-    except msgspec.ValidationError:
+    except MALFORMED_INPUT:
         return None
 
 
--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -131,7 +131,7 @@
             stream = self._pop_idle() or await self._connect(timeout_ms)
         except TimeoutError:
             return Failure(HttpFailure(False, "timed out while connecting"))
-        except (OSError, StreamClosedError) as error:
+        except (OSError, ValueError, StreamClosedError) as error:
             return Failure(HttpFailure(False, f"cannot connect: {_describe_error(error)}"))
         if not may_send():
             self._return_to_pool(stream)
@@ -145,7 +145,7 @@
                 )
         except TimeoutError:
             return Failure(HttpFailure(True, "timed out while waiting for the reply"))
-        except (OSError, StreamClosedError, httputil.HTTPInputError) as error:
+        except (OSError, ValueError, StreamClosedError, httputil.HTTPInputError) as error:
             return Failure(HttpFailure(True, f"connection lost: {_describe_error(error)}"))
         finally:
             if late_check is not None:
@@ -169,11 +169,15 @@
         if method == "POST":
             headers["Content-Type"] = "application/json"
             headers["Content-Length"] = str(len(body))
-        is_complete = False
         try:
             connection.write_headers(
                 httputil.RequestStartLine(method, path, ""), headers, body or None
             )
+        except ValueError as error:
+            stream.close()
+            return Failure(HttpFailure(False, f"the request can't be encoded: {error}"))
+        is_complete = False
+        try:
             connection.finish()
             await connection.read_response(collector)
             is_complete = collector.is_complete
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -130,11 +130,16 @@
             if row.key != OWNER_KEY:
                 continue
             owner = decode_owner(row.value) if row.value is not None else None
-            self._apply_owner_row(owner, row.version)
+            is_unreadable = owner is None and row.value is not None
+            self._apply_owner_row(owner, row.version, is_unreadable)
 
-    def _apply_owner_row(self, owner: OwnerRow | None, version: int) -> None:
-        if not self._owner_view.apply_row(owner, version):
+    def _apply_owner_row(
+        self, owner: OwnerRow | None, version: int, is_unreadable: bool = False
+    ) -> None:
+        if not self._owner_view.apply_row(owner, version, is_unreadable):
             return
+        if is_unreadable:
+            self._log.warning("owner_row_unreadable", {"row_version": version})
         if owner is None:
             return
         self._log.info(
@@ -238,7 +243,7 @@
         if self._is_taking_over or self.ownership is not None or self.is_draining:
             return
         self._is_taking_over = True
-        expected_version = self._owner_view.row_version if self._owner_view.row is not None else 0
+        expected_version = self._owner_view.stored_version
         self._spawn(self._take_over(reason, expected_version))
 
     async def _take_over(self, reason: str, expected_version: int) -> None:
@@ -256,7 +261,8 @@
 
     async def _commit_takeover(self, reason: str, expected_version: int) -> None:
         former = self._owner_view.row
-        epoch = former.epoch + 1 if former is not None else 1
+        # Each takeover raises the version, so it is above the epoch in a row that can't be read.
+        epoch = former.epoch + 1 if former is not None else expected_version + 1
         address, port = self._settings.stream_address
         nonce = f"{self._rng.getrandbits(64):016x}"
         owner = OwnerRow(epoch, self._settings.host_id, address, port, nonce)
--- a/packages/node/src/jacinthreel_node/_owner_view.py
+++ b/packages/node/src/jacinthreel_node/_owner_view.py
@@ -30,6 +30,7 @@
         self._clock = clock
         self.row: OwnerRow | None = None
         self.row_version = 0
+        self.is_row_unreadable = False
         self.is_row_known = False
         self.last_heartbeat_ms: int | None = None
         self.lease_age_ms = 0
@@ -38,11 +39,12 @@
         self._waiting_by_queue: dict[str, int] | None = None
         self._received_forecast: ReceivedForecast | None = None
 
-    def apply_row(self, row: OwnerRow | None, version: int) -> bool:
+    def apply_row(self, row: OwnerRow | None, version: int, is_unreadable: bool = False) -> bool:
         """Applies a version of the owner row; returns whether it is newer than the current one."""
         self.is_row_known = True
         if version <= self.row_version:
             return False
+        self.is_row_unreadable = is_unreadable
         if self.row is None or row is None or row.epoch != self.row.epoch:
             self.last_heartbeat_ms = None
             self.lease_count = None
@@ -50,6 +52,11 @@
         self.row_version = version
         return True
 
+    @property
+    def stored_version(self) -> int:
+        """The version that a write which replaces the row has to expect, 0 if there is no row."""
+        return self.row_version if self.row is not None or self.is_row_unreadable else 0
+
     def apply_heartbeat(self, peer: Hello, heartbeat: OwnerHeartbeat) -> None:
         """Applies a heartbeat, unless it is from an earlier owner."""
         if self.row is not None and heartbeat.epoch < self.row.epoch:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -60,6 +60,7 @@
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
+MAX_LOGGED_REASON: Final = 200
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
 
 
@@ -435,7 +436,7 @@
             if row.value is None:
                 self._remove_listing(row.key)
                 continue
-            match self._row_decoder.decode_executor_listing(row):
+            match self._decode_listing(row):
                 case ExecutorListing() as listing:
                     self._apply_listing(listing, now_ms)
                 case UnusableRow(reason=""):
@@ -444,6 +445,13 @@
                     self._suspend_listing(row.key, reason)
         self.request_plan()
 
+    def _decode_listing(self, row: Row) -> ExecutorListing | UnusableRow:
+        """Decodes a row; an unexpected error costs only this row, which each next owner reads."""
+        try:
+            return self._row_decoder.decode_executor_listing(row)
+        except Exception as error:
+            return UnusableRow(f"unexpected error: {error!r}"[:MAX_LOGGED_REASON])
+
     def _record_registry_read(self) -> None:
         self.scheduler.record_registry_read(self._clock.now_ms())
 
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import zlib
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
-from jacinthreel_steps import JobRecord
+from jacinthreel_common import MALFORMED_INPUT
+from jacinthreel_steps import JobRecord, is_record_usable
 
 INTAKE_TABLE: Final = "intake"
 PROGRESS_TABLE: Final = "progress"
@@ -53,13 +54,18 @@
     return INTAKE_GROUPS if table == INTAKE_TABLE else (_GROUPS_BY_TABLE[table],)
 
 
+# A number beyond these bounds can't be stored again, or connected to.
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=2**16 - 1)]
+
+
 class OwnerRow(msgspec.Struct, frozen=True):
     """The owner of the jobs; `nonce` is unique to each takeover."""
 
-    epoch: int
+    epoch: Number
     host_id: str
     address: str
-    port: int
+    port: Port
     nonce: str
 
 
@@ -69,8 +75,8 @@
     `count` is the number of the renewal.  `is_resigned` is set once the owner has resigned.
     """
 
-    epoch: int
-    count: int
+    epoch: Number
+    count: Number
     is_resigned: bool = False
 
 
@@ -97,18 +103,19 @@
 
 
 def decode_job(value: bytes) -> JobRecord | None:
-    """Decodes an accepted job; returns None if malformed."""
+    """Decodes an accepted job; returns None if malformed or impossible to schedule."""
     try:
-        return _job_decoder.decode(value)
-    except msgspec.DecodeError:
+        record = _job_decoder.decode(value)
+    except MALFORMED_INPUT:
         return None
+    return record if is_record_usable(record) else None
 
 
 def decode_owner(value: bytes) -> OwnerRow | None:
     """Decodes the owner row; returns None if malformed."""
     try:
         return _owner_decoder.decode(value)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
 
 
@@ -116,7 +123,7 @@
     """Decodes a lease row; returns None if malformed."""
     try:
         return _lease_decoder.decode(value)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
 
 
@@ -124,5 +131,5 @@
     """Decodes the speeds row; returns None if malformed."""
     try:
         return _speeds_decoder.decode(value)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
--- a/packages/node/src/jacinthreel_node/_relays/_messages.py
+++ b/packages/node/src/jacinthreel_node/_relays/_messages.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from jacinthreel_common import MALFORMED_INPUT
 from jacinthreel_steps import (
     EndReason,
     ReportedEnd,
@@ -189,7 +190,7 @@
     """Decodes the body of `RelayOrders`; returns None if malformed."""
     try:
         return _orders_decoder.decode(data)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
 
 
@@ -197,7 +198,7 @@
     """Decodes the body of `RelayReport`; returns None if malformed."""
     try:
         return _report_decoder.decode(data)
-    except msgspec.DecodeError:
+    except MALFORMED_INPUT:
         return None
 
 
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -25,6 +25,23 @@
     run_scenario(scenario)
 
 
+def test_unreadable_owner_row_is_replaced_under_a_higher_epoch() -> None:
+    # The takeover expected no row, and so conflicted with the unreadable one for ever.
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        for epoch in range(1, 4):
+            put_other_owner(harness.store, epoch)
+        harness.store.version += 1
+        unreadable = Row(OWNER_TABLE, OWNER_KEY, b"\x91" * 3_000, harness.store.version)
+        harness.store.rows[(OWNER_TABLE, OWNER_KEY)] = unreadable
+        await harness.read_owner()
+        await harness.check_owner()
+        assert harness.elector.ownership is not None
+        assert harness.elector.ownership.epoch > 3
+
+    run_scenario(scenario)
+
+
 def deliver_heartbeat(harness: ElectorHarness) -> None:
     """Delivers a heartbeat of an owner that has just renewed its lease."""
     heartbeat = OwnerHeartbeat(1, {}, lease_age_ms=0, policy_version=1, is_loaded=True)
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -7,6 +7,7 @@
 from jacinthreel_steps._admission._forecast import OPTIMISM, Forecast, PredictedStart
 from jacinthreel_steps._admission._refusal import Refusal, find_refusal, retry_after_ms
 from jacinthreel_steps._context import DEFAULT_STOP_LIMIT_MS, DecisionLog, StopOrder, run_name
+from jacinthreel_steps._job_rules import is_record_usable, spec_problem
 from jacinthreel_steps._model import (
     EndReason,
     ExecutorListing,
@@ -72,8 +73,10 @@
     "decode_progress_state",
     "find_step_beyond_quota",
     "find_refusal",
+    "is_record_usable",
     "objective_ms",
     "progress_write_id",
     "retry_after_ms",
     "run_name",
+    "spec_problem",
 ]
--- a/packages/steps/src/jacinthreel_steps/_executors/_speed_model.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_speed_model.py
@@ -26,6 +26,7 @@
 EFFECT_DEVIATION: Final = 0.2
 RESTORED_DEVIATION: Final = 0.08
 MIN_SAVED_EFFECT: Final = 0.05  # Smaller effects are negligible.
+MIN_RESTORED_SPEED: Final = 1e-3  # Relative to the usual speed, like its inverse.
 MAX_TASK_DEVIATION: Final = 0.5  # From the executor's effect; larger deviations are clamped.
 
 
@@ -108,9 +109,11 @@
         return speeds
 
     def restore(self, speeds: dict[str, float]) -> None:
-        """Initializes the effects with the `unusual_speeds` of an earlier model."""
+        """Initializes the effects with the `unusual_speeds` of an earlier model; skips bad ones."""
         self._restored_by_id = {
-            executor_id: math.log(speed) for executor_id, speed in speeds.items() if speed > 0
+            executor_id: math.log(speed)
+            for executor_id, speed in speeds.items()
+            if MIN_RESTORED_SPEED <= speed <= 1 / MIN_RESTORED_SPEED
         }
         self._effect_by_id.update(self._restored_by_id)
         self._needs_fit = True
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -8,20 +8,25 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from jacinthreel_common import MALFORMED_INPUT
 from jacinthreel_steps._model import JobState, Resources, RunId
 from jacinthreel_steps._tables import CrashRecord, Job, Run, RunState, Step, Task
 
 NOT_PLACED = -1
 
+Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]  # Larger ones could not be stored again.
+
 
 class TaskRow(msgspec.Struct, array_like=True, frozen=True):
     """A task; `executor` is an index into the row's `executors`, or `NOT_PLACED`."""
 
-    run_number: int
+    run_number: Number
     executor: int
-    failures: int
+    failures: Number
     is_done: bool
     checkpoint: str
 
@@ -30,11 +35,11 @@
     """The crash record of the task with index `task`."""
 
     task: int
-    crashes: int
+    crashes: Number
     addresses: list[str]
-    counted_run: int
-    longest_ms: int
-    last_run: int
+    counted_run: Number
+    longest_ms: Number
+    last_run: Number
 
 
 class StepRow(msgspec.Struct, array_like=True, frozen=True):
@@ -43,7 +48,7 @@
     Rows of earlier versions have no `crashes`.
     """
 
-    counted_failure_run: int
+    counted_failure_run: Number
     tasks: list[TaskRow]
     crashes: list[CrashRow] = []
 
@@ -56,7 +61,7 @@
 
     write_id: str
     state: int
-    executors: list[tuple[str, int]]
+    executors: list[tuple[str, Number]]
     steps: list[StepRow]
 
 
@@ -79,7 +84,7 @@
     try:
         row = _decoder.decode(value)
         JobState(row.state)
-    except (msgspec.DecodeError, ValueError):
+    except (*MALFORMED_INPUT, ValueError):
         return None
     return row
 
