--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
@@ -29,13 +29,15 @@
     """The loss of an executor, which had the last report before it at `lost_ms`.
 
     `job_ids` are the jobs with runs there; `has_crashed_task` tells whether one of these tasks had
-    lost an executor before, `is_single` whether few others were lost at the same time.
+    lost an executor before, `is_solo` whether all runs there were of one task or one gang,
+    `is_single` whether few others were lost at the same time.
     """
 
     lost_ms: int
     address: str
     job_ids: frozenset[str]
     has_crashed_task: bool
+    is_solo: bool = False
     is_single: bool = False
 
 
@@ -148,11 +150,26 @@
 
 def _make_loss(tables: Tables, executor: Executor) -> ExecutorLoss:
     job_ids = frozenset(task_id.job_id for task_id in executor.runs_by_task)
-    has_crashed_task = any(key in tables.crashed_task_ids for key in executor.runs_by_task)
+    has_crashed_task = any(tables.has_crashed(task_id) for task_id in executor.runs_by_task)
     return ExecutorLoss(
-        executor.last_report_ms, executor.listing.address, job_ids, has_crashed_task
+        executor.last_report_ms,
+        executor.listing.address,
+        job_ids,
+        has_crashed_task,
+        _is_solo(tables, executor),
     )
 
 
+def _is_solo(tables: Tables, executor: Executor) -> bool:
+    """Whether all runs of an executor are of one task or one gang."""
+    runs = iter(executor.runs_by_task)
+    first = next(runs, None)
+    if first is None or first.job_id not in tables.jobs_by_id:
+        return False
+    gang = (first.job_id, first.step_index)
+    is_gang = tables.jobs_by_id[first.job_id].steps[first.step_index].spec.is_gang
+    return all(is_gang and (other.job_id, other.step_index) == gang for other in runs)
+
+
 def _is_same_time(lost_ms: int, own: ExecutorLoss) -> bool:
     return abs(lost_ms - own.lost_ms) <= SAME_TIME_MS
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -85,10 +85,10 @@
     """Places suspect tasks where they may be tried; returns the tasks to schedule as usual."""
     if not state.context.tables.crashed_task_ids:
         return pending
-    if all(task.crash_record is None for task in step.tasks):
+    if step.gang_losses is None and all(task.crash_record is None for task in step.tasks):
         return pending
     allowed = _select_allowed(step, pending)
-    suspects = [task for task in allowed if is_suspect(task)]
+    suspects = [task for task in allowed if is_suspect(step, task)]
     if step.spec.is_gang and suspects:
         suspects = allowed
     if not suspects:
@@ -140,7 +140,7 @@
     """Returns where the suspects may be placed now, by the time that they have waited."""
     context = state.context
     records = [task.crash_record for task in suspects if task.crash_record is not None]
-    waited_ms = state.now_ms - max(record.crashed_ms for record in records)
+    waited_ms = state.now_ms - max((record.crashed_ms for record in records), default=0)
     may_wait = waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects)
     if may_wait and context.executor_losses.is_outage_current(context.tables, state.now_ms):
         return TrialScope.NONE
@@ -180,7 +180,7 @@
     """Returns executors for the tasks, with as few runs of other jobs as possible."""
     fitting = slots.free.fitting_executors(step.spec.required_label, step.spec.shape)
     sound = _sound_executors(state, step, fitting)
-    searches = [(sound, 0)]
+    searches = [([item for item in sound if not item.runs_by_task], 0), (sound, 0)]
     if scope >= TrialScope.SOUND:
         searches += [(sound, limit) for limit in OTHER_RUNS_LIMITS]
     if scope >= TrialScope.ANY:
@@ -227,6 +227,7 @@
             "executors": [run.executor_id for run in runs],
             "exclusive": all(run.isolation is Isolation.EXCLUSIVE for run in runs),
             "unexplained": max(_unexplained(task) for task, _ in placement),
+            "lost_under_step": len(step.lost_addresses()),
         },
     )
 
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -103,7 +103,7 @@
     record = task.crash_record
     if record is None or job.state.is_final or task.is_done:
         return
-    if has_starts_left(task) and not (has_lost_executor and is_crashing(task, run)):
+    if has_starts_left(task) and not (has_lost_executor and is_crashing(task)):
         return
     context.log(
         "job_given_up",
@@ -113,6 +113,8 @@
             "executor": run.executor_id,
             "crashes": record.crashes,
             "unexplained": record.unexplained,
+            "solo": record.solo,
+            "lost_under_step": len(job.steps[task.task_id.step_index].lost_addresses()),
             "isolation": run.isolation.name.lower(),
         },
     )
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -14,7 +14,7 @@
 
 from jacinthreel_common import MALFORMED_INPUT
 from jacinthreel_steps._model import JobState, Resources, RunId
-from jacinthreel_steps._tables import CrashRecord, Job, Run, RunState, Step, Task
+from jacinthreel_steps._tables import CrashRecord, GangLosses, Job, Run, RunState, Step, Task
 
 NOT_PLACED = -1
 
@@ -32,7 +32,11 @@
 
 
 class CrashRow(msgspec.Struct, array_like=True, frozen=True):
-    """The crash record of the task with index `task`."""
+    """The crash record of the task with index `task`.
+
+    In rows of earlier versions, `addresses` are those of all members of a gang, and `counted_run`
+    is the newest run that was considered for them; it is unused since.
+    """
 
     task: int
     crashes: Number
@@ -40,17 +44,26 @@
     counted_run: Number
     longest_ms: Number
     last_run: Number
+    solo: Number = 0
+
+
+class GangLossesRow(msgspec.Struct, array_like=True, frozen=True):
+    """The executors that were lost under a gang."""
+
+    addresses: list[str]
+    counted_run: Number
 
 
 class StepRow(msgspec.Struct, array_like=True, frozen=True):
     """A step's tasks, in order, and the newest run number whose failure was counted.
 
-    Rows of earlier versions have no `crashes`.
+    Rows of earlier versions have no `crashes` or no `gang_losses`.
     """
 
     counted_failure_run: Number
     tasks: list[TaskRow]
     crashes: list[CrashRow] = []
+    gang_losses: GangLossesRow | None = None
 
 
 class ProgressRow(msgspec.Struct, array_like=True, frozen=True):
@@ -75,7 +88,11 @@
     steps: list[StepRow] = []
     for step in job.steps:
         tasks = [_make_task_row(task, positions) for task in step.tasks]
-        steps.append(StepRow(step.counted_failure_run, tasks, _make_crash_rows(step)))
+        steps.append(
+            StepRow(
+                step.counted_failure_run, tasks, _make_crash_rows(step), _make_gang_losses_row(step)
+            )
+        )
     return _encoder.encode(ProgressRow(write_id, int(job.state), list(positions), steps))
 
 
@@ -121,6 +138,8 @@
         for crash in stored.crashes:
             if 0 <= crash.task < len(step.tasks):
                 step.tasks[crash.task].crash_record = _restore_crash_record(crash, now_ms)
+        if step.spec.is_gang:
+            step.gang_losses = _restore_gang_losses(stored)
     return True
 
 
@@ -135,18 +154,35 @@
                 index,
                 record.crashes,
                 record.addresses,
-                record.counted_run,
+                0,
                 record.longest_ms,
                 record.last_run,
+                record.solo,
             )
         )
     return rows
 
 
+def _make_gang_losses_row(step: Step) -> GangLossesRow | None:
+    losses = step.gang_losses
+    if losses is None or step.is_done:
+        return None
+    return GangLossesRow(losses.addresses, losses.counted_run)
+
+
 def _restore_crash_record(row: CrashRow, now_ms: int) -> CrashRecord:
-    return CrashRecord(
-        row.crashes, list(row.addresses), row.counted_run, row.longest_ms, now_ms, row.last_run
-    )
+    # An earlier version stored the addresses of the whole gang: no more of them were the task's.
+    addresses = row.addresses[: row.crashes]
+    return CrashRecord(row.crashes, addresses, row.solo, row.longest_ms, now_ms, row.last_run)
+
+
+def _restore_gang_losses(row: StepRow) -> GangLosses | None:
+    if row.gang_losses is not None:
+        return GangLosses(list(row.gang_losses.addresses), row.gang_losses.counted_run)
+    if not row.crashes:
+        return None
+    newest = max(row.crashes, key=lambda crash: crash.counted_run)
+    return GangLosses(list(newest.addresses), newest.counted_run)
 
 
 def _make_task_row(task: Task, positions: dict[tuple[str, int], int]) -> TaskRow:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -196,7 +196,9 @@
         return job_ids
 
     def _track_crashed_tasks(self, job: Job) -> None:
-        for step in job.steps:
+        for index, step in enumerate(job.steps):
+            if step.gang_losses is not None:
+                self.tables.crashed_gangs.add((job.job_id, index))
             for task in step.tasks:
                 if task.crash_record is not None:
                     self.tables.crashed_task_ids[task.task_id] = None
@@ -453,8 +455,14 @@
     @property
     def suspect_count(self) -> int:
         """How many tasks are suspected to crash their executors."""
-        tasks = [self.tables.task(task_id) for task_id in self.tables.crashed_task_ids]
-        return sum(task is not None and is_suspect(task) for task in tasks)
+        count = 0
+        for task_id in self.tables.crashed_task_ids:
+            task = self.tables.task(task_id)
+            if task is None:
+                continue
+            step = self.tables.jobs_by_id[task_id.job_id].steps[task_id.step_index]
+            count += is_suspect(step, task)
+        return count
 
     def waiting_by_queue(self) -> dict[str, int]:
         """Returns how many open jobs of each queue have not started any task."""
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -109,26 +109,39 @@
 class CrashRecord:
     """The executors that were lost under a task, since one of its runs last outlived them.
 
-    `crashes` counts them.  `addresses` are the different ones of executors that were lost outside
-    an outage, at most one for each run; the members of a gang share them.  `counted_run` is the
-    newest run that was considered for it.  `longest_ms` is the longest time after a start until an
-    executor was lost, `crashed_ms` when one was last counted.  `last_run` is the number of the last
-    run that may be started, 0 for no limit.
+    Executors that were lost under another member of the same gang don't count.  `crashes` counts
+    them.  `addresses` are the different ones of executors that were lost outside an outage, and
+    `solo` tells how many of these ran nothing but the task, or its gang.
+    `longest_ms` is the longest time after a start until an executor was lost, `crashed_ms` when one
+    was last counted.  `last_run` is the number of the last run that may be started, 0 for no limit.
     """
 
     crashes: int = 0
     addresses: list[str] = field(default_factory=list)
-    counted_run: int = 0
+    solo: int = 0
     longest_ms: int = 0
     crashed_ms: int = 0
     last_run: int = 0
 
     @property
     def unexplained(self) -> int:
-        """How many different executors were lost outside an outage, each under another run."""
+        """How many different executors were lost outside an outage."""
         return len(self.addresses)
 
 
+@dataclass(slots=True)
+class GangLosses:
+    """The executors that were lost outside an outage under any member of a gang.
+
+    `addresses` are the different ones, at most one for each run, and `counted_run` is the newest
+    run that was considered for them.  They make the gang suspect, but don't count against any of
+    its members.
+    """
+
+    addresses: list[str] = field(default_factory=list)
+    counted_run: int = 0
+
+
 @dataclass(slots=True)
 class Task:
     """A task.
@@ -171,7 +184,8 @@
     The members of a gang run under the same run number, and a gang counts at most one failure for
     each; `counted_failure_run` is the newest run number whose failure was counted.  `move` is set
     once a gang was stopped because of a lagging member.  `has_survivor` is set once a task under
-    which an executor was lost has outlived that.
+    which an executor was lost has outlived that.  `gang_losses` is None if no executor was lost
+    under the gang.
     """
 
     spec: StepSpec
@@ -179,6 +193,7 @@
     counted_failure_run: int = 0
     move: GangMove | None = None
     has_survivor: bool = False
+    gang_losses: GangLosses | None = None
 
     @property
     def is_done(self) -> bool:
@@ -187,6 +202,8 @@
 
     def lost_addresses(self) -> set[str]:
         """Returns the addresses of executors that were lost under tasks that are not done."""
+        if self.gang_losses is not None:
+            return set(self.gang_losses.addresses)
         return {
             address
             for task in self.tasks
@@ -375,7 +392,8 @@
 
     `open_jobs_by_id` holds the jobs whose state is not final.  `unstored_job_ids` is an ordered set
     of the jobs that have changes to store, `crashed_task_ids` one of the tasks that may have a
-    crash record.  `isolated_runs` holds the runs that may be isolated, `closed_executor_ids` the
+    crash record.  `crashed_gangs` holds job id and step index of gangs under which executors were
+    lost.  `isolated_runs` holds the runs that may be isolated, `closed_executor_ids` the
     executors that are closed.  `registry_read_ms` is when the registry of executors was last known
     to be read completely.
     """
@@ -386,10 +404,16 @@
     executors_by_id: dict[str, Executor] = field(default_factory=dict)
     unstored_job_ids: dict[str, None] = field(default_factory=dict)
     crashed_task_ids: dict[TaskId, None] = field(default_factory=dict)
+    crashed_gangs: set[tuple[str, int]] = field(default_factory=set)
     isolated_runs: list[Run] = field(default_factory=list)
     closed_executor_ids: set[str] = field(default_factory=set)
     registry_read_ms: int = 0
 
+    def has_crashed(self, task_id: TaskId) -> bool:
+        """Whether an executor was lost under the task, or under any member of its gang."""
+        gang = (task_id.job_id, task_id.step_index)
+        return task_id in self.crashed_task_ids or gang in self.crashed_gangs
+
     def is_capacity_outdated(self, executor: Executor, now_ms: int) -> bool:
         """Whether the executor may have shrunk unnoticed and would start too much."""
         if executor.listing.service not in self.policy.unguarded_services:
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -4,11 +4,12 @@
 
 import random
 
+import msgspec
 import pytest
 from crash_world import CrashWorld
 from scheduler_harness import listing, queue, step
 
-from jacinthreel_steps import EndReason
+from jacinthreel_steps import EndReason, StoredProgress
 
 MAX_STARTS = 5
 MAX_LATE_STARTS = 2
@@ -160,3 +161,86 @@
     world.pass_time(50_000)
     assert world.state("crashing") == "failed"
     assert max(world.late_starts.values()) <= MAX_LATE_STARTS
+
+
+def crash_under_member(world: CrashWorld, job_id: str, member: int) -> None:
+    """Crashes the executor of a task once it runs, some seconds after the last crash."""
+    world.pass_time(6_000)
+    for _ in range(60):
+        assert world.state(job_id) == "running"
+        runs = [run for run in world.runs(job_id) if run.run_id.task.task_index == member]
+        if runs:
+            world.crash(runs[0].executor_id)
+            return
+        world.pass_time(1_000)
+    raise AssertionError("the task does not start again")
+
+
+@pytest.mark.parametrize("takes_over", [False, True])
+@pytest.mark.parametrize("width", [3, 4, 9])
+def test_gang_of_which_each_member_loses_an_executor_is_not_given_up(
+    width: int, takes_over: bool
+) -> None:
+    # Members shared the evidence, so that crashes anywhere under a wide gang added up.
+    world = CrashWorld(*executors(width + 3), work_ms=15_000, down_ms=4_500)
+    world.submit("sound", step(width, is_gang=True, max_per_executor=1))
+    for member in range(2 * width):
+        crash_under_member(world, "sound", member % width)
+        if takes_over:
+            world.take_over()
+    world.pass_time(60_000)
+    assert world.state("sound") == "completed"
+
+
+def test_job_of_which_each_task_loses_an_executor_is_not_given_up() -> None:
+    world = CrashWorld(*executors(9), work_ms=60_000, down_ms=4_500)
+    world.submit("sound", step(8, max_per_executor=1))
+    for task in range(8):
+        crash_under_member(world, "sound", task)
+    world.pass_time(200_000)
+    assert world.state("sound") == "completed"
+
+
+def test_member_that_crashes_its_executors_fails_its_gang() -> None:
+    # Without the shared evidence of the gang, its other members must not hide that member.
+    world = CrashWorld(*executors(8), work_ms=15_000, down_ms=4_500)
+    world.submit("crashing", step(4, is_gang=True, max_per_executor=1))
+    for _ in range(3):
+        crash_under_member(world, "crashing", 2)
+    world.pass_time(20_000)
+    assert world.state("crashing") == "failed"
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_wide_job_whose_tasks_lose_executors_by_chance_is_not_given_up(seed: int) -> None:
+    # Losses beside siblings counted like those of an executor that ran nothing else.
+    rng = random.Random(seed)
+    world = CrashWorld(*executors(7), work_ms=25_000, down_ms=4_500)
+    world.submit("sound", step(40))
+    for _ in range(4):
+        world.pass_time(6_000)
+        world.crash(rng.choice(sorted({run.executor_id for run in world.runs("sound")})))
+    world.pass_time(120_000)
+    assert world.state("sound") == "completed"
+
+
+def test_evidence_of_a_row_of_an_earlier_version_is_not_shared_by_a_gang() -> None:
+    world = CrashWorld(*executors(8), work_ms=15_000, down_ms=4_500)
+    world.submit("sound", step(4, is_gang=True, max_per_executor=1))
+    for member in range(2):
+        crash_under_member(world, "sound", member)
+    world.pass_time(1_000)
+    row = msgspec.msgpack.decode(world.rows["sound"].value)
+    shared = ["e000:80", "e001:80", "e002:80"]
+    row[3][0][2] = [[member, 1, shared, 3, 2_000, 0] for member in range(4)]
+    del row[3][0][3:]
+    world.rows["sound"] = StoredProgress(msgspec.msgpack.encode(row), world.rows["sound"].version)
+    world.take_over()
+    records = [
+        task.crash_record for task in world.scheduler.tables.jobs_by_id["sound"].steps[0].tasks
+    ]
+    assert [record.unexplained for record in records if record is not None] == [1] * 4
+    assert world.scheduler.suspect_count == 4
+    crash_under_member(world, "sound", 2)
+    world.pass_time(60_000)
+    assert world.state("sound") == "completed"
