--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -30,7 +30,6 @@
 from jacinthreel_steps import (
     Executor,
     ExecutorListing,
-    ExecutorReport,
     LeaseChoice,
     LeaseLimits,
     Run,
@@ -175,8 +174,7 @@
             self._first_response_ms = now_ms
         if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
-        report = ExecutorReport(response.incarnation, sent_ms, response.running, response.ended)
-        context.scheduler.apply_report(self._executor_id, report, now_ms)
+        context.scheduler.apply_report(self._executor_id, response.to_report(sent_ms), now_ms)
         context.request_plan()
         await self._wait_until_ends_stored(now_ms + STORE_WAIT_MS)
 
@@ -303,9 +301,7 @@
         request = ReportRequest(context.epoch, 0, None, 0)
         match await context.gateway.report(self._target(executor), request):
             case Success(ReportResponse() as response):
-                report = ExecutorReport(
-                    response.incarnation, sent_ms, response.running, response.ended
-                )
+                report = response.to_report(sent_ms)
                 context.scheduler.apply_report(self._executor_id, report, context.clock.now_ms())
             case Failure(_):
                 return  # The polling detects that the executor is unreachable.
--- a/packages/node/src/jacinthreel_node/_ports.py
+++ b/packages/node/src/jacinthreel_node/_ports.py
@@ -15,10 +15,12 @@
 from jacinthreel_node._routing import RoutingPolicy
 from jacinthreel_steps import (
     ExecutorListing,
+    ExecutorReport,
     ReportedEnd,
     ReportedRun,
     RunId,
     StartOutcome,
+    TaskId,
 )
 
 
@@ -121,12 +123,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportResponse:
-    """The running and ended runs of an executor; `clock_ms` is the time on its own clock."""
+    """The running and ended runs of an executor; `clock_ms` is the time on its own clock.
+
+    `may_omit_ends` and `unclear_tasks` are those of `ExecutorReport`.
+    """
 
     clock_ms: int
     incarnation: int
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
+    may_omit_ends: bool = False
+    unclear_tasks: frozenset[TaskId] = frozenset()
+
+    def to_report(self, sent_ms: int) -> ExecutorReport:
+        """Returns the report, which was requested at `sent_ms`, for the scheduler."""
+        return ExecutorReport(
+            self.incarnation,
+            sent_ms,
+            self.running,
+            self.ended,
+            may_omit_ends=self.may_omit_ends,
+            unclear_tasks=self.unclear_tasks,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/jacinthreel_node/_relays/_messages.py
+++ b/packages/node/src/jacinthreel_node/_relays/_messages.py
@@ -113,7 +113,8 @@
     """A report of an executor.
 
     `sent_ms` is a lower bound, on the owner's clock, for the time at which it was requested;
-    `age_ms` is the time since it arrived at the relay.
+    `age_ms` is the time since it arrived at the relay.  `may_omit_ends` and `unclear_tasks` are
+    those of `ExecutorReport`; the run numbers of the latter are 0.
     """
 
     slot: int
@@ -123,6 +124,8 @@
     age_ms: int
     running: list[RunProgress]
     ended: list[RunEnd]
+    may_omit_ends: bool = False
+    unclear_tasks: list[RunName] = []
 
 
 class SlotLoss(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -36,6 +36,7 @@
     decode_end,
     decode_report,
     decode_running,
+    run_id_of,
 )
 from jacinthreel_node._relays._relay_session import (
     RELAY_SILENCE_MS,
@@ -487,7 +488,15 @@
         ended = tuple(decode_end(entry) for entry in report.ended)
         self._context.scheduler.apply_report(
             link.executor_id,
-            ExecutorReport(report.incarnation, report.sent_ms, running, ended, report.age_ms),
+            ExecutorReport(
+                report.incarnation,
+                report.sent_ms,
+                running,
+                ended,
+                report.age_ms,
+                report.may_omit_ends,
+                frozenset(run_id_of(name).task for name in report.unclear_tasks),
+            ),
             now_ms,
         )
         if report.ended:
--- a/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
@@ -38,7 +38,7 @@
     name_run,
     run_id_of,
 )
-from jacinthreel_steps import StartOutcome
+from jacinthreel_steps import RunId, StartOutcome
 
 # With `REPORT_PERIOD_MS` of the relay, the age of an executor's last response at the owner stays
 # below the planner's limit of 1,400 ms.
@@ -203,6 +203,8 @@
                 0,
                 [encode_running(run) for run in response.running],
                 [encode_end(end) for end in response.ended],
+                response.may_omit_ends,
+                [name_run(RunId(task, 0)) for task in response.unclear_tasks],
             )
             self._session.request_flush(is_first or self._has_listed_ends)
         await self._wait_for_owner()
--- a/packages/node/tests/relay_harness.py
+++ b/packages/node/tests/relay_harness.py
@@ -107,12 +107,16 @@
 
 @dataclass
 class FakeExecutor:
-    """An executor that ends each run after `RUN_MS`, unless `ends_runs` is cleared."""
+    """An executor that ends each run after `RUN_MS`, unless `ends_runs` is cleared.
+
+    It lists at most `listed_ends` ends at a time.
+    """
 
     executor_id: str
     clock: LoopClock
     is_reachable: bool = True
     ends_runs: bool = True
+    listed_ends: int = 500
     fence: int = 0
     next_end: int = 1
     lease_until_by_run: dict[RunId, int] = field(default_factory=dict)
@@ -203,7 +207,11 @@
             ReportedRun(run_id, "", executor.percent_done(run_id))
             for run_id in executor.lease_until_by_run
         )
-        return Success(ReportResponse(executor.clock.now_ms(), 1, running, tuple(executor.ends)))
+        ended = tuple(executor.ends[: executor.listed_ends])
+        may_omit_ends = len(ended) >= executor.listed_ends
+        return Success(
+            ReportResponse(executor.clock.now_ms(), 1, running, ended, may_omit_ends=may_omit_ends)
+        )
 
     async def start(self, target: ExecutorTarget, command: StartCommand) -> StartResponse:
         self.sent_starts.append(command)
@@ -440,10 +448,12 @@
             self.owner.connect(host)
         self.owner.start(self.listings)
 
-    def submit(self, job_id: str, count: int, owner: OwnerHost | None = None) -> None:
+    def submit(
+        self, job_id: str, count: int, owner: OwnerHost | None = None, accelerators: int = 8
+    ) -> None:
         owner = owner or self.owner
         terms = QueueTerms("q", "s", 1, 9, 3.0, 1_000)
-        spec = JobSpec("x", (StepSpec(count, Resources(1, 1, 8)),))
+        spec = JobSpec("x", (StepSpec(count, Resources(1, 1, accelerators)),))
         now_ms = owner.clock.now_ms()
         owner.scheduler.add_job(JobRecord(job_id, terms, "w", spec, 0), None, now_ms, now_ms)
 
--- a/packages/node/tests/test_relays.py
+++ b/packages/node/tests/test_relays.py
@@ -336,6 +336,26 @@
     run_virtual(scenario())
 
 
+def test_runs_whose_end_a_relay_has_not_seen_yet_do_not_run_again(few_executors: None) -> None:
+    # Only the executor knows that it listed some of the ends; the relay has to pass that on.
+    async def scenario() -> None:
+        cluster = RelayCluster(20, 2)
+        for executor in cluster.executors.by_id.values():
+            executor.listed_ends = 2
+        cluster.start()
+        await cluster.run_for(SETTLED_MS)
+        cluster.submit("j1", 100, accelerators=1)
+        await cluster.run_for(1_000)
+        cluster.owner.is_storing = False
+        await cluster.run_for(4_000)
+        cluster.owner.is_storing = True
+        await cluster.run_for(6_000)
+        assert not cluster.owner.scheduler.tables.open_jobs_by_id
+        assert sum(len(host.gateway.sent_starts) for host in cluster.hosts) == 100
+
+    run_virtual(scenario())
+
+
 def test_no_permission_is_given_before_the_use_of_relays_is_stored(few_executors: None) -> None:
     # The next owner would not count with the leases that relays go on renewing.
     async def scenario() -> None:
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
@@ -97,6 +97,7 @@
         executor.applied_end_sequence = 0
         executor.acknowledged_upto = 0
         executor.pending_ends.clear()
+        executor.has_more_ends = False
         executor.untracked = NO_RESOURCES
         executor.has_reported = False
         self._end_runs_of_older_incarnations(executor, now_ms, has_left)
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -258,11 +258,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutorReport:
-    """All runs in progress on an executor, and all ends that were not acknowledged yet.
+    """All runs in progress on an executor, and the ends that were not acknowledged yet.
 
     `sent_ms` is when the request for the report was sent: the report reflects every order that was
     answered before then.  `age_ms` is the time since the report arrived at the process that
-    requested it.
+    requested it.  `may_omit_ends` is set if the executor may have more ends than it listed.
+    `unclear_tasks` are those of entries that name no run: it may be in progress.
     """
 
     incarnation: int
@@ -270,6 +271,8 @@
     running: tuple[ReportedRun, ...]
     ended: tuple[ReportedEnd, ...]
     age_ms: int = 0
+    may_omit_ends: bool = False
+    unclear_tasks: frozenset[TaskId] = frozenset()
 
 
 class StartOutcome(IntEnum):
--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -3,7 +3,9 @@
 Ends are applied once each, in order of their sequence numbers.  A run that is missing from the
 report has ended if the executor confirmed its start, or confirmed a stop, before the report was
 requested; or if an earlier owner placed it, because the executor accepts no orders from an earlier
-owner once it has answered this one.  A reported run that is not in the tables is stopped.
+owner once it has answered this one.  But nothing follows from what is missing while the executor
+may have more ends than it listed: the end of that run, done or not, is among the later ones.  A
+reported run that is not in the tables is stopped.
 """
 
 from __future__ import annotations
@@ -46,16 +48,35 @@
         running.add(reported.run_id)
         _apply_reported_run(context, executor, reported, now_ms)
     apply_new_verdicts(context, executor, now_ms)
+    _record_completeness(context, executor, report)
     for run in list(executor.runs_by_task.values()):
         if run.run_id in running or run.run_id in ended:
             continue
-        if _has_ended(run, report.sent_ms):
+        if run.run_id.task in report.unclear_tasks:
+            continue
+        if not report.may_omit_ends and _has_ended(run, report.sent_ms):
             _end_missing_run(context, run, now_ms)
         elif run.state is RunState.STOPPING and run.stop_confirmed_ms is None:
             _repeat_stop_if_due(context, run, now_ms)
     executor.has_reported = True
 
 
+def _record_completeness(context: Context, executor: Executor, report: ExecutorReport) -> None:
+    """Logs when the reports of an executor begin to omit ends, and when they are complete again."""
+    if report.may_omit_ends == executor.has_more_ends:
+        return
+    executor.has_more_ends = report.may_omit_ends
+    context.log(
+        "report_cut_short" if report.may_omit_ends else "report_complete",
+        {
+            "executor": executor.executor_id,
+            "running": len(report.running),
+            "ended": len(report.ended),
+            "runs": len(executor.runs_by_task),
+        },
+    )
+
+
 def end_lost_runs(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
     """Ends all runs of an executor that ended without a report."""
     record_loss(context, executor, reason, now_ms)
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -333,6 +333,7 @@
     applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
     `earliest_shutdown_ms` is the earliest time at which a draining executor may shut down.
+    `has_more_ends` is set while its reports may omit ends.
     `is_closed` is set while an isolated run keeps runs of other jobs away.  `untracked` is what the
     reported runs use that are not in `runs_by_task`, until they have stopped.
     """
@@ -345,6 +346,7 @@
     has_reported: bool = False
     applied_end_sequence: int = 0
     acknowledged_upto: int = 0
+    has_more_ends: bool = False
     pending_ends: list[PendingEnd] = field(default_factory=list)
     last_report_ms: int = 0
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
--- a/tests/adapter/test_hostile_input.py
+++ b/tests/adapter/test_hostile_input.py
@@ -154,7 +154,7 @@
     report = {
         "clock_ms": 5,
         "running": [None, {}, 7, [run, 2], [run, 3, deep, deep], [run, 4, "c" * 9_999, 50]],
-        "ended": [{}, [1, end, 2, "done"], [2, end, 3, deep], [3, deep, 3, "done"]],
+        "ended": [{}, [1, end, 2, "done"], [2, end, deep, "done"], [3, deep, 3, "done"]],
     }
     decoded = _decode_report(json.dumps(report).encode())
     assert isinstance(decoded, Success)
@@ -167,6 +167,22 @@
     assert [item.sequence for item in response.ended] == [1]
 
 
+@pytest.mark.parametrize(("count", "may_omit"), [(499, False), (500, True)])
+def test_report_with_as_many_ends_as_fit_may_omit_others(count: int, may_omit: bool) -> None:
+    ended = [[n, f"5c0e7a21d94b36f8.0.1.{n}", 1, "done", ""] for n in range(1, count + 1)]
+    response = _decode_report(json.dumps({"clock_ms": 5, "ended": ended}).encode()).unwrap()
+    assert response.may_omit_ends is may_omit
+    assert response.to_report(1).may_omit_ends is may_omit
+
+
+def test_entry_that_names_a_task_but_no_run_leaves_that_task_unclear() -> None:
+    names = [f"5c0e7a21d94b36f8.0.1.{index}" for index in range(3)]
+    running = [[names[0], "x"], [names[1]], ["?", 1], [names[2], 1]]
+    response = _decode_report(json.dumps({"clock_ms": 5, "running": running}).encode()).unwrap()
+    assert {task.task_index for task in response.unclear_tasks} == {0, 1}
+    assert [run.run_id.task.task_index for run in response.running] == [2]
+
+
 STEP = StepSpec(1, Resources(1, 1, 1))
 
 
