--- a/packages/common/src/jacinthreel_common/__init__.py
+++ b/packages/common/src/jacinthreel_common/__init__.py
@@ -104,6 +104,7 @@
     TransactionReply,
     WriteOutcome,
 )
+from jacinthreel_common._row_size import MAX_ROW_BYTES, compress_row, expand_row
 from jacinthreel_common._streams import (
     MAX_FRAME_BYTES,
     MESSAGES_BY_KIND,
@@ -203,6 +204,7 @@
     "MAX_FRAME_BYTES",
     "MALFORMED_INPUT",
     "MAX_GANG_TASKS",
+    "MAX_ROW_BYTES",
     "MESSAGES_BY_KIND",
     "NOT_RUN_HEADER",
     "Name",
@@ -252,6 +254,7 @@
     "ZoneList",
     "ZoneOutBody",
     "ZoneOutage",
+    "compress_row",
     "config_history_key",
     "convert",
     "convert_stored",
@@ -259,6 +262,7 @@
     "default_presets",
     "encode_json",
     "epoch_key",
+    "expand_row",
     "job_key",
     "job_prefix",
     "join_address",
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any, Final
 
 from returns.result import Failure, Success
@@ -27,6 +27,7 @@
     ReportResponse,
     StartCommand,
 )
+from jacinthreel_node._slow_steps import StepTiming, measure_step
 from jacinthreel_steps import (
     Executor,
     ExecutorListing,
@@ -45,6 +46,9 @@
 RETRY_PAUSE_MS: Final = 200
 ORDER_WORKERS: Final = 2
 MAX_STOP_ATTEMPTS: Final = 4
+WIDE_STEP_TASKS: Final = 200
+LEASE_CHOICE_AGE_MS: Final = 250
+STOP_RANK: Final = -(2**60)  # Before starts of any priority.
 CONFIRMATION_AGE_MS: Final = 2  # A report shows a stop that was confirmed before it was requested.
 DRAINING_LEASE_MS: Final = 2_500  # Shorter, to place its runs elsewhere soon after it leaves.
 
@@ -74,6 +78,14 @@
     log: Callable[[str, dict[str, Any]], None]
 
 
+@dataclass(order=True, slots=True)
+class _QueuedOrder:
+    """An order that waits to be sent; the lowest rank is sent first."""
+
+    rank: tuple[int, int, int]
+    order: Run | StopOrder = field(compare=False)
+
+
 class ExecutorLink:
     """The connection to one executor during one ownership.
 
@@ -87,7 +99,11 @@
         self._first_response_ms: int | None = None
         self._exchange = ExecutorExchange()
         self._lease_choice = LeaseChoice(context.lease_limits.shortest_ms)
-        self._orders: asyncio.Queue[Run | StopOrder] = asyncio.Queue()
+        self._lease_chosen_ms = 0
+        self._orders: asyncio.PriorityQueue[_QueuedOrder] = asyncio.PriorityQueue()
+        self._order_count = 0
+        self._waiting_starts_by_job: dict[str, int] = {}
+        self._report_timing = StepTiming()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
 
@@ -98,8 +114,23 @@
         self._context.gateway.close_connections(self._executor_id)
 
     def send(self, order: Run | StopOrder) -> None:
-        """Queues a start or a stop."""
-        self._orders.put_nowait(order)
+        """Queues a start or a stop.
+
+        Stops are sent first.  Starts of the jobs that wait here take turns, by priority: those of
+        a wide job would hold up all others for seconds.
+        """
+        self._order_count += 1
+        match order:
+            case StopOrder():
+                rank = (STOP_RANK, 0, self._order_count)
+            case Run():
+                job_id = order.run_id.task.job_id
+                job = self._context.scheduler.tables.jobs_by_id.get(job_id)
+                priority = job.record.queue.priority if job is not None else 0
+                turn = self._waiting_starts_by_job.get(job_id, 0)
+                self._waiting_starts_by_job[job_id] = turn + 1
+                rank = (priority, turn, self._order_count)
+        self._orders.put_nowait(_QueuedOrder(rank, order))
 
     def lease_end_ms(self) -> int:
         """Returns the local time by which all runs have ended if the executor is unreachable.
@@ -130,9 +161,10 @@
     async def _poll_reports(self) -> None:
         while True:
             executor = self._find_executor()
+            self._report_timing = StepTiming()
             can_poll_at_once = executor is not None and await self._request_report(executor)
-            if not can_poll_at_once:
-                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+            pause_s = 0.0 if can_poll_at_once else RETRY_PAUSE_MS / 1000
+            await asyncio.sleep(max(pause_s, self._report_timing.pause_s))
 
     async def _request_report(self, executor: Executor) -> bool:
         """Requests a report and applies it; returns whether to poll again without a pause."""
@@ -174,7 +206,11 @@
             self._first_response_ms = now_ms
         if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
-        context.scheduler.apply_report(self._executor_id, response.to_report(sent_ms), now_ms)
+        fields = {"running": len(response.running), "ended": len(response.ended)}
+        with measure_step(
+            context.clock, context.log, "apply_report", **fields
+        ) as self._report_timing:
+            context.scheduler.apply_report(self._executor_id, response.to_report(sent_ms), now_ms)
         context.request_plan()
         await self._wait_until_ends_stored(now_ms + STORE_WAIT_MS)
 
@@ -196,16 +232,32 @@
         stored_upto = self._context.scheduler.acknowledged_upto(self._executor_id)
         return self._exchange.acknowledged_upto(stored_upto, now_ms)
 
-    def _lease_until_ms(self, executor: Executor) -> int | None:
-        """Returns the lease end to request, or None before the first clock reading."""
+    def _lease_until_ms(self, executor: Executor, run: Run | None = None) -> int | None:
+        """Returns the lease end to request, or None before the first clock reading.
+
+        `run` is the one that a start is for.  The choice goes through all runs of the executor, so
+        starts of wide steps use one that is a short time old.
+        """
         context = self._context
         now_ms = context.clock.now_ms()
-        choice = choose_lease(
-            executor, context.scheduler.tables.jobs_by_id, context.lease_limits, now_ms
-        )
-        lease_ms = lease_ms_of(executor.listing, choice.lease_ms)
-        self._lease_choice = replace(choice, lease_ms=lease_ms)
-        return self._exchange.extend_lease(lease_ms, now_ms)
+        is_recent = now_ms - self._lease_chosen_ms < LEASE_CHOICE_AGE_MS
+        if run is None or not is_recent or not self._is_of_wide_step(run):
+            choice = choose_lease(
+                executor, context.scheduler.tables.jobs_by_id, context.lease_limits, now_ms
+            )
+            self._lease_chosen_ms = now_ms
+            lease_ms = lease_ms_of(executor.listing, choice.lease_ms)
+            self._lease_choice = replace(choice, lease_ms=lease_ms)
+        return self._exchange.extend_lease(self._lease_choice.lease_ms, now_ms)
+
+    def _is_of_wide_step(self, run: Run) -> bool:
+        """Whether a run is one of so many that its start hardly changes what is at stake."""
+        task_id = run.run_id.task
+        job = self._context.scheduler.tables.jobs_by_id.get(task_id.job_id)
+        if job is None:
+            return False
+        spec = job.steps[task_id.step_index].spec
+        return spec.count >= WIDE_STEP_TASKS and not spec.is_gang
 
     def _expire_unreachable(self, executor: Executor) -> None:
         """Ends the runs of an unreachable executor once its leases have expired."""
@@ -233,14 +285,23 @@
 
     async def _process_orders(self) -> None:
         while True:
-            order = await self._orders.get()
+            order = (await self._orders.get()).order
             match order:
                 case Run():
+                    self._record_turn(order.run_id.task.job_id)
                     await self._start(order)
                 case StopOrder():
                     await self._stop(order)
             self._context.request_plan()
 
+    def _record_turn(self, job_id: str) -> None:
+        """Forgets the turns of a job once none of its starts waits any more."""
+        waiting = self._waiting_starts_by_job.get(job_id, 0) - 1
+        if waiting > 0:
+            self._waiting_starts_by_job[job_id] = waiting
+        else:
+            self._waiting_starts_by_job.pop(job_id, None)
+
     async def _start(self, run: Run) -> None:
         context = self._context
         executor = self._find_executor()
@@ -251,7 +312,7 @@
             outcome = StartOutcome.REFUSED_UNHEALTHY
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
-        until_ms = self._lease_until_ms(executor)
+        until_ms = self._lease_until_ms(executor, run)
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
             return
--- a/packages/node/src/jacinthreel_node/_job_service.py
+++ b/packages/node/src/jacinthreel_node/_job_service.py
@@ -19,6 +19,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
+    MAX_ROW_BYTES,
     Fault,
     IntakeInsert,
     IntakeInserted,
@@ -128,7 +129,8 @@
         """Accepts a job; a repeated call with the same id has no further effect.
 
         `deadline_ms` is how long the caller waits.  Errors: STORE_UNAVAILABLE (the job never
-        runs), JOB_OUTCOME_UNKNOWN, JOB_EXCEEDS_QUOTA and JOB_TOO_LATE (the job never runs).
+        runs), JOB_OUTCOME_UNKNOWN, BODY_TOO_LARGE, JOB_EXCEEDS_QUOTA and JOB_TOO_LATE (the job
+        never runs).
         """
         started_ms = self._clock.now_ms()
         excess = await self._find_quota_fault(call, job_id, spec, deadline_ms)
@@ -147,8 +149,11 @@
             self._log("job_not_accepted", {**fields, **reason, **inputs})
             return Failure(fault)
         record = JobRecord(job_id, call.route.queue, call.workspace, spec, self._clock.unix_ms())
+        value = encode_record(record)
+        if len(value) > MAX_ROW_BYTES:
+            return Failure(self._refuse_large_job(job_id, len(value)))
         key = JOB_PREFIX + job_id
-        outcome = await self._insert(key, encode_record(record), started_ms, deadline_ms)
+        outcome = await self._insert(key, value, started_ms, deadline_ms)
         self._metrics.observe_ms("submit_ms", self._clock.now_ms() - started_ms)
         fields = self._submission_fields(call, job_id, deadline_ms, started_ms)
         match outcome:
@@ -164,6 +169,15 @@
             case _:
                 raise AssertionError("a Result is Success or Failure")
 
+    def _refuse_large_job(self, job_id: str, size: int) -> Fault:
+        """Logs and returns the fault of a job that no row of the store can hold."""
+        detail = f"the job needs {size} bytes, at most {MAX_ROW_BYTES} can be stored"
+        fault = Fault(ResultCode.BODY_TOO_LARGE, detail)
+        self._log(
+            "job_not_accepted", {"job_id": job_id, "code": fault.code.value, "reason": detail}
+        )
+        return fault
+
     async def _find_quota_fault(
         self, call: RoutedCall, job_id: str, spec: JobSpec, deadline_ms: int
     ) -> Fault | None:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -49,17 +49,20 @@
 from jacinthreel_node._relays._relay_session import LONGEST_PERMISSION_MS
 from jacinthreel_node._routing import PolicyView
 from jacinthreel_node._settings import NodeSettings
+from jacinthreel_node._slow_steps import measure_step
 from jacinthreel_node._speed_store import ExecutorSpeedStore
 from jacinthreel_node._table_follower import TableFollower
 from jacinthreel_steps import ExecutorListing, JobState, Scheduler, StoredProgress
 
 MIN_PLAN_INTERVAL_MS: Final = 20
-PLAN_SHARE_DIVISOR: Final = 4  # With relays, passes may take 1/4 of the process's time.
+PLAN_SHARE_DIVISOR: Final = 3  # Passes may take 1/3 of the process's time,
+PLAN_SHARE_DIVISOR_RELAYS: Final = 4  # and 1/4 with relays.
 PERIODIC_CHECK_MS: Final = 250
 FEED_WAIT_MS: Final = 1_500
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
+LOAD_STEP_MS: Final = 30
 MAX_LOGGED_REASON: Final = 200
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
 
@@ -241,11 +244,10 @@
     def _plan_interval_ms(self) -> int:
         """Returns the minimum time between the starts of passes.
 
-        With relays it depends on the last pass: one over thousands of executors takes tens of ms.
+        It depends on the last pass: one over thousands of executors or tasks takes tens of ms.
         """
-        if not self.fleet.uses_relays:
-            return MIN_PLAN_INTERVAL_MS
-        return max(MIN_PLAN_INTERVAL_MS, PLAN_SHARE_DIVISOR * self._plan_took_ms)
+        divisor = PLAN_SHARE_DIVISOR_RELAYS if self.fleet.uses_relays else PLAN_SHARE_DIVISOR
+        return max(MIN_PLAN_INTERVAL_MS, divisor * self._plan_took_ms)
 
     def _plan(self) -> None:
         self._is_plan_pending = False
@@ -253,11 +255,14 @@
             return  # Without a configuration the quotas are not known.
         started_ms = self._clock.now_ms()
         self._last_plan_ms = started_ms
-        self.scheduler.plan(started_ms)
+        with measure_step(self._clock, self._log, "plan"):
+            is_cut_short = self.scheduler.plan(started_ms)
         self._plan_took_ms = self._clock.now_ms() - started_ms
         self._metrics.observe_ms("plan_ms", self._plan_took_ms)
         self._send_orders()
         self._writer.wake()
+        if is_cut_short:
+            self.request_plan()
 
     def _on_batch_stored(self) -> None:
         self._send_orders()
@@ -339,7 +344,7 @@
             for row in progress.rows
             if row.value is not None
         }
-        self._add_and_cancel_jobs(intake.rows, progress_by_id)
+        await self._load_jobs(intake.rows, progress_by_id)
         accepted_ids = {row.key.removeprefix(JOB_PREFIX) for row in intake.rows}
         orphaned_ids = progress_by_id.keys() - accepted_ids
         self._orphaned_progress = {job_id: progress_by_id[job_id] for job_id in orphaned_ids}
@@ -352,6 +357,21 @@
             self._row_decoder.executor_table: listings.version,
         }
 
+    async def _load_jobs(
+        self, rows: tuple[Row, ...], progress_by_id: dict[str, StoredProgress]
+    ) -> None:
+        """Adds all stored jobs; yields in between, because they may have thousands of tasks."""
+        pause_ms = self._clock.now_ms() + LOAD_STEP_MS
+        cancellations = tuple(row for row in rows if row.key.startswith(CANCEL_PREFIX))
+        for row in rows:
+            if not row.key.startswith(JOB_PREFIX):
+                continue
+            self._add_and_cancel_jobs((row,), progress_by_id)
+            if self._clock.now_ms() >= pause_ms:
+                await asyncio.sleep(0)
+                pause_ms = self._clock.now_ms() + LOAD_STEP_MS
+        self._add_and_cancel_jobs(cancellations, {})
+
     async def _read_jobs(self) -> tuple[Snapshot, Snapshot]:
         """Reads progress and intake.
 
--- a/packages/node/src/jacinthreel_node/_progress_writer.py
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -1,10 +1,10 @@
 """Stores the progress of jobs, one transaction at a time.
 
-A transaction holds up to `MAX_BATCH_ROWS` rows from the scheduler and is conditional on the owner
-row and on the version of each row that it replaces.  If its outcome is unknown, the identical
-transaction is sent again until the outcome is known.  Its conditions hold at most once, so it takes
-effect at most once.  A conflict with a row that carries the transaction's own write id means that
-an earlier attempt took effect.
+A transaction holds up to `MAX_BATCH_ROWS` rows from the scheduler, fewer if they are large.  It is
+conditional on the owner row and on the version of each row that it replaces.  If its outcome is
+unknown, the identical transaction is sent again until the outcome is known.  Its conditions hold at
+most once, so it takes effect at most once.  A conflict with a row that carries the transaction's
+own write id means that an earlier attempt took effect.
 
 Invariant: while the owner row is as this owner wrote it, no other process changes the progress
 rows.  Any other conflict therefore ends the ownership.
@@ -22,9 +22,11 @@
 from jacinthreel_daemon.plumbing import Clock, MetricsRegistry
 from jacinthreel_node._ports import Committed, Conflict, KeyedStore, Row, RowCondition, RowWrite
 from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE, PROGRESS_TABLE
+from jacinthreel_node._slow_steps import measure_step
 from jacinthreel_steps import Scheduler, UnstoredRow, progress_write_id
 
 MAX_BATCH_ROWS: Final = 45
+MAX_BATCH_BYTES: Final = 600_000  # The store takes 1 MB a call, and values grow by a third on it.
 COMMIT_TIMEOUT_MS: Final = 1_000
 RETRY_PAUSE_MS: Final = 60
 MAX_RETRY_PAUSE_MS: Final = 400
@@ -83,7 +85,8 @@
         """Stores one batch; returns false if there were no rows or the ownership is lost."""
         self._batch_count += 1
         write_id = f"{self._nonce}.{self._batch_count}"
-        rows = self._scheduler.take_unstored(MAX_BATCH_ROWS, write_id)
+        with measure_step(self._clock, self._log, "encode_progress") as timing:
+            rows = self._scheduler.take_unstored(MAX_BATCH_ROWS, write_id, MAX_BATCH_BYTES)
         if not rows:
             return False
         self.is_idle = False
@@ -94,11 +97,13 @@
         if version is None:
             return False
         now_ms = self._clock.now_ms()
-        for row in rows:
-            self._scheduler.mark_stored(row, version, now_ms)
+        with measure_step(self._clock, self._log, "mark_stored", rows=len(rows)):
+            for row in rows:
+                self._scheduler.mark_stored(row, version, now_ms)
         self._stored.set()
         self._stored = asyncio.Event()
         self._on_stored()
+        await asyncio.sleep(timing.pause_s)
         return True
 
     async def _commit(self, rows: list[UnstoredRow], write_id: str) -> int | None:
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from jacinthreel_common import MALFORMED_INPUT
+from jacinthreel_common import MALFORMED_INPUT, compress_row, expand_row
 from jacinthreel_steps import JobRecord, is_record_usable
 
 INTAKE_TABLE: Final = "intake"
@@ -98,14 +98,15 @@
 
 
 def encode_record(record: JobRecord | OwnerRow | LeaseRow | SpeedsRow) -> bytes:
-    """Encodes a record as MessagePack."""
-    return msgspec.msgpack.encode(record)
+    """Encodes a record as MessagePack; a large job is compressed."""
+    value = msgspec.msgpack.encode(record)
+    return compress_row(value) if isinstance(record, JobRecord) else value
 
 
 def decode_job(value: bytes) -> JobRecord | None:
     """Decodes an accepted job; returns None if malformed or impossible to schedule."""
     try:
-        record = _job_decoder.decode(value)
+        record = _job_decoder.decode(expand_row(value))
     except MALFORMED_INPUT:
         return None
     return record if is_record_usable(record) else None
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -5,26 +5,31 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from typing import Any
 
+import pytest
 from node_fakes import ManualClock, ScriptedExecutors
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, LeasesLeft, ResultCode
-from jacinthreel_node import ReportRequest, ReportResponse
+from jacinthreel_node import ExecutorTarget, ReportRequest, ReportResponse, _executor_link
 from jacinthreel_node._executor_exchange import ExecutorClock
 from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._slow_steps import MAX_PAUSE_MS, SLOW_STEP_MS
 from jacinthreel_steps import (
     EndReason,
     ExecutorListing,
     ExecutorReport,
     JobRecord,
     JobSpec,
+    LeaseChoice,
     LeaseLimits,
     QueueTerms,
     ReportedEnd,
     ReportedRun,
     Resources,
+    Run,
     RunId,
     RunState,
     Scheduler,
@@ -62,6 +67,7 @@
         self.errors: list[Exception] = []
         self.ends: list[ReportedEnd] = []
         self.running: tuple[ReportedRun, ...] = ()
+        self.logged_steps: list[tuple[str, Any]] = []
         self.scheduler = Scheduler(lambda event, fields: None)
         self.scheduler.apply_listing(listing, self.clock.now_ms())
         self.gateway = ScriptedExecutors(self._report)
@@ -77,7 +83,7 @@
             lambda: None,
             lambda executor_id: None,
             self.errors.append,
-            lambda event, fields: None,
+            lambda event, fields: self.logged_steps.append((event, fields.get("step"))),
         )
 
     async def _wait_stored(self, timeout_ms: int) -> None:
@@ -110,6 +116,19 @@
         self.scheduler.add_job(JobRecord("j1", terms, "w", spec, 0), None, now_ms, now_ms)
         self.scheduler.plan(now_ms)
 
+    def place_jobs(self, *sizes: int) -> list[Run]:
+        """Places jobs with that many tasks each; returns their runs, in the order of the jobs."""
+        terms = QueueTerms("q", "s", 1, 3, 3.0, 1_000)
+        now_ms = self.clock.now_ms()
+        for index, size in enumerate(sizes):
+            spec = JobSpec("x", (StepSpec(size, Resources(1, 1, 0)),))
+            record = JobRecord(f"j{index}", terms, "w", spec, 0)
+            self.scheduler.add_job(record, None, now_ms, now_ms)
+        self.scheduler.plan(now_ms)
+        for row in self.scheduler.take_unstored(100, "w"):
+            self.scheduler.mark_stored(row, 1, now_ms)
+        return self.scheduler.take_starts()
+
     def move_executor(self, listing: ExecutorListing) -> None:
         """Restarts the executor at another address, takes one report and places a task on it."""
         self.on_report = lambda: None
@@ -414,3 +433,80 @@
 
 def _raise(*arguments: object) -> None:
     raise RuntimeError("injected failure")
+
+
+def test_starts_of_the_jobs_that_wait_at_an_executor_take_turns() -> None:
+    # The starts of a small job waited behind those of thousands of tasks that came before.
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        for run in harness.place_jobs(30, 2):
+            harness.link.send(run)
+        await wait_until(lambda: len(harness.gateway.starts) == 32)
+        jobs = [command.run_id.task.job_id for command in harness.gateway.starts]
+        assert jobs[:4] == ["j0", "j1", "j0", "j1"]
+
+    run_scenario(LinkHarness(), scenario)
+
+
+def test_starts_of_a_wide_step_share_one_choice_of_the_lease(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each start went through all runs of the executor.
+    choices: list[int] = []
+
+    def choose(*arguments: Any) -> LeaseChoice:
+        choices.append(len(arguments[0].runs_by_task))
+        return LeaseChoice(LEASE_MS)
+
+    monkeypatch.setattr(_executor_link, "choose_lease", choose)
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        choices.clear()
+        polls = len(harness.gateway.requests)
+        for run in harness.place_jobs(400):
+            harness.link.send(run)
+        await wait_until(lambda: len(harness.gateway.starts) == 400)
+        assert len(choices) <= len(harness.gateway.requests) - polls + 2
+
+    run_scenario(LinkHarness(), scenario)
+
+
+def test_stops_are_sent_before_the_starts_that_wait() -> None:
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        send_stop = harness.gateway.stop
+        starts_before_stops: list[int] = []
+
+        async def stop(target: ExecutorTarget, run_id: RunId, epoch: int) -> Result[None, Fault]:
+            starts_before_stops.append(len(harness.gateway.starts))
+            return await send_stop(target, run_id, epoch)
+
+        harness.gateway.stop = stop  # type: ignore[method-assign]
+        for run in harness.place_jobs(30):
+            harness.link.send(run)
+        harness.link.send(StopOrder("e1", 1, RunId(TaskId("other", 0, 0), 1)))
+        await wait_until(lambda: bool(starts_before_stops))
+        assert starts_before_stops == [0]
+
+    run_scenario(LinkHarness(), scenario)
+
+
+def test_report_that_takes_long_to_apply_is_followed_by_a_pause() -> None:
+    # Reports of a thousand runs were requested and applied without a pause while runs ended.
+    async def scenario(harness: LinkHarness) -> None:
+        apply_report = harness.scheduler.apply_report
+
+        def apply_slowly(executor_id: str, report: ExecutorReport, now_ms: int) -> None:
+            apply_report(executor_id, report, now_ms)
+            harness.clock.advance(SLOW_STEP_MS)
+
+        harness.scheduler.apply_report = apply_slowly  # type: ignore[method-assign]
+        loop = asyncio.get_running_loop()
+        await wait_until(lambda: len(harness.gateway.requests) > 1)
+        started_s, requests = loop.time(), len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > requests + 1)
+        assert loop.time() - started_s >= MAX_PAUSE_MS / 1000
+        assert ("slow_step", "apply_report") in harness.logged_steps
+
+    run_scenario(LinkHarness(), scenario)
--- a/packages/node/tests/test_job_service.py
+++ b/packages/node/tests/test_job_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import replace
 from typing import Any, cast
 
@@ -10,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import (
+    MAX_ROW_BYTES,
     Fault,
     IntakeInserted,
     JobAnnouncement,
@@ -21,7 +23,7 @@
 from jacinthreel_node import Route, RoutedCall, SubmitResult
 from jacinthreel_node._job_service import MIN_INSERT_MS, JobService
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._records import OwnerRow
+from jacinthreel_node._records import INTAKE_TABLE, JOB_PREFIX, OwnerRow, decode_job
 from jacinthreel_steps import JobSpec, JobState, QueueTerms, Resources, StepSpec
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -107,6 +109,29 @@
     assert len(harness.hub.notices) == 1
 
 
+def test_job_that_no_row_can_hold_is_refused_and_never_stored() -> None:
+    # The store refused the row, and the caller was told that the outcome was not known.
+    harness = JobServiceHarness()
+    rng = random.Random(1)
+    steps = tuple(
+        StepSpec(1, Resources(rng.getrandbits(40), rng.getrandbits(40), 1)) for _ in range(5_000)
+    )
+    large = JobSpec("x", steps)
+    outcome = asyncio.run(harness.service.submit(CALL, JOB_ID, large, 3_000))
+    assert outcome.failure().code is ResultCode.BODY_TOO_LARGE
+    assert not harness.store.rows
+
+
+def test_job_of_many_equal_steps_is_stored_compressed_and_read_again() -> None:
+    harness = JobServiceHarness()
+    spec = JobSpec("x", tuple(StepSpec(1, Resources(1, 1, 1)) for _ in range(5_000)))
+    asyncio.run(harness.service.submit(CALL, JOB_ID, spec, 3_000)).unwrap()
+    value = harness.store.rows[(INTAKE_TABLE, JOB_PREFIX + JOB_ID)].value
+    assert value is not None and len(value) <= MAX_ROW_BYTES
+    record = decode_job(value)
+    assert record is not None and record.spec == spec
+
+
 QUOTA = Resources(0, 0, 4)
 GANG = JobSpec("x", (StepSpec(5, Resources(1, 1, 1), is_gang=True),))
 
--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -112,16 +112,17 @@
     """Returns the waiting steps by service, in the order in which they are scheduled."""
     waiting: list[tuple[tuple[object, ...], str, WaitingStep]] = []
     for job in tables.open_jobs_by_id.values():
-        for step in job.steps:
-            pending = _count_pending_tasks(job, step)
-            if not pending:
-                continue
-            useless_in_ms = _useless_in_ms(job, now_ms)
-            if useless_in_ms < 0:
-                break
-            rank = rank_of(job.record.queue, job.record.workspace in over_share)
-            waiting_step = _make_waiting_step(rank, step.spec, pending, useless_in_ms)
-            order = (rank, job_sort_key(job, now_ms))
+        counted = [(step.spec, _count_pending_tasks(job, step)) for step in job.steps]
+        pending_steps = [(spec, pending) for spec, pending in counted if pending]
+        if not pending_steps:
+            continue
+        useless_in_ms = _useless_in_ms(job, now_ms)
+        if useless_in_ms < 0:
+            continue
+        rank = rank_of(job.record.queue, job.record.workspace in over_share)
+        order = (rank, job_sort_key(job, now_ms))
+        for spec, pending in pending_steps:
+            waiting_step = _make_waiting_step(rank, spec, pending, useless_in_ms)
             waiting.append((order, job.record.queue.service, waiting_step))
     waiting.sort(key=lambda entry: entry[0])
     backlogs: dict[str, ServiceBacklog] = {}
--- a/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
@@ -162,7 +162,7 @@
         if task.run is not None:
             task.run.isolation = Isolation.NONE
     step.gang_losses = None
-    context.tables.crashed_gangs.discard((job.job_id, job.steps.index(step)))
+    context.tables.crashed_gangs.discard((job.job_id, step.index))
 
 
 def _end_long_isolation(tasks: list[Task], age_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_losses.py
@@ -46,6 +46,9 @@
 
     def __init__(self) -> None:
         self._loss_by_executor_id: dict[str, ExecutorLoss] = {}
+        # The last answers of `is_outage`: the runs of a lost executor ask one after the other.
+        self._outage_key = ("", 0, 0)
+        self._is_outage_by_job_id: dict[str, bool] = {}
 
     def record(self, tables: Tables, executor: Executor, now_ms: int) -> bool:
         """Records that an executor was lost; call before its runs are ended.
@@ -94,8 +97,20 @@
         the job, or any task that had lost an executor before, don't count: that task may have
         crashed them.  Also true if the loss is not recorded.
         """
-        if executor_id not in self._loss_by_executor_id:
+        own = self._loss_by_executor_id.get(executor_id)
+        if own is None:
             return True
+        key = (executor_id, own.lost_ms, now_ms)
+        if key != self._outage_key:
+            self._outage_key = key
+            self._is_outage_by_job_id.clear()
+        if job_id not in self._is_outage_by_job_id:
+            is_outage = self._were_others_lost(tables, executor_id, job_id, now_ms)
+            self._is_outage_by_job_id[job_id] = is_outage
+        return self._is_outage_by_job_id[job_id]
+
+    def _were_others_lost(self, tables: Tables, executor_id: str, job_id: str, now_ms: int) -> bool:
+        """Whether several executors without a task of the job were lost at the same time."""
         count = 0
         for loss in self._find_simultaneous(tables, executor_id, now_ms):
             if job_id in loss.job_ids or loss.has_crashed_task:
--- a/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_leaving.py
@@ -27,18 +27,24 @@
 
 def stop_runs_on_draining_executors(context: Context, now_ms: int) -> None:
     """Stops runs whose executor shuts down before they can be done."""
+    end_ms_by_gang: dict[tuple[str, int], float] = {}
     for executor in context.tables.executors_by_id.values():
         if executor.earliest_shutdown_ms is None:
             continue
         for run in list(executor.runs_by_task.values()):
             if run.state is RunState.RUNNING:
                 _stop_unless_done_in_time(
-                    context, executor, executor.earliest_shutdown_ms, run, now_ms
+                    context, executor, executor.earliest_shutdown_ms, run, now_ms, end_ms_by_gang
                 )
 
 
 def _stop_unless_done_in_time(
-    context: Context, executor: Executor, earliest_shutdown_ms: int, run: Run, now_ms: int
+    context: Context,
+    executor: Executor,
+    earliest_shutdown_ms: int,
+    run: Run,
+    now_ms: int,
+    end_ms_by_gang: dict[tuple[str, int], float],
 ) -> None:
     task_id = run.run_id.task
     job = context.tables.jobs_by_id.get(task_id.job_id)
@@ -47,7 +53,7 @@
     step = job.steps[task_id.step_index]
     if step.spec.saves_progress and now_ms < earliest_shutdown_ms - CHECKPOINT_STOP_MARGIN_MS:
         return
-    end_ms = _estimate_end_ms(context, job, step, run)
+    end_ms = _estimate_end_ms(context, job, step, run, end_ms_by_gang)
     if end_ms <= max(earliest_shutdown_ms + LATE_END_TOLERANCE_MS, now_ms):
         return
     _stop_run_or_gang(context, executor, job, step, run, now_ms)
@@ -72,18 +78,27 @@
         stop_run(context, run, reason, now_ms)
 
 
-def _estimate_end_ms(context: Context, job: Job, step: Step, run: Run) -> float:
+def _estimate_end_ms(
+    context: Context,
+    job: Job,
+    step: Step,
+    run: Run,
+    end_ms_by_gang: dict[tuple[str, int], float],
+) -> float:
     """Estimates when the run, or its whole gang, will be done.
 
     Extrapolates the progress, or uses the predicted run time if there is too little progress.
+    `end_ms_by_gang` holds the estimates of this pass by job id and step index.
     """
     if not step.spec.is_gang:
         return _estimate_run_end_ms(context, job, step, run)
-    return max(
-        _estimate_run_end_ms(context, job, step, task.run)
-        for task in step.tasks
-        if task.run is not None
-    )
+    gang = (job.job_id, run.run_id.task.step_index)
+    end_ms = end_ms_by_gang.get(gang)
+    if end_ms is None:
+        runs = [task.run for task in step.tasks if task.run is not None]
+        end_ms = max(_estimate_run_end_ms(context, job, step, member) for member in runs)
+        end_ms_by_gang[gang] = end_ms
+    return end_ms
 
 
 def _estimate_run_end_ms(context: Context, job: Job, step: Step, run: Run) -> float:
--- a/packages/steps/src/jacinthreel_steps/_executors/_slow_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_slow_evidence.py
@@ -78,6 +78,7 @@
     if not health.has_new_verdict:
         return
     health.has_new_verdict = False
+    _forget_old_verdicts(executor)
     newest = next(reversed(health.verdict_by_task.values()))
     if newest.is_lagging:
         reason = "slowed down" if newest.is_pace else "slower than its gang"
@@ -87,15 +88,24 @@
 
 
 def _add_verdict(executor: Executor, task_id: TaskId, verdict: PaceVerdict) -> None:
-    """Adds the newest verdict at the end, and removes those that do not count any more."""
+    """Adds the newest verdict at the end."""
     verdicts = executor.health.verdict_by_task
     verdicts.pop(task_id, None)
-    for old_task_id, old in list(verdicts.items()):
-        if verdict.seen_ms - old.seen_ms > EVIDENCE_MS:
-            del verdicts[old_task_id]
     verdicts[task_id] = verdict
 
 
+def _forget_old_verdicts(executor: Executor) -> None:
+    """Removes the verdicts that do not count any more.
+
+    Once for all new ones, because there may be as many as the executor has runs.
+    """
+    verdicts = executor.health.verdict_by_task
+    newest = next(reversed(verdicts.values()))
+    for task_id, verdict in list(verdicts.items()):
+        if newest.seen_ms - verdict.seen_ms > EVIDENCE_MS:
+            del verdicts[task_id]
+
+
 def _exclude_if_slow(context: Context, executor: Executor, reason: str, now_ms: int) -> None:
     if not _is_slow(executor, now_ms):
         return
@@ -225,4 +235,5 @@
     elif next(reversed(former.health.verdict_by_task)) == run.run_id.task:
         verdict.is_confirmed = True
         verdict.seen_ms = now_ms
+        _forget_old_verdicts(former)
         _exclude_if_slow(context, former, "slower than its gang", now_ms)
--- a/packages/steps/src/jacinthreel_steps/_executors/_speed_model.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_speed_model.py
@@ -10,7 +10,7 @@
 carry little information about an executor's long-term speed.
 
 Invariants: the model has one rate per task, the newest, however often it is reported; only the
-`MAX_STEPS` newest steps are kept.
+`MAX_STEPS` newest steps are kept, and the `MAX_TASKS` newest of each.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 from typing import Final
 
 MAX_STEPS: Final = 300
+MAX_TASKS: Final = 1_000  # Of one step; more would not make the estimates much better.
 MIN_TASKS: Final = 3
 # Standard deviations of the logarithms: of a task's rate, of the prior, of the restored prior.
 TASK_DEVIATION: Final = 0.15
@@ -71,6 +72,10 @@
         previous = rates.rate_by_task.get(task_index)
         if previous is not None and previous.executor_id != executor_id:
             self._drop_deviation(previous.executor_id, (step_name, task_index))
+        elif previous is None and len(rates.rate_by_task) >= MAX_TASKS:
+            oldest = next(iter(rates.rate_by_task))
+            dropped = rates.rate_by_task.pop(oldest)
+            self._drop_deviation(dropped.executor_id, (step_name, oldest))
         rates.rate_by_task[task_index] = _TaskRate(executor_id, math.log(rate))
         self._changed_steps[step_name] = None
         self._needs_fit = True
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum
 
@@ -57,6 +58,20 @@
         return max(0, count)
 
 
+def sum_resources(amounts: Iterable[Resources]) -> Resources:
+    """Returns the sum of amounts; faster than `plus` for those of thousands of runs.
+
+    >>> sum_resources([Resources(1, 2, 0), Resources(10, 20, 1)])
+    Resources(cpu_milli=11, memory_mb=22, accelerators=1)
+    """
+    cpu_milli = memory_mb = accelerators = 0
+    for amount in amounts:
+        cpu_milli += amount.cpu_milli
+        memory_mb += amount.memory_mb
+        accelerators += amount.accelerators
+    return Resources(cpu_milli, memory_mb, accelerators)
+
+
 CORES_PER_ACCELERATOR = 8  # Cores that cost as much as one accelerator.
 UNBOUNDED_FIT = 1_000_000
 NO_RESOURCES = Resources(0, 0, 0)
--- a/packages/steps/src/jacinthreel_steps/_planning/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -29,7 +29,7 @@
         "room_claimed",
         {
             "job_id": job.job_id,
-            "step": job.steps.index(step),
+            "step": step.index,
             "tasks": len(preemption.placement),
             "stopped": [
                 run_name(run.run_id) for victim in preemption.victims for run in victim.runs
@@ -45,7 +45,7 @@
             state.used_by_workspace[victim.urgent_workspace] -= victim.accelerators
         for run in victim.runs:
             stop_run(context, run, reason, state.now_ms)
-            state.record_change(run.executor_id)
+    state.record_changes(run.executor_id for victim in preemption.victims for run in victim.runs)
     create_runs(state, job, step, preemption.placement, RunState.CLAIMED)
 
 
@@ -58,13 +58,15 @@
 
 def release_gang_claims(state: PassState, job: Job, step: Step) -> None:
     """Releases the claims of a gang; the capacity goes to the next urgent jobs."""
+    released: list[Run] = []
     for task in step.tasks:
         run = task.run
         if run is None:
             continue
         release_run(state.context, task, run)
-        state.record_change(run.executor_id)
+        released.append(run)
         state.used_by_workspace[job.record.workspace] -= run.shape.accelerators
+    state.record_changes(run.executor_id for run in released)
 
 
 def place_or_release_claims(context: Context, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Final
 
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import NO_RESOURCES, Resources
@@ -17,6 +19,9 @@
 from jacinthreel_steps._tables import Executor, Tables
 from jacinthreel_steps._workspaces._shares import Shares
 
+PASS_BUDGET: Final = 4_000  # Tasks; keeps a pass well below the lease of the owner.
+EXECUTORS_PER_TASK: Final = 2  # Comparing that many executors costs about as much as a task.
+
 
 @dataclass(slots=True)
 class ServiceSlots:
@@ -37,7 +42,8 @@
     `failed_quota_searches` holds, by workspace, the usage for which no victims were found within
     its quota, so that the search is not repeated for each waiting job.  `shares` is None without
     weights.  The jobs in `best_effort_ids` preempt nothing.  Executors at `suspect_addresses` may
-    crash by themselves.
+    crash by themselves.  `budget` is the work that is left for this pass, in tasks to place,
+    and `start_slots` how many tasks of other priorities than 0 may still be placed outside gangs.
     """
 
     context: Context
@@ -49,10 +55,16 @@
     failed_quota_searches: dict[str, Resources] = field(default_factory=dict)
     best_effort_ids: set[str] = field(default_factory=set)
     suspect_addresses: set[str] = field(default_factory=set)
+    budget: int = PASS_BUDGET
+    start_slots: int = 0
     _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
 
+    def spend(self, tasks: int, executors: int = 0) -> None:
+        """Counts tasks that were placed and executors that were compared."""
+        self.budget -= tasks + executors // EXECUTORS_PER_TASK
+
     def slots_for(self, service: str, priority: int) -> ServiceSlots:
         """Returns the slots for jobs of a priority; only urgent jobs use the reserved headroom."""
         by_service = (
@@ -78,6 +90,11 @@
             self._reclaimable_by_service[service] = index
         return index
 
+    def record_changes(self, executor_ids: Iterable[str]) -> None:
+        """Updates what is known of executors whose runs have changed, each once."""
+        for executor_id in dict.fromkeys(executor_ids):
+            self.record_change(executor_id)
+
     def record_change(self, executor_id: str) -> None:
         """Updates what is known of an executor whose runs have changed."""
         self.victims.forget(executor_id)
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -7,6 +7,10 @@
 
 Tasks that would bring their workspace above its quota are not placed (`_workspaces`).
 
+A pass ends early once its budget is spent, because the process renews its lease and serves callers
+between passes; the next pass begins with the first job again.  A gang is placed whole, whatever is
+left of the budget.
+
 Invariants: a gang is placed as a whole or not at all; a task that has a run is not placed; claimed
 capacity counts as used, so that no other job takes the capacity that was freed for a claim.
 """
@@ -38,6 +42,7 @@
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
 from jacinthreel_steps._planning._run_creation import place_tasks
+from jacinthreel_steps._planning._start_limits import count_start_slots, count_start_slots_of_step
 from jacinthreel_steps._planning._trials import schedule_trials, update_closed_executors
 from jacinthreel_steps._planning._victims import Victim, VictimIndex
 from jacinthreel_steps._tables import Job, Step, Task
@@ -49,8 +54,11 @@
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
 
 
-def plan(context: Context, now_ms: int) -> None:
-    """Places tasks that fit, and claims capacity for those of priority 0 that don't."""
+def plan(context: Context, now_ms: int) -> bool:
+    """Places tasks that fit, and claims capacity for those of priority 0 that don't.
+
+    Returns whether the pass ended early, so that there may be more to place.
+    """
     place_or_release_claims(context, now_ms)
     update_closed_executors(context.tables)
     jobs = [job for job in context.tables.open_jobs_by_id.values() if job.may_be_planned(now_ms)]
@@ -64,6 +72,7 @@
         VictimIndex(context.tables, context.stop_limit_ms, now_ms, shares),
         shares,
         suspect_addresses=context.executor_losses.suspect_addresses(now_ms),
+        start_slots=count_start_slots(context.tables),
     )
     ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
     if context.tables.policy.quota_by_workspace or shares is not None:
@@ -72,11 +81,16 @@
         for job in ordered:
             _schedule_job(state, job)
     context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
+    return state.budget <= 0
 
 
 def _schedule_job(state: PassState, job: Job) -> None:
     for step in job.steps:
+        if state.budget <= 0:
+            return
         pending = job.pending_tasks(step)
+        if pending and not step.spec.is_gang:
+            pending = pending[: _count_allowed(state, job, step)]
         if pending:
             pending = schedule_trials(state, job, step, pending)
             if pending:
@@ -85,6 +99,12 @@
             _place_claimed_gang_elsewhere(state, job, step)
 
 
+def _count_allowed(state: PassState, job: Job, step: Step) -> int:
+    """Returns how many tasks of a step may be placed in this pass; not for gangs."""
+    allowed = min(state.budget, count_start_slots_of_step(step))
+    return allowed if job.record.queue.priority == 0 else min(allowed, state.start_slots)
+
+
 def _schedule_step(state: PassState, job: Job, step: Step, pending: list[Task]) -> None:
     """Places the pending tasks that fit; claims capacity for the others if the priority is 0.
 
@@ -104,6 +124,8 @@
     placement = _find_placement(state, job, step, admitted, slots) if admitted else None
     if placement:
         place_tasks(state, job, step, placement)
+        if not step.spec.is_gang and queue.priority > 0:
+            state.start_slots -= len(placement)
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
         admitted = [task for task in admitted if task.task_id not in placed]
@@ -171,6 +193,7 @@
     spec = step.spec
     executors = slots.free.fitting_executors(spec.required_label, spec.shape)
     max_attempts = job.record.queue.max_attempts
+    state.spend(0, len(executors))
     return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
 
 
@@ -229,6 +252,7 @@
     candidates = find_candidates(
         step, slots.free.executors, queue.max_attempts, state.now_ms, state.suspect_addresses
     )
+    state.spend(0, len(candidates))
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
--- a/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from jacinthreel_steps._model import Resources
@@ -60,7 +60,7 @@
 
     `available` is the capacity of each candidate that is free or being freed, less the tasks placed
     there.  `excess_by_workspace` is what each workspace uses beyond its guarantee, less the victims
-    chosen from it.
+    chosen from it.  All victims of a candidate before its entry in `first_victims` are chosen.
     """
 
     step: Step
@@ -72,7 +72,25 @@
     offers: list[_Offer] = field(default_factory=list)
     revisions: dict[int, int] = field(default_factory=dict)
     placed_counts: dict[int, int] = field(default_factory=dict)
+    first_victims: dict[int, int] = field(default_factory=dict)
     chosen: list[Victim] = field(default_factory=list)
+    chosen_ids: set[int] = field(default_factory=set)
+
+    def choose(self, victim: Victim) -> None:
+        """Adds a victim to those chosen."""
+        self.chosen.append(victim)
+        self.chosen_ids.add(id(victim))
+
+    def remaining_victims(self, index: int) -> Iterator[Victim]:
+        """Yields the victims of a candidate that are not chosen, the cheapest first."""
+        victims = self.victims.victims_on(self.candidates[index].executor)
+        first = self.first_victims.get(index, 0)
+        while first < len(victims) and id(victims[first]) in self.chosen_ids:
+            first += 1
+        self.first_victims[index] = first
+        for position in range(first, len(victims)):
+            if id(victims[position]) not in self.chosen_ids:
+                yield victims[position]
 
 
 def plan_preemption(
@@ -113,9 +131,9 @@
         victims,
         dict(excess_by_workspace),
         {item.executor.executor_id: index for index, item in enumerate(candidates)},
-        chosen=list(chosen),
     )
     for victim in chosen:
+        search.choose(victim)
         _free_capacity_of(search, victim)
     for index in range(len(candidates)):
         _make_offer(search, index)
@@ -168,8 +186,8 @@
     if shape.count_fitting_into(free) >= 1:
         return needed
     taken_by_workspace: dict[str, int] = {}
-    for victim in search.victims.victims_on(candidate.executor):
-        if victim in search.chosen or not _is_preemptible(search, victim, taken_by_workspace):
+    for victim in search.remaining_victims(index):
+        if not _is_preemptible(search, victim, taken_by_workspace):
             continue
         needed.append(victim)
         if victim.urgent_workspace is not None:
@@ -194,7 +212,7 @@
     """Places one task by an offer, and renews the offers of all candidates that it affects."""
     affected = {offer.candidate_index: None}
     for victim in offer.victims:
-        search.chosen.append(victim)
+        search.choose(victim)
         workspace = victim.urgent_workspace
         if workspace is not None:
             search.excess_by_workspace[workspace] -= victim.accelerators
--- a/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -31,14 +31,14 @@
             step.spec.shape,
             run_state,
             state.now_ms,
-            is_from_zero=not task.checkpoint,
+            is_from_zero=not step.checkpoint_of(task),
             progress_changed_ms=state.now_ms,
-            checkpoint=task.checkpoint,
+            checkpoint=step.checkpoint_of(task),
         )
         attach_run(state.context, task, run)
         runs.append(run)
-    for executor_id in {executor_id: None for _, executor_id in placement}:
-        state.record_change(executor_id)
+    state.record_changes(executor_id for _, executor_id in placement)
+    state.spend(len(placement))
     if job.record.queue.priority == 0:
         used = state.used_by_workspace
         amount = len(placement) * step.spec.shape.accelerators
@@ -54,6 +54,9 @@
     for run in runs:
         if run.state is RunState.CLAIMED:
             context.usage.turn_into_run(job.record.workspace, run.shape)
+            executor = context.tables.executors_by_id.get(run.executor_id)
+            if executor is not None:
+                executor.claimed = executor.claimed.minus(run.shape)
         run.state = RunState.PLACED
         run.placed_ms = now_ms
         run.needed_revision = job.revision
@@ -61,7 +64,7 @@
         "tasks_placed",
         {
             "job_id": job.job_id,
-            "step": job.steps.index(step),
+            "step": step.index,
             "run": runs[0].run_id.number,
             "executors": [run.executor_id for run in runs],
             "queue": job.record.queue.name,
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -222,7 +222,7 @@
         "trial_placed",
         {
             "job_id": job.job_id,
-            "step": job.steps.index(step),
+            "step": step.index,
             "tasks": [run.run_id.task.task_index for run in runs],
             "executors": [run.executor_id for run in runs],
             "exclusive": all(run.isolation is Isolation.EXCLUSIVE for run in runs),
--- a/packages/steps/src/jacinthreel_steps/_planning/_victims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_victims.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from jacinthreel_steps._model import NO_RESOURCES, Resources, weighted_cores
+from jacinthreel_steps._model import NO_RESOURCES, Resources, sum_resources, weighted_cores
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 from jacinthreel_steps._workspaces._shares import Shares
 
@@ -79,19 +79,19 @@
 
     def capacity_if_cleared(self, executor: Executor) -> Resources:
         """Returns the capacity that is free once all runs of lower priority have been stopped."""
-        capacity = self.capacity_soon(executor)
-        for victim in self.victims_on(executor):
-            if victim.urgent_workspace is None:
-                capacity = capacity.plus(capacity_freed_on(victim, executor.executor_id))
-        return capacity
+        freed = sum_resources(
+            capacity_freed_on(victim, executor.executor_id)
+            for victim in self.victims_on(executor)
+            if victim.urgent_workspace is None
+        )
+        return self.capacity_soon(executor).plus(freed)
 
     def capacity_soon(self, executor: Executor) -> Resources:
         """Returns the capacity that is free or held by runs that are about to stop."""
-        capacity = executor.free_resources
-        for run in executor.runs_by_task.values():
-            if self.is_about_to_stop(run):
-                capacity = capacity.plus(run.shape)
-        return capacity
+        freed = sum_resources(
+            run.shape for run in executor.runs_by_task.values() if self.is_about_to_stop(run)
+        )
+        return executor.free_resources.plus(freed)
 
     def is_about_to_stop(self, run: Run) -> bool:
         """Whether a run is stopping and is expected to end soon.
@@ -103,14 +103,14 @@
         return self._now_ms - run.stopping_since_ms <= self._stop_limit_ms + STOP_MARGIN_MS
 
     def _find_victims(self, executor: Executor) -> list[Victim]:
-        victims: list[Victim] = []
+        victim_by_id: dict[int, Victim] = {}  # Runs of a gang share one victim.
         for run in executor.runs_by_task.values():
             job = self._tables.jobs_by_id.get(run.run_id.task.job_id)
             if job is None or run.state is RunState.STOPPING:
                 continue
             victim = self._make_victim(job, run)
-            if victim not in victims:
-                victims.append(victim)
+            victim_by_id[id(victim)] = victim
+        victims = list(victim_by_id.values())
         victims.sort(key=lambda victim: (victim.cost, victim.is_entitled))
         return victims
 
@@ -136,11 +136,7 @@
 
 def capacity_freed_on(victim: Victim, executor_id: str) -> Resources:
     """Returns the capacity that stopping the victim frees on one executor."""
-    capacity = NO_RESOURCES
-    for run in victim.runs:
-        if run.executor_id == executor_id:
-            capacity = capacity.plus(run.shape)
-    return capacity
+    return sum_resources(run.shape for run in victim.runs if run.executor_id == executor_id)
 
 
 def _preemption_cost(job: Job, step: Step, runs: list[Run], now_ms: int) -> float:
--- a/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_lifecycle.py
@@ -138,10 +138,10 @@
 
 def mark_task_done(context: Context, job: Job, step: Step, task: Task, now_ms: int) -> None:
     """Marks a task, or all tasks of its gang, done; completes the job if all its steps are done."""
-    for done_task in step.tasks_ending_with(task):
-        done_task.is_done = True
-        done_task.checkpoint = ""
-    if not job.state.is_final and all(job_step.is_done for job_step in job.steps):
+    if task.is_done:
+        return
+    job.mark_done(step, task)
+    if not job.state.is_final and job.is_done:
         finish_job(context, job, JobState.COMPLETED, now_ms)
 
 
@@ -175,10 +175,12 @@
 ) -> None:
     """Stops all runs of a gang that have this run number; a no-op if the step is done.
 
-    A gang can't continue once one of its runs has ended.
+    A gang can't continue once one of its runs has ended.  Later ends of the same gang find all of
+    its runs stopped, so they don't go through its members again.
     """
-    if step.is_done:
+    if step.is_done or run_number <= step.stopped_run:
         return
+    step.stopped_run = run_number
     for task in step.tasks:
         if task.run is not None and task.run.run_id.number == run_number:
             stop_run(context, task.run, reason, now_ms)
@@ -215,8 +217,10 @@
     """Records a checkpoint for the task; one of a gang member applies to the whole gang."""
     if not checkpoint or not step.spec.saves_progress:
         return
-    for resumable_task in step.tasks_ending_with(task):
-        resumable_task.checkpoint = checkpoint
+    if step.spec.is_gang:
+        step.checkpoint = checkpoint
+    else:
+        task.checkpoint = checkpoint
 
 
 def _count_failure(
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -2,8 +2,8 @@
 
 A row holds, for each task, the number of its newest run, the executor of its current run, its
 failures, whether it is done, its checkpoint, and its crash record if it has one.  Each executor is
-stored once per row and referred to by position.  A row is sufficient for a takeover: executors
-report the rest of what a new owner needs.
+stored once per row and referred to by position.  Rows of thousands of tasks are compressed.  A row
+is sufficient for a takeover: executors report the rest of what a new owner needs.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from jacinthreel_common import MALFORMED_INPUT
-from jacinthreel_steps._model import JobState, Resources, RunId
+from jacinthreel_common import MALFORMED_INPUT, MAX_ROW_BYTES, compress_row, expand_row
+from jacinthreel_steps._model import JobState, RunId
 from jacinthreel_steps._tables import CrashRecord, GangLosses, Job, Run, RunState, Step, Task
 
 NOT_PLACED = -1
@@ -83,11 +83,22 @@
 
 
 def encode_progress(job: Job, write_id: str) -> bytes:
-    """Encodes the progress of a job as a row."""
+    """Encodes the progress of a job as a row.
+
+    Leaves out the checkpoints if the row would be too large with them: a task whose run is lost
+    together with the owner then begins anew.
+    """
+    value = compress_row(_encode(job, write_id, keeps_checkpoints=True))
+    if len(value) <= MAX_ROW_BYTES:
+        return value
+    return compress_row(_encode(job, write_id, keeps_checkpoints=False))
+
+
+def _encode(job: Job, write_id: str, keeps_checkpoints: bool) -> bytes:
     positions: dict[tuple[str, int], int] = {}
     steps: list[StepRow] = []
     for step in job.steps:
-        tasks = [_make_task_row(task, positions) for task in step.tasks]
+        tasks = [_make_task_row(step, task, positions, keeps_checkpoints) for task in step.tasks]
         steps.append(
             StepRow(
                 step.counted_failure_run, tasks, _make_crash_rows(step), _make_gang_losses_row(step)
@@ -99,7 +110,7 @@
 def decode_progress(value: bytes) -> ProgressRow | None:
     """Decodes a row; returns None if it is malformed."""
     try:
-        row = _decoder.decode(value)
+        row = _decoder.decode(expand_row(value))
         JobState(row.state)
     except (*MALFORMED_INPUT, ValueError):
         return None
@@ -134,7 +145,8 @@
     for stored, step in zip(row.steps, job.steps, strict=True):
         step.counted_failure_run = stored.counted_failure_run
         for task_row, task in zip(stored.tasks, step.tasks, strict=True):
-            _restore_task(task, task_row, row, step.spec.shape, now_ms)
+            _restore_task(step, task, task_row, row, now_ms)
+        job.done_steps += step.is_done
         for crash in stored.crashes:
             if 0 <= crash.task < len(step.tasks):
                 step.tasks[crash.task].crash_record = _restore_crash_record(crash, now_ms)
@@ -185,22 +197,25 @@
     return GangLosses(list(newest.addresses), newest.counted_run)
 
 
-def _make_task_row(task: Task, positions: dict[tuple[str, int], int]) -> TaskRow:
+def _make_task_row(
+    step: Step, task: Task, positions: dict[tuple[str, int], int], keeps_checkpoint: bool
+) -> TaskRow:
     executor = NOT_PLACED
     run = task.run
     if run is not None and run.state is not RunState.CLAIMED:
         executor_incarnation = (run.executor_id, run.incarnation)
         executor = positions.setdefault(executor_incarnation, len(positions))
-    return TaskRow(task.run_number, executor, task.failures, task.is_done, task.checkpoint)
+    checkpoint = step.checkpoint_of(task) if keeps_checkpoint and not task.is_done else ""
+    return TaskRow(task.run_number, executor, task.failures, task.is_done, checkpoint)
 
 
-def _restore_task(
-    task: Task, row: TaskRow, progress: ProgressRow, shape: Resources, now_ms: int
-) -> None:
+def _restore_task(step: Step, task: Task, row: TaskRow, progress: ProgressRow, now_ms: int) -> None:
     task.run_number = row.run_number
     task.failures = row.failures
-    task.is_done = row.is_done
+    if row.is_done:
+        step.mark_done(task)
     task.checkpoint = row.checkpoint
+    step.checkpoint = row.checkpoint or step.checkpoint
     if row.executor == NOT_PLACED or not 0 <= row.executor < len(progress.executors):
         return
     executor_id, incarnation = progress.executors[row.executor]
@@ -208,7 +223,7 @@
         RunId(task.task_id, row.run_number),
         executor_id,
         incarnation,
-        shape,
+        step.spec.shape,
         RunState.STARTING,
         now_ms,
         is_recovered=True,
--- a/packages/steps/src/jacinthreel_steps/_runs/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -23,6 +23,7 @@
 
 START_RETRY_LIMIT_MS: Final = 1_500  # After this, an unanswered start is stopped, not retried.
 START_OVERDUE_MS: Final = 3_000  # After this, a start is stopped even if its order is in flight.
+START_QUEUE_LIMIT_MS: Final = 30_000  # For an order that waits for others at the same executor.
 
 
 def confirm_start(context: Context, run: Run, now_ms: int) -> None:
@@ -85,19 +86,24 @@
 def abandon_overdue_starts(context: Context, now_ms: int) -> None:
     """Abandons starts that were not confirmed in time.
 
-    Recovered runs are skipped: the executor's first report shows whether they run.
+    The time counts anew with each start that the executor answers, because thousands of orders may
+    wait there for their turn.  Recovered runs are skipped: the executor's first report shows
+    whether they run.
     """
     for executor in context.tables.executors_by_id.values():
         for run in list(executor.runs_by_task.values()):
             if run.state is not RunState.STARTING or run.is_recovered:
                 continue
-            if now_ms - run.placed_ms < START_OVERDUE_MS:
+            waited_ms = now_ms - run.placed_ms
+            if now_ms - max(run.placed_ms, executor.start_answered_ms) < START_OVERDUE_MS and (
+                waited_ms < START_QUEUE_LIMIT_MS
+            ):
                 continue
             fields = {
                 "job_id": run.run_id.task.job_id,
                 "run": run_name(run.run_id),
                 "executor": run.executor_id,
-                "waited_ms": now_ms - run.placed_ms,
+                "waited_ms": waited_ms,
             }
             context.log("start_overdue", fields)
             run.has_unanswered_start = True
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -83,6 +83,7 @@
 
 RUN_CHECK_PERIOD_MS: Final = 200
 CAPACITY_SAMPLE_PERIOD_MS: Final = 2_000
+UNBOUNDED_BYTES: Final = 2**62
 
 
 @dataclass(frozen=True, slots=True)
@@ -294,6 +295,8 @@
         executor = self.tables.executors_by_id.get(run.executor_id)
         if task is None or executor is None or task.run is not run:
             return
+        if outcome is not StartOutcome.UNKNOWN:
+            executor.start_answered_ms = now_ms
         match outcome:
             case StartOutcome.STARTED:
                 confirm_start(self._context, run, now_ms)
@@ -310,17 +313,21 @@
         if task.run.stop_confirmed_ms is None:
             task.run.stop_confirmed_ms = now_ms
 
-    def plan(self, now_ms: int) -> None:
-        """Runs one scheduling pass over all open jobs."""
+    def plan(self, now_ms: int) -> bool:
+        """Runs one scheduling pass over all open jobs.
+
+        Returns whether the pass ended early, so that another one should follow soon.
+        """
         if now_ms - self._runs_checked_ms >= RUN_CHECK_PERIOD_MS:
             self._runs_checked_ms = now_ms
             self._check_runs(now_ms)
         stop_runs_on_draining_executors(self._context, now_ms)
-        plan(self._context, now_ms)
+        is_cut_short = plan(self._context, now_ms)
         if now_ms - self._capacity_sampled_ms >= CAPACITY_SAMPLE_PERIOD_MS:
             self._capacity_sampled_ms = now_ms
             usable = find_usable_executors(self.tables, now_ms, MAX_REPORT_AGE_MS)
             self._context.log("capacity_sampled", sample_fragmentation(self.tables, usable))
+        return is_cut_short
 
     def _check_runs(self, now_ms: int) -> None:
         """Checks all runs for conditions that develop over time: overdue, stalled or slow."""
@@ -344,16 +351,25 @@
         self._context.orders.stops = []
         return stops
 
-    def take_unstored(self, limit: int, write_id: str) -> list[UnstoredRow]:
-        """Removes and returns up to `limit` rows to store."""
+    def take_unstored(
+        self, limit: int, write_id: str, max_bytes: int = UNBOUNDED_BYTES
+    ) -> list[UnstoredRow]:
+        """Removes and returns up to `limit` rows to store, and none after `max_bytes` are reached.
+
+        The last row may exceed that limit by its own size.
+        """
         rows: list[UnstoredRow] = []
+        size = 0
         for job_id in list(self.tables.unstored_job_ids)[:limit]:
+            if size >= max_bytes:
+                break
             del self.tables.unstored_job_ids[job_id]
             job = self.tables.jobs_by_id.get(job_id)
             if job is None or job.stored_revision >= job.revision:
                 continue
             value = encode_progress(job, write_id)
             rows.append(UnstoredRow(job_id, job.revision, job.stored_version, value))
+            size += len(value)
         return rows
 
     def mark_stored(self, row: UnstoredRow, version: int, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -186,6 +186,10 @@
     once a gang was stopped because of a lagging member.  `has_survivor` is set once a task under
     which an executor was lost has outlived that.  `gang_losses` is None if no executor was lost
     under the gang.
+
+    `done_count` is the number of tasks that are done, `checkpoint` the newest checkpoint of any
+    member of a gang, which applies to all of them.  `stopped_run` is the newest run number of a
+    gang whose runs were all stopped.
     """
 
     spec: StepSpec
@@ -194,11 +198,29 @@
     move: GangMove | None = None
     has_survivor: bool = False
     gang_losses: GangLosses | None = None
+    done_count: int = 0
+    checkpoint: str = ""
+    stopped_run: int = 0
+
+    @property
+    def index(self) -> int:
+        """The position of the step in its job."""
+        return self.tasks[0].task_id.step_index
 
     @property
     def is_done(self) -> bool:
         """Whether every task is done."""
-        return all(task.is_done for task in self.tasks)
+        return self.done_count == len(self.tasks)
+
+    def mark_done(self, task: Task) -> None:
+        """Marks a task done; a no-op if it is."""
+        if not task.is_done:
+            task.is_done = True
+            self.done_count += 1
+
+    def checkpoint_of(self, task: Task) -> str:
+        """Returns the checkpoint from which the task resumes, "" for none."""
+        return self.checkpoint if self.spec.is_gang else task.checkpoint
 
     def lost_addresses(self) -> set[str]:
         """Returns the addresses of executors that were lost under tasks that are not done."""
@@ -224,7 +246,8 @@
     callers.  `stored_version` is the version of the stored row, 0 for none.  `chain_ms` is the
     predicted run time of the longest chain of steps, and `objective_ms` the latency objective that
     follows from it.  `announced_ms` is when a job was announced whose acceptance is not stored yet,
-    None once it is: until then nothing of it may start.
+    None once it is: until then nothing of it may start.  `done_steps` is the number of steps that
+    are done.
     """
 
     record: JobRecord
@@ -240,12 +263,26 @@
     chain_ms: float = 0.0
     objective_ms: float = 0.0
     announced_ms: int | None = None
+    done_steps: int = 0
 
     @property
     def job_id(self) -> str:
         """The id chosen by the caller."""
         return self.record.job_id
 
+    @property
+    def is_done(self) -> bool:
+        """Whether every step is done."""
+        return self.done_steps == len(self.steps)
+
+    def mark_done(self, step: Step, task: Task) -> None:
+        """Marks a task done, with all of its gang."""
+        was_done = step.is_done
+        for done_task in step.tasks_ending_with(task):
+            step.mark_done(done_task)
+            done_task.checkpoint = ""
+        self.done_steps += step.is_done and not was_done
+
     def may_be_planned(self, now_ms: int) -> bool:
         """Whether tasks may be placed: the job is accepted or was announced a short time ago."""
         return self.announced_ms is None or now_ms - self.announced_ms <= ANNOUNCEMENT_KEEP_MS
@@ -332,8 +369,10 @@
     sent a report.  `applied_end_sequence` is the highest sequence number of a run's end that was
     applied, `acknowledged_upto` the highest one that may be acknowledged.
     `last_report_ms` is when the last report arrived, or when the executor was first listed.
+    `start_answered_ms` is when it last answered an order to start a run, whatever the answer.
     `earliest_shutdown_ms` is the earliest time at which a draining executor may shut down.
     `has_more_ends` is set while its reports may omit ends.
+    `claimed` is the part of `used` that claims hold, which wait for runs to end.
     `is_closed` is set while an isolated run keeps runs of other jobs away.  `untracked` is what the
     reported runs use that are not in `runs_by_task`, until they have stopped.
     """
@@ -341,6 +380,7 @@
     listing: ExecutorListing
     runs_by_task: dict[TaskId, Run] = field(default_factory=dict)
     used: Resources = NO_RESOURCES
+    claimed: Resources = NO_RESOURCES
     is_listed: bool = True
     has_unreadable_entry: bool = False
     has_reported: bool = False
@@ -349,6 +389,7 @@
     has_more_ends: bool = False
     pending_ends: list[PendingEnd] = field(default_factory=list)
     last_report_ms: int = 0
+    start_answered_ms: int = 0
     health: ExecutorHealth = field(default_factory=ExecutorHealth)
     earliest_shutdown_ms: int | None = None
     is_closed: bool = False
@@ -370,22 +411,23 @@
 
         That happens when the capacity shrinks.  Claims don't count: they wait for runs to end.
         """
-        free = self.listing.capacity.minus(self.untracked)
-        for run in self.runs_by_task.values():
-            if run.state is not RunState.CLAIMED:
-                free = free.minus(run.shape)
+        free = self.free_resources.plus(self.claimed)
         return min(free.cpu_milli, free.memory_mb, free.accelerators) < 0
 
     def add_run(self, run: Run) -> None:
         """Adds a run and allocates its shape."""
         self.runs_by_task[run.run_id.task] = run
         self.used = self.used.plus(run.shape)
+        if run.state is RunState.CLAIMED:
+            self.claimed = self.claimed.plus(run.shape)
 
     def remove_run(self, run: Run) -> None:
         """Removes a run and releases its capacity; a no-op if it is not the task's current run."""
         if self.runs_by_task.get(run.run_id.task) is run:
             del self.runs_by_task[run.run_id.task]
             self.used = self.used.minus(run.shape)
+            if run.state is RunState.CLAIMED:
+                self.claimed = self.claimed.minus(run.shape)
 
 
 @dataclass(slots=True)
--- a/packages/steps/src/jacinthreel_steps/_workspaces/_held_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_workspaces/_held_jobs.py
@@ -59,7 +59,7 @@
         "job_held_by_quota",
         {
             "job_id": job.job_id,
-            "step": job.steps.index(step),
+            "step": step.index,
             "workspace": workspace,
             "quota": _amounts(quota),
             "running": _amounts(usage.running(workspace)),
