A pass spends its budget only on what it places

With more jobs that fit nowhere than the budget allows, later jobs were never considered. Now only placements count, so that each pass gets further than the last one. The test that shows it fails without the change.

--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -4,14 +4,18 @@
 
 import asyncio
 from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
 
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, ResultCode
+from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node import (
     Committed,
     Conflict,
     ExecutorTarget,
+    PolicyView,
     ReportRequest,
     ReportResponse,
     Row,
@@ -21,7 +25,9 @@
     StartCommand,
     StartResponse,
 )
-from jacinthreel_steps import RunId, StartOutcome
+from jacinthreel_node._ownership import Ownership, OwnershipServices
+from jacinthreel_node._records import OwnerRow
+from jacinthreel_steps import LeaseLimits, RunId, StartOutcome
 
 
 class ManualClock:
@@ -126,3 +132,29 @@
 
     def close_connections(self, executor_id: str) -> None:
         return
+
+
+def make_ownership(
+    policy: PolicyView | None = None,
+    row_decoder: object = None,
+    clock: ManualClock | None = None,
+    on_lost: Callable[[str], None] = lambda reason: None,
+    log: Callable[[str, dict[str, Any]], None] = lambda event, fields: None,
+) -> Ownership:
+    """Returns an ownership that has not been started, with an in-memory store."""
+    settings = SimpleNamespace(
+        run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
+    )
+    services = OwnershipServices(
+        cast(Any, settings),
+        MemoryStore(),
+        cast(Any, None),
+        cast(Any, row_decoder),
+        policy or PolicyView(),
+        clock or ManualClock(),
+        MetricsRegistry(),
+        cast(Any, None),
+        log,
+    )
+    owner = OwnerRow(1, "h", "10.0.0.1", 7000, "n")
+    return Ownership(services, owner, 1, on_lost, lambda: True, False)
--- a/packages/node/tests/test_bad_rows.py
+++ b/packages/node/tests/test_bad_rows.py
@@ -5,13 +5,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from node_fakes import ManualClock, MemoryStore
+from node_fakes import make_ownership
 
-from jacinthreel_daemon.plumbing import MetricsRegistry
-from jacinthreel_node import PolicyView, Row
-from jacinthreel_node._ownership import Ownership, OwnershipServices
-from jacinthreel_node._records import OwnerRow
-from jacinthreel_steps import ExecutorListing, LeaseLimits, Resources
+from jacinthreel_node import Row
+from jacinthreel_steps import ExecutorListing, Resources
 
 
 class FailingDecoder:
@@ -30,23 +27,12 @@
 
 def test_executor_row_that_raises_an_unexpected_error_costs_only_that_row() -> None:
     logged: list[tuple[str, dict[str, Any]]] = []
-    settings = SimpleNamespace(
-        run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
-    )
-    services = OwnershipServices(
-        cast(Any, settings),
-        MemoryStore(),
-        cast(Any, None),
-        cast(Any, FailingDecoder()),
-        PolicyView(),
-        ManualClock(),
-        MetricsRegistry(),
-        cast(Any, None),
-        lambda event, fields: logged.append((event, fields)),
-    )
     lost: list[str] = []
-    owner = OwnerRow(1, "h", "10.0.0.1", 7000, "n")
-    ownership = Ownership(services, owner, 1, lost.append, lambda: True, False)
+    ownership = make_ownership(
+        row_decoder=FailingDecoder(),
+        on_lost=lost.append,
+        log=lambda event, fields: logged.append((event, fields)),
+    )
     ownership.fleet = cast(Any, SimpleNamespace(add=lambda executor_id: None))
     rows = [Row("servers", key, value, 1) for key, value in (("i-1", b"v"), ("i-2", b""))]
     ownership._apply_listing_changes((rows[1], rows[0]))
--- a/packages/node/tests/test_loading_jobs.py
+++ b/packages/node/tests/test_loading_jobs.py
@@ -3,23 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from types import SimpleNamespace
-from typing import Any, cast
 
-from node_fakes import ManualClock, MemoryStore
+from node_fakes import ManualClock, make_ownership
 
-from jacinthreel_daemon.plumbing import MetricsRegistry
-from jacinthreel_node import PolicyView, Row
-from jacinthreel_node._ownership import LOAD_STEP_MS, Ownership, OwnershipServices
-from jacinthreel_node._records import CANCEL_PREFIX, JOB_PREFIX, OwnerRow, encode_record
-from jacinthreel_steps import (
-    JobRecord,
-    JobSpec,
-    LeaseLimits,
-    QueueTerms,
-    Resources,
-    StepSpec,
-)
+from jacinthreel_node import Row
+from jacinthreel_node._ownership import LOAD_STEP_MS
+from jacinthreel_node._records import CANCEL_PREFIX, JOB_PREFIX, encode_record
+from jacinthreel_steps import JobRecord, JobSpec, QueueTerms, Resources, StepSpec
 
 JOBS = 30
 
@@ -44,24 +34,8 @@
 
 def test_other_work_is_done_while_stored_jobs_are_loaded() -> None:
     # All jobs were added in one step, in which the lease of the owner was not renewed.
-    settings = SimpleNamespace(
-        run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
-    )
-    services = OwnershipServices(
-        cast(Any, settings),
-        MemoryStore(),
-        cast(Any, None),
-        cast(Any, None),
-        PolicyView(),
-        SlowClock(),
-        MetricsRegistry(),
-        cast(Any, None),
-        lambda event, fields: None,
-    )
-    owner = OwnerRow(1, "h", "10.0.0.1", 7000, "n")
-
     async def run() -> int:
-        ownership = Ownership(services, owner, 1, lambda reason: None, lambda: True, False)
+        ownership = make_ownership(clock=SlowClock())
         other_steps = 0
 
         async def work() -> None:
--- a/packages/node/tests/test_ownership_policy.py
+++ b/packages/node/tests/test_ownership_policy.py
@@ -3,42 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from types import SimpleNamespace
-from typing import Any, cast
 
 import pytest
-from node_fakes import ManualClock, MemoryStore
+from node_fakes import make_ownership
 
-from jacinthreel_daemon.plumbing import MetricsRegistry
 from jacinthreel_node import PolicyView, RoutingPolicy
-from jacinthreel_node._ownership import Ownership, OwnershipServices
-from jacinthreel_node._records import OwnerRow
-from jacinthreel_steps import LeaseLimits
 
 
 async def count_passes(monkeypatch: pytest.MonkeyPatch, policy: PolicyView) -> int:
-    settings = SimpleNamespace(
-        run_stop_limit_ms=200, lease_limits=LeaseLimits(5_000, 5_000), status_keep_ms=1_000
-    )
-    services = OwnershipServices(
-        cast(Any, settings),
-        MemoryStore(),
-        cast(Any, None),
-        cast(Any, None),
-        policy,
-        ManualClock(),
-        MetricsRegistry(),
-        cast(Any, None),
-        lambda event, fields: None,
-    )
-    ownership = Ownership(
-        services,
-        OwnerRow(1, "h", "10.0.0.1", 7000, "n"),
-        1,
-        lambda reason: None,
-        lambda: True,
-        False,
-    )
+    ownership = make_ownership(policy)
     passes: list[int] = []
     monkeypatch.setattr(ownership.scheduler, "plan", passes.append)
     ownership.is_loaded = True
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -61,8 +61,8 @@
     _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
 
-    def spend(self, tasks: int, executors: int = 0) -> None:
-        """Counts tasks that were placed and executors that were compared."""
+    def spend(self, tasks: int, executors: int) -> None:
+        """Counts tasks that were placed and the executors that were compared for them."""
         self.budget -= tasks + executors // EXECUTORS_PER_TASK
 
     def slots_for(self, service: str, priority: int) -> ServiceSlots:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -8,8 +8,8 @@
 Tasks that would bring their workspace above its quota are not placed (`_workspaces`).
 
 A pass ends early once its budget is spent, because the process renews its lease and serves callers
-between passes; the next pass begins with the first job again.  A gang is placed whole, whatever is
-left of the budget.
+between passes; the next pass begins with the first job again.  Only what is placed uses up budget,
+so each pass gets further than the last one.  A gang is placed whole, whatever is left.
 
 Invariants: a gang is placed as a whole or not at all; a task that has a run is not placed; claimed
 capacity counts as used, so that no other job takes the capacity that was freed for a claim.
@@ -193,7 +193,6 @@
     spec = step.spec
     executors = slots.free.fitting_executors(spec.required_label, spec.shape)
     max_attempts = job.record.queue.max_attempts
-    state.spend(0, len(executors))
     return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
 
 
@@ -252,7 +251,6 @@
     candidates = find_candidates(
         step, slots.free.executors, queue.max_attempts, state.now_ms, state.suspect_addresses
     )
-    state.spend(0, len(candidates))
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
--- a/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -38,7 +38,7 @@
         attach_run(state.context, task, run)
         runs.append(run)
     state.record_changes(executor_id for _, executor_id in placement)
-    state.spend(len(placement))
+    state.spend(len(placement), len(state.usable.by_service.get(job.record.queue.service, ())))
     if job.record.queue.priority == 0:
         used = state.used_by_workspace
         amount = len(placement) * step.spec.shape.accelerators
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -215,7 +215,8 @@
     if row.is_done:
         step.mark_done(task)
     task.checkpoint = row.checkpoint
-    step.checkpoint = row.checkpoint or step.checkpoint
+    if step.spec.is_gang and row.checkpoint:
+        step.checkpoint = row.checkpoint
     if row.executor == NOT_PLACED or not 0 <= row.executor < len(progress.executors):
         return
     executor_id, incarnation = progress.executors[row.executor]
--- a/packages/steps/tests/test_wide_jobs.py
+++ b/packages/steps/tests/test_wide_jobs.py
@@ -9,6 +9,7 @@
 
 from jacinthreel_common import MAX_ROW_BYTES, expand_row
 from jacinthreel_steps import Resources, Run, StartOutcome, StepSpec, StoredProgress
+from jacinthreel_steps._planning._pass_state import PASS_BUDGET
 from jacinthreel_steps._planning._start_limits import (
     MAX_WAITING_STARTS,
     MAX_WAITING_STARTS_OF_STEP,
@@ -65,8 +66,21 @@
     assert world.scheduler.plan(world.now_ms)
     placed = len(world.scheduler.tables.unstored_job_ids)
     assert 0 < placed < 3_000
-    assert not world.scheduler.plan(world.now_ms)
+    for _ in range(3_000 // placed):
+        world.scheduler.plan(world.now_ms)
     assert len(world.scheduler.tables.unstored_job_ids) == 3_000
+    assert not world.scheduler.plan(world.now_ms)
+
+
+def test_jobs_that_can_not_be_placed_use_up_no_budget() -> None:
+    # Later jobs would never be considered, as each pass begins with the first job again.
+    world = SchedulerHarness(*(listing(f"e{index}") for index in range(4)))
+    for index in range(PASS_BUDGET):
+        stuck = StepSpec(5, SHAPE, ESTIMATE_MS, is_gang=True, max_per_executor=1)
+        world.submit(f"stuck{index:04}", stuck)
+    world.submit("waits", step(2))
+    names = {run.run_id.task.job_id for run in plan_and_take_starts(world)}
+    assert names == {"waits"}
 
 
 def test_starts_that_wait_for_others_at_their_executor_are_not_abandoned() -> None:
