Orders to an executor: stops take turns with starts

Now the jobs whose orders wait take turns, stops first in each turn. The test fails with the former order.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -80,9 +80,9 @@
 
 @dataclass(order=True, slots=True)
 class _QueuedOrder:
-    """An order that waits to be sent; the lowest rank is sent first."""
+    """An order that waits to be sent; the lowest position is sent first."""
 
-    rank: tuple[int, int, int]
+    position: tuple[int, int, int]
     order: Run | StopOrder = field(compare=False)
 
 
@@ -102,7 +102,7 @@
         self._lease_chosen_ms = 0
         self._orders: asyncio.PriorityQueue[_QueuedOrder] = asyncio.PriorityQueue()
         self._order_count = 0
-        self._waiting_starts_by_job: dict[str, int] = {}
+        self._waiting_by_job: dict[str, int] = {}
         self._report_timing = StepTiming()
         loops = [self._poll_reports(), *(self._process_orders() for _ in range(ORDER_WORKERS))]
         self._tasks = [asyncio.create_task(self._guard(loop)) for loop in loops]
@@ -116,21 +116,18 @@
     def send(self, order: Run | StopOrder) -> None:
         """Queues a start or a stop.
 
-        Stops are sent first.  Starts of the jobs that wait here take turns, by priority: those of
-        a wide job would hold up all others for seconds.
+        The jobs whose orders wait here take turns, because those of a wide job would hold up all
+        others for seconds.  In each turn stops are sent first, then starts by priority.
         """
+        job_id = order.run_id.task.job_id
+        job = self._context.scheduler.tables.jobs_by_id.get(job_id)
+        rank = STOP_RANK
+        if isinstance(order, Run) and job is not None:
+            rank = job.record.queue.priority
+        turn = self._waiting_by_job.get(job_id, 0)
+        self._waiting_by_job[job_id] = turn + 1
         self._order_count += 1
-        match order:
-            case StopOrder():
-                rank = (STOP_RANK, 0, self._order_count)
-            case Run():
-                job_id = order.run_id.task.job_id
-                job = self._context.scheduler.tables.jobs_by_id.get(job_id)
-                priority = job.record.queue.priority if job is not None else 0
-                turn = self._waiting_starts_by_job.get(job_id, 0)
-                self._waiting_starts_by_job[job_id] = turn + 1
-                rank = (priority, turn, self._order_count)
-        self._orders.put_nowait(_QueuedOrder(rank, order))
+        self._orders.put_nowait(_QueuedOrder((turn, rank, self._order_count), order))
 
     def lease_end_ms(self) -> int:
         """Returns the local time by which all runs have ended if the executor is unreachable.
@@ -286,21 +283,21 @@
     async def _process_orders(self) -> None:
         while True:
             order = (await self._orders.get()).order
+            self._record_turn(order.run_id.task.job_id)
             match order:
                 case Run():
-                    self._record_turn(order.run_id.task.job_id)
                     await self._start(order)
                 case StopOrder():
                     await self._stop(order)
             self._context.request_plan()
 
     def _record_turn(self, job_id: str) -> None:
-        """Forgets the turns of a job once none of its starts waits any more."""
-        waiting = self._waiting_starts_by_job.get(job_id, 0) - 1
+        """Forgets the turns of a job once none of its orders waits any more."""
+        waiting = self._waiting_by_job.get(job_id, 0) - 1
         if waiting > 0:
-            self._waiting_starts_by_job[job_id] = waiting
+            self._waiting_by_job[job_id] = waiting
         else:
-            self._waiting_starts_by_job.pop(job_id, None)
+            self._waiting_by_job.pop(job_id, None)
 
     async def _start(self, run: Run) -> None:
         context = self._context
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -12,7 +12,14 @@
 from returns.result import Failure, Result, Success
 
 from jacinthreel_common import Fault, LeasesLeft, ResultCode
-from jacinthreel_node import ExecutorTarget, ReportRequest, ReportResponse, _executor_link
+from jacinthreel_node import (
+    ExecutorTarget,
+    ReportRequest,
+    ReportResponse,
+    StartCommand,
+    StartResponse,
+    _executor_link,
+)
 from jacinthreel_node._executor_exchange import ExecutorClock
 from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
@@ -472,6 +479,27 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_starts_do_not_wait_for_all_stops_of_a_wide_job() -> None:
+    # A gang of thousands that can't start in time gives stops without end.
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        for index in range(30):
+            harness.link.send(StopOrder("e1", 1, RunId(TaskId("wide", 0, index), 1)))
+        send_start = harness.gateway.start
+        stops_before_starts: list[int] = []
+
+        async def start(target: ExecutorTarget, command: StartCommand) -> StartResponse:
+            stops_before_starts.append(len(harness.gateway.stops))
+            return await send_start(target, command)
+
+        harness.gateway.start = start  # type: ignore[method-assign]
+        harness.link.send(harness.place_jobs(1)[0])
+        await wait_until(lambda: len(harness.gateway.stops) == 30)
+        assert stops_before_starts[0] <= 2
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_stops_are_sent_before_the_starts_that_wait() -> None:
     async def scenario(harness: LinkHarness) -> None:
         await wait_until(lambda: len(harness.gateway.requests) > 2)
