--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -244,3 +244,32 @@
     crash_under_member(world, "sound", 2)
     world.pass_time(60_000)
     assert world.state("sound") == "completed"
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_crashing_tasks_are_bounded_and_no_sound_job_is_given_up(seed: int) -> None:
+    # Both promises at once, for random jobs, crashes of executors and changes of owner.
+    rng = random.Random(seed)
+    world = CrashWorld(
+        *executors(rng.choice([12, 24])),
+        crash_delay_ms=rng.choice([0, 300, 1_500]),
+        down_ms=rng.choice([2_000, 4_500, 8_000]),
+        work_ms=rng.choice([3_000, 9_000]),
+    )
+    for index in range(3):
+        shape = step(rng.choice([1, 4, 12]), rng.choice([1, 4]), is_gang=rng.random() < 0.5)
+        world.submit_crashing(f"crashing{index}", shape, terms=queue(rng.randrange(2)))
+    for index in range(12):
+        shape = step(rng.randint(1, 8), rng.choice([1, 2, 4]), is_gang=rng.random() < 0.4)
+        world.submit(f"sound{index}", shape, terms=queue(rng.randrange(2)))
+    for _ in range(20):
+        world.pass_time(rng.choice([1_000, 2_500, 4_000]))
+        if rng.random() < 0.15:
+            world.take_over()
+        if rng.random() < 0.1:
+            world.crash(rng.choice(sorted(world.listings)))
+    world.pass_time(120_000)
+    late = [count for task, count in world.late_starts.items() if task.job_id.startswith("crash")]
+    assert max(late, default=0) <= MAX_LATE_STARTS
+    assert world.states("crashing") == {"failed"}
+    assert world.states("sound") == {"completed"}
