Links and the writer yield only where they pause

Cause: a change of this work let a link yield between two polls even without a pause. The test moves the clock while a poll is on its way, as one always was; a poll that began after the move renewed the lease from there.

Change: no yield without a pause, in the progress writer neither. The test is unchanged.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -160,8 +160,11 @@
             executor = self._find_executor()
             self._report_timing = StepTiming()
             can_poll_at_once = executor is not None and await self._request_report(executor)
-            pause_s = 0.0 if can_poll_at_once else RETRY_PAUSE_MS / 1000
-            await asyncio.sleep(max(pause_s, self._report_timing.pause_s))
+            pause_s = self._report_timing.pause_s
+            if not can_poll_at_once:
+                pause_s = max(pause_s, RETRY_PAUSE_MS / 1000)
+            if pause_s:
+                await asyncio.sleep(pause_s)
 
     async def _request_report(self, executor: Executor) -> bool:
         """Requests a report and applies it; returns whether to poll again without a pause."""
--- a/packages/node/src/jacinthreel_node/_progress_writer.py
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -103,7 +103,8 @@
         self._stored.set()
         self._stored = asyncio.Event()
         self._on_stored()
-        await asyncio.sleep(timing.pause_s)
+        if timing.pause_s:
+            await asyncio.sleep(timing.pause_s)
         return True
 
     async def _commit(self, rows: list[UnstoredRow], write_id: str) -> int | None:
