--- /dev/null
+++ b/packages/node/src/jacinthreel_node/_job_rows.py
@@ -0,0 +1,120 @@
+"""Passes stored jobs on to the scheduler of one ownership: at the takeover, and as they arrive."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Final
+
+from jacinthreel_daemon.plumbing import Clock
+from jacinthreel_node._ended_job_sweeper import EndedJobSweeper
+from jacinthreel_node._ports import Row
+from jacinthreel_node._records import CANCEL_PREFIX, JOB_PREFIX, decode_job
+from jacinthreel_steps import Scheduler, StoredProgress
+
+LOAD_STEP_MS: Final = 30
+
+
+class JobRows:
+    """The rows of the intake table and of the progress table during one ownership.
+
+    `is_loaded` tells whether the ownership has loaded its tables; before, jobs are not logged.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        sweeper: EndedJobSweeper,
+        clock: Clock,
+        is_loaded: Callable[[], bool],
+        log: Callable[[str, dict[str, Any]], None],
+    ) -> None:
+        self._scheduler = scheduler
+        self._sweeper = sweeper
+        self._clock = clock
+        self._is_loaded = is_loaded
+        self._log = log
+        # Of jobs that the former owner knew as announced, and that may still be accepted.
+        self._orphaned_progress: dict[str, StoredProgress] = {}
+
+    async def load(self, intake: tuple[Row, ...], progress: tuple[Row, ...]) -> None:
+        """Adds all stored jobs; yields in between, because they may have thousands of tasks."""
+        progress_by_id = {
+            row.key: StoredProgress(row.value, row.version)
+            for row in progress
+            if row.value is not None
+        }
+        await self._load_jobs(intake, progress_by_id)
+        accepted_ids = {row.key.removeprefix(JOB_PREFIX) for row in intake}
+        orphaned_ids = progress_by_id.keys() - accepted_ids
+        self._orphaned_progress = {job_id: progress_by_id[job_id] for job_id in orphaned_ids}
+        self._sweeper.add_orphaned_progress(orphaned_ids)
+
+    def apply_changes(self, rows: tuple[Row, ...]) -> None:
+        """Applies changed rows of the intake table."""
+        self._add_and_cancel_jobs(rows, {})
+
+    def announce(self, job_id: str, value: bytes) -> bool:
+        """Adds a job whose acceptance is being stored; returns whether it is new."""
+        record = decode_job(value)
+        if record is None or record.job_id != job_id:
+            return False
+        if job_id in self._orphaned_progress or self._sweeper.was_just_deleted(job_id):
+            return False
+        now_ms = self._clock.now_ms()
+        age_ms = max(0, self._clock.unix_ms() - record.accepted_unix_ms)
+        if not self._scheduler.announce_job(record, now_ms - age_ms, now_ms):
+            return False
+        self._log("job_announced", {"job_id": job_id, "age_ms": age_ms})
+        return True
+
+    async def _load_jobs(
+        self, rows: tuple[Row, ...], progress_by_id: dict[str, StoredProgress]
+    ) -> None:
+        pause_ms = self._clock.now_ms() + LOAD_STEP_MS
+        cancellations = tuple(row for row in rows if row.key.startswith(CANCEL_PREFIX))
+        for row in rows:
+            if not row.key.startswith(JOB_PREFIX):
+                continue
+            self._add_and_cancel_jobs((row,), progress_by_id)
+            if self._clock.now_ms() >= pause_ms:
+                await asyncio.sleep(0)
+                pause_ms = self._clock.now_ms() + LOAD_STEP_MS
+        self._add_and_cancel_jobs(cancellations, {})
+
+    def _add_and_cancel_jobs(
+        self, rows: tuple[Row, ...], progress: dict[str, StoredProgress]
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        unix_ms = self._clock.unix_ms()
+        for row in rows:
+            if row.key.startswith(JOB_PREFIX) and row.value is not None:
+                job_id = row.key.removeprefix(JOB_PREFIX)
+                self._add_job(job_id, row.value, progress.get(job_id), now_ms, unix_ms)
+        for row in rows:
+            if row.key.startswith(CANCEL_PREFIX) and row.value is not None:
+                self._scheduler.cancel(row.key.removeprefix(CANCEL_PREFIX), now_ms)
+
+    def _add_job(
+        self,
+        job_id: str,
+        value: bytes,
+        progress: StoredProgress | None,
+        now_ms: int,
+        unix_ms: int,
+    ) -> None:
+        record = decode_job(value)
+        if self._sweeper.was_just_deleted(job_id):
+            return
+        if record is None or record.job_id != job_id:
+            self._log("job_unreadable", {"job_id": job_id})
+            return
+        orphaned = self._orphaned_progress.pop(job_id, None)
+        if orphaned is not None and self._sweeper.keep_progress(job_id):
+            progress = orphaned
+        age_ms = max(0, unix_ms - record.accepted_unix_ms)
+        if self._scheduler.add_job(record, progress, now_ms - age_ms, now_ms) and self._is_loaded():
+            self._log(
+                "job_taken_in",
+                {"job_id": job_id, "queue": record.queue.name, "age_ms": age_ms},
+            )
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -22,6 +22,8 @@
 from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._intake import insert_intake_row
+from jacinthreel_node._job_rows import JobRows
+from jacinthreel_node._listings import Listings
 from jacinthreel_node._ports import (
     ExecutorGateway,
     KeyedStore,
@@ -29,19 +31,15 @@
     Row,
     RowWrite,
     Snapshot,
-    UnusableRow,
 )
 from jacinthreel_node._progress_writer import ProgressWriter
 from jacinthreel_node._records import (
-    CANCEL_PREFIX,
     INTAKE_TABLE,
-    JOB_PREFIX,
     LEASE_TABLE,
     PROGRESS_TABLE,
     RELAYS_KEY,
     LeaseRow,
     OwnerRow,
-    decode_job,
     encode_record,
 )
 from jacinthreel_node._relays._fleet import ExecutorFleet
@@ -52,7 +50,7 @@
 from jacinthreel_node._slow_steps import measure_step
 from jacinthreel_node._speed_store import ExecutorSpeedStore
 from jacinthreel_node._table_follower import TableFollower
-from jacinthreel_steps import ExecutorListing, JobState, Scheduler, StoredProgress
+from jacinthreel_steps import JobState, Scheduler
 
 MIN_PLAN_INTERVAL_MS: Final = 20
 PLAN_SHARE_DIVISOR: Final = 3  # Passes may take 1/3 of the process's time,
@@ -62,8 +60,6 @@
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
-LOAD_STEP_MS: Final = 30
-MAX_LOGGED_REASON: Final = 200
 OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
 
 
@@ -119,8 +115,6 @@
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._are_orphans_expired = False
-        # Of jobs that the former owner knew as announced, and that may still be accepted.
-        self._orphaned_progress: dict[str, StoredProgress] = {}
         self._is_plan_pending = False
         self._last_plan_ms = 0
         self._plan_took_ms = 0
@@ -138,6 +132,9 @@
         self._ended_job_sweeper = EndedJobSweeper(
             store, self.scheduler, settings.status_keep_ms, owner_version, services.log
         )
+        self._job_rows = JobRows(
+            self.scheduler, self._ended_job_sweeper, clock, lambda: self.is_loaded, services.log
+        )
         self._speed_store = ExecutorSpeedStore(store, self.scheduler, services.log)
         link_context = LinkContext(
             services.gateway,
@@ -154,6 +151,14 @@
             services.log,
         )
         self.fleet = ExecutorFleet(link_context, services.streams, self._record_relay_use)
+        self._listings = Listings(
+            services.row_decoder,
+            self.scheduler,
+            self.fleet,
+            clock,
+            lambda: self.is_loaded,
+            services.log,
+        )
 
     def start(self) -> None:
         """Starts loading the tables, followed by the owner's work."""
@@ -196,15 +201,7 @@
 
     def announce_job(self, job_id: str, value: bytes) -> None:
         """Adds a job whose acceptance is being stored; ignored until the tables are loaded."""
-        record = decode_job(value)
-        if not self.is_loaded or record is None or record.job_id != job_id:
-            return
-        if job_id in self._orphaned_progress or self._ended_job_sweeper.was_just_deleted(job_id):
-            return
-        now_ms = self._clock.now_ms()
-        age_ms = max(0, self._clock.unix_ms() - record.accepted_unix_ms)
-        if self.scheduler.announce_job(record, now_ms - age_ms, now_ms):
-            self._log("job_announced", {"job_id": job_id, "age_ms": age_ms})
+        if self.is_loaded and self._job_rows.announce(job_id, value):
             self.request_plan()
 
     def apply_intake_row(self, row: Row) -> None:
@@ -299,7 +296,7 @@
             self._apply_listing_changes,
             versions[self._row_decoder.executor_table],
             LISTING_FEED_PAUSE_MS,
-            self._record_registry_read,
+            self._listings.record_read,
         )
         self._spawn(self._run_periodic_checks())
         self._spawn(self.fleet.run())
@@ -339,39 +336,15 @@
         if not relay_use.rows:
             self.former_leases.exclude_relays()
         self.scheduler.apply_policy(self._policy.scheduling_policy())
-        progress_by_id = {
-            row.key: StoredProgress(row.value, row.version)
-            for row in progress.rows
-            if row.value is not None
-        }
-        await self._load_jobs(intake.rows, progress_by_id)
-        accepted_ids = {row.key.removeprefix(JOB_PREFIX) for row in intake.rows}
-        orphaned_ids = progress_by_id.keys() - accepted_ids
-        self._orphaned_progress = {job_id: progress_by_id[job_id] for job_id in orphaned_ids}
-        self._ended_job_sweeper.add_orphaned_progress(orphaned_ids)
+        await self._job_rows.load(intake.rows, progress.rows)
         self.fleet.begin(len(listings.rows))
-        self._apply_listing_snapshot(listings.rows)
-        self._record_registry_read()
+        self._listings.apply_snapshot(listings.rows)
+        self._listings.record_read()
         return {
             INTAKE_TABLE: intake.version,
             self._row_decoder.executor_table: listings.version,
         }
 
-    async def _load_jobs(
-        self, rows: tuple[Row, ...], progress_by_id: dict[str, StoredProgress]
-    ) -> None:
-        """Adds all stored jobs; yields in between, because they may have thousands of tasks."""
-        pause_ms = self._clock.now_ms() + LOAD_STEP_MS
-        cancellations = tuple(row for row in rows if row.key.startswith(CANCEL_PREFIX))
-        for row in rows:
-            if not row.key.startswith(JOB_PREFIX):
-                continue
-            self._add_and_cancel_jobs((row,), progress_by_id)
-            if self._clock.now_ms() >= pause_ms:
-                await asyncio.sleep(0)
-                pause_ms = self._clock.now_ms() + LOAD_STEP_MS
-        self._add_and_cancel_jobs(cancellations, {})
-
     async def _read_jobs(self) -> tuple[Snapshot, Snapshot]:
         """Reads progress and intake.
 
@@ -403,104 +376,17 @@
             await asyncio.sleep(LOAD_RETRY_MS / 1000)
 
     def _apply_intake_rows(self, rows: tuple[Row, ...]) -> None:
-        self._add_and_cancel_jobs(rows, {})
+        self._job_rows.apply_changes(rows)
         self.request_plan()
 
-    def _add_and_cancel_jobs(
-        self, rows: tuple[Row, ...], progress: dict[str, StoredProgress]
-    ) -> None:
-        now_ms = self._clock.now_ms()
-        unix_ms = self._clock.unix_ms()
-        for row in rows:
-            if row.key.startswith(JOB_PREFIX) and row.value is not None:
-                job_id = row.key.removeprefix(JOB_PREFIX)
-                self._add_job(job_id, row.value, progress.get(job_id), now_ms, unix_ms)
-        for row in rows:
-            if row.key.startswith(CANCEL_PREFIX) and row.value is not None:
-                self.scheduler.cancel(row.key.removeprefix(CANCEL_PREFIX), now_ms)
-
-    def _add_job(
-        self,
-        job_id: str,
-        value: bytes,
-        progress: StoredProgress | None,
-        now_ms: int,
-        unix_ms: int,
-    ) -> None:
-        record = decode_job(value)
-        if self._ended_job_sweeper.was_just_deleted(job_id):
-            return
-        if record is None or record.job_id != job_id:
-            self._log("job_unreadable", {"job_id": job_id})
-            return
-        orphaned = self._orphaned_progress.pop(job_id, None)
-        if orphaned is not None and self._ended_job_sweeper.keep_progress(job_id):
-            progress = orphaned
-        age_ms = max(0, unix_ms - record.accepted_unix_ms)
-        if self.scheduler.add_job(record, progress, now_ms - age_ms, now_ms) and self.is_loaded:
-            self._log(
-                "job_taken_in",
-                {"job_id": job_id, "queue": record.queue.name, "age_ms": age_ms},
-            )
-
     def _apply_listing_snapshot(self, rows: tuple[Row, ...]) -> None:
-        self._apply_listing_changes(rows)
-        listed_ids = {row.key for row in rows}
-        for executor_id in list(self.scheduler.tables.executors_by_id):
-            if executor_id not in listed_ids:
-                self._remove_listing(executor_id)
+        self._listings.apply_snapshot(rows)
+        self.request_plan()
 
     def _apply_listing_changes(self, rows: tuple[Row, ...]) -> None:
-        now_ms = self._clock.now_ms()
-        for row in rows:
-            if row.value is None:
-                self._remove_listing(row.key)
-                continue
-            match self._decode_listing(row):
-                case ExecutorListing() as listing:
-                    self._apply_listing(listing, now_ms)
-                case UnusableRow(reason=""):
-                    self._remove_listing(row.key)
-                case UnusableRow(reason=reason):
-                    self._suspend_listing(row.key, reason)
+        self._listings.apply_changes(rows)
         self.request_plan()
 
-    def _decode_listing(self, row: Row) -> ExecutorListing | UnusableRow:
-        """Decodes a row; an unexpected error costs only this row, which each next owner reads."""
-        try:
-            return self._row_decoder.decode_executor_listing(row)
-        except Exception as error:
-            return UnusableRow(f"unexpected error: {error!r}"[:MAX_LOGGED_REASON])
-
-    def _record_registry_read(self) -> None:
-        self.scheduler.record_registry_read(self._clock.now_ms())
-
-    def _apply_listing(self, listing: ExecutorListing, now_ms: int) -> None:
-        executor_id = listing.executor_id
-        if self.scheduler.apply_listing(listing, now_ms) and self.is_loaded:
-            self._log_listed(listing)
-        self.fleet.add(executor_id)
-
-    def _suspend_listing(self, executor_id: str, reason: str) -> None:
-        """Handles a row that can't be read; a known executor keeps its link."""
-        is_known = self.scheduler.suspend_listing(executor_id)
-        fields = {"executor": executor_id, "known": is_known, "reason": reason}
-        self._log("executor_row_unreadable", fields)
-
-    def _remove_listing(self, executor_id: str) -> None:
-        if self.scheduler.remove_listing(executor_id):
-            self._log("executor_unlisted", {"executor": executor_id})
-
-    def _log_listed(self, listing: ExecutorListing) -> None:
-        fields = {
-            "executor": listing.executor_id,
-            "incarnation": listing.incarnation,
-            "address": listing.address,
-            "executor_zone": listing.zone,
-            "rack": listing.rack,
-        }
-        self._log("executor_listed", fields)
-
     async def _run_periodic_checks(self) -> None:
         while True:
             await asyncio.sleep(PERIODIC_CHECK_MS / 1000)
--- a/packages/node/tests/test_bad_rows.py
+++ b/packages/node/tests/test_bad_rows.py
@@ -33,9 +33,9 @@
         on_lost=lost.append,
         log=lambda event, fields: logged.append((event, fields)),
     )
-    ownership.fleet = cast(Any, SimpleNamespace(add=lambda executor_id: None))
+    ownership._listings._links = cast(Any, SimpleNamespace(add=lambda executor_id: None))
     rows = [Row("servers", key, value, 1) for key, value in (("i-1", b"v"), ("i-2", b""))]
-    ownership._apply_listing_changes((rows[1], rows[0]))
+    ownership._listings.apply_changes((rows[1], rows[0]))
     assert list(ownership.scheduler.tables.executors_by_id) == ["i-1"]
     assert [fields["executor"] for event, fields in logged if event == "executor_row_unreadable"]
     assert not lost
--- a/packages/node/tests/test_loading_jobs.py
+++ b/packages/node/tests/test_loading_jobs.py
@@ -7,7 +7,7 @@
 from node_fakes import ManualClock, make_ownership
 
 from jacinthreel_node import Row
-from jacinthreel_node._ownership import LOAD_STEP_MS
+from jacinthreel_node._job_rows import LOAD_STEP_MS
 from jacinthreel_node._records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from jacinthreel_steps import JobRecord, JobSpec, QueueTerms, Resources, StepSpec
 
@@ -45,7 +45,7 @@
                 other_steps += 1
 
         worker = asyncio.create_task(work())
-        await ownership._load_jobs(intake_rows(), {})
+        await ownership._job_rows._load_jobs(intake_rows(), {})
         worker.cancel()
         tables = ownership.scheduler.tables
         assert len(tables.jobs_by_id) == JOBS
