--- a/packages/common/src/jacinthreel_common/_streams.py
+++ b/packages/common/src/jacinthreel_common/_streams.py
@@ -280,13 +280,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LeasesLeft:
-    """The longest remaining time of the leases that the sender granted, per executor.
+    """The longest remaining time of the leases at each executor, in ms.
 
-    `others_ms` applies to all executors that are not in `left_ms_by_executor`.
+    `others_ms` applies to all executors that are not in `left_ms_by_executor`.  The times are those
+    of the leases that the sender granted, and also of all owners before it if
+    `covers_earlier_owners` is set; senders of earlier versions never set it.
     """
 
     left_ms_by_executor: dict[str, int]
     others_ms: int
+    covers_earlier_owners: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 from typing import Any, Final
 
 from returns.result import Failure, Result, Success
@@ -31,9 +32,10 @@
     LeaseWatch,
     takeover_delay_ms,
 )
+from jacinthreel_node._former_leases import OUTAGE_RENEWAL_LIMIT_MS, FormerOwner
 from jacinthreel_node._lease_handover import LeaseHandover
 from jacinthreel_node._owner_view import OwnerView
-from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS, Ownership
+from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._ports import (
     Committed,
     Conflict,
@@ -47,6 +49,7 @@
     LEASE_TABLE,
     OWNER_KEY,
     OWNER_TABLE,
+    EarlierLeases,
     LeaseRow,
     OwnerRow,
     decode_lease,
@@ -60,13 +63,39 @@
 OWNER_RESIGNED: Final = "the owner has resigned"
 STORE_TIMEOUT_MS: Final = 1_500
 FLUSH_TIMEOUT_MS: Final = 500
+EARLIER_LEASES_TIMEOUT_MS: Final = 800  # Without the answer, the longest bound holds.
 
 
-MakeOwnership = Callable[[OwnerRow, int, bool], Ownership]
-"""Creates an `Ownership` from the owner row, its version, and whether the former owner stopped."""
+MakeOwnership = Callable[[OwnerRow, int, FormerOwner | None], Ownership]
+"""Creates an `Ownership` from the owner row, its version, and the owner that it replaces."""
 Spawn = Callable[[Coroutine[Any, Any, None]], None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Takeover:
+    """A takeover whose owner row is stored, by a commit that was sent at `sent_ms`.
+
+    The process may have been paused before it read the reply, so that only the time of sending
+    tells for how long the row has been stored at most.  `earlier` is what the former owner has
+    stored about the owners before it, None if that is unknown.
+    """
+
+    owner: OwnerRow
+    version: int
+    former: OwnerRow | None
+    earlier: EarlierLeases | None
+    reason: str
+    sent_ms: int
+
+    def replaced_owner(self, now_ms: int) -> FormerOwner | None:
+        """Returns the replaced owner, None if no readable row names it."""
+        former = self.former
+        if former is None:
+            return None
+        has_stopped = self.reason in (OWN_EARLIER_PROCESS, OWNER_RESIGNED)
+        return FormerOwner(former.host_id, former.epoch, has_stopped, self.earlier, now_ms)
+
+
 class Elector:
     """Takes part in the owner election; `ownership` is None while this node is not the owner."""
 
@@ -96,6 +125,7 @@
         self._announced_version = 0
         self._lease_count = 0
         self._renewed_ms = 0
+        self._confirmed_ms = 0
         self._renewed_lease_count = 0
         self._lease_watch = LeaseWatch()
         self._is_taking_over = False
@@ -110,9 +140,12 @@
     def is_lease_usable(self) -> bool:
         """Whether the last lease renewal is recent enough to send orders to executors.
 
-        A process that was paused finds out here, before any of its timers has run.
+        A renewal alone doesn't show that this process is still the owner, so that the last read of
+        the owner row counts as well.  A process that was paused finds out here, before any of its
+        timers has run.
         """
-        return self.lease_age_ms <= OUTAGE_RENEWAL_LIMIT_MS
+        confirmed_ms = min(self._renewed_ms, self._confirmed_ms)
+        return self._clock.now_ms() - confirmed_ms <= OUTAGE_RENEWAL_LIMIT_MS
 
     @property
     def lease_count(self) -> int:
@@ -165,10 +198,12 @@
             self.end_ownership("the lease could not be renewed for too long")
             return
         self._spawn(self._write_renewal(ownership))
+        self._spawn(self._confirm_ownership(ownership))
 
     async def _write_renewal(self, ownership: Ownership) -> None:
         self._lease_count += 1
-        lease = LeaseRow(ownership.epoch, self._lease_count)
+        earlier = ownership.earlier_leases()
+        lease = LeaseRow(ownership.epoch, self._lease_count, earlier_leases=earlier)
         sent_ms = self._clock.now_ms()
         outcome = await self._write_lease(lease)
         if self.ownership is not ownership:
@@ -181,6 +216,23 @@
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self._log.warning("lease_not_renewed", fields)
 
+    async def _confirm_ownership(self, ownership: Ownership) -> None:
+        """Reads the owner row, which the lease row can't be written conditionally on.
+
+        The next owner counts `OUTAGE_RENEWAL_LIMIT_MS` from its takeover, so this process may only
+        count from a read that was sent before.  The feed of the owner table may be silent longer.
+        """
+        sent_ms = self._clock.now_ms()
+        match await self._store.read(OWNER_TABLE, STORE_TIMEOUT_MS, OWNER_KEY):
+            case Success(Snapshot(rows=rows)):
+                self.apply_rows(rows)
+                is_unchanged = any(row.version == self._owner_view.row_version for row in rows)
+                if self.ownership is ownership and is_unchanged:
+                    self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+            case Failure(Fault() as fault):
+                fields = {"reason": fault.detail, "code": fault.code.value}
+                self._log.warning("ownership_not_confirmed", fields)
+
     async def _write_lease(self, lease: LeaseRow) -> Result[Committed | Conflict, Fault]:
         """Writes the lease row; unconditional, as it only shows that its epoch's owner is alive."""
         row = RowWrite(LEASE_TABLE, self._settings.host_id, encode_record(lease))
@@ -266,40 +318,55 @@
         address, port = self._settings.stream_address
         nonce = f"{self._rng.getrandbits(64):016x}"
         owner = OwnerRow(epoch, self._settings.host_id, address, port, nonce)
-        outcome = await self._store.commit(
+        sent_ms = self._clock.now_ms()
+        commit = self._store.commit(
             [RowCondition(OWNER_TABLE, OWNER_KEY, expected_version)],
             [RowWrite(OWNER_TABLE, OWNER_KEY, encode_record(owner))],
             STORE_TIMEOUT_MS,
         )
+        # A renewal of the new ownership would replace the row of an earlier process of this host.
+        outcome, earlier = await asyncio.gather(commit, self._read_earlier_leases(former))
         match outcome:
             case Success(Committed(version=version)):
-                self._start_ownership(owner, version, former, reason)
+                takeover = _Takeover(owner, version, former, earlier, reason, sent_ms)
+                self._start_ownership(takeover)
             case Success(Conflict(rows=rows)):
                 self.apply_rows(rows)
             case Failure(Fault() as fault):
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self._log.warning("takeover_failed", fields)
 
-    def _start_ownership(
-        self, owner: OwnerRow, version: int, former: OwnerRow | None, reason: str
-    ) -> None:
-        if self._owner_view.row_version > version or owner.epoch < self._handover.highest_epoch:
+    async def _read_earlier_leases(self, former: OwnerRow | None) -> EarlierLeases | None:
+        """Returns what an owner has stored about the owners before it, None if that is unknown."""
+        if former is None:
+            return None
+        match await self._store.read(LEASE_TABLE, EARLIER_LEASES_TIMEOUT_MS, former.host_id):
+            case Success(Snapshot(rows=(Row(value=bytes() as value),))):
+                lease = decode_lease(value)
+            case _:
+                return None
+        return lease.earlier_leases if lease is not None and lease.epoch == former.epoch else None
+
+    def _start_ownership(self, takeover: _Takeover) -> None:
+        """Starts the ownership under a stored row."""
+        owner, former = takeover.owner, takeover.former
+        newest_version = self._owner_view.row_version
+        if newest_version > takeover.version or owner.epoch < self._handover.highest_epoch:
             return  # Another node has taken over in the meantime.
-        heartbeat_age_ms = self._owner_view.heartbeat_age_ms()
-        self._apply_owner_row(owner, version)
-        self._renewed_ms = self._clock.now_ms()
         fields = {
             "epoch": owner.epoch,
-            "reason": reason,
+            "reason": takeover.reason,
             "former_owner": former.host_id if former is not None else "",
-            "former_owner_silent_ms": heartbeat_age_ms,
+            "former_owner_silent_ms": self._owner_view.heartbeat_age_ms(),
         }
+        self._apply_owner_row(owner, takeover.version)
+        self._renewed_ms = self._confirmed_ms = takeover.sent_ms
         self._log.info("took_over", fields)
-        has_former_owner_stopped = reason in (OWN_EARLIER_PROCESS, OWNER_RESIGNED)
-        self.ownership = self._make_ownership(owner, version, has_former_owner_stopped)
+        replaced = takeover.replaced_owner(self._clock.now_ms())
+        self.ownership = self._make_ownership(owner, takeover.version, replaced)
         self.ownership.start()
         self.renew_lease()
-        if former is not None and reason != OWN_EARLIER_PROCESS:
+        if former is not None and takeover.reason != OWN_EARLIER_PROCESS:
             self._spawn(self._request_former_leases(former, self.ownership))
 
     async def _request_former_leases(self, former: OwnerRow, ownership: Ownership) -> None:
@@ -373,7 +440,8 @@
         if self.ownership is not ownership:
             return
         self._stop_ownership(ownership)
-        lease = LeaseRow(ownership.epoch, self._lease_count + 1, True)
+        earlier = ownership.earlier_leases()
+        lease = LeaseRow(ownership.epoch, self._lease_count + 1, True, earlier)
         outcome = await self._write_lease(lease)
         self._hub.notify_all(OwnerHeartbeat(ownership.epoch, resigned=True))
         self._log.info("resigned", {"epoch": ownership.epoch, "outcome": type(outcome).__name__})
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -18,7 +18,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
-from jacinthreel_node._executor_exchange import ExecutorExchange, max_lease_validity_ms
+from jacinthreel_node._executor_exchange import ExecutorExchange
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
@@ -96,7 +96,6 @@
         self._context = context
         self._executor_id = executor_id
         self._bound_ms = bound_ms
-        self._first_response_ms: int | None = None
         self._exchange = ExecutorExchange()
         self._lease_choice = LeaseChoice(context.lease_limits.shortest_ms)
         self._lease_chosen_ms = 0
@@ -130,18 +129,12 @@
         self._orders.put_nowait(_QueuedOrder((turn, rank, self._order_count), order))
 
     def lease_end_ms(self) -> int:
-        """Returns the local time by which all runs have ended if the executor is unreachable.
+        """Returns the local time by which all runs have ended if the executor is unreachable."""
+        former_end_ms = self._context.former_leases.end_ms(self._executor_id)
+        return max(self._bound_ms, former_end_ms, self._own_lease_end_ms(former_end_ms))
 
-        Leases of former owners count until one full lease after the first response: from then on,
-        the executor refuses their renewals.
-        """
-        context = self._context
-        former_end_ms = context.former_leases.end_ms(self._executor_id)
-        if self._first_response_ms is not None:
-            longest_ms = max_lease_validity_ms(context.lease_limits.longest_ms)
-            former_end_ms = min(former_end_ms, self._first_response_ms + longest_ms)
-        own_end_ms = self._exchange.clock.lease_end_ms(former_end_ms)
-        return max(self._bound_ms, former_end_ms, own_end_ms)
+    def _own_lease_end_ms(self, default_ms: int) -> int:
+        return self._exchange.clock.lease_end_ms(default_ms)
 
     @property
     def has_long_lease(self) -> bool:
@@ -202,8 +195,7 @@
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
-        if self._first_response_ms is None:
-            self._first_response_ms = now_ms
+        context.former_leases.record_answer(self._executor_id, now_ms)
         if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
         fields = {"running": len(response.running), "ended": len(response.ended)}
@@ -264,9 +256,25 @@
         now_ms = self._context.clock.now_ms()
         if now_ms < self.lease_end_ms() or not (executor.runs_by_task or not executor.is_listed):
             return
+        if executor.runs_by_task:
+            self._log_expiry(now_ms)
         self._context.scheduler.expire_executor(self._executor_id, "lease expired", now_ms)
         self._context.request_plan()
 
+    def _log_expiry(self, now_ms: int) -> None:
+        """Logs the bounds that have passed before the runs of the executor are taken as ended."""
+        former_leases = self._context.former_leases
+        former_end_ms = former_leases.end_ms(self._executor_id)
+        fields = {
+            "executor": self._executor_id,
+            "own_ended_ms_ago": now_ms - self._own_lease_end_ms(former_end_ms),
+            "relays_ended_ms_ago": now_ms - self._bound_ms,
+            "former_ended_ms_ago": now_ms - former_end_ms,
+            "former_source": former_leases.source_of(self._executor_id),
+            "response_age_ms": self._exchange.response_age_ms(now_ms),
+        }
+        self._context.log("leases_expired", fields)
+
     def _end_replaced_runs(self, executor: Executor, requested_listing: ExecutorListing) -> None:
         """Ends the executor's runs, because another executor process responds at its address.
 
--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -1,29 +1,73 @@
 """Tracks by when the leases granted by earlier owners have certainly expired.
 
 This matters for executors that the current owner has not reached yet, because it can't know which
-leases they hold.  At a takeover only the longest possible lease is known.  The current owner then
-queries the former one, which stops sending orders before it responds with the remaining lease time
-of each executor.
+leases they hold.  At a takeover only the longest possible bound is known: the former owner may
+still be running, renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without the store, and so may every
+owner before it.  Evidence of three kinds lowers the bounds:
 
-Invariant: a lease end is only ever moved earlier.
+- The executor has answered the current owner.  It refuses all earlier owners from then on.
+- The former owner has stopped.  It grants nothing more, but what it was still waiting for has not
+  ended with it.  It stores those bounds with each renewal of its lease row.
+- The former owner has answered a query.  It has stopped, and its answer covers earlier owners too.
+
+Invariant: a lease end is only ever moved earlier.  Bounds that are missing, unreadable or from a
+process of an earlier version move none.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
 from jacinthreel_common import LeasesLeft
+from jacinthreel_node._records import EarlierLeases
+
+OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
+MAX_STORED_EXECUTORS: Final = 100
+"""With more executors, one bound for all is stored: the lease row is written twice a second."""
+
+
+@dataclass(frozen=True, slots=True)
+class FormerOwner:
+    """The owner that a takeover replaced.
+
+    `has_stopped` is set if it certainly grants nothing more, as its process has ended or resigned.
+    `earlier` is what it last stored about the owners before it, None if that is unknown; the times
+    count from `read_ms` on the clock of this process.
+    """
+
+    host_id: str
+    epoch: int
+    has_stopped: bool
+    earlier: EarlierLeases | None
+    read_ms: int
 
 
 class FormerLeases:
     """The latest lease end at each executor, on the clock of this process.
 
-    `default_end_ms` applies to executors without an end of their own; it is later by
-    `relay_extension_ms` while earlier owners may have used relays.
+    `default_end_ms` holds before there is any evidence, and `longest_ms` is the longest time for
+    which a lease granted now may be valid.  Bounds of executors that the former owner didn't name
+    are later by `relay_extension_ms` while earlier owners may have used relays, which renew leases
+    for that time after their owner has stopped.  `former` is the replaced owner, if it is known.
     """
 
-    def __init__(self, default_end_ms: int, relay_extension_ms: int = 0) -> None:
+    def __init__(
+        self,
+        default_end_ms: int,
+        longest_ms: int,
+        relay_extension_ms: int = 0,
+        former: FormerOwner | None = None,
+    ) -> None:
+        self.source = "longest"
+        self._former = former
+        self._longest_ms = longest_ms
         self._direct_end_ms = default_end_ms
         self._relay_extension_ms = relay_extension_ms
         self._end_ms_by_executor: dict[str, int] = {}
+        self._answered_ids: set[str] = set()
+        self._has_recorded_stop = False
 
     @property
     def _default_end_ms(self) -> int:
@@ -34,20 +78,62 @@
         self._relay_extension_ms = 0
 
     def end_ms(self, executor_id: str) -> int:
-        """Returns the time by which all runs of earlier owners at the executor have ended."""
+        """Returns the time by which all leases of earlier owners at the executor have ended."""
         return self._end_ms_by_executor.get(executor_id, self._default_end_ms)
 
     @property
     def latest_end_ms(self) -> int:
-        """The time by which all runs started by earlier owners have ended at every executor."""
+        """The time by which all leases of earlier owners have ended at every executor."""
         return max(self._default_end_ms, *self._end_ms_by_executor.values(), 0)
 
+    def source_of(self, executor_id: str) -> str:
+        """Returns which evidence the bound at an executor is from, for the log."""
+        return "answer" if executor_id in self._answered_ids else self.source
+
+    def wait_ms(self, now_ms: int) -> int:
+        """Returns for how long some executor may still hold leases of earlier owners."""
+        return max(0, self.latest_end_ms - now_ms)
+
+    def record_answer(self, executor_id: str, now_ms: int) -> None:
+        """Records that an executor answers the current owner, and refuses earlier ones from now on.
+
+        What they granted there lasts for the longest lease at most.
+        """
+        if executor_id in self._answered_ids:
+            return
+        self._answered_ids.add(executor_id)
+        self._lower(executor_id, now_ms + self._longest_ms)
+
+    def record_stop(self, now_ms: int) -> None:
+        """Records that the former owner has stopped, without an answer that tells its leases.
+
+        Its own leases expire one longest lease later, and those of the owners before it as it has
+        stored.  Relays may go on renewing its leases, so call `exclude_relays` before if none may.
+        """
+        former = self._former
+        if self._has_recorded_stop or former is None or former.earlier is None:
+            return
+        self._has_recorded_stop = True
+        own_end_ms = now_ms + self._longest_ms
+        for executor_id, left_ms in former.earlier.left_ms_by_executor.items():
+            earlier_end_ms = former.read_ms + left_ms
+            self._lower(executor_id, max(own_end_ms + self._relay_extension_ms, earlier_end_ms))
+        earlier_end_ms = former.read_ms + former.earlier.others_ms
+        self._direct_end_ms = min(self._direct_end_ms, max(own_end_ms, earlier_end_ms))
+        self.source = "stored"
+
     def apply_response(self, response: LeasesLeft, now_ms: int) -> None:
-        """Applies the response of the former owner, which grants no more leases."""
-        for executor_id, remaining_ms in response.left_ms_by_executor.items():
-            end_ms = min(self.end_ms(executor_id), now_ms + remaining_ms)
-            self._end_ms_by_executor[executor_id] = end_ms
+        """Applies the response of the former owner, which grants no more leases.
+
+        A response of a process that knows only that the former owner has stopped counts as such.
+        """
+        if not response.covers_earlier_owners:
+            self.record_stop(now_ms)
+            return
+        for executor_id, left_ms in response.left_ms_by_executor.items():
+            self._lower(executor_id, now_ms + left_ms)
         self._direct_end_ms = min(self._direct_end_ms, now_ms + response.others_ms)
+        self.source = "response"
 
     def remaining(self, end_ms_by_executor: dict[str, int], now_ms: int) -> LeasesLeft:
         """Returns the remaining lease times to hand over to the next owner.
@@ -59,4 +145,28 @@
         remaining_ms_by_executor = {
             executor_id: max(0, end_ms - now_ms) for executor_id, end_ms in ends.items()
         }
-        return LeasesLeft(remaining_ms_by_executor, max(0, self._direct_end_ms - now_ms))
+        others_ms = max(0, self._direct_end_ms - now_ms)
+        return LeasesLeft(remaining_ms_by_executor, others_ms, covers_earlier_owners=True)
+
+    def remaining_of_earlier_owners(
+        self, executor_ids: Iterable[str] | None, now_ms: int
+    ) -> EarlierLeases:
+        """Returns the bounds to store for a next owner that can't query this one.
+
+        `executor_ids` are all executors with runs of earlier owners, or None if they are not known
+        yet.  Those that have answered are left out: the next owner allows for a full lease there,
+        as this owner may have granted one.
+        """
+        if executor_ids is None:
+            return EarlierLeases({}, self.wait_ms(now_ms))
+        left_ms_by_executor: dict[str, int] = {}
+        for executor_id in executor_ids:
+            left_ms = self.end_ms(executor_id) - now_ms
+            if left_ms > 0 and executor_id not in self._answered_ids:
+                left_ms_by_executor[executor_id] = left_ms
+        if len(left_ms_by_executor) <= MAX_STORED_EXECUTORS:
+            return EarlierLeases(left_ms_by_executor, 0)
+        return EarlierLeases({}, max(left_ms_by_executor.values()))
+
+    def _lower(self, executor_id: str, end_ms: int) -> None:
+        self._end_ms_by_executor[executor_id] = min(self.end_ms(executor_id), end_ms)
--- a/packages/node/src/jacinthreel_node/_job_rows.py
+++ b/packages/node/src/jacinthreel_node/_job_rows.py
@@ -36,6 +36,7 @@
         self._log = log
         # Of jobs that the former owner knew as announced, and that may still be accepted.
         self._orphaned_progress: dict[str, StoredProgress] = {}
+        self._has_unreadable = False
 
     async def load(self, intake: tuple[Row, ...], progress: tuple[Row, ...]) -> None:
         """Adds all stored jobs; yields in between, because they may have thousands of tasks."""
@@ -68,6 +69,19 @@
         self._log("job_announced", {"job_id": job_id, "age_ms": age_ms})
         return True
 
+    def recovered_executor_ids(self) -> set[str] | None:
+        """Returns the executors with runs of earlier owners that no report has shown yet.
+
+        Those include placements of jobs that are not accepted yet.  Returns None if some row can't
+        be read: a next owner of another version may know its runs.
+        """
+        if self._has_unreadable:
+            return None
+        executor_ids = self._scheduler.recovered_executor_ids()
+        for progress in self._orphaned_progress.values():
+            executor_ids |= progress.executor_ids()
+        return executor_ids
+
     async def _load_jobs(
         self, rows: tuple[Row, ...], progress_by_id: dict[str, StoredProgress]
     ) -> None:
@@ -107,6 +121,7 @@
         if self._sweeper.was_just_deleted(job_id):
             return
         if record is None or record.job_id != job_id:
+            self._has_unreadable = True
             self._log("job_unreadable", {"job_id": job_id})
             return
         orphaned = self._orphaned_progress.pop(job_id, None)
@@ -118,3 +133,4 @@
                 "job_taken_in",
                 {"job_id": job_id, "queue": record.queue.name, "age_ms": age_ms},
             )
+        self._has_unreadable |= job_id not in self._scheduler.tables.jobs_by_id
--- a/packages/node/src/jacinthreel_node/_lease_handover.py
+++ b/packages/node/src/jacinthreel_node/_lease_handover.py
@@ -85,12 +85,12 @@
 
         If this process was not the owner under the former epoch, it replaced, at the same address,
         the process that was.  That process has stopped, so its leases expire at the latest one full
-        lease from now.
+        lease from now.  What it knew of the owners before it is lost here; the response says so.
         """
         self.highest_epoch = max(self.highest_epoch, query.epoch)
         ended = self._ended
         if ended is None or ended.epoch != query.former_epoch:
-            leases = LeasesLeft({}, max_lease_validity_ms(self._longest_ms))
+            leases = LeasesLeft({}, max_lease_validity_ms(self._longest_ms), False)
             return StreamReply(ResultCode.OK, body=to_plain(leases))
         spent_ms = self._clock.now_ms() - ended.ended_ms
         remaining_ms_by_executor = ended.leases.left_ms_by_executor
@@ -100,6 +100,7 @@
                 for executor_id, remaining_ms in remaining_ms_by_executor.items()
             },
             max(0, ended.leases.others_ms - spent_ms),
+            ended.leases.covers_earlier_owners,
         )
         return StreamReply(ResultCode.OK, body=to_plain(leases))
 
@@ -112,5 +113,6 @@
             "executors": len(response.left_ms_by_executor),
             "longest_ms": max(response.left_ms_by_executor.values(), default=0),
             "others_ms": response.others_ms,
+            "covers_earlier_owners": response.covers_earlier_owners,
         }
         self._log.info("former_leases_known", fields)
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -54,6 +54,7 @@
 )
 from jacinthreel_node._elector import Elector
 from jacinthreel_node._forecaster import Forecaster
+from jacinthreel_node._former_leases import FormerOwner
 from jacinthreel_node._gauges import set_forecast_gauges, set_gauges
 from jacinthreel_node._job_service import JobService
 from jacinthreel_node._operator_rows import OperatorRows
@@ -282,7 +283,7 @@
             self._elector.ownership.apply_current_policy()
 
     def _make_ownership(
-        self, owner: OwnerRow, version: int, has_former_owner_stopped: bool
+        self, owner: OwnerRow, version: int, former: FormerOwner | None
     ) -> Ownership:
         self._relay.observe_epoch(owner.epoch)
         return Ownership(
@@ -291,7 +292,7 @@
             version,
             self._elector.end_ownership,
             lambda: self._elector.is_lease_usable,
-            has_former_owner_stopped,
+            former,
         )
 
     def _is_owner(self) -> bool:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -20,7 +20,11 @@
 from jacinthreel_node._ended_job_sweeper import EndedJobSweeper
 from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._executor_link import LinkContext
-from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._former_leases import (
+    OUTAGE_RENEWAL_LIMIT_MS,
+    FormerLeases,
+    FormerOwner,
+)
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._job_rows import JobRows
 from jacinthreel_node._listings import Listings
@@ -38,6 +42,7 @@
     LEASE_TABLE,
     PROGRESS_TABLE,
     RELAYS_KEY,
+    EarlierLeases,
     LeaseRow,
     OwnerRow,
     encode_record,
@@ -60,7 +65,6 @@
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
 LOAD_RETRY_MS: Final = 200
-OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +86,8 @@
     """One ownership of all jobs, from the takeover to its end.
 
     `on_lost` is called with a reason when the ownership has to end.  `may_order` tells whether the
-    last renewal of the owner's lease is recent enough to send orders to executors.
+    last renewal of the owner's lease is recent enough to send orders to executors.  `former` is the
+    replaced owner, None if no readable row names one.
     """
 
     def __init__(
@@ -92,7 +97,7 @@
         owner_version: int,
         on_lost: Callable[[str], None],
         may_order: Callable[[], bool],
-        has_former_owner_stopped: bool,
+        former: FormerOwner | None,
     ) -> None:
         settings, store, clock = services.settings, services.store, services.clock
         self._store = store
@@ -106,12 +111,14 @@
         self.is_loaded = False
         self.scheduler = Scheduler(services.log, settings.run_stop_limit_ms)
         self._takeover_ms = clock.now_ms()
-        unreached_lease_ms = _unreached_lease_ms(
-            settings.lease_limits.longest_ms, has_former_owner_stopped
-        )
+        longest_ms = max_lease_validity_ms(settings.lease_limits.longest_ms)
         self.former_leases = FormerLeases(
-            self._takeover_ms + unreached_lease_ms, LONGEST_PERMISSION_MS
+            self._takeover_ms + OUTAGE_RENEWAL_LIMIT_MS + longest_ms,
+            longest_ms,
+            LONGEST_PERMISSION_MS,
+            former,
         )
+        self._has_former_stopped = former is not None and former.has_stopped
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._are_orphans_expired = False
@@ -174,6 +181,14 @@
         """Returns the remaining lease times; call before `stop`, and send no orders afterwards."""
         return self.former_leases.remaining(self.fleet.lease_ends(), self._clock.now_ms())
 
+    def earlier_leases(self) -> EarlierLeases:
+        """Returns what owners before this one may still have granted, to store with the lease."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= self.former_leases.latest_end_ms:
+            return EarlierLeases({}, 0)
+        executor_ids = self._job_rows.recovered_executor_ids() if self.is_loaded else None
+        return self.former_leases.remaining_of_earlier_owners(executor_ids, now_ms)
+
     def handle_relay_report(self, peer: Hello, message: RelayReport) -> None:
         """Applies a report of a relay."""
         self.fleet.handle_report(peer, message)
@@ -284,6 +299,8 @@
                 "open": len(self.scheduler.tables.open_jobs_by_id),
                 "executors": len(self.scheduler.tables.executors_by_id),
                 "took_ms": self._clock.now_ms() - self._takeover_ms,
+                "former_leases": self.former_leases.source,
+                "former_wait_ms": self.former_leases.wait_ms(self._clock.now_ms()),
             },
         )
         self._spawn(self._writer.run())
@@ -335,6 +352,8 @@
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
+        if self._has_former_stopped:
+            self.former_leases.record_stop(self._takeover_ms)
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         await self._job_rows.load(intake.rows, progress.rows)
         self.fleet.begin(len(listings.rows))
@@ -419,13 +438,3 @@
         lines = traceback.format_exception(error)
         self._log("owner_failed", {"error": repr(error), "trace": "".join(lines)[-2_000:]})
         self._on_lost(f"unexpected error: {error!r}")
-
-
-def _unreached_lease_ms(longest_ms: int, has_former_owner_stopped: bool) -> int:
-    """Returns the time after which all runs of the former owner at unreached executors have ended.
-
-    A former owner that may still be running can renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without
-    the store.
-    """
-    lease_ms = max_lease_validity_ms(longest_ms)
-    return lease_ms if has_former_owner_stopped else lease_ms + OUTAGE_RENEWAL_LIMIT_MS
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -69,15 +69,25 @@
     nonce: str
 
 
+class EarlierLeases(msgspec.Struct, frozen=True):
+    """The longest remaining lease times of earlier owners in ms, by executor and for all others."""
+
+    left_ms_by_executor: dict[str, Number]
+    others_ms: Number
+
+
 class LeaseRow(msgspec.Struct, frozen=True):
     """An owner's lease, stored under the id of its host and rewritten at each renewal.
 
     `count` is the number of the renewal.  `is_resigned` is set once the owner has resigned.
+    `earlier_leases` holds what owners before this one may still have granted when the row was
+    written; None in rows of earlier versions, and in the row `RELAYS_KEY`.
     """
 
     epoch: Number
     count: Number
     is_resigned: bool = False
+    earlier_leases: EarlierLeases | None = None
 
 
 class SpeedsRow(msgspec.Struct, frozen=True):
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -74,9 +74,9 @@
     """The owner's state of the exchange with one executor.
 
     `contact` is the relay's current one; it is reached only while `is_reached`, and leases are
-    granted in it only if it equals `granted_contact`.  From `first_contact_ms` on, the executor
-    refuses former owners.  `bound_ms` is the lease bound of earlier slots and contacts.  `assigned`
-    holds the address, incarnation and lease duration that the slot was assigned with.
+    granted in it only if it equals `granted_contact`.  `bound_ms` is the lease bound of earlier
+    slots and contacts.  `assigned` holds the address, incarnation and lease duration that the slot
+    was assigned with.
     """
 
     executor_id: str
@@ -87,7 +87,6 @@
     granted_contact: int = 0
     is_reached: bool = False
     is_lost_logged: bool = False
-    first_contact_ms: int | None = None
     assigned: tuple[str, int, int] = ("", 0, 0)
     assigned_ms: int = 0
     unreached_moves: int = 0
@@ -172,9 +171,6 @@
         """Returns the local time by which all runs have ended if the executor is unreachable."""
         link = self._links[executor_id]
         former_end_ms = self._context.former_leases.end_ms(executor_id)
-        if link.first_contact_ms is not None:
-            longest_ms = max_lease_validity_ms(self._context.lease_limits.longest_ms)
-            former_end_ms = min(former_end_ms, link.first_contact_ms + longest_ms)
         return max(former_end_ms, link.bound_ms, self._current_bound_ms(link))
 
     def send(self, order: Run | StopOrder) -> None:
@@ -289,7 +285,7 @@
                 self.remove(link.executor_id)
                 continue
             if not link.is_reached and (executor.runs_by_task or not executor.is_listed):
-                self._expire_if_due(link, now_ms)
+                self._expire_if_due(link, executor, now_ms)
             session = link.session
             if session is None:
                 continue
@@ -299,12 +295,26 @@
             elif not link.is_reached and ready_count >= 2:
                 self._release_unreached(link, session, now_ms)
 
-    def _expire_if_due(self, link: _RelayedLink, now_ms: int) -> None:
+    def _expire_if_due(self, link: _RelayedLink, executor: Executor, now_ms: int) -> None:
         if now_ms < self.lease_end_ms(link.executor_id):
             return
+        if executor.runs_by_task:
+            self._log_expiry(link, now_ms)
         self._context.scheduler.expire_executor(link.executor_id, "lease expired", now_ms)
         self._context.request_plan()
 
+    def _log_expiry(self, link: _RelayedLink, now_ms: int) -> None:
+        """Logs the bounds that have passed before the runs of the executor are taken as ended."""
+        former_leases = self._context.former_leases
+        fields = {
+            "executor": link.executor_id,
+            "own_ended_ms_ago": now_ms - self._current_bound_ms(link),
+            "relays_ended_ms_ago": now_ms - link.bound_ms,
+            "former_ended_ms_ago": now_ms - former_leases.end_ms(link.executor_id),
+            "former_source": former_leases.source_of(link.executor_id),
+        }
+        self._context.log("leases_expired", fields)
+
     def _release_unreached(
         self, link: _RelayedLink, session: OwnerRelaySession, now_ms: int
     ) -> None:
@@ -509,8 +519,7 @@
 
     def _begin_contact(self, link: _RelayedLink, session: OwnerRelaySession) -> None:
         link.is_reached = True
-        if link.first_contact_ms is None:
-            link.first_contact_ms = self._context.clock.now_ms()
+        self._context.former_leases.record_answer(link.executor_id, self._context.clock.now_ms())
         link.unreached_moves = 0
         link.granted_contact = link.contact
         session.grant(link.slot, link.contact)
--- a/packages/node/tests/elector_harness.py
+++ b/packages/node/tests/elector_harness.py
@@ -28,13 +28,14 @@
     Snapshot,
 )
 from jacinthreel_node._elector import Elector
-from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._former_leases import FormerLeases, FormerOwner
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership
 from jacinthreel_node._records import (
     LEASE_TABLE,
     OWNER_KEY,
     OWNER_TABLE,
+    EarlierLeases,
     LeaseRow,
     OwnerRow,
     encode_record,
@@ -44,7 +45,8 @@
 ADDRESS = ("10.0.0.1", 7000)
 TASK_LEASE_MS = 5_000  # The longest one.
 MAX_FORMER_LEASE_MS = 20_000
-REMAINING_LEASES = LeasesLeft({"e1": 3_000, "e2": 400}, 9_000)
+REMAINING_LEASES = LeasesLeft({"e1": 3_000, "e2": 400}, 9_000, True)
+EARLIER_LEASES = EarlierLeases({"e3": 7_000}, 0)
 
 
 class RecordingLog:
@@ -79,7 +81,7 @@
         self.queries.append(message)
         if self.replies:
             return self.replies.pop(0)
-        return Success(StreamReply(ResultCode.OK, body=to_plain(LeasesLeft({}, 0))))
+        return Success(StreamReply(ResultCode.OK, body=to_plain(LeasesLeft({}, 0, True))))
 
     def is_connected(self, address: str, port: int) -> bool:
         return self.is_stream_open
@@ -101,11 +103,14 @@
     def __init__(self, owner: OwnerRow, now_ms: int) -> None:
         self.epoch = owner.epoch
         self.is_stopped = False
-        self.former_leases = FormerLeases(now_ms + MAX_FORMER_LEASE_MS)
+        self.former_leases = FormerLeases(now_ms + MAX_FORMER_LEASE_MS, TASK_LEASE_MS)
 
     def remaining_leases(self) -> LeasesLeft:
         return REMAINING_LEASES
 
+    def earlier_leases(self) -> EarlierLeases:
+        return EARLIER_LEASES
+
     def start(self) -> None:
         return
 
@@ -146,8 +151,7 @@
 class ElectorHarness:
     """One candidate for ownership.
 
-    `former_owner_gone` records the `has_former_owner_stopped` that the elector passed each time it
-    gained ownership.
+    `former_owners` records the replaced owner, each time the elector gained ownership.
     """
 
     def __init__(self, store: MemoryStore | None = None, host_id: str = "me") -> None:
@@ -156,7 +160,7 @@
         self.owner = OwnerView(self.clock)
         self.log = RecordingLog()
         self.hub = FakeStreamHub()
-        self.former_owner_gone: list[bool] = []
+        self.former_owners: list[FormerOwner | None] = []
         self.tasks: list[asyncio.Task[None]] = []
         settings = NodeSettings(
             host_id,
@@ -188,11 +192,17 @@
         self.tasks.append(asyncio.create_task(coroutine))
 
     def _make_ownership(
-        self, owner: OwnerRow, version: int, has_former_owner_stopped: bool
+        self, owner: OwnerRow, version: int, former: FormerOwner | None
     ) -> Ownership:
-        self.former_owner_gone.append(has_former_owner_stopped)
+        self.former_owners.append(former)
         return cast(Ownership, FakeOwnership(owner, self.clock.now_ms()))
 
+    def former_owner(self) -> FormerOwner:
+        """Returns the owner that the only takeover so far has replaced."""
+        [former] = self.former_owners
+        assert former is not None
+        return former
+
     async def read_owner(self) -> None:
         """Passes the stored owner row to the elector, as the table follower does."""
         snapshot = (await self.store.read(OWNER_TABLE, 100)).unwrap()
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -48,6 +48,7 @@
     UnusableRow,
 )
 from jacinthreel_node._elector import Elector
+from jacinthreel_node._former_leases import FormerOwner
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._node import (
     HEARTBEAT_PERIOD_MS,
@@ -571,7 +572,9 @@
             case OwnerAnnouncement():
                 self.elector.apply_announcement(message)
 
-    def _make_ownership(self, owner: OwnerRow, version: int, has_stopped: bool) -> Ownership:
+    def _make_ownership(
+        self, owner: OwnerRow, version: int, former: FormerOwner | None
+    ) -> Ownership:
         services = OwnershipServices(
             self.settings,
             self.store,
@@ -589,7 +592,7 @@
             version,
             self.elector.end_ownership,
             lambda: self.elector.is_lease_usable,
-            has_stopped,
+            former,
         )
 
 
--- a/packages/node/tests/relay_harness.py
+++ b/packages/node/tests/relay_harness.py
@@ -24,6 +24,7 @@
     StartCommand,
     StartResponse,
 )
+from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._relays._fleet import ExecutorFleet
@@ -328,7 +329,7 @@
         self.fenced: list[str] = []
         self.gateway = cluster.executors.gateway(f"owner{epoch}")
         self.scheduler = Scheduler(lambda event, fields: self.events.append((event, fields)))
-        self.former_leases = FormerLeases(former_end_ms)
+        self.former_leases = FormerLeases(former_end_ms, max_lease_validity_ms(LEASE_MS))
         self.hello = Hello(f"owner{epoch}", "node", "z")
         self.connections: list[FakeConnection] = []
         context = LinkContext(
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -4,13 +4,21 @@
 
 from typing import Any, cast
 
-from elector_harness import ElectorHarness, FakeOwnership, SlowStore, put_other_owner, run_scenario
+from elector_harness import (
+    EARLIER_LEASES,
+    EarlyFeedStore,
+    ElectorHarness,
+    FakeOwnership,
+    SlowStore,
+    put_other_owner,
+    run_scenario,
+)
 from node_fakes import MemoryStore
 
 from jacinthreel_common import Hello, OwnerHeartbeat, ResultCode
 from jacinthreel_node import Row
 from jacinthreel_node._election import HEARTBEAT_TIMEOUT_MS, LEASE_TIMEOUT_MS, MAX_FRESH_READ_MS
-from jacinthreel_node._ownership import OUTAGE_RENEWAL_LIMIT_MS
+from jacinthreel_node._former_leases import OUTAGE_RENEWAL_LIMIT_MS
 from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE, OwnerRow, encode_record
 
 
@@ -172,7 +180,7 @@
         await harness.check_owner(200)
         assert harness.elector.ownership is not None
         assert harness.elector.ownership.epoch == 2
-        assert harness.former_owner_gone == [False]
+        assert harness.former_owner().has_stopped is False
 
     run_scenario(scenario)
 
@@ -225,7 +233,7 @@
         await harness.read_owner()
         await harness.check_owner()
         assert harness.elector.ownership is not None
-        assert harness.former_owner_gone == [True]
+        assert harness.former_owner().has_stopped
 
     run_scenario(scenario)
 
@@ -299,7 +307,7 @@
         await second.read_owner()
         await second.check_owner()
         assert second.elector.ownership is not None
-        assert second.former_owner_gone == [True]
+        assert second.former_owner().has_stopped
 
     run_scenario(scenario)
 
@@ -321,3 +329,85 @@
         assert not harness.elector.is_lease_usable
 
     run_scenario(scenario)
+
+
+def test_renewals_alone_do_not_keep_an_owner_that_cannot_read_the_owner_row() -> None:
+    # The lease row says nothing about a takeover, and the next owner counts from its takeover.
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        await harness.read_owner()
+        await harness.check_owner()
+        for _ in range(OUTAGE_RENEWAL_LIMIT_MS // 1_000):
+            harness.store.read_faults = [ResultCode.STORE_UNAVAILABLE]
+            harness.elector.renew_lease()
+            await harness.check_owner(1_000)
+            assert harness.elector.lease_age_ms <= 1_000
+        assert harness.elector.is_lease_usable
+        harness.clock.time_ms += 1
+        assert not harness.elector.is_lease_usable
+
+    run_scenario(scenario)
+
+
+def test_owner_that_still_renews_learns_of_its_successor_with_the_next_renewal() -> None:
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        await harness.read_owner()
+        await harness.check_owner()
+        newer = _make_owner_row(harness.store, "third")
+        harness.store.rows[(OWNER_TABLE, OWNER_KEY)] = newer
+        harness.elector.renew_lease()
+        await harness.check_owner()
+        assert harness.elector.ownership is None
+
+    run_scenario(scenario)
+
+
+def test_takeover_counts_from_its_commit_if_the_process_was_paused_before_the_reply() -> None:
+    # Another node may have taken over during the pause, and allows for 12 s of renewals only.
+    async def scenario() -> None:
+        store = EarlyFeedStore()
+        harness = ElectorHarness(store)
+
+        def pause(row: Row) -> None:
+            harness.clock.time_ms += OUTAGE_RENEWAL_LIMIT_MS + 1
+
+        store.feed = pause
+        await harness.read_owner()
+        await harness.check_owner()
+        assert not harness.elector.is_lease_usable
+        harness.elector.renew_lease()
+        assert harness.elector.ownership is None
+
+    run_scenario(scenario)
+
+
+def test_restarted_owner_reads_the_bounds_of_its_earlier_process_before_it_replaces_them() -> None:
+    # Its first renewal overwrites the row in which the earlier process has stored them.
+    async def scenario() -> None:
+        first = ElectorHarness(host_id="other")
+        await first.read_owner()
+        await first.check_owner()
+        second = ElectorHarness(first.store, host_id="other")
+        second.clock.time_ms = 77
+        await second.read_owner()
+        await second.check_owner()
+        former = second.former_owner()
+        assert (former.host_id, former.epoch, former.has_stopped) == ("other", 1, True)
+        assert (former.earlier, former.read_ms) == (EARLIER_LEASES, 77)
+
+    run_scenario(scenario)
+
+
+def test_resignation_stores_the_bounds_of_earlier_owners() -> None:
+    async def scenario() -> None:
+        first = ElectorHarness(host_id="first")
+        await first.read_owner()
+        await first.check_owner()
+        await first.elector.resign()
+        second = ElectorHarness(first.store, host_id="second")
+        await second.read_owner()
+        await second.check_owner()
+        assert second.former_owner().earlier == EARLIER_LEASES
+
+    run_scenario(scenario)
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -20,7 +20,7 @@
     StartResponse,
     _executor_link,
 )
-from jacinthreel_node._executor_exchange import ExecutorClock
+from jacinthreel_node._executor_exchange import ExecutorClock, max_lease_validity_ms
 from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._slow_steps import MAX_PAUSE_MS, SLOW_STEP_MS
@@ -84,7 +84,10 @@
             self.clock,
             1,
             lease_limits,
-            FormerLeases(self.clock.now_ms() + FORMER_LEASE_MS),
+            FormerLeases(
+                self.clock.now_ms() + FORMER_LEASE_MS,
+                max_lease_validity_ms(lease_limits.longest_ms),
+            ),
             lambda: self.may_order,
             self._wait_stored,
             lambda: None,
@@ -387,7 +390,9 @@
 
 def test_handed_over_lease_end_counts_if_it_is_earlier_than_the_longest_lease() -> None:
     async def scenario(harness: LinkHarness) -> None:
-        harness.context.former_leases.apply_response(LeasesLeft({}, 0), harness.clock.now_ms())
+        harness.context.former_leases.apply_response(
+            LeasesLeft({}, 0, True), harness.clock.now_ms()
+        )
         await wait_until(lambda: len(harness.gateway.requests) > 2)
         harness.place_task()
         await fail_requests(harness, LEASES.shortest_ms + 1_000)
@@ -398,7 +403,9 @@
 
 def test_silence_ends_the_runs_of_an_executor_only_after_the_lease_chosen_for_their_work() -> None:
     async def scenario(harness: LinkHarness) -> None:
-        harness.context.former_leases.apply_response(LeasesLeft({}, 0), harness.clock.now_ms())
+        harness.context.former_leases.apply_response(
+            LeasesLeft({}, 0, True), harness.clock.now_ms()
+        )
         await wait_until(lambda: len(harness.gateway.requests) > 2)
         harness.place_task()
         [run] = harness.scheduler.tables.jobs_by_id["j1"].live_runs()
--- a/packages/node/tests/test_former_leases.py
+++ b/packages/node/tests/test_former_leases.py
@@ -6,32 +6,33 @@
 from hypothesis import strategies as st
 
 from jacinthreel_common import LeasesLeft
-from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._former_leases import MAX_STORED_EXECUTORS, FormerLeases, FormerOwner
+from jacinthreel_node._records import EarlierLeases
 
 
 def test_default_end_applies_to_all_executors_without_an_answer() -> None:
-    assert FormerLeases(17_000).end_ms("e1") == 17_000
+    assert FormerLeases(17_000, 5_000).end_ms("e1") == 17_000
 
 
 def test_answer_sets_the_ends_of_listed_executors_and_of_all_others() -> None:
-    leases = FormerLeases(17_000)
-    leases.apply_response(LeasesLeft({"e1": 2_000}, 5_000), 1_000)
+    leases = FormerLeases(17_000, 5_000)
+    leases.apply_response(LeasesLeft({"e1": 2_000}, 5_000, True), 1_000)
     assert (leases.end_ms("e1"), leases.end_ms("e2")) == (3_000, 6_000)
     assert leases.latest_end_ms == 6_000
 
 
 def test_handover_combines_own_lease_ends_with_those_of_former_owners() -> None:
-    leases = FormerLeases(17_000)
-    leases.apply_response(LeasesLeft({"e1": 2_000, "e2": 9_000}, 5_000), 1_000)
+    leases = FormerLeases(17_000, 5_000)
+    leases.apply_response(LeasesLeft({"e1": 2_000, "e2": 9_000}, 5_000, True), 1_000)
     remaining = leases.remaining({"e2": 4_500}, 4_000)
-    assert remaining == LeasesLeft({"e1": 0, "e2": 500}, 2_000)
+    assert remaining == LeasesLeft({"e1": 0, "e2": 500}, 2_000, True)
 
 
 def test_permissions_of_relays_extend_the_default_end_until_they_are_excluded() -> None:
     # Relays go on renewing after the former owner has stopped, also where it answered.
-    leases = FormerLeases(17_000, relay_extension_ms=2_500)
+    leases = FormerLeases(17_000, 5_000, relay_extension_ms=2_500)
     assert leases.end_ms("e1") == 19_500
-    leases.apply_response(LeasesLeft({"e2": 2_000}, 5_000), 1_000)
+    leases.apply_response(LeasesLeft({"e2": 2_000}, 5_000, True), 1_000)
     assert (leases.end_ms("e1"), leases.end_ms("e2")) == (8_500, 3_000)
     leases.exclude_relays()
     assert (leases.end_ms("e1"), leases.latest_end_ms) == (6_000, 6_000)
@@ -41,7 +42,60 @@
 def test_answers_never_extend_a_lease_end(
     others_ms: int, left_ms_by_executor: dict[str, int]
 ) -> None:
-    leases = FormerLeases(17_000)
+    leases = FormerLeases(17_000, 5_000)
     before = {key: leases.end_ms(key) for key in "abcd"}
-    leases.apply_response(LeasesLeft(left_ms_by_executor, others_ms), 500)
+    leases.apply_response(LeasesLeft(left_ms_by_executor, others_ms, True), 500)
     assert all(leases.end_ms(key) <= before[key] for key in before)
+
+
+def make_leases(earlier: EarlierLeases | None, relay_extension_ms: int = 0) -> FormerLeases:
+    """Returns bounds after a takeover at 0, from an owner whose row was read then."""
+    former = FormerOwner("h", 3, True, earlier, 0)
+    return FormerLeases(17_000, 5_000, relay_extension_ms, former)
+
+
+def test_stop_of_the_former_owner_keeps_what_it_was_still_waiting_for() -> None:
+    leases = make_leases(EarlierLeases({"e1": 14_000, "e2": 1_000}, 0))
+    leases.record_stop(0)
+    assert [leases.end_ms(key) for key in ("e1", "e2", "e3")] == [14_000, 5_000, 5_000]
+
+
+def test_stop_without_readable_bounds_of_earlier_owners_lowers_nothing() -> None:
+    leases = make_leases(None)
+    leases.record_stop(0)
+    leases.apply_response(LeasesLeft({}, 5_000), 0)
+    assert leases.end_ms("e1") == 17_000
+
+
+def test_stored_bounds_beyond_the_longest_are_cut() -> None:
+    leases = make_leases(EarlierLeases({"e1": 2**53}, 2**53))
+    leases.record_stop(0)
+    assert (leases.end_ms("e1"), leases.end_ms("e2")) == (17_000, 17_000)
+
+
+def test_relays_of_a_stopped_owner_renew_beyond_its_end() -> None:
+    leases = make_leases(EarlierLeases({"e1": 1_000}, 0), relay_extension_ms=2_500)
+    leases.record_stop(0)
+    assert (leases.end_ms("e1"), leases.end_ms("e2")) == (7_500, 7_500)
+
+
+def test_executor_that_answers_holds_no_lease_beyond_the_longest_one() -> None:
+    leases = FormerLeases(17_000, 5_000)
+    leases.record_answer("e1", 2_000)
+    leases.record_answer("e1", 9_000)
+    assert (leases.end_ms("e1"), leases.end_ms("e2")) == (7_000, 17_000)
+
+
+def test_bounds_are_stored_for_executors_that_have_not_answered() -> None:
+    leases = FormerLeases(17_000, 5_000)
+    leases.record_answer("e1", 2_000)
+    assert leases.remaining_of_earlier_owners(None, 2_000) == EarlierLeases({}, 15_000)
+    stored = leases.remaining_of_earlier_owners(["e1", "e2"], 2_000)
+    assert stored == EarlierLeases({"e2": 15_000}, 0)
+    assert leases.remaining_of_earlier_owners(["e2"], 17_000) == EarlierLeases({}, 0)
+
+
+def test_one_bound_is_stored_if_many_executors_have_not_answered() -> None:
+    leases = FormerLeases(17_000, 5_000)
+    executor_ids = [f"e{index}" for index in range(MAX_STORED_EXECUTORS + 1)]
+    assert leases.remaining_of_earlier_owners(executor_ids, 2_000) == EarlierLeases({}, 15_000)
--- a/packages/node/tests/test_lease_handover.py
+++ b/packages/node/tests/test_lease_handover.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 from elector_harness import (
+    MAX_FORMER_LEASE_MS,
     REMAINING_LEASES,
     TASK_LEASE_MS,
     EarlyFeedStore,
@@ -147,7 +148,9 @@
         assert convert(LeasesLeft, reply.body).unwrap() == REMAINING_LEASES
         harness.clock.time_ms += 1_000
         later = harness.elector.serve_lease_query(LeaseQuery(1, 2))
-        assert convert(LeasesLeft, later.body).unwrap() == LeasesLeft({"e1": 2_000, "e2": 0}, 8_000)
+        assert convert(LeasesLeft, later.body).unwrap() == LeasesLeft(
+            {"e1": 2_000, "e2": 0}, 8_000, True
+        )
 
     run_scenario(scenario)
 
@@ -158,6 +161,7 @@
     reply = harness.elector.serve_lease_query(LeaseQuery(1, 2))
     leases = convert(LeasesLeft, reply.body).unwrap()
     assert not leases.left_ms_by_executor
+    assert not leases.covers_earlier_owners
     assert TASK_LEASE_MS < leases.others_ms < 2 * TASK_LEASE_MS
 
 
@@ -182,3 +186,21 @@
         assert harness.elector.ownership is not None
 
     run_scenario(scenario)
+
+
+def test_answer_of_a_replaced_process_keeps_the_bounds_of_the_owners_before() -> None:
+    # Only the lost process knew what the owner before it still protected.
+    async def scenario() -> None:
+        harness = ElectorHarness()
+        put_other_owner(harness.store, epoch=4)
+        await harness.read_owner()
+        replaced = ElectorHarness(host_id="other").elector.serve_lease_query(LeaseQuery(4, 5))
+        harness.hub.replies = [Success(replaced)]
+        await harness.check_owner()
+        await harness.check_owner(LEASE_TIMEOUT_MS)
+        ownership = harness.elector.ownership
+        assert ownership is not None
+        now_ms = harness.clock.now_ms()
+        assert ownership.former_leases.end_ms("e1") == now_ms + MAX_FORMER_LEASE_MS
+
+    run_scenario(scenario)
--- a/packages/node/tests/test_ownership_machine.py
+++ b/packages/node/tests/test_ownership_machine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+from dataclasses import dataclass
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -23,13 +24,14 @@
 from jacinthreel_node import RowWrite
 from jacinthreel_steps import JobState
 
-HOSTS = ("1", "2")
+HOSTS = ("1", "2", "3")
 RATES = {"e1": 0.98, "e2": 1.0, "e3": 1.02}
 MAX_JOBS = 8
 SETTLE_MS = 150_000  # Covers the longest leases, all work and a few restarts of it.
 HOST = st.sampled_from(HOSTS)
 EXECUTOR = st.sampled_from(sorted(RATES))
 PARTY = st.sampled_from(["store", *RATES, *HOSTS])
+CUT = LinkFault(loses_requests=True, loses_replies=True)
 FAULT = st.builds(
     LinkFault,
     loses_requests=st.booleans(),
@@ -38,8 +40,25 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EndOfOwner:
+    """How an owner ends: `after_ms` from now, with its process down for `down_ms`."""
+
+    after_ms: int
+    resigns: bool
+    down_ms: int
+
+
+END_OF_OWNER = st.builds(
+    EndOfOwner,
+    after_ms=st.sampled_from([1_900, 2_500, 4_000]),
+    resigns=st.booleans(),
+    down_ms=st.sampled_from([300, 1_500]),
+)
+
+
 class OwnershipMachine(RuleBasedStateMachine):
-    """Two nodes and three executors; each rule starts a fault or ends one."""
+    """Three nodes and three executors; each rule starts a fault or ends one."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -106,12 +125,46 @@
         self.world.faults[(host, party)] = fault
         self.world.advance(100)
 
-    @rule(executor_id=EXECUTOR, hosts=st.sampled_from([("1",), ("2",), HOSTS, HOSTS]))
+    @rule(executor_id=EXECUTOR, hosts=st.sampled_from([("1",), ("2",), ("3",), HOSTS, HOSTS]))
     def cut_off_executor(self, executor_id: str, hosts: tuple[str, ...]) -> None:
         for host in hosts:
             self.world.faults[(host, executor_id)] = LinkFault(loses_requests=True)
         self.world.advance(100)
 
+    @rule(ends=st.lists(END_OF_OWNER, max_size=3), wait_ms=st.sampled_from([0, 4_000, 12_000]))
+    def end_owners_behind_partition(self, ends: list[EndOfOwner], wait_ms: int) -> None:
+        """Partitions the owner and an executor from all others, and ends its successors in turn.
+
+        The first owner goes on renewing leases at the executor, which has a run if any has.
+        """
+        owner = self._owner()
+        if owner is None:
+            return
+        executor_id = min(self.world.running_on.values(), default="e1")
+        others = {"store", *RATES, *HOSTS} - {executor_id, owner.host_id}
+        for party in others:
+            self.world.faults[(owner.host_id, party)] = CUT
+        for host in others & set(HOSTS):
+            self.world.faults[(host, executor_id)] = CUT
+        for end in ends:
+            self.world.advance(end.after_ms)
+            self._replace_owner(end)
+        self.world.advance(wait_ms)
+
+    @rule(end=END_OF_OWNER)
+    def replace_owner(self, end: EndOfOwner) -> None:
+        self._replace_owner(end)
+
+    def _replace_owner(self, end: EndOfOwner) -> None:
+        """Restarts the process of the owner that the store names, or lets it resign before."""
+        owner = self._owner()
+        if owner is None:
+            return
+        if end.resigns:
+            owner.resign()
+            self.world.advance(200)
+        self.restart_node(owner.host_id, end.down_ms)
+
     @rule(delay_ms=st.sampled_from([400, 900, 2_000]))
     def slow_down_store(self, delay_ms: int) -> None:
         for host in HOSTS:
@@ -199,6 +252,13 @@
         states = {job_id: ownership.job_state(job_id) for job_id in self.world.accepted_job_ids}
         assert set(states.values()) <= {JobState.COMPLETED}, states
 
+    def _owner(self) -> Node | None:
+        """Returns the node that the owner row names, if it is running and owns the jobs."""
+        row = self.world.owner_row()
+        node = self.world.nodes.get(row.host_id) if row is not None else None
+        is_owner = node is not None and node.is_alive and node.elector.ownership is not None
+        return node if is_owner else None
+
     def _kill(self, host: str) -> None:
         node = self.world.nodes.get(host)
         if node is not None and node.is_alive:
@@ -219,3 +279,12 @@
             suppress_health_check=list(HealthCheck),
         ),
     )
+
+
+def test_kept_history_of_a_restarted_owner_that_forgot_the_one_before() -> None:
+    # Shrunk from a random history: the task ran on the partitioned executor and elsewhere at once.
+    machine = OwnershipMachine()
+    machine.start(0)
+    machine.end_owners_behind_partition([EndOfOwner(1_900, False, 300)], 12_000)
+    machine.no_violation()
+    machine.teardown()
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -103,6 +103,11 @@
     value: bytes
     version: int
 
+    def executor_ids(self) -> set[str]:
+        """Returns the executors on which the row has runs; none if it is unreadable."""
+        row = decode_progress(self.value)
+        return {executor_id for executor_id, _ in row.executors} if row is not None else set()
+
 
 class Scheduler:
     """Schedules all jobs of one shard.
@@ -263,6 +268,15 @@
         if not executor.is_listed and not executor.has_unreadable_entry:
             del self.tables.executors_by_id[executor_id]
 
+    def recovered_executor_ids(self) -> set[str]:
+        """Returns the executors with runs of earlier owners that no report has shown yet."""
+        executor_ids: set[str] = set()
+        for job in self.tables.jobs_by_id.values():
+            for run in job.live_runs():
+                if run.is_recovered:
+                    executor_ids.add(run.executor_id)
+        return executor_ids
+
     def expire_orphans(self, lease_end_ms: Callable[[str], int], now_ms: int) -> None:
         """Ends recovered runs whose executor has not been listed again.
 
