Router and scheduler go on following the host list after one odd entry

Cause: the reply was decoded as a whole, and strictly. One entry with a field of another type, a field that no type names, a number beyond 64 bits or deep nesting made it invalid, and the list was never applied again. A port out of range was applied and failed at each connection.

Change: entries are decoded one by one. A host whose entry can't be read stays as last listed until the entry is mended or gone.

--- a/packages/daemon/src/jacinthreel_daemon/_host_list.py
+++ b/packages/daemon/src/jacinthreel_daemon/_host_list.py
@@ -1,7 +1,8 @@
 """Polls the platform's host list.
 
 Each poll sends the revision of the current list, so that the reply for an unchanged list is only
-a few bytes long.  While polls fail, the last list remains in use.
+a few bytes long.  While polls fail, the last list remains in use.  A host whose entry can't be read
+stays as it was last listed, until its entry can be read again or is gone.
 """
 
 from __future__ import annotations
@@ -11,7 +12,8 @@
 
 from returns.result import Failure, Success
 
-from jacinthreel_common import Fault, Host, HostKind, HostListReply, decode_json
+from jacinthreel_common import Fault, Host, HostKind
+from jacinthreel_daemon._host_entries import DecodedHostList, UnreadableHost, decode_host_list
 from jacinthreel_daemon._http_pool import HttpFailure, HttpPool, HttpReply
 
 HOST_POLL_MS: Final = 1_000
@@ -64,17 +66,30 @@
                 self._record_failure(detail)
 
     def _apply_reply(self, body: bytes) -> None:
-        match decode_json(HostListReply, body):
+        match decode_host_list(body):
             case Failure(Fault(detail=detail)):
                 self._record_failure(f"invalid reply: {detail}")
-            case Success(HostListReply(revision=revision, hosts=hosts)):
+            case Success(DecodedHostList() as decoded):
                 self._failures = 0
-                if revision == self._revision:
-                    return
-                self._revision = revision
-                self._hosts_by_id = {host.host_id: host for host in hosts}
-                for callback in self._callbacks:
-                    callback(hosts)
+                if decoded.revision != self._revision:
+                    self._apply_list(decoded)
+
+    def _apply_list(self, decoded: DecodedHostList) -> None:
+        self._revision = decoded.revision
+        hosts_by_id = {host.host_id: host for host in decoded.hosts}
+        for entry in decoded.unreadable:
+            self._keep_last(entry, hosts_by_id)
+        self._hosts_by_id = hosts_by_id
+        for callback in self._callbacks:
+            callback(list(hosts_by_id.values()))
+
+    def _keep_last(self, entry: UnreadableHost, hosts_by_id: dict[str, Host]) -> None:
+        """Keeps a host with an unreadable entry as it was last listed, if it was."""
+        last = self._hosts_by_id.get(entry.host_id)
+        if last is not None:
+            hosts_by_id.setdefault(entry.host_id, last)
+        fields = {"host": entry.host_id, "known": last is not None, "reason": entry.reason}
+        self._log("host_entry_unreadable", fields)
 
     def _record_failure(self, detail: str) -> None:
         self._failures += 1
