Only a report of an executor shows that it has restarted, not its entry

Cause: an entry with a start time that is too large counted as a restart of the executor. Its runs were given up and started elsewhere while they ran, and its reports were ignored for good, also after the entry was right again, because they named an earlier start time.

Change: an entry that names a later incarnation keeps new runs away until the executor has reported. A report is ignored only if an earlier report named a later incarnation. As the link may now learn of a restart later than of the entry, it renews no lease in between, and after a restart it allows for the longest lease: one requested by the clock of the earlier process may last that long.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -18,7 +18,7 @@
 
 from jacinthreel_common import Fault, ResultCode
 from jacinthreel_daemon.plumbing import Clock
-from jacinthreel_node._executor_exchange import ExecutorExchange
+from jacinthreel_node._executor_exchange import ExecutorExchange, max_lease_validity_ms
 from jacinthreel_node._former_leases import FormerLeases
 from jacinthreel_node._ports import (
     ExecutorGateway,
@@ -89,7 +89,8 @@
 class ExecutorLink:
     """The connection to one executor during one ownership.
 
-    `bound_ms` is the local time by which leases that relays granted there have certainly ended.
+    `bound_ms` is the local time by which leases that relays granted there have certainly ended, and
+    those that were requested by the clock of an earlier incarnation.
     """
 
     def __init__(self, context: LinkContext, executor_id: str, bound_ms: int = 0) -> None:
@@ -170,7 +171,7 @@
         request = ReportRequest(
             context.epoch,
             acknowledged_upto,
-            self._lease_until_ms(executor) if self._may_renew() else None,
+            self._lease_until_ms(executor) if self._may_renew(executor) else None,
             0 if is_urgent else REPORT_WAIT_MS,
         )
         requested_listing = executor.listing
@@ -189,13 +190,22 @@
                 self._expire_unreachable(executor)
         return False
 
-    def _may_renew(self) -> bool:
-        return not self._exchange.is_unreachable and self._context.may_order()
+    def _may_renew(self, executor: Executor) -> bool:
+        """Whether a request may renew leases; not while another incarnation is listed.
+
+        Its clock has begun anew, so that a lease by the earlier clock would last too long.
+        """
+        is_known = executor.has_reported and not self._exchange.is_unreachable
+        return is_known and self._context.may_order()
 
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
         context.former_leases.record_answer(self._executor_id, now_ms)
+        if self._exchange.has_restarted(response):
+            # A lease end by the clock of the earlier incarnation is later by that of the new one.
+            longest_ms = max_lease_validity_ms(context.lease_limits.longest_ms)
+            self._bound_ms = max(self._bound_ms, now_ms + longest_ms)
         if self._exchange.record_response(response, now_ms):
             context.log("executor_regained", {"executor": self._executor_id})
         fields = {"running": len(response.running), "ended": len(response.ended)}
@@ -268,7 +278,7 @@
         fields = {
             "executor": self._executor_id,
             "own_ended_ms_ago": now_ms - self._own_lease_end_ms(former_end_ms),
-            "relays_ended_ms_ago": now_ms - self._bound_ms,
+            "others_ended_ms_ago": now_ms - self._bound_ms,
             "former_ended_ms_ago": now_ms - former_end_ms,
             "former_source": former_leases.source_of(self._executor_id),
             "response_age_ms": self._exchange.response_age_ms(now_ms),
@@ -320,7 +330,7 @@
             outcome = StartOutcome.REFUSED_UNHEALTHY
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
-        until_ms = self._lease_until_ms(executor, run)
+        until_ms = self._lease_until_ms(executor, run) if executor.has_reported else None
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
             return
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -309,7 +309,7 @@
         fields = {
             "executor": link.executor_id,
             "own_ended_ms_ago": now_ms - self._current_bound_ms(link),
-            "relays_ended_ms_ago": now_ms - link.bound_ms,
+            "others_ended_ms_ago": now_ms - link.bound_ms,
             "former_ended_ms_ago": now_ms - former_leases.end_ms(link.executor_id),
             "former_source": former_leases.source_of(link.executor_id),
         }
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -68,6 +68,7 @@
         self.may_order = True
         self.replies_to_acknowledgements = True
         self.is_replaced = False
+        self.incarnation = 1
         self.commits_until_stored = 0
         self.request_count_when_listed: int | None = None
         self.on_report: Callable[[], None] = lambda: None
@@ -113,11 +114,13 @@
             request.acknowledged_upto and not self.replies_to_acknowledgements
         ):
             return Failure(Fault(ResultCode.WORKER_UNREACHABLE, "no reply"))
-        executor_time_ms = self.clock.now_ms() - 900_000
+        executor_time_ms = self.clock.now_ms() - 900_000 - 50_000 * (self.incarnation - 1)
         self.ends = [end for end in self.ends if end.sequence > request.acknowledged_upto]
         if self.ends and self.request_count_when_listed is None:
             self.request_count_when_listed = len(self.gateway.requests)
-        return Success(ReportResponse(executor_time_ms, 1, self.running, tuple(self.ends)))
+        return Success(
+            ReportResponse(executor_time_ms, self.incarnation, self.running, tuple(self.ends))
+        )
 
     def place_task(self) -> None:
         terms = QueueTerms("q", "s", 1, 3, 3.0, 1_000)
@@ -425,6 +428,41 @@
     run_scenario(LinkHarness(lease_limits=LEASES), scenario)
 
 
+def test_lease_requested_by_the_clock_of_an_earlier_incarnation_may_last_for_the_longest() -> None:
+    # The restarted executor's clock began anew, so that it cut the lease to the longest one only.
+    async def scenario(harness: LinkHarness) -> None:
+        harness.context.former_leases.apply_response(
+            LeasesLeft({}, 0, True), harness.clock.now_ms()
+        )
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.incarnation = 2
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 2)
+        harness.place_task()
+        await fail_requests(harness, LEASES.shortest_ms + 1_000)
+        assert harness.held_run_count == 1
+        await fail_requests(harness, LEASES.longest_ms - LEASES.shortest_ms)
+        assert harness.held_run_count == 0
+
+    run_scenario(LinkHarness(lease_limits=LEASES), scenario)
+
+
+def test_no_lease_is_renewed_while_another_incarnation_is_listed() -> None:
+    # It would be requested by the clock of the earlier one, and the entry may be wrong as well.
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        harness.scheduler.apply_listing(replace(LISTING, incarnation=9), harness.clock.now_ms())
+        assert harness.held_run_count == 1
+        executor = harness.scheduler.tables.executors_by_id["e1"]
+        assert not harness.link._may_renew(executor)
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 1)
+        assert harness.link._may_renew(executor)  # It has reported that it hasn't restarted.
+
+    run_scenario(LinkHarness(), scenario)
+
+
 async def fail_requests(harness: LinkHarness, duration_ms: int) -> None:
     """Advances the clock while the executor is unreachable, and waits for two requests to fail."""
     harness.is_reachable = False
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
@@ -1,8 +1,9 @@
 """The executors as the registry lists them: new, changed, removed and restarted ones.
 
 An executor that restarts becomes another incarnation: the runs of the earlier one have ended, and
-its ends are numbered anew.  Runs that were restored from storage before their executor was listed
-are kept until it is.
+its ends are numbered anew.  Only a report shows that it has restarted, because its entry may be by
+another writer; an entry that names a later incarnation only keeps new runs away until then.  Runs
+that were restored from storage before their executor was listed are kept until it is.
 """
 
 from __future__ import annotations
@@ -34,13 +35,30 @@
         is_new = not executor.is_listed or listing.incarnation > executor.listing.incarnation
         executor.is_listed = True
         executor.has_unreadable_entry = False
-        if listing.incarnation > executor.listing.incarnation:
-            self.begin_incarnation(executor, listing, now_ms)
-        elif listing.incarnation == executor.listing.incarnation:
-            executor.listing = listing
+        self._update_listing(executor, listing)
         self._update_earliest_shutdown(executor, now_ms)
         return is_new
 
+    def _update_listing(self, executor: Executor, listing: ExecutorListing) -> None:
+        """Replaces the entry of a known executor, unless it is of an older incarnation."""
+        if listing.incarnation < executor.reported_incarnation:
+            return
+        if listing.incarnation > executor.reported_incarnation > 0:
+            executor.has_reported = False
+            listing = replace(listing, incarnation=executor.reported_incarnation)
+        executor.listing = listing
+
+    def apply_reported_incarnation(self, executor: Executor, incarnation: int, now_ms: int) -> bool:
+        """Applies the incarnation of a report; returns false if the report is of an older one."""
+        if incarnation < executor.reported_incarnation:
+            return False
+        if incarnation > executor.listing.incarnation:
+            self._begin_incarnation(executor, incarnation, now_ms)
+        elif incarnation < executor.listing.incarnation:
+            executor.listing = replace(executor.listing, incarnation=incarnation)
+        executor.reported_incarnation = incarnation
+        return True
+
     def remove_listing(self, executor_id: str) -> bool:
         """Marks an executor as removed from the registry; its runs may continue for a while.
 
@@ -83,17 +101,11 @@
                 executor.add_run(run)
         self._end_runs_of_older_incarnations(executor, now_ms)
 
-    def begin_incarnation(
-        self,
-        executor: Executor,
-        listing: ExecutorListing,
-        now_ms: int,
-        incarnation: int | None = None,
-    ) -> None:
+    def _begin_incarnation(self, executor: Executor, incarnation: int, now_ms: int) -> None:
         """Resets the state of an executor that has restarted; its earlier runs have ended."""
         has_left = executor.listing.is_draining
         record_loss(self._context, executor, "executor restarted", now_ms)
-        executor.listing = replace(listing, incarnation=incarnation or listing.incarnation)
+        executor.listing = replace(executor.listing, incarnation=incarnation)
         executor.applied_end_sequence = 0
         executor.acknowledged_upto = 0
         executor.pending_ends.clear()
--- a/packages/steps/src/jacinthreel_steps/_runs/_starts.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_starts.py
@@ -51,7 +51,7 @@
     if run.state is not RunState.STARTING:
         return
     executor = context.tables.executors_by_id[run.executor_id]
-    has_restarted = executor.listing.incarnation != run.incarnation
+    has_restarted = not executor.has_reported or executor.listing.incarnation != run.incarnation
     if now_ms - run.placed_ms < START_RETRY_LIMIT_MS and not has_restarted:
         context.orders.starts.append(run)
         return
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -293,10 +293,10 @@
     def apply_report(self, executor_id: str, report: ExecutorReport, now_ms: int) -> None:
         """Applies an executor's report; reports of older incarnations are ignored."""
         executor = self.tables.executors_by_id.get(executor_id)
-        if executor is None or report.incarnation < executor.listing.incarnation:
+        if executor is None:
+            return
+        if not self._registry.apply_reported_incarnation(executor, report.incarnation, now_ms):
             return
-        if report.incarnation > executor.listing.incarnation:
-            self._registry.begin_incarnation(executor, executor.listing, now_ms, report.incarnation)
         apply_report(self._context, executor, report, now_ms)
         for reported in report.running:
             job = self.tables.jobs_by_id.get(reported.run_id.task.job_id)
