--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -23,7 +23,6 @@
     DecisionLog,
     Orders,
     StopOrder,
-    run_name,
 )
 from jacinthreel_steps._executors._crash_evidence import clear_survivors, is_suspect
 from jacinthreel_steps._executors._executor_registry import ExecutorRegistry
@@ -39,8 +38,6 @@
     JobState,
     Policy,
     StartOutcome,
-    StopCause,
-    StopReason,
 )
 from jacinthreel_steps._planning._fragmentation import sample_fragmentation
 from jacinthreel_steps._planning._placement import find_usable_executors
@@ -55,8 +52,6 @@
     count_attached_run,
     end_run,
     finish_job,
-    stop_gang,
-    stop_run,
 )
 from jacinthreel_steps._runs._progress_rows import (
     decode_progress,
@@ -69,6 +64,7 @@
     end_lost_runs,
 )
 from jacinthreel_steps._runs._stalls import stop_stalled_runs
+from jacinthreel_steps._runs._start_orders import order_stored_starts
 from jacinthreel_steps._runs._starts import (
     abandon_overdue_starts,
     confirm_start,
@@ -76,8 +72,8 @@
     handle_unanswered_start,
     mark_begun,
 )
-from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables, make_job
-from jacinthreel_steps._workspaces._quotas import count_admitted, exceeds_quota
+from jacinthreel_steps._tables import Job, Run, RunState, Tables, make_job
+from jacinthreel_steps._workspaces._quotas import count_admitted
 from jacinthreel_steps._workspaces._summary import WorkspaceSummary, summarize_workspaces
 from jacinthreel_steps._workspaces._usage import WorkspaceUsage
 
@@ -148,7 +144,7 @@
             return False
         if known is not None and (known.state.is_final or is_same_submission(known, record)):
             accept_announced(self._context, known, record, accepted_ms)
-            self._order_stored_starts(known, now_ms)
+            order_stored_starts(self._context, known, now_ms)
             return True
         if known is not None:
             job = replace_announced(self._context, known, record, accepted_ms, now_ms)
@@ -397,19 +393,7 @@
             self._show_state(job, now_ms)
         elif job.visible_state is JobState.QUEUED:
             job.visible_state = JobState.RUNNING
-        self._order_stored_starts(job, now_ms)
-
-    def _order_stored_starts(self, job: Job, now_ms: int) -> None:
-        """Orders the starts whose placement is stored, if the acceptance of the job is too."""
-        if job.announced_ms is not None:
-            return
-        for step in job.steps:
-            for task in step.tasks:
-                run = task.run
-                if run is None or run.state is not RunState.PLACED:
-                    continue
-                if run.needed_revision <= job.stored_revision:
-                    self._order_start(job, step, run, now_ms)
+        order_stored_starts(self._context, job, now_ms)
 
     def _show_state(self, job: Job, now_ms: int) -> None:
         """Makes the stored state visible to callers; logs when they can see that the job ended."""
@@ -419,43 +403,6 @@
             fields = {"job_id": job.job_id, "age_ms": now_ms - job.accepted_ms}
             self._context.log("job_end_stored", fields)
 
-    def _order_start(self, job: Job, step: Step, run: Run, now_ms: int) -> None:
-        """Orders the start of a placed run, or withdraws it if it doesn't fit any more.
-
-        The quota or the capacity of the executor may have been lowered since it was placed.
-        """
-        reason = self._withdrawal_reason(job, run, now_ms)
-        if reason:
-            fields = {
-                "job_id": job.job_id,
-                "run": run_name(run.run_id),
-                "reason": reason,
-                "executor": run.executor_id,
-                "workspace": job.record.workspace,
-                "policy_version": self.tables.policy.version,
-            }
-            self._context.log("placement_withdrawn", fields)
-            withdrawn = StopReason(StopCause.WITHDRAWN, reason)
-            if step.spec.is_gang:
-                stop_gang(self._context, step, run.run_id.number, withdrawn, now_ms)
-            else:
-                stop_run(self._context, run, withdrawn, now_ms)
-            return
-        run.state = RunState.STARTING
-        run.placed_ms = now_ms
-        self._context.orders.starts.append(run)
-
-    def _withdrawal_reason(self, job: Job, run: Run, now_ms: int) -> str:
-        """Returns why a placed run must not start, "" if it may."""
-        if exceeds_quota(self._context, job.record.workspace, run.shape):
-            return "quota"
-        executor = self.tables.executors_by_id.get(run.executor_id)
-        if executor is None:
-            return ""
-        if executor.exceeds_capacity():
-            return "capacity"
-        return "registry" if self.tables.is_capacity_outdated(executor, now_ms) else ""
-
     def acknowledged_upto(self, executor_id: str) -> int:
         """Returns the sequence number up to which the executor may discard its ends."""
         return advance_acknowledged_ends(self._context, self.tables.executors_by_id[executor_id])
