Leases that end runs: one log line for links and relays, gauges, and explain finds them

leases_expired now names the runs, for direct links and for relays, so that `jacinthreel explain JOB` leads from a lost run to the bounds that had passed. Runs whose executor isn't listed again are logged as lost as well. Gauges show how long executors out of reach may hold leases of earlier owners, and how many have not answered.

--- a/packages/cli/src/jacinthreel_cli/_explain.py
+++ b/packages/cli/src/jacinthreel_cli/_explain.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import Final
 
 from jacinthreel_cli._exit import CommandError, ExitStatus
 from jacinthreel_cli._job_history import JobHistory, read_histories
 from jacinthreel_cli._log_lines import LogLine, read_lines
 from jacinthreel_common import Fault, ResultCode
 
+RUN_LISTS: Final = ("stopped", "runs")
+"""Fields that list runs: those that were stopped, and those that were lost with an executor."""
+
 
 def explain(job_id: str, files: list[Path] | None = None) -> None:
     """Prints the log lines that concern a job, in order of time, and what delayed it.
@@ -56,10 +60,13 @@
 
 
 def _concerns_job(line: LogLine, job_id: str) -> bool:
-    """Whether the line has the job id, a path that ends with it, or stopped runs of the job."""
+    """Whether the line has the job id, a path that ends with it, or lists runs of the job."""
     if line.job_id == job_id:
         return True
     if line.text("path").endswith(job_id):
         return True
-    stopped = line.fields.get("stopped")
-    return isinstance(stopped, list) and any(str(run).startswith(f"{job_id}.") for run in stopped)
+    for name in RUN_LISTS:
+        runs = line.fields.get(name)
+        if isinstance(runs, list) and any(str(run).startswith(f"{job_id}.") for run in runs):
+            return True
+    return False
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -21,6 +21,8 @@
     "a line of another program",
     '{"time": "2026-01-01T00:00:03", "event": "room_claimed", "host": "front-b", '
     f'"job_id": "00000000000000bb", "stopped": ["{JOB}.0.1#1"]}}',
+    '{"time": "2026-01-01T00:00:05", "event": "leases_expired", "host": "front-b", '
+    f'"executor": "i-1", "runs": ["00000000000000bb.0.0#1", "{JOB}.0.2#1"]}}',
     '{"time": "2026-01-01T00:00:02", "event": "job_accepted", "host": "front-a", '
     '"job_id": "00000000000000cc"}',
     f'{{"time": "2026-01-01T00:00:00", "event": "call_refused", "path": "/q/{JOB}"}}',
@@ -36,7 +38,7 @@
 
     *lines, conclusion = _output(capsys)
     events = [line.split()[1 if "front" not in line else 2] for line in lines]
-    assert events == ["call_refused", "job_accepted", "room_claimed", "job_ended"]
+    assert events == ["call_refused", "job_accepted", "room_claimed", "leases_expired", "job_ended"]
     assert conclusion == "failed; core-seconds lost: none"
 
 
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -20,6 +20,7 @@
 from jacinthreel_daemon.plumbing import Clock
 from jacinthreel_node._executor_exchange import ExecutorExchange, max_lease_validity_ms
 from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._lease_expiry import ExpiredLeases, log_expiry
 from jacinthreel_node._ports import (
     ExecutorGateway,
     ExecutorTarget,
@@ -266,25 +267,12 @@
         now_ms = self._context.clock.now_ms()
         if now_ms < self.lease_end_ms() or not (executor.runs_by_task or not executor.is_listed):
             return
-        if executor.runs_by_task:
-            self._log_expiry(now_ms)
+        former_end_ms = self._context.former_leases.end_ms(self._executor_id)
+        expired = ExpiredLeases(executor, self._own_lease_end_ms(former_end_ms), self._bound_ms)
+        log_expiry(expired, self._context.former_leases, now_ms, self._context.log)
         self._context.scheduler.expire_executor(self._executor_id, "lease expired", now_ms)
         self._context.request_plan()
 
-    def _log_expiry(self, now_ms: int) -> None:
-        """Logs the bounds that have passed before the runs of the executor are taken as ended."""
-        former_leases = self._context.former_leases
-        former_end_ms = former_leases.end_ms(self._executor_id)
-        fields = {
-            "executor": self._executor_id,
-            "own_ended_ms_ago": now_ms - self._own_lease_end_ms(former_end_ms),
-            "others_ended_ms_ago": now_ms - self._bound_ms,
-            "former_ended_ms_ago": now_ms - former_end_ms,
-            "former_source": former_leases.source_of(self._executor_id),
-            "response_age_ms": self._exchange.response_age_ms(now_ms),
-        }
-        self._context.log("leases_expired", fields)
-
     def _end_replaced_runs(self, executor: Executor, requested_listing: ExecutorListing) -> None:
         """Ends the executor's runs, because another executor process responds at its address.
 
--- a/packages/node/src/jacinthreel_node/_gauges.py
+++ b/packages/node/src/jacinthreel_node/_gauges.py
@@ -28,6 +28,7 @@
     long_leases = slow = run_time_queues = 0
     ready_relays = relayed = direct = 0
     suspects = 0
+    former_wait_ms = unanswered = 0
     if ownership is not None:
         long_leases = ownership.long_lease_count
         tables = ownership.scheduler.tables
@@ -43,6 +44,8 @@
         relayed = ownership.fleet.relays.assigned_count
         direct = ownership.fleet.direct_count
         suspects = ownership.scheduler.suspect_count
+        former_wait_ms = ownership.former_leases.wait_ms(now_ms)
+        unanswered = len(ownership.earlier_leases().left_ms_by_executor)
     workspace_gauges.set_all(
         ownership.scheduler.workspace_summaries() if ownership is not None else []
     )
@@ -57,6 +60,8 @@
     metrics.gauge("executors_heard", responsive)
     metrics.gauge("executors_long_lease", long_leases)
     metrics.gauge("executors_slow", slow)
+    metrics.gauge("former_leases_wait_ms", former_wait_ms)
+    metrics.gauge("executors_unanswered", unanswered)
     metrics.gauge("tasks_suspected", suspects)
     metrics.gauge("run_time_queues", run_time_queues)
 
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -21,6 +21,7 @@
     max_lease_validity_ms,
 )
 from jacinthreel_node._executor_link import LinkContext, lease_ms_of
+from jacinthreel_node._lease_expiry import ExpiredLeases, log_expiry
 from jacinthreel_node._relays._assignment import (
     AssignedExecutor,
     RelayCandidate,
@@ -298,23 +299,11 @@
     def _expire_if_due(self, link: _RelayedLink, executor: Executor, now_ms: int) -> None:
         if now_ms < self.lease_end_ms(link.executor_id):
             return
-        if executor.runs_by_task:
-            self._log_expiry(link, now_ms)
+        expired = ExpiredLeases(executor, self._current_bound_ms(link), link.bound_ms)
+        log_expiry(expired, self._context.former_leases, now_ms, self._context.log)
         self._context.scheduler.expire_executor(link.executor_id, "lease expired", now_ms)
         self._context.request_plan()
 
-    def _log_expiry(self, link: _RelayedLink, now_ms: int) -> None:
-        """Logs the bounds that have passed before the runs of the executor are taken as ended."""
-        former_leases = self._context.former_leases
-        fields = {
-            "executor": link.executor_id,
-            "own_ended_ms_ago": now_ms - self._current_bound_ms(link),
-            "others_ended_ms_ago": now_ms - link.bound_ms,
-            "former_ended_ms_ago": now_ms - former_leases.end_ms(link.executor_id),
-            "former_source": former_leases.source_of(link.executor_id),
-        }
-        self._context.log("leases_expired", fields)
-
     def _release_unreached(
         self, link: _RelayedLink, session: OwnerRelaySession, now_ms: int
     ) -> None:
@@ -494,6 +483,7 @@
         if report.contact > link.contact:
             link.bound_ms = max(link.bound_ms, self._current_bound_ms(link))
             link.contact = report.contact
+        self._allow_for_restart(link, report.incarnation, now_ms)
         running = tuple(decode_running(entry) for entry in report.running)
         ended = tuple(decode_end(entry) for entry in report.ended)
         self._context.scheduler.apply_report(
@@ -589,6 +579,17 @@
         now_ms = self._context.clock.now_ms()
         self.message_count += session.flush(now_ms, self._context.may_order())
 
+    def _allow_for_restart(self, link: _RelayedLink, incarnation: int, now_ms: int) -> None:
+        """Allows for leases that the relay requested by the clock of an earlier incarnation.
+
+        The restarted executor's clock has begun anew, so that they last for the longest at most.
+        """
+        executor = self._find_executor(link.executor_id)
+        if executor is None or executor.reported_incarnation in (0, incarnation):
+            return
+        longest_ms = max_lease_validity_ms(self._context.lease_limits.longest_ms)
+        link.bound_ms = max(link.bound_ms, now_ms + longest_ms)
+
     def _find_link(self, session: OwnerRelaySession, slot: int) -> _RelayedLink | None:
         executor_id = session.executor_by_slot.get(slot)
         return self._links[executor_id] if executor_id is not None else None
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -31,7 +31,6 @@
 from jacinthreel_steps._executors._run_times import predict_run_times, update_predictions
 from jacinthreel_steps._executors._slow_executors import check_gangs
 from jacinthreel_steps._model import (
-    EndReason,
     ExecutorListing,
     ExecutorReport,
     JobRecord,
@@ -50,7 +49,6 @@
 )
 from jacinthreel_steps._runs._lifecycle import (
     count_attached_run,
-    end_run,
     finish_job,
 )
 from jacinthreel_steps._runs._progress_rows import (
@@ -61,6 +59,7 @@
 from jacinthreel_steps._runs._reports import (
     advance_acknowledged_ends,
     apply_report,
+    end_lost_run,
     end_lost_runs,
 )
 from jacinthreel_steps._runs._stalls import stop_stalled_runs
@@ -284,7 +283,9 @@
                 if not run.is_recovered or run.executor_id in self.tables.executors_by_id:
                     continue
                 if now_ms >= lease_end_ms(run.executor_id):
-                    end_run(self._context, run, EndReason.LAPSED, "", now_ms)
+                    end_lost_run(
+                        self._context, run, "executor not listed again", now_ms, has_left=True
+                    )
 
     def apply_report(self, executor_id: str, report: ExecutorReport, now_ms: int) -> None:
         """Applies an executor's report; reports of older incarnations are ignored."""
