A resignation waits for renewals of the lease that are on their way

Cause: a renewal that was sent before the resignation and stored after it made the row say again that the owner lives. The next owner then waited for the lease to expire, and allowed for 12 s of further renewals at executors out of reach. Seen in a chain of test_handover_chains on the code before: a resignation at 5.506 s, a takeover at 7.044 s with "the owner's lease has expired".

--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -63,6 +63,7 @@
 OWNER_RESIGNED: Final = "the owner has resigned"
 STORE_TIMEOUT_MS: Final = 1_500
 FLUSH_TIMEOUT_MS: Final = 500
+RENEWAL_WAIT_MS: Final = 500
 EARLIER_LEASES_TIMEOUT_MS: Final = 800  # Without the answer, the longest bound holds.
 
 
@@ -126,6 +127,8 @@
         self._lease_count = 0
         self._renewed_ms = 0
         self._confirmed_ms = 0
+        self._pending_renewals = 0
+        self._renewals_done = asyncio.Event()
         self._renewed_lease_count = 0
         self._lease_watch = LeaseWatch()
         self._is_taking_over = False
@@ -205,7 +208,11 @@
         earlier = ownership.earlier_leases()
         lease = LeaseRow(ownership.epoch, self._lease_count, earlier_leases=earlier)
         sent_ms = self._clock.now_ms()
+        self._pending_renewals += 1
         outcome = await self._write_lease(lease)
+        self._pending_renewals -= 1
+        if not self._pending_renewals:
+            self._renewals_done.set()
         if self.ownership is not ownership:
             return
         match outcome:
@@ -441,7 +448,19 @@
             return
         self._stop_ownership(ownership)
         earlier = ownership.earlier_leases()
+        await self._await_renewals()
         lease = LeaseRow(ownership.epoch, self._lease_count + 1, True, earlier)
         outcome = await self._write_lease(lease)
         self._hub.notify_all(OwnerHeartbeat(ownership.epoch, resigned=True))
         self._log.info("resigned", {"epoch": ownership.epoch, "outcome": type(outcome).__name__})
+
+    async def _await_renewals(self) -> None:
+        """Waits for renewals on their way: one that is stored later would undo a resignation."""
+        if not self._pending_renewals:
+            return
+        self._renewals_done.clear()
+        try:
+            async with asyncio.timeout(RENEWAL_WAIT_MS / 1000):
+                await self._renewals_done.wait()
+        except TimeoutError:
+            self._log.warning("renewals_unanswered", {"count": self._pending_renewals})
--- a/packages/node/tests/test_elector.py
+++ b/packages/node/tests/test_elector.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any, cast
 
 from elector_harness import (
@@ -19,7 +20,14 @@
 from jacinthreel_node import Row
 from jacinthreel_node._election import HEARTBEAT_TIMEOUT_MS, LEASE_TIMEOUT_MS, MAX_FRESH_READ_MS
 from jacinthreel_node._former_leases import OUTAGE_RENEWAL_LIMIT_MS
-from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE, OwnerRow, encode_record
+from jacinthreel_node._records import (
+    LEASE_TABLE,
+    OWNER_KEY,
+    OWNER_TABLE,
+    OwnerRow,
+    decode_lease,
+    encode_record,
+)
 
 
 def test_first_node_becomes_the_owner() -> None:
@@ -399,6 +407,25 @@
     run_scenario(scenario)
 
 
+def test_renewal_on_its_way_does_not_undo_a_resignation() -> None:
+    # The next owner would wait for the lease to expire, and for all that a living owner may grant.
+    async def scenario() -> None:
+        store = SlowStore()
+        harness = ElectorHarness(store)
+        await harness.read_owner()
+        await harness.check_owner()
+        store.commit_delays_s = [0.02]
+        harness.elector.renew_lease()
+        await asyncio.sleep(0)
+        await harness.elector.resign()
+        await asyncio.gather(*harness.tasks)
+        lease = decode_lease(store.rows[(LEASE_TABLE, "me")].value or b"")
+        assert lease is not None
+        assert lease.is_resigned
+
+    run_scenario(scenario)
+
+
 def test_resignation_stores_the_bounds_of_earlier_owners() -> None:
     async def scenario() -> None:
         first = ElectorHarness(host_id="first")
