--- a/packages/node/tests/test_earlier_leases.py
+++ b/packages/node/tests/test_earlier_leases.py
@@ -11,66 +11,55 @@
 from jacinthreel_common import compress_row
 from jacinthreel_node import Row
 from jacinthreel_node._ownership import Ownership
-from jacinthreel_node._records import INTAKE_TABLE, JOB_PREFIX, PROGRESS_TABLE, encode_record
+from jacinthreel_node._records import JOB_PREFIX, EarlierLeases, encode_record
 from jacinthreel_steps import JobRecord, JobSpec, JobState, QueueTerms, Resources, StepSpec
 from jacinthreel_steps._runs._progress_rows import ProgressRow, StepRow, TaskRow
 
 TERMS = QueueTerms("q", "s", 0, 3, 3.0, 1_000)
+SPEC = JobSpec("x", (StepSpec(1, Resources(1, 1, 1), 1_000),))
+PROGRESS = ProgressRow(
+    "w", int(JobState.RUNNING), [("e1", 1)], [StepRow(0, [TaskRow(1, 0, 0, False, "")])]
+)
+JOB = Row("intake", JOB_PREFIX + "j", encode_record(JobRecord("j", TERMS, "w", SPEC, 1)), 1)
+PLACED = Row("progress", "j", compress_row(msgspec.msgpack.encode(PROGRESS)), 1)
+UNREADABLE_JOB = Row("intake", JOB_PREFIX + "j", b"?", 1)
+UNREADABLE_PROGRESS = Row("progress", "j", b"?", 1)
 
 
-def make_job(job_id: str, executor_id: str) -> tuple[Row, Row]:
-    """Returns the rows of a job with one task, placed by an earlier owner."""
-    spec = JobSpec("x", (StepSpec(1, Resources(1, 1, 1), 1_000),))
-    job = encode_record(JobRecord(job_id, TERMS, "w", spec, 1_000))
-    steps = [StepRow(0, [TaskRow(1, 0, 0, False, "")])]
-    progress = ProgressRow("w", int(JobState.RUNNING), [(executor_id, 1)], steps)
-    value = compress_row(msgspec.msgpack.encode(progress))
-    return Row(INTAKE_TABLE, JOB_PREFIX + job_id, job, 1), Row(PROGRESS_TABLE, job_id, value, 1)
-
-
-def load(intake: list[Row], progress: list[Row]) -> tuple[Ownership, ManualClock, int]:
+def load(*rows: Row) -> tuple[Ownership, ManualClock, int]:
     """Returns an ownership that has loaded the rows, and the longest wait for earlier owners."""
     clock = ManualClock()
     ownership = make_ownership(clock=clock)
     ownership.former_leases.exclude_relays()
-    asyncio.run(ownership._job_rows.load(tuple(intake), tuple(progress)))
+    intake = tuple(row for row in rows if row.table == "intake")
+    progress = tuple(row for row in rows if row.table == "progress")
+    asyncio.run(ownership._job_rows.load(intake, progress))
     ownership.is_loaded = True
     return ownership, clock, ownership.former_leases.wait_ms(clock.now_ms())
 
 
-def test_executors_with_runs_of_earlier_owners_are_stored_until_they_answer() -> None:
-    rows = [make_job("0000000000000001", "e1"), make_job("0000000000000002", "e2")]
-    ownership, clock, longest_ms = load([row for row, _ in rows], [row for _, row in rows])
+# The former owner starts what is only placed once it learns that the job is accepted.
+@pytest.mark.parametrize("rows", [(JOB, PLACED), (PLACED,)], ids=["accepted", "not accepted yet"])
+def test_executors_with_runs_of_earlier_owners_are_stored_until_they_answer(
+    rows: tuple[Row, ...],
+) -> None:
+    ownership, clock, longest_ms = load(*rows)
     clock.advance(1_000)
-    stored = ownership.earlier_leases()
-    assert stored.left_ms_by_executor == {"e1": longest_ms - 1_000, "e2": longest_ms - 1_000}
-    assert stored.others_ms == 0
+    assert ownership.earlier_leases() == EarlierLeases({"e1": longest_ms - 1_000}, 0)
     ownership.former_leases.record_answer("e1", clock.now_ms())
-    assert set(ownership.earlier_leases().left_ms_by_executor) == {"e2"}
-    clock.advance(longest_ms)
-    assert not ownership.earlier_leases().left_ms_by_executor
-
-
-def test_placements_of_jobs_that_are_not_accepted_yet_count() -> None:
-    # The former owner starts them once it learns that they are accepted.
-    _, progress = make_job("0000000000000001", "e1")
-    ownership, _, longest_ms = load([], [progress])
-    assert ownership.earlier_leases().left_ms_by_executor == {"e1": longest_ms}
+    assert ownership.earlier_leases() == EarlierLeases({}, 0)
 
 
 def test_longest_bound_is_stored_while_the_tables_are_loaded() -> None:
-    ownership, _, longest_ms = load([], [])
+    ownership, clock, longest_ms = load()
     ownership.is_loaded = False
-    assert ownership.earlier_leases().others_ms == longest_ms
+    assert ownership.earlier_leases() == EarlierLeases({}, longest_ms)
+    clock.advance(longest_ms)
+    assert ownership.earlier_leases() == EarlierLeases({}, 0)
 
 
-@pytest.mark.parametrize("is_job_readable", [False, True])
-def test_longest_bound_is_stored_if_a_job_is_unreadable(is_job_readable: bool) -> None:
+@pytest.mark.parametrize("rows", [(JOB, UNREADABLE_PROGRESS), (UNREADABLE_JOB, PLACED)])
+def test_longest_bound_is_stored_if_a_row_is_unreadable(rows: tuple[Row, ...]) -> None:
     # A next owner of another version may be able to read it, and restarts its runs.
-    intake, progress = make_job("0000000000000001", "e1")
-    if is_job_readable:
-        progress = Row(progress.table, progress.key, b"?", 1)
-    else:
-        intake = Row(intake.table, intake.key, b"?", 1)
-    ownership, _, longest_ms = load([intake], [progress])
-    assert ownership.earlier_leases().others_ms == longest_ms
+    ownership, _, longest_ms = load(*rows)
+    assert ownership.earlier_leases() == EarlierLeases({}, longest_ms)
--- a/tests/adapter/test_odd_executor_entries.py
+++ b/tests/adapter/test_odd_executor_entries.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
@@ -21,12 +22,13 @@
     QueueTerms,
     ReportedRun,
     Resources,
+    Run,
     Scheduler,
     StepSpec,
 )
 
-NOW_MS = 1_780_000_000_000
-BORN_MS = NOW_MS - 60_000
+NOW_MS = 5_000
+BORN_MS = 1_780_000_000_000
 DEEP = "[" * 5_000 + "]" * 5_000
 FIELDS = ("service", "addr", "zone", "state", "capacity", "labels", "born", "remaining_ms")
 ODD_VALUES = {
@@ -41,61 +43,43 @@
 }
 
 
-class FixedClock:
-    def now_ms(self) -> int:
-        return 5_000
-
-    def unix_ms(self) -> int:
-        return NOW_MS
-
-
-class Links:
-    def __init__(self) -> None:
-        self.ids: list[str] = []
-
-    def add(self, executor_id: str) -> None:
-        self.ids.append(executor_id)
-
-
 class Owner:
     """A scheduler that follows the executors' table through the platform's decoder."""
 
-    def __init__(self) -> None:
-        self.events: list[tuple[str, dict[str, Any]]] = []
+    def __init__(self, *rows: Row) -> None:
+        self.lost_runs: list[Any] = []
+        self.linked: set[str] = set()
         self.scheduler = Scheduler(self._log)
-        self.links = Links()
-        self.listings = Listings(
-            RowTranslator(), self.scheduler, self.links, FixedClock(), lambda: True, self._log
-        )
+        clock = cast(Any, SimpleNamespace(now_ms=lambda: NOW_MS))
+        links = SimpleNamespace(add=self.linked.add)
+        decoder = RowTranslator()
+        self.listings = Listings(decoder, self.scheduler, links, clock, lambda: True, self._log)
+        self.listings.apply_snapshot(rows)
 
     def _log(self, event: str, fields: dict[str, Any]) -> None:
-        self.events.append((event, fields))
-
-    def logged(self, event: str) -> int:
-        return sum(name == event for name, _ in self.events)
+        if event == "run_lost":
+            self.lost_runs.append(fields)
 
     def is_usable(self, executor_id: str) -> bool:
         executor = self.scheduler.tables.executors_by_id.get(executor_id)
-        return executor is not None and executor.is_listed and executor_id in self.links.ids
+        return executor is not None and executor.is_listed and executor_id in self.linked
+
+    def report(self, now_ms: int, *runs: Run) -> None:
+        running = tuple(ReportedRun(run.run_id, "", 1) for run in runs)
+        self.scheduler.apply_report("e1", ExecutorReport(BORN_MS, now_ms, running, ()), now_ms)
 
-    def start_run(self) -> None:
+    def start_run(self) -> Run:
         """Starts the only task of a job on e1, which reports it."""
+        self.report(NOW_MS)
         terms = QueueTerms("q", "s", 0, 3, 3.0, 1_000)
         spec = JobSpec("x", (StepSpec(1, Resources(1, 1, 1), 1_000),))
-        self.scheduler.apply_report("e1", ExecutorReport(BORN_MS, 5_000, (), ()), 5_000)
-        self.scheduler.add_job(JobRecord("j", terms, "w", spec, NOW_MS), None, 5_000, 5_000)
-        self.scheduler.plan(5_000)
+        self.scheduler.add_job(JobRecord("j", terms, "w", spec, 0), None, NOW_MS, NOW_MS)
+        self.scheduler.plan(NOW_MS)
         for row in self.scheduler.take_unstored(10, "w"):
-            self.scheduler.mark_stored(row, 1, 5_000)
+            self.scheduler.mark_stored(row, 1, NOW_MS)
         [run] = self.scheduler.take_starts()
-        self.report_run(run.run_id, 5_001)
-
-    def report_run(self, run_id: Any, now_ms: int) -> None:
-        report = ExecutorReport(BORN_MS, now_ms, (ReportedRun(run_id, "", 1),), ())
-        self.scheduler.apply_report("e1", report, now_ms)
-
-    def runs(self) -> list[Any]:
-        return [run.run_id for run in self.scheduler.tables.jobs_by_id["j"].live_runs()]
+        self.report(NOW_MS + 1, run)
+        return run
 
 
 def entry(executor_id: str, **odd: str) -> Row:
@@ -108,7 +92,6 @@
         "capacity": '{"cpu":16000,"mem_mb":32768,"gpu":8}',
         "labels": '["a","r"]',
         "born": str(BORN_MS),
-        "seq": "1",
         **odd,
     }
     text = ",".join(f"{json.dumps(name)}:{value}" for name, value in fields.items())
@@ -116,23 +99,20 @@
 
 
 def check_odd_entry(odd: Row) -> None:
-    owner = Owner()
-    owner.listings.apply_snapshot((entry("e1"),))
-    owner.start_run()
-    runs = owner.runs()
+    owner = Owner(entry("e1"))
+    run = owner.start_run()
     owner.listings.apply_changes((odd, entry("e2")))
     assert owner.is_usable("e2")
-    assert owner.runs() == runs  # What runs there is neither lost nor started elsewhere.
-    owner.report_run(runs[0], 5_100)
+    owner.report(NOW_MS + 100, run)
     owner.listings.apply_changes((entry("e1", addr='"10.0.0.8:8081"'),))
     assert owner.is_usable("e1")
-    executor = owner.scheduler.tables.executors_by_id["e1"]
-    assert (executor.listing.incarnation, executor.listing.address) == (BORN_MS, "10.0.0.8:8081")
-    assert owner.runs() == runs
-    assert not owner.logged("run_lost")
+    listing = owner.scheduler.tables.executors_by_id["e1"].listing
+    assert (listing.incarnation, listing.address) == (BORN_MS, "10.0.0.8:8081")
+    # What runs there is neither lost nor started elsewhere.
+    assert owner.scheduler.tables.jobs_by_id["j"].live_runs() == [run]
+    assert not owner.lost_runs
 
-    restarted = Owner()
-    restarted.listings.apply_snapshot((odd, entry("e2")))
+    restarted = Owner(odd, entry("e2"))
     assert restarted.is_usable("e2")
     restarted.listings.apply_changes((entry("e1"),))
     assert restarted.is_usable("e1")
@@ -162,9 +142,7 @@
 def test_capacity_beyond_any_machine_attracts_no_work(name: str) -> None:
     # The executors of some services start more than fits.
     fields = {"cpu": 1, "mem_mb": 1, "gpu": 1, name: 2**52}
-    owner = Owner()
-    owner.listings.apply_snapshot((entry("e1", capacity=json.dumps(fields)),))
-    assert not owner.is_usable("e1")
+    assert not Owner(entry("e1", capacity=json.dumps(fields))).is_usable("e1")
 
 
 @pytest.mark.parametrize("text", [b"", b"\xff\xfe", b"null", b"[]", b"{", DEEP.encode(), b"1"])
