Log, once, a job that could run and doesn't, with what holds it

Two causes could explain it: a run that is never known to have ended, or a placement that is never found. Neither left a line.

Passes now note what kept a step from being placed. Twice a second the jobs are checked that have ready tasks and nothing at work, while most of their service is unused and twice what they need is free. After 2 s one line, job_held, gives the noted reason, the states of the job's runs, and why executors take no tasks. The reasons are those by which executors are excluded from placement, so they can't differ from it.

--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -26,7 +26,7 @@
     TaskId,
 )
 from jacinthreel_steps._planning._job_order import objective_ms
-from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._lease_choice import LeaseChoice, LeaseLimits, choose_lease
 from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -18,7 +18,7 @@
     objective_ms,
 )
 from jacinthreel_steps._planning._placement import find_usable_executors
-from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS
+from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 
 LENGTH_UNIT_MS: Final = 128  # Run times are grouped, so that thousands of runs need no sorting.
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -11,6 +11,7 @@
 from jacinthreel_steps._executors._speed_model import SpeedModel
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
+from jacinthreel_steps._planning._waiting_jobs import WaitingJobs
 from jacinthreel_steps._tables import Run, Tables
 from jacinthreel_steps._workspaces._arrivals import ArrivalRates
 from jacinthreel_steps._workspaces._held_jobs import HeldJobs
@@ -54,6 +55,7 @@
     speeds: SpeedModel = field(default_factory=SpeedModel)
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     held_jobs: HeldJobs = field(default_factory=HeldJobs)
+    waiting_jobs: WaitingJobs = field(default_factory=WaitingJobs)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
     executor_losses: ExecutorLosses = field(default_factory=ExecutorLosses)
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -21,6 +21,7 @@
 
 from jacinthreel_steps._executors._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
+from jacinthreel_steps._planning._usability import exclusion_of
 from jacinthreel_steps._tables import Executor, GangMove, Step, Tables, Task
 
 MOVED_GANG_AVOID_MS = 6_000  # How long a gang avoids the executor that it was moved from.
@@ -72,16 +73,7 @@
     """Returns all executors that accept new tasks now."""
     usable = UsableExecutors()
     for executor in tables.executors_by_id.values():
-        if not executor.is_listed or not executor.has_reported or executor.listing.is_draining:
-            continue
-        if executor.is_closed or tables.is_capacity_outdated(executor, now_ms):
-            continue
-        if executor.listing.zone in tables.policy.zones_out_of_service:
-            continue
-        if (
-            executor.health.excluded_until_ms > now_ms
-            or now_ms - executor.last_report_ms > max_report_age_ms
-        ):
+        if exclusion_of(tables, executor, now_ms, max_report_age_ms) is not None:
             continue
         usable.by_service.setdefault(executor.listing.service, []).append(executor)
     return usable
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -44,13 +44,14 @@
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._start_limits import count_start_slots, count_start_slots_of_step
 from jacinthreel_steps._planning._trials import schedule_trials, update_closed_executors
+from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._planning._victims import Victim, VictimIndex
+from jacinthreel_steps._planning._waiting_jobs import Hold
 from jacinthreel_steps._tables import Job, Step, Task
 from jacinthreel_steps._workspaces._fair_order import make_shares, schedule_in_fair_order
 from jacinthreel_steps._workspaces._quota_preemption import find_quota_victims
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
-MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
 
 
@@ -59,6 +60,7 @@
 
     Returns whether the pass ended early, so that there may be more to place.
     """
+    context.waiting_jobs.begin_pass()
     place_or_release_claims(context, now_ms)
     update_closed_executors(context.tables)
     jobs = [job for job in context.tables.open_jobs_by_id.values() if job.may_be_planned(now_ms)]
@@ -81,16 +83,20 @@
         for job in ordered:
             _schedule_job(state, job)
     context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
+    context.waiting_jobs.check(context.tables, context.log, now_ms)
     return state.budget <= 0
 
 
 def _schedule_job(state: PassState, job: Job) -> None:
     for step in job.steps:
         if state.budget <= 0:
+            state.context.waiting_jobs.note(job, Hold.PASS_ENDED)
             return
         pending = job.pending_tasks(step)
         if pending and not step.spec.is_gang:
             pending = pending[: _count_allowed(state, job, step)]
+            if not pending:
+                state.context.waiting_jobs.note(job, Hold.START_LIMIT)
         if pending:
             pending = schedule_trials(state, job, step, pending)
             if pending:
@@ -117,9 +123,11 @@
     may_claim = queue.priority == 0 and is_accepted and job.job_id not in state.best_effort_ids
     if not admitted and not may_claim:
         state.context.held_jobs.add(job, step)
+        state.context.waiting_jobs.note(job, Hold.QUOTA)
         return
     slots = state.slots_for(queue.service, queue.priority)
     if not slots.free.executors:
+        state.context.waiting_jobs.note(job, Hold.NO_EXECUTOR)
         return
     placement = _find_placement(state, job, step, admitted, slots) if admitted else None
     if placement:
@@ -129,6 +137,8 @@
         placed = {task.task_id for task, _ in placement}
         pending = [task for task in pending if task.task_id not in placed]
         admitted = [task for task in admitted if task.task_id not in placed]
+    if not placement:
+        state.context.waiting_jobs.note(job, Hold.NO_ROOM if admitted else Hold.QUOTA)
     if (
         may_claim
         and len(admitted) < len(pending)
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -28,6 +28,7 @@
     place_independent_tasks,
 )
 from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
+from jacinthreel_steps._planning._waiting_jobs import Hold
 from jacinthreel_steps._tables import (
     Executor,
     Isolation,
@@ -91,6 +92,8 @@
     suspects = [task for task in allowed if is_suspect(step, task)]
     if step.spec.is_gang and suspects:
         suspects = allowed
+    if pending and not allowed:
+        state.context.waiting_jobs.note(job, Hold.TRIAL_OF_OTHERS)
     if not suspects:
         return allowed
     others = [task for task in allowed if task not in suspects]
@@ -122,6 +125,7 @@
     slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
     scope = _choose_scope(state, step, suspects, slots)
     if scope is TrialScope.NONE:
+        state.context.waiting_jobs.note(job, Hold.OUTAGE)
         return []
     admitted = count_admitted(state.context, job.record.workspace, step.spec.shape)
     tasks = suspects[:admitted]
@@ -131,6 +135,10 @@
             _start_trial(state, job, step, placement)
             placed = {task.task_id for task, _ in placement}
             suspects = [task for task in suspects if task.task_id not in placed]
+    if suspects and scope is not TrialScope.ANY:
+        is_empty = scope is TrialScope.EMPTY
+        hold = Hold.NO_EMPTY_EXECUTOR if is_empty else Hold.NO_SOUND_EXECUTOR
+        state.context.waiting_jobs.note(job, hold)
     return suspects if scope is TrialScope.ANY else []
 
 
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_planning/_usability.py
@@ -0,0 +1,49 @@
+"""Whether an executor takes new tasks, and why not."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Final
+
+from jacinthreel_steps._tables import Executor, Tables
+
+MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
+
+
+class Exclusion(StrEnum):
+    """Why an executor takes no new tasks."""
+
+    UNLISTED = "not listed"
+    UNREPORTED = "no report"
+    DRAINING = "draining"
+    CLOSED = "closed for a trial"
+    OUTDATED = "registry not read"
+    ZONE = "zone out of service"
+    AVOIDED = "avoided"
+    SLOW = "slow"
+    SILENT = "silent"
+
+
+def exclusion_of(
+    tables: Tables, executor: Executor, now_ms: int, max_report_age_ms: int
+) -> Exclusion | None:
+    """Returns why an executor takes no new tasks now, None if it does."""
+    if not executor.is_listed:
+        return Exclusion.UNLISTED
+    if not executor.has_reported:
+        return Exclusion.UNREPORTED
+    if executor.listing.is_draining:
+        return Exclusion.DRAINING
+    if executor.is_closed:
+        return Exclusion.CLOSED
+    if tables.is_capacity_outdated(executor, now_ms):
+        return Exclusion.OUTDATED
+    if executor.listing.zone in tables.policy.zones_out_of_service:
+        return Exclusion.ZONE
+    if executor.health.avoid_until_ms > now_ms:
+        return Exclusion.AVOIDED
+    if executor.health.slow_until_ms > now_ms:
+        return Exclusion.SLOW
+    if now_ms - executor.last_report_ms > max_report_age_ms:
+        return Exclusion.SILENT
+    return None
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -40,7 +40,8 @@
 )
 from jacinthreel_steps._planning._fragmentation import sample_fragmentation
 from jacinthreel_steps._planning._placement import find_usable_executors
-from jacinthreel_steps._planning._planner import MAX_REPORT_AGE_MS, plan
+from jacinthreel_steps._planning._planner import plan
+from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._announced_jobs import (
     accept_announced,
     is_same_submission,
--- /dev/null
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -0,0 +1,81 @@
+"""Jobs that could run and don't: the log says so, once, with what holds them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from scheduler_harness import SchedulerHarness, listing, step
+
+from jacinthreel_steps import EndReason
+
+RACKS = 3
+EXECUTORS_PER_RACK = 4
+SMALL_TASKS_PER_RACK = 2
+ONE_RACK_GANG = step(3, accelerators=8, is_gang=True, wants_one_rack=True)
+
+
+def make_cluster() -> SchedulerHarness:
+    """Returns racks with small tasks on half of the executors; some others have the label "b"."""
+    executors = []
+    for rack in range(RACKS):
+        for index in range(EXECUTORS_PER_RACK):
+            executor = listing(f"e{rack}{index}", rack=f"r{rack}")
+            if index >= SMALL_TASKS_PER_RACK and rack > 0:
+                executor = replace(executor, labels=executor.labels | {"b"})
+            executors.append(executor)
+    harness = SchedulerHarness(*executors)
+    small = [
+        replace(step(), required_label=f"r{rack}", max_per_executor=1) for rack in range(RACKS)
+    ]
+    harness.submit("small", *(replace(item, count=SMALL_TASKS_PER_RACK) for item in small))
+    harness.settle()
+    return harness
+
+
+def held_lines(harness: SchedulerHarness) -> list[dict[str, Any]]:
+    return [fields for event, fields in harness.log_lines if event == "job_held"]
+
+
+def hold_by_rack(harness: SchedulerHarness) -> None:
+    harness.submit("held", ONE_RACK_GANG)
+    harness.pass_time(3_500)
+
+
+def hold_by_silence(harness: SchedulerHarness) -> None:
+    harness.submit("held", step(2, accelerators=8, is_gang=True))
+    harness.settle()
+    silent = harness.runs("held")[0]
+    del harness.listings[silent.executor_id]
+    other = harness.runs("held")[1]
+    harness.end(other, EndReason.BROKEN)
+    harness.scheduler.take_stops()  # The executor doesn't get them.
+    harness.pass_time(3_500)
+
+
+@pytest.mark.parametrize(
+    ("hold", "held_by", "run"), [(hold_by_rack, "no room", ""), (hold_by_silence, "", "stopping")]
+)
+def test_job_that_could_run_is_logged_once_with_what_holds_it(
+    hold: Callable[[SchedulerHarness], None], held_by: str, run: str
+) -> None:
+    harness = make_cluster()
+
+    hold(harness)
+
+    assert [line["job_id"] for line in held_lines(harness)] == ["held"]
+    assert held_lines(harness)[0]["held_by"] == held_by
+    assert all(text.startswith(run) for text in held_lines(harness)[0]["runs"])
+
+
+def test_job_that_waits_in_a_busy_service_is_not_logged() -> None:
+    harness = SchedulerHarness(*(listing(f"e{index}") for index in range(4)))
+    harness.submit("busy", step(3, accelerators=8))
+    harness.settle()
+    harness.submit("waits", step(2, accelerators=8, is_gang=True))
+
+    harness.pass_time(3_500)
+
+    assert held_lines(harness) == []
