A gang that wants one rack no longer waits for it without an end

What callers saw: a gang of whole executors was accepted and did not start, with most of the workers' room free. Hypotheses: a run of the gang is not known to have ended, or no placement is found.

Only gangs of priority 0 could span racks after a wait. Any other waited until a rack was free, for as long as small tasks left none free, and for ever where no rack has enough executors with the label that it requires, because the label was not regarded when asking whether a rack could hold it.

Both cases of the test are red before.

--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -250,7 +250,10 @@
 def fits_on_empty_rack(step: Step, executors: Sequence[Executor], count: int) -> bool:
     """Whether some rack could hold `count` tasks if nothing else ran there."""
     slots_by_rack: dict[str, int] = {}
+    label = step.spec.required_label
     for executor in executors:
+        if label and label not in executor.listing.labels:
+            continue
         slots = step.spec.shape.count_fitting_into(executor.listing.capacity)
         if step.spec.max_per_executor:
             slots = min(slots, step.spec.max_per_executor)
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from scheduler_harness import SchedulerHarness, listing, step
+from scheduler_harness import SchedulerHarness, listing, queue, step
 
 from jacinthreel_steps import EndReason
 
@@ -79,3 +79,21 @@
     harness.pass_time(3_500)
 
     assert held_lines(harness) == []
+
+
+@pytest.mark.parametrize(
+    ("wanted", "waits_ms"),
+    [
+        # A rack would hold the gang if nothing else ran there, and small tasks never leave one.
+        (ONE_RACK_GANG, 13_000),
+        # No rack has three executors with the label, whatever ends there.
+        (step(3, 8, is_gang=True, wants_one_rack=True, required_label="b"), 500),
+    ],
+)
+def test_gang_does_not_wait_without_end_for_a_rack(wanted: Any, waits_ms: int) -> None:
+    harness = make_cluster()
+    harness.submit("gang", wanted, terms=queue(1))
+
+    harness.pass_time(waits_ms)
+
+    assert len(harness.runs("gang")) == 3
