A job accepted long after a takeover no longer waits for an executor that has left

Found by the table of waits: what ends the wait for a recovered run whose executor is not listed is a check that stopped for good once the leases of earlier owners had ended. A job that an earlier owner had announced and placed, and that was accepted only afterwards, kept the run of that placement for ever; nothing that could end it was left.

The runs of executors that are not listed are now ended whenever the bound of their executor has passed. The test is red before: the job stays RUNNING.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -121,7 +121,6 @@
         self._has_former_stopped = former is not None and former.has_stopped
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._are_orphans_expired = False
         self._is_plan_pending = False
         self._last_plan_ms = 0
         self._plan_took_ms = 0
@@ -411,9 +410,7 @@
             await asyncio.sleep(PERIODIC_CHECK_MS / 1000)
             now_ms = self._clock.now_ms()
             self._close_unlisted_links()
-            if not self._are_orphans_expired:
-                self.scheduler.expire_orphans(self.former_leases.end_ms, now_ms)
-                self._are_orphans_expired = now_ms >= self.former_leases.latest_end_ms
+            self.scheduler.expire_orphans(self.former_leases.end_ms, now_ms)
             self.request_plan()
 
     def _close_unlisted_links(self) -> None:
--- a/packages/node/tests/test_handover_chains.py
+++ b/packages/node/tests/test_handover_chains.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 
 import pytest
-from ownership_world import START_MS, FakeExecutor, LinkFault, Node, World, make_job
+from ownership_world import EXECUTOR_TABLE, START_MS, FakeExecutor, LinkFault, Node, World, make_job
 
 from jacinthreel_node import RowWrite
 from jacinthreel_node._records import LEASE_TABLE, LeaseRow, OwnerRow, decode_lease, encode_record
@@ -229,3 +229,25 @@
     assert await_takeover(world, epoch) == 3
     world.advance(LONGEST_RENEWAL_MS + LONGEST_LEASE_MS)
     assert not world.violations, world.violations
+
+
+def test_job_accepted_late_runs_though_the_executor_of_its_placement_has_left(world: World) -> None:
+    # Guards against a job that waits for ever: no report and no lease end was awaited any more.
+    world.advance(40_000)  # The first job has ended, so that leases are the shortest ones.
+    owner, epoch = owner_of(world), owner_row(world).epoch
+    late_job = make_job("0000000000000002", 500, 1, 0, False)
+    owner.announce(late_job)
+    world.advance(200)
+    row = world.progress(late_job.job_id)
+    assert row is not None
+    [(executor_id, _)] = row.executors
+    world.executors[executor_id].stop_process()
+    world.put_row(RowWrite(EXECUTOR_TABLE, executor_id, None))
+    owner.resign()
+    await_takeover(world, epoch)
+    world.advance(7_500)
+    owner_of(world).submit(late_job)
+    world.advance(3_000)
+    ownership = owner_of(world).elector.ownership
+    assert ownership is not None
+    assert ownership.job_state(late_job.job_id) is JobState.COMPLETED
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from jacinthreel_steps._context import Context
@@ -93,6 +94,18 @@
         else:
             self._unattached_runs_by_executor.setdefault(run.executor_id, []).append(run)
 
+    def expire_unattached_runs(self, lease_end_ms: Callable[[str], int], now_ms: int) -> None:
+        """Ends the runs of executors that were not listed by the end of all leases there."""
+        for executor_id, runs in list(self._unattached_runs_by_executor.items()):
+            if now_ms < lease_end_ms(executor_id):
+                continue
+            del self._unattached_runs_by_executor[executor_id]
+            for run in runs:
+                task = self._context.tables.task(run.run_id.task)
+                if task is not None and task.run is run:
+                    reason = "executor not listed again"
+                    end_lost_run(self._context, run, reason, now_ms, has_left=True)
+
     def _attach_recovered_runs(self, executor: Executor, now_ms: int) -> None:
         """Attaches runs that were restored from storage before their executor was listed."""
         for run in self._unattached_runs_by_executor.pop(executor.executor_id, ()):
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -60,7 +60,6 @@
 from jacinthreel_steps._runs._reports import (
     advance_acknowledged_ends,
     apply_report,
-    end_lost_run,
     end_lost_runs,
 )
 from jacinthreel_steps._runs._stalls import stop_stalled_runs
@@ -279,14 +278,7 @@
         `lease_end_ms` returns the time by which all runs that earlier owners started on an executor
         have certainly ended.
         """
-        for job in list(self.tables.jobs_by_id.values()):
-            for run in job.live_runs():
-                if not run.is_recovered or run.executor_id in self.tables.executors_by_id:
-                    continue
-                if now_ms >= lease_end_ms(run.executor_id):
-                    end_lost_run(
-                        self._context, run, "executor not listed again", now_ms, has_left=True
-                    )
+        self._registry.expire_unattached_runs(lease_end_ms, now_ms)
 
     def apply_report(self, executor_id: str, report: ExecutorReport, now_ms: int) -> None:
         """Applies an executor's report; reports of older incarnations are ignored."""
