A next owner waits 14 s, not 18 to 22, for leases that it can't know of

Hypotheses: a placement that is never found, or a run that is never known to have ended. job_held shows runs "starting" or "stopping" at executors that are gone, and run_lost "executor not listed again" 18.1 s after the takeover; so it is the second.

Cause: the wait assumes that the former owner renews leases for 12 s, and that its last lease is the longest. With hold_max_ms 10,000 that made 22.3 s.

Now an owner renews without the store for 8 s, and leases beyond the shortest one are granted only within 2 s of the last confirmation of its ownership. It stores with its lease how long its leases may outlive a takeover, and the next owner takes that: 13.7 s. A row of an earlier version, of another epoch or one that can't be read moves nothing: 12 s and the longest lease, as before. What owners before the former one granted counts on, from the stored bounds. No wait gets longer.

An outage of the store now costs the work of executors with the shortest lease after some 13 s instead of 17 s; the longest one in the site files is 9 s.

Tests: the wait after the loss of owner and executor (red before: no run lost within 22.3 s), the lease of an owner without a recent confirmation; the chains of owners hold with the shorter wait.

--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -32,7 +32,12 @@
     LeaseWatch,
     takeover_delay_ms,
 )
-from jacinthreel_node._former_leases import OUTAGE_RENEWAL_LIMIT_MS, FormerOwner
+from jacinthreel_node._former_leases import (
+    LONG_LEASE_LIMIT_MS,
+    OUTAGE_RENEWAL_LIMIT_MS,
+    FormerOwner,
+    validity_after_takeover_ms,
+)
 from jacinthreel_node._lease_handover import LeaseHandover
 from jacinthreel_node._owner_view import OwnerView
 from jacinthreel_node._ownership import Ownership
@@ -49,7 +54,6 @@
     LEASE_TABLE,
     OWNER_KEY,
     OWNER_TABLE,
-    EarlierLeases,
     LeaseRow,
     OwnerRow,
     decode_lease,
@@ -64,7 +68,7 @@
 STORE_TIMEOUT_MS: Final = 1_500
 FLUSH_TIMEOUT_MS: Final = 500
 RENEWAL_WAIT_MS: Final = 500
-EARLIER_LEASES_TIMEOUT_MS: Final = 800  # Without the answer, the longest bound holds.
+FORMER_LEASE_TIMEOUT_MS: Final = 800  # Without the answer, the longest bound holds.
 
 
 MakeOwnership = Callable[[OwnerRow, int, FormerOwner | None], Ownership]
@@ -77,14 +81,14 @@
     """A takeover whose owner row is stored, by a commit that was sent at `sent_ms`.
 
     The process may have been paused before it read the reply, so that only the time of sending
-    tells for how long the row has been stored at most.  `earlier` is what the former owner has
-    stored about the owners before it, None if that is unknown.
+    tells for how long the row has been stored at most.  `former_lease` is the last lease row of the
+    former owner, None if it is unknown.
     """
 
     owner: OwnerRow
     version: int
     former: OwnerRow | None
-    earlier: EarlierLeases | None
+    former_lease: LeaseRow | None
     reason: str
     sent_ms: int
 
@@ -94,7 +98,11 @@
         if former is None:
             return None
         has_stopped = self.reason in (OWN_EARLIER_PROCESS, OWNER_RESIGNED)
-        return FormerOwner(former.host_id, former.epoch, has_stopped, self.earlier, now_ms)
+        lease = self.former_lease
+        if lease is None:
+            return FormerOwner(former.host_id, former.epoch, has_stopped, None, now_ms)
+        earlier, validity_ms = lease.earlier_leases, lease.validity_ms
+        return FormerOwner(former.host_id, former.epoch, has_stopped, earlier, now_ms, validity_ms)
 
 
 class Elector:
@@ -147,8 +155,16 @@
         the owner row counts as well.  A process that was paused finds out here, before any of its
         timers has run.
         """
-        confirmed_ms = min(self._renewed_ms, self._confirmed_ms)
-        return self._clock.now_ms() - confirmed_ms <= OUTAGE_RENEWAL_LIMIT_MS
+        return self._confirmation_age_ms <= OUTAGE_RENEWAL_LIMIT_MS
+
+    @property
+    def may_grant_long(self) -> bool:
+        """Whether the last lease renewal is recent enough for task leases beyond the shortest."""
+        return self._confirmation_age_ms <= LONG_LEASE_LIMIT_MS
+
+    @property
+    def _confirmation_age_ms(self) -> int:
+        return self._clock.now_ms() - min(self._renewed_ms, self._confirmed_ms)
 
     @property
     def lease_count(self) -> int:
@@ -206,7 +222,12 @@
     async def _write_renewal(self, ownership: Ownership) -> None:
         self._lease_count += 1
         earlier = ownership.earlier_leases()
-        lease = LeaseRow(ownership.epoch, self._lease_count, earlier_leases=earlier)
+        lease = LeaseRow(
+            ownership.epoch,
+            self._lease_count,
+            earlier_leases=earlier,
+            validity_ms=validity_after_takeover_ms(self._settings.lease_limits),
+        )
         sent_ms = self._clock.now_ms()
         self._pending_renewals += 1
         outcome = await self._write_lease(lease)
@@ -332,10 +353,10 @@
             STORE_TIMEOUT_MS,
         )
         # A renewal of the new ownership would replace the row of an earlier process of this host.
-        outcome, earlier = await asyncio.gather(commit, self._read_earlier_leases(former))
+        outcome, former_lease = await asyncio.gather(commit, self._read_lease(former))
         match outcome:
             case Success(Committed(version=version)):
-                takeover = _Takeover(owner, version, former, earlier, reason, sent_ms)
+                takeover = _Takeover(owner, version, former, former_lease, reason, sent_ms)
                 self._start_ownership(takeover)
             case Success(Conflict(rows=rows)):
                 self.apply_rows(rows)
@@ -343,16 +364,16 @@
                 fields = {"reason": fault.detail, "code": fault.code.value}
                 self._log.warning("takeover_failed", fields)
 
-    async def _read_earlier_leases(self, former: OwnerRow | None) -> EarlierLeases | None:
-        """Returns what an owner has stored about the owners before it, None if that is unknown."""
+    async def _read_lease(self, former: OwnerRow | None) -> LeaseRow | None:
+        """Returns the last lease row of an owner, None if it is unknown or of another epoch."""
         if former is None:
             return None
-        match await self._store.read(LEASE_TABLE, EARLIER_LEASES_TIMEOUT_MS, former.host_id):
+        match await self._store.read(LEASE_TABLE, FORMER_LEASE_TIMEOUT_MS, former.host_id):
             case Success(Snapshot(rows=(Row(value=bytes() as value),))):
                 lease = decode_lease(value)
             case _:
                 return None
-        return lease.earlier_leases if lease is not None and lease.epoch == former.epoch else None
+        return lease if lease is not None and lease.epoch == former.epoch else None
 
     def _start_ownership(self, takeover: _Takeover) -> None:
         """Starts the ownership under a stored row."""
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -60,7 +60,8 @@
 
     `former_leases` holds the lease ends at executors that this owner has not reached yet.
     `may_order` is checked immediately before each start and lease renewal is sent: the process may
-    have been paused for longer than its ownership was valid.  `wait_stored` waits for the next
+    have been paused for longer than its ownership was valid.  Leases beyond the shortest one are
+    requested only while `may_grant_long` returns true.  `wait_stored` waits for the next
     stored batch, up to a timeout in milliseconds.  `on_fenced` is called with the id of an executor
     that reports a newer owner, `on_error` with an unexpected exception.
     """
@@ -72,6 +73,7 @@
     lease_limits: LeaseLimits
     former_leases: FormerLeases
     may_order: Callable[[], bool]
+    may_grant_long: Callable[[], bool]
     wait_stored: Callable[[int], Awaitable[None]]
     request_plan: Callable[[], None]
     on_fenced: Callable[[str], None]
@@ -251,7 +253,10 @@
             self._lease_chosen_ms = now_ms
             lease_ms = lease_ms_of(executor.listing, choice.lease_ms)
             self._lease_choice = replace(choice, lease_ms=lease_ms)
-        return self._exchange.extend_lease(self._lease_choice.lease_ms, now_ms)
+        lease_ms = self._lease_choice.lease_ms
+        if not context.may_grant_long():
+            lease_ms = min(lease_ms, context.lease_limits.shortest_ms)
+        return self._exchange.extend_lease(lease_ms, now_ms)
 
     def _is_of_wide_step(self, run: Run) -> bool:
         """Whether a run is one of so many that its start hardly changes what is at stake."""
--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -2,10 +2,11 @@
 
 This matters for executors that the current owner has not reached yet, because it can't know which
 leases they hold.  At a takeover only the longest possible bound is known: the former owner may
-still be running, renew leases for `OUTAGE_RENEWAL_LIMIT_MS` without the store, and so may every
-owner before it.  Evidence of three kinds lowers the bounds:
+still be running, renew leases for `MAX_OUTAGE_RENEWAL_MS` without the store, and so may every
+owner before it.  Evidence of four kinds lowers the bounds:
 
 - The executor has answered the current owner.  It refuses all earlier owners from then on.
+- The former owner has stored for how long its leases may be valid after a takeover.
 - The former owner has stopped.  It grants nothing more, but what it was still waiting for has not
   ended with it.  It stores those bounds with each renewal of its lease row.
 - The former owner has answered a query.  It has stopped, and its answer covers earlier owners too.
@@ -21,9 +22,17 @@
 from typing import Final
 
 from jacinthreel_common import LeasesLeft
+from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._records import EarlierLeases
+from jacinthreel_steps import LeaseLimits
 
-OUTAGE_RENEWAL_LIMIT_MS: Final = 12_000  # Limit for renewing task leases without the owner lease.
+OUTAGE_RENEWAL_LIMIT_MS: Final = 8_000  # Limit for renewing task leases without the owner lease.
+MAX_OUTAGE_RENEWAL_MS: Final = 12_000  # Of owners whose row doesn't tell, as in earlier versions.
+LONG_LEASE_LIMIT_MS: Final = 2_000
+"""Without the owner lease for longer, only the shortest task leases are granted.
+
+A next owner that can't reach the executor has to wait for the end of a lease that it doesn't know.
+"""
 MAX_STORED_EXECUTORS: Final = 100
 """With more executors, one bound for all is stored: the lease row is written twice a second."""
 
@@ -34,7 +43,8 @@
 
     `has_stopped` is set if it certainly grants nothing more, as its process has ended or resigned.
     `earlier` is what it last stored about the owners before it, None if that is unknown; the times
-    count from `read_ms` on the clock of this process.
+    count from `read_ms` on the clock of this process.  `validity_ms` is for how long after the
+    takeover its own leases may be valid if it has not stopped, None if that is unknown.
     """
 
     host_id: str
@@ -42,6 +52,19 @@
     has_stopped: bool
     earlier: EarlierLeases | None
     read_ms: int
+    validity_ms: int | None = None
+
+
+def validity_after_takeover_ms(limits: LeaseLimits) -> int:
+    """Returns for how long after a later takeover leases of an owner may be valid.
+
+    The owner may renew leases for `OUTAGE_RENEWAL_LIMIT_MS` after the takeover, but long ones only
+    for `LONG_LEASE_LIMIT_MS`.
+    """
+    return max(
+        OUTAGE_RENEWAL_LIMIT_MS + max_lease_validity_ms(limits.shortest_ms),
+        LONG_LEASE_LIMIT_MS + max_lease_validity_ms(limits.longest_ms),
+    )
 
 
 class FormerLeases:
@@ -110,17 +133,28 @@
         Its own leases expire one longest lease later, and those of the owners before it as it has
         stored.  Relays may go on renewing its leases, so call `exclude_relays` before if none may.
         """
-        former = self._former
-        if self._has_recorded_stop or former is None or former.earlier is None:
+        if self._has_recorded_stop:
             return
         self._has_recorded_stop = True
-        own_end_ms = now_ms + self._longest_ms
+        self._lower_all(now_ms + self._longest_ms, "stored")
+
+    def record_takeover(self, takeover_ms: int) -> None:
+        """Applies what the former owner has stored of its leases, as it may still be running."""
+        former = self._former
+        if former is not None and former.validity_ms is not None:
+            self._lower_all(takeover_ms + former.validity_ms, "terms")
+
+    def _lower_all(self, own_end_ms: int, source: str) -> None:
+        """Lowers all bounds: the former owner's own leases have ended by `own_end_ms`."""
+        former = self._former
+        if former is None or former.earlier is None:
+            return
         for executor_id, left_ms in former.earlier.left_ms_by_executor.items():
             earlier_end_ms = former.read_ms + left_ms
             self._lower(executor_id, max(own_end_ms + self._relay_extension_ms, earlier_end_ms))
         earlier_end_ms = former.read_ms + former.earlier.others_ms
         self._direct_end_ms = min(self._direct_end_ms, max(own_end_ms, earlier_end_ms))
-        self.source = "stored"
+        self.source = source
 
     def apply_response(self, response: LeasesLeft, now_ms: int) -> None:
         """Applies the response of the former owner, which grants no more leases.
--- a/packages/node/src/jacinthreel_node/_node.py
+++ b/packages/node/src/jacinthreel_node/_node.py
@@ -292,6 +292,7 @@
             version,
             self._elector.end_ownership,
             lambda: self._elector.is_lease_usable,
+            lambda: self._elector.may_grant_long,
             former,
         )
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -21,7 +21,7 @@
 from jacinthreel_node._executor_exchange import max_lease_validity_ms
 from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._former_leases import (
-    OUTAGE_RENEWAL_LIMIT_MS,
+    MAX_OUTAGE_RENEWAL_MS,
     FormerLeases,
     FormerOwner,
 )
@@ -86,8 +86,9 @@
     """One ownership of all jobs, from the takeover to its end.
 
     `on_lost` is called with a reason when the ownership has to end.  `may_order` tells whether the
-    last renewal of the owner's lease is recent enough to send orders to executors.  `former` is the
-    replaced owner, None if no readable row names one.
+    last renewal of the owner's lease is recent enough to send orders to executors, and
+    `may_grant_long` whether it is for leases beyond the shortest one.  `former` is the replaced
+    owner, None if no readable row names one.
     """
 
     def __init__(
@@ -97,6 +98,7 @@
         owner_version: int,
         on_lost: Callable[[str], None],
         may_order: Callable[[], bool],
+        may_grant_long: Callable[[], bool],
         former: FormerOwner | None,
     ) -> None:
         settings, store, clock = services.settings, services.store, services.clock
@@ -113,7 +115,7 @@
         self._takeover_ms = clock.now_ms()
         longest_ms = max_lease_validity_ms(settings.lease_limits.longest_ms)
         self.former_leases = FormerLeases(
-            self._takeover_ms + OUTAGE_RENEWAL_LIMIT_MS + longest_ms,
+            self._takeover_ms + MAX_OUTAGE_RENEWAL_MS + longest_ms,
             longest_ms,
             LONGEST_PERMISSION_MS,
             former,
@@ -150,6 +152,7 @@
             settings.lease_limits,
             self.former_leases,
             may_order,
+            may_grant_long,
             self._writer.wait_stored,
             self.request_plan,
             lambda executor_id: on_lost(f"executor {executor_id} reports a newer owner"),
@@ -353,6 +356,8 @@
             self.former_leases.exclude_relays()
         if self._has_former_stopped:
             self.former_leases.record_stop(self._takeover_ms)
+        else:
+            self.former_leases.record_takeover(self._takeover_ms)
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         await self._job_rows.load(intake.rows, progress.rows)
         self.fleet.begin(len(listings.rows))
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -81,13 +81,16 @@
 
     `count` is the number of the renewal.  `is_resigned` is set once the owner has resigned.
     `earlier_leases` holds what owners before this one may still have granted when the row was
-    written; None in rows of earlier versions, and in the row `RELAYS_KEY`.
+    written; None in rows of earlier versions, and in the row `RELAYS_KEY`.  `validity_ms` is for
+    how long after a later takeover leases of this owner may be valid at most, without those that
+    its relays renew; None in rows of earlier versions.
     """
 
     epoch: Number
     count: Number
     is_resigned: bool = False
     earlier_leases: EarlierLeases | None = None
+    validity_ms: Number | None = None
 
 
 class SpeedsRow(msgspec.Struct, frozen=True):
--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -157,4 +157,4 @@
         log,
     )
     owner = OwnerRow(1, "h", "10.0.0.1", 7000, "n")
-    return Ownership(services, owner, 1, on_lost, lambda: True, None)
+    return Ownership(services, owner, 1, on_lost, lambda: True, lambda: True, None)
--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -592,6 +592,7 @@
             version,
             self.elector.end_ownership,
             lambda: self.elector.is_lease_usable,
+            lambda: self.elector.may_grant_long,
             former,
         )
 
--- a/packages/node/tests/relay_harness.py
+++ b/packages/node/tests/relay_harness.py
@@ -340,6 +340,7 @@
             LeaseLimits(LEASE_MS, LEASE_MS),
             self.former_leases,
             lambda: self.may_order,
+            lambda: True,
             self._wait_stored,
             lambda: None,
             self.fenced.append,
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -66,6 +66,7 @@
         self.clock = ManualClock()
         self.is_reachable = True
         self.may_order = True
+        self.may_grant_long = True
         self.replies_to_acknowledgements = True
         self.is_replaced = False
         self.incarnation = 1
@@ -90,6 +91,7 @@
                 max_lease_validity_ms(lease_limits.longest_ms),
             ),
             lambda: self.may_order,
+            lambda: self.may_grant_long,
             self._wait_stored,
             lambda: None,
             lambda executor_id: None,
@@ -404,7 +406,12 @@
     run_scenario(LinkHarness(lease_limits=LEASES), scenario)
 
 
-def test_silence_ends_the_runs_of_an_executor_only_after_the_lease_chosen_for_their_work() -> None:
+@pytest.mark.parametrize(
+    ("may_grant_long", "lease_ms"), [(True, LEASES.longest_ms), (False, LEASES.shortest_ms)]
+)
+def test_silence_ends_the_runs_of_an_executor_only_after_the_lease_chosen_for_their_work(
+    may_grant_long: bool, lease_ms: int
+) -> None:
     async def scenario(harness: LinkHarness) -> None:
         harness.context.former_leases.apply_response(
             LeasesLeft({}, 0, True), harness.clock.now_ms()
@@ -420,12 +427,14 @@
         run.start_confirmed_ms = harness.clock.now_ms()  # Shorter renewals keep the longer lease.
         request_count = len(harness.gateway.requests)
         await wait_until(lambda: len(harness.gateway.requests) > request_count + 2)
-        await fail_requests(harness, 6_500)
+        await fail_requests(harness, lease_ms - 3_500)
         assert harness.held_run_count == 1
-        await fail_requests(harness, LEASES.longest_ms - 6_500 + 500)
+        await fail_requests(harness, 4_000)
         assert harness.held_run_count == 0
 
-    run_scenario(LinkHarness(lease_limits=LEASES), scenario)
+    harness = LinkHarness(lease_limits=LEASES)
+    harness.may_grant_long = may_grant_long
+    run_scenario(harness, scenario)
 
 
 def test_lease_requested_by_the_clock_of_an_earlier_incarnation_may_last_for_the_longest() -> None:
--- a/packages/node/tests/test_handover_chains.py
+++ b/packages/node/tests/test_handover_chains.py
@@ -12,6 +12,8 @@
 from ownership_world import EXECUTOR_TABLE, START_MS, FakeExecutor, LinkFault, Node, World, make_job
 
 from jacinthreel_node import RowWrite
+from jacinthreel_node._former_leases import OUTAGE_RENEWAL_LIMIT_MS
+from jacinthreel_node._ownership import PERIODIC_CHECK_MS
 from jacinthreel_node._records import LEASE_TABLE, LeaseRow, OwnerRow, decode_lease, encode_record
 from jacinthreel_steps import JobState
 
@@ -20,6 +22,7 @@
 JOB_ID = "0000000000000001"
 LONGEST_RENEWAL_MS = 12_000
 LONGEST_LEASE_MS = 10_300
+SHORTEST_LEASE_MS = 5_700
 CUT = LinkFault(loses_requests=True, loses_replies=True)
 
 EndOwner = Callable[[World], None]
@@ -203,6 +206,23 @@
     assert not world.violations, world.violations
 
 
+def test_run_of_a_lost_owner_and_a_lost_executor_starts_again_before_the_longest_wait(
+    world: World,
+) -> None:
+    # Guards against a job that could run and waits for leases that no owner could have granted.
+    world.advance(2_000)
+    epoch = owner_row(world).epoch
+    [executor_id] = world.running_on.values()
+    world.executors[executor_id].stop_process()
+    kill_for_good(world)
+    await_takeover(world, epoch)
+    taken_over_ms = world.now_ms
+    world.advance(LONGEST_RENEWAL_MS + LONGEST_LEASE_MS)
+    [lost_ms] = [time_ms for time_ms, _, event, _ in world.log_lines if event == "run_lost"]
+    terms_ms = OUTAGE_RENEWAL_LIMIT_MS + SHORTEST_LEASE_MS
+    assert START_MS + lost_ms - taken_over_ms <= terms_ms + PERIODIC_CHECK_MS
+
+
 @pytest.mark.parametrize(
     "value",
     [
