An owner that fails in planning makes way for another

Found by the table of waits: an unexpected error in a planning pass was only logged by the event loop. The owner went on renewing its lease and heartbeats, and placed nothing any more, for as long as each pass failed; no other node had a reason to take over.

The error now ends the ownership, as one in any other part of it does. The test is red before.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -253,7 +253,7 @@
             return
         self._is_plan_pending = True
         delay_ms = max(0, self._last_plan_ms + self._plan_interval_ms() - self._clock.now_ms())
-        asyncio.get_running_loop().call_later(delay_ms / 1000, self._plan)
+        asyncio.get_running_loop().call_later(delay_ms / 1000, self._plan_or_end)
 
     def _plan_interval_ms(self) -> int:
         """Returns the minimum time between the starts of passes.
@@ -263,6 +263,13 @@
         divisor = PLAN_SHARE_DIVISOR_RELAYS if self.fleet.uses_relays else PLAN_SHARE_DIVISOR
         return max(MIN_PLAN_INTERVAL_MS, divisor * self._plan_took_ms)
 
+    def _plan_or_end(self) -> None:
+        """Plans; an error ends the ownership, which would place nothing and still look alive."""
+        try:
+            self._plan()
+        except Exception as error:
+            self._end_after_error(error)
+
     def _plan(self) -> None:
         self._is_plan_pending = False
         if not self.is_loaded or self._policy.current is None:
--- a/packages/node/tests/test_bad_rows.py
+++ b/packages/node/tests/test_bad_rows.py
@@ -1,11 +1,14 @@
-"""Rows whose decoding fails unexpectedly: they must not end the ownership that reads them."""
+"""Unexpected errors: one of a row costs only that row, one of a planning pass the ownership."""
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any, cast
 
+import pytest
 from node_fakes import make_ownership
+from ownership_world import make_policy_view
 
 from jacinthreel_node import Row
 from jacinthreel_steps import ExecutorListing, Resources
@@ -39,3 +42,20 @@
     assert list(ownership.scheduler.tables.executors_by_id) == ["i-1"]
     assert [fields["executor"] for event, fields in logged if event == "executor_row_unreadable"]
     assert not lost
+
+
+def test_owner_that_fails_in_each_planning_pass_makes_way_for_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against an owner that renews its lease and starts nothing any more.
+    lost: list[str] = []
+    ownership = make_ownership(policy=make_policy_view(), on_lost=lost.append)
+    ownership.is_loaded = True
+    monkeypatch.setattr(ownership.scheduler, "plan", lambda now_ms: 1 / 0)
+
+    async def plan_once() -> None:
+        ownership.request_plan()
+        await asyncio.sleep(0.1)
+
+    asyncio.run(plan_once())
+    assert lost == ["unexpected error: ZeroDivisionError('division by zero')"]
