A start is sent only to the incarnation that it was placed on

An owner behind a cut may hold a start that was stored before a takeover. The executor has answered the next owner, and refuses the first one; then it crashes, starts again, and has forgotten that. The start would be obeyed, while the next owner, told that the run is gone, starts the task elsewhere. Only a restart that was reported before the link had read the clock of the new incarnation was recognized.

A start to another incarnation than that of the placement is now refused by the link, direct or through a relay. The test is red before (direct link).

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -327,7 +327,8 @@
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
             return
-        if until_ms is None:  # The executor has restarted since the run was placed.
+        # A restarted executor has forgotten that it refuses owners from before another takeover.
+        if until_ms is None or executor.listing.incarnation != run.incarnation:
             outcome = StartOutcome.REFUSED_INCARNATION
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -559,8 +559,14 @@
 
     def _start(self, link: _RelayedLink, session: OwnerRelaySession, run: Run) -> None:
         job = self._context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
-        if job is not None and run.state is RunState.STARTING:
-            session.start(link.slot, run, job.record.spec.payload)
+        executor = self._find_executor(link.executor_id)
+        if job is None or executor is None or run.state is not RunState.STARTING:
+            return
+        if executor.listing.incarnation != run.incarnation:
+            outcome, now_ms = StartOutcome.REFUSED_INCARNATION, self._context.clock.now_ms()
+            self._context.scheduler.record_start_outcome(run, outcome, now_ms)
+            return
+        session.start(link.slot, run, job.record.spec.payload)
 
     def _schedule_flush(self, session: OwnerRelaySession) -> None:
         """Sends queued orders in the next iteration of the event loop, grouped by relay."""
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -333,6 +333,24 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_start_that_waited_for_an_earlier_incarnation_is_not_sent_to_the_next_one() -> None:
+    """It has forgotten that it refuses this owner, if another one has taken over meanwhile."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        run = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[0]
+        run.state = RunState.STARTING
+        harness.incarnation = 2
+        executor = harness.scheduler.tables.executors_by_id["e1"]
+        await wait_until(lambda: executor.reported_incarnation == 2)
+        harness.link.send(run)
+        await wait_until(lambda: run.state is not RunState.STARTING)
+        assert harness.gateway.starts == []
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_run_that_never_started_is_gone_as_soon_as_its_stop_is_confirmed() -> None:
     """Its gang waited up to a second for the next report before it could start elsewhere."""
 
