An executor whose clock was set back is used again after a restart

Seen by reading in the review, not tried. An executor names its incarnation by the time of its start. One that restarts under its id with an earlier time was taken for a delayed report of the earlier incarnation, each time: its runs never ended, so their tasks waited for ever, and its capacity was not used again. Its entry was ignored as well, at whatever address it listed.

A report of another incarnation now counts as later if it was requested after one of the current incarnation had arrived, whatever the numbers say; otherwise it is ignored, also with a higher number. Once an executor is lost, its entry counts with any number.

--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
@@ -1,9 +1,11 @@
 """The executors as the registry lists them: new, changed, removed and restarted ones.
 
 An executor that restarts becomes another incarnation: the runs of the earlier one have ended, and
-its ends are numbered anew.  Only a report shows that it has restarted, because its entry may be by
-another writer; an entry that names a later incarnation only keeps new runs away until then.  Runs
-that were restored from storage before their executor was listed are kept until it is.
+its ends are numbered anew.  Incarnations are named by the wall clock of the executor, which may be
+set back, so that a later one may have a lower number.  Only a report shows that it has restarted,
+because its entry may be by another writer; an entry that names a later incarnation only keeps new
+runs away until then.  Runs that were restored from storage before their executor was listed are
+kept until it is.
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 from dataclasses import replace
 
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._model import NO_RESOURCES, ExecutorListing
+from jacinthreel_steps._model import NO_RESOURCES, ExecutorListing, ExecutorReport
 from jacinthreel_steps._runs._reports import end_lost_run, record_loss
 from jacinthreel_steps._tables import Executor, Run
 
@@ -49,15 +51,23 @@
             listing = replace(listing, incarnation=executor.reported_incarnation)
         executor.listing = listing
 
-    def apply_reported_incarnation(self, executor: Executor, incarnation: int, now_ms: int) -> bool:
-        """Applies the incarnation of a report; returns false if the report is of an older one."""
-        if incarnation < executor.reported_incarnation:
+    def apply_reported_incarnation(
+        self, executor: Executor, report: ExecutorReport, now_ms: int
+    ) -> bool:
+        """Applies the incarnation of a report; returns false if it may be of an older one.
+
+        A report that was requested after one of the current incarnation had arrived is not.
+        """
+        incarnation, known = report.incarnation, executor.reported_incarnation
+        has_restarted = known not in (0, incarnation)
+        if has_restarted and report.sent_ms < executor.incarnation_seen_ms:
             return False
-        if incarnation > executor.listing.incarnation:
+        if has_restarted or incarnation > executor.listing.incarnation:
             self._begin_incarnation(executor, incarnation, now_ms)
         elif incarnation < executor.listing.incarnation:
             executor.listing = replace(executor.listing, incarnation=incarnation)
         executor.reported_incarnation = incarnation
+        executor.incarnation_seen_ms = now_ms - report.age_ms
         return True
 
     def remove_listing(self, executor_id: str) -> bool:
@@ -135,7 +145,7 @@
         Runs that it never reported are reconciled with the executor's next report.
         """
         for run in list(executor.runs_by_task.values()):
-            if 0 < run.reported_incarnation < executor.listing.incarnation:
+            if run.reported_incarnation not in (0, executor.listing.incarnation):
                 end_lost_run(self._context, run, "executor restarted", now_ms, has_left)
 
     def _update_earliest_shutdown(self, executor: Executor, now_ms: int) -> None:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -260,6 +260,7 @@
             return
         end_lost_runs(self._context, executor, reason, now_ms)
         executor.has_reported = False
+        executor.reported_incarnation = 0  # Its entry may name one with a lower number.
         if not executor.is_listed and not executor.has_unreadable_entry:
             del self.tables.executors_by_id[executor_id]
 
@@ -285,7 +286,7 @@
         executor = self.tables.executors_by_id.get(executor_id)
         if executor is None:
             return
-        if not self._registry.apply_reported_incarnation(executor, report.incarnation, now_ms):
+        if not self._registry.apply_reported_incarnation(executor, report, now_ms):
             return
         apply_report(self._context, executor, report, now_ms)
         for reported in report.running:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -367,8 +367,9 @@
     `is_listed` is false once the registry has no usable entry for it; `has_unreadable_entry` is
     true while its entry can't be decoded.  `has_reported` is true once its current incarnation has
     sent a report, and false again once its entry names a later one.  `reported_incarnation` is the
-    one of the last report, 0 before the first.  `applied_end_sequence` is the highest sequence
-    number of a run's end that was applied, `acknowledged_upto` the highest one that may be
+    one of the last report, 0 before the first and once the executor was lost, and
+    `incarnation_seen_ms` is when that report arrived.  `applied_end_sequence` is the highest
+    sequence number of a run's end that was applied, `acknowledged_upto` the highest one that may be
     acknowledged.  `last_report_ms` is when the last report arrived, or when the executor was first
     listed.  `start_answered_ms` is when it last answered an order to start a run, whatever the
     answer.
@@ -387,6 +388,7 @@
     has_unreadable_entry: bool = False
     has_reported: bool = False
     reported_incarnation: int = 0
+    incarnation_seen_ms: int = 0
     applied_end_sequence: int = 0
     acknowledged_upto: int = 0
     has_more_ends: bool = False
--- a/packages/steps/tests/test_recovery.py
+++ b/packages/steps/tests/test_recovery.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+from typing import Any
+
+import pytest
 from scheduler_harness import SchedulerHarness, listing, step
 
-from jacinthreel_steps import EndReason, Scheduler, StoredProgress
+from jacinthreel_steps import (
+    EndReason,
+    ExecutorReport,
+    ReportedRun,
+    Scheduler,
+    StoredProgress,
+)
 from jacinthreel_steps._runs._progress_rows import encode_progress
 
 
@@ -88,3 +98,45 @@
     executor = restored.tables.executors_by_id["e1"]
     assert [run.run_id for run in executor.runs_by_task.values()] == [harness.runs("j1")[0].run_id]
     assert executor.free_resources.accelerators == 0
+
+
+RESTART_MS = 1_000
+
+
+def restart(harness: SchedulerHarness, name: str, **listed: Any) -> ExecutorReport:
+    """Restarts an executor; returns a report of its earlier incarnation that arrives later."""
+    earlier = harness.listings[name]
+    running = tuple(
+        ReportedRun(run.run_id, "", 0) for run in harness.running.pop(name, {}).values()
+    )
+    late = ExecutorReport(earlier.incarnation, harness.now_ms, running, ())
+    harness.now_ms += RESTART_MS
+    harness.listings[name] = replace(earlier, **listed)
+    harness.scheduler.apply_listing(harness.listings[name], harness.now_ms)
+    return late
+
+
+@pytest.mark.parametrize("incarnation", [5, 12])
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_executor_that_restarts_is_used_again_whatever_its_clock_says(
+    incarnation: int, is_lost: bool
+) -> None:
+    # Guards against runs that never end there, and capacity that is never used again.
+    harness = SchedulerHarness(listing("e1", incarnation=9))
+    harness.submit("j1", step(accelerators=8))
+    harness.settle()
+    harness.report("e1")
+
+    address = "e1:81" if is_lost else "e1:80"
+    late_report = restart(harness, "e1", incarnation=incarnation, address=address)
+    if is_lost:
+        harness.scheduler.expire_executor("e1", "lease expired", harness.now_ms)
+        harness.scheduler.apply_listing(harness.listings["e1"], harness.now_ms)
+    harness.report("e1")
+    harness.settle()
+    harness.report("e1")
+    harness.scheduler.apply_report("e1", late_report, harness.now_ms)
+    harness.settle()
+
+    assert [run.run_id.number for run in harness.runs("j1")] == [2]
+    assert harness.scheduler.tables.executors_by_id["e1"].listing.address == address
