A suspect gang that could run no longer waits 30 s for a rack of sound executors

Found by the table of waits: a gang under which executors were lost, and that has few starts left, waits up to 30 s for executors that were not lost recently, as long as these could hold it if nothing else ran there. All racks together count for that, so that a gang that wants one rack waits the whole time where no rack has enough of them.

A job that could run for 10 s is now placed on any executor, and so on any rack, in a trial as elsewhere. The wait for the end of an outage stays: a start in it would count against the task and show nothing. The test is red before.

--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -53,7 +53,6 @@
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 RACK_WAIT_MARGIN_MS: Final = 1_000  # Beyond a stop; then gangs of priority 0 may span racks.
-MAX_RACK_WAIT_MS: Final = 10_000  # For other gangs, while the service has plenty of room.
 
 
 def plan(context: Context, now_ms: int) -> bool:
@@ -211,14 +210,14 @@
     """Whether a gang that wants one rack may be placed on several.
 
     It may if no rack could hold it even when empty, if it has priority 0 and has waited for more
-    than the time of a stop and `RACK_WAIT_MARGIN_MS`, or if it could have run for
-    `MAX_RACK_WAIT_MS`: small tasks may come and go without ever leaving a rack free.
+    than the time of a stop and `RACK_WAIT_MARGIN_MS`, or if it is overdue: small tasks may come and
+    go without ever leaving a rack free.
     """
     waited_ms = state.now_ms - job.accepted_ms
     wait_limit_ms = state.context.stop_limit_ms + RACK_WAIT_MARGIN_MS
     if job.record.queue.priority == 0 and waited_ms > wait_limit_ms:
         return True
-    if state.context.waiting_jobs.held_ms(job, state.now_ms) >= MAX_RACK_WAIT_MS:
+    if state.context.waiting_jobs.is_overdue(job, state.now_ms):
         return True
     if step.spec.max_per_executor:
         return not fits_on_empty_rack(step, slots.free.executors, len(step.tasks))
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -123,7 +123,7 @@
 def _try_suspects(state: PassState, job: Job, step: Step, suspects: list[Task]) -> list[Task]:
     """Places the suspects; returns those that have waited too long to be placed apart."""
     slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
-    scope = _choose_scope(state, step, suspects, slots)
+    scope = _choose_scope(state, job, step, suspects, slots)
     if scope is TrialScope.NONE:
         state.context.waiting_jobs.note(job, Hold.OUTAGE)
         return []
@@ -143,7 +143,7 @@
 
 
 def _choose_scope(
-    state: PassState, step: Step, suspects: list[Task], slots: ServiceSlots
+    state: PassState, job: Job, step: Step, suspects: list[Task], slots: ServiceSlots
 ) -> TrialScope:
     """Returns where the suspects may be placed now, by the time that they have waited."""
     context = state.context
@@ -154,6 +154,8 @@
         return TrialScope.NONE
     if waited_ms <= TRIAL_WAIT_MS:
         return TrialScope.EMPTY
+    if context.waiting_jobs.is_overdue(job, state.now_ms):
+        return TrialScope.ANY  # No rack may ever hold a gang on sound executors.
     sound = _sound_executors(state, step, slots.free.executors)
     if may_wait and _could_hold(step, sound, len(suspects) if step.spec.is_gang else 1):
         return TrialScope.SOUND  # They are only busy.
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -3,7 +3,8 @@
 A job counts if it is accepted, tasks of it are ready, none of its runs is at work, most capacity of
 its service is unused, and at least `ROOM_FACTOR` times what it needs is free.  After
 `HELD_AFTER_MS` the log names what the scheduling passes found to hold it, the states of its runs,
-and why executors take no tasks.
+and why executors take no tasks.  After `PREFERENCE_LIMIT_MS` it no longer waits for executors that
+it only prefers.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 Log = Callable[[str, dict[str, Any]], None]
 
 HELD_AFTER_MS: Final = 2_000
+PREFERENCE_LIMIT_MS: Final = 10_000
 CHECK_PERIOD_MS: Final = 500
 ROOM_FACTOR: Final = 2
 MAX_BUSY_SHARE: Final = 0.5
@@ -65,10 +67,10 @@
         """Records what held a step of the job in the current pass; the first step counts."""
         self._hold_by_job.setdefault(job.job_id, hold)
 
-    def held_ms(self, job: Job, now_ms: int) -> int:
-        """Returns for how long the job could have run and didn't, 0 if it could not run now."""
+    def is_overdue(self, job: Job, now_ms: int) -> bool:
+        """Whether the job is to be placed even where it runs less well than elsewhere."""
         wait = self._wait_by_job.get(job.job_id)
-        return now_ms - wait.since_ms if wait is not None else 0
+        return wait is not None and now_ms - wait.since_ms >= PREFERENCE_LIMIT_MS
 
     def check(self, tables: Tables, log: Log, now_ms: int) -> None:
         """Logs the jobs that have been held for `HELD_AFTER_MS`, each once; if a check is due."""
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -9,7 +9,8 @@
 import pytest
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
-from jacinthreel_steps import EndReason
+from jacinthreel_steps import EndReason, StepSpec
+from jacinthreel_steps._tables import CrashRecord, GangLosses
 
 RACKS = 3
 EXECUTORS_PER_RACK = 4
@@ -81,18 +82,34 @@
     assert held_lines(harness) == []
 
 
+def make_suspect(harness: SchedulerHarness, job_id: str) -> None:
+    """Records that executors were lost under a gang, which has a limited number of starts since."""
+    tables = harness.scheduler.tables
+    [job_step] = tables.jobs_by_id[job_id].steps
+    job_step.gang_losses = GangLosses(["lost:80", "lost:81"])
+    tables.crashed_gangs.add((job_id, 0))
+    for task in job_step.tasks:
+        task.crash_record = CrashRecord(3, [], 0, 1_400, harness.now_ms, last_run=9)
+        tables.crashed_task_ids[task.task_id] = None
+
+
 @pytest.mark.parametrize(
-    ("wanted", "waits_ms"),
+    ("wanted", "is_suspect", "waits_ms"),
     [
         # A rack would hold the gang if nothing else ran there, and small tasks never leave one.
-        (ONE_RACK_GANG, 13_000),
+        (ONE_RACK_GANG, False, 13_000),
+        (ONE_RACK_GANG, True, 13_000),
         # No rack has three executors with the label, whatever ends there.
-        (step(3, 8, is_gang=True, wants_one_rack=True, required_label="b"), 500),
+        (replace(ONE_RACK_GANG, required_label="b"), False, 500),
     ],
 )
-def test_gang_does_not_wait_without_end_for_a_rack(wanted: Any, waits_ms: int) -> None:
+def test_gang_does_not_wait_without_end_for_a_rack(
+    wanted: StepSpec, is_suspect: bool, waits_ms: int
+) -> None:
     harness = make_cluster()
     harness.submit("gang", wanted, terms=queue(1))
+    if is_suspect:
+        make_suspect(harness, "gang")
 
     harness.pass_time(waits_ms)
 
