--- a/packages/node/src/jacinthreel_node/_relays/_relay_links.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relay_links.py
@@ -1,7 +1,7 @@
 """The owner's links to executors through relays; the counterpart of `ExecutorLink`.
 
-Opens a session on each stream to a node, assigns executors to the relays that respond, and applies
-their reports to the scheduler.  Lease bounds: see docs/design/relays.md.
+Opens a session on each stream to a node and assigns executors to the relays that respond.  Their
+reports are applied in `_relay_reports`.  Lease bounds: see docs/design/relays.md.
 
 Invariant: at every moment, `lease_end_ms` of an executor is at or after the time by which all
 leases that any relay may have granted there have certainly ended.
@@ -11,16 +11,10 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from typing import Final, Protocol
 
 from jacinthreel_common import Hello, RelayReport
-from jacinthreel_node._executor_exchange import (
-    CLOCK_SLOWNESS,
-    LEASE_MARGIN_MS,
-    max_lease_validity_ms,
-)
-from jacinthreel_node._executor_link import LinkContext, lease_ms_of
+from jacinthreel_node._executor_link import LinkContext
 from jacinthreel_node._lease_expiry import ExpiredLeases, log_expiry
 from jacinthreel_node._relays._assignment import (
     AssignedExecutor,
@@ -29,26 +23,19 @@
     select_relays,
 )
 from jacinthreel_node._relays._messages import (
-    Acknowledgement,
     Assignment,
-    ReportBody,
-    SlotLoss,
-    SlotReport,
-    decode_end,
     decode_report,
-    decode_running,
-    run_id_of,
 )
+from jacinthreel_node._relays._relay_reports import RelayReports
 from jacinthreel_node._relays._relay_session import (
     RELAY_SILENCE_MS,
     OwnerRelaySession,
     PeerConnection,
 )
+from jacinthreel_node._relays._relayed_link import RelayedLink, assignment_terms
 from jacinthreel_steps import (
     Executor,
-    ExecutorReport,
     Run,
-    RunState,
     StartOutcome,
     StopOrder,
 )
@@ -70,32 +57,6 @@
         """Returns all open connections to processes of a role."""
 
 
-@dataclass(slots=True)
-class _RelayedLink:
-    """The owner's state of the exchange with one executor.
-
-    `contact` is the relay's current one; it is reached only while `is_reached`, and leases are
-    granted in it only if it equals `granted_contact`.  `bound_ms` is the lease bound of earlier
-    slots and contacts.  `assigned` holds the address, incarnation and lease duration that the slot
-    was assigned with.
-    """
-
-    executor_id: str
-    bound_ms: int = 0
-    session: OwnerRelaySession | None = None
-    slot: int = 0
-    contact: int = 1
-    granted_contact: int = 0
-    is_reached: bool = False
-    is_lost_logged: bool = False
-    assigned: tuple[str, int, int] = ("", 0, 0)
-    assigned_ms: int = 0
-    unreached_moves: int = 0
-    avoided_host: str = ""
-    acknowledged: int = 0
-    held_starts: list[Run] = field(default_factory=list)
-
-
 class RelayLinks:
     """All links through relays of one ownership."""
 
@@ -104,11 +65,10 @@
         self._streams = streams
         self._sessions: dict[int, OwnerRelaySession] = {}
         self._sessions_by_peer: dict[int, OwnerRelaySession] = {}
-        self._links: dict[str, _RelayedLink] = {}
+        self._links: dict[str, RelayedLink] = {}
         self._unplaced: dict[str, None] = {}
         # Nodes of an earlier version close the connection on a message that they don't support.
         self._paused_until_ms_by_host: dict[str, int] = {}
-        self._unacknowledged: dict[str, None] = {}
         self._last_session = 0
         self._last_slot = 0
         self._first_ready_ms: int | None = None
@@ -118,6 +78,7 @@
         self._checked_ms = 0
         self._settled_cursor = 0
         self._sessions_to_flush: dict[int, OwnerRelaySession] = {}
+        self._reports = RelayReports(context, self._links, self._schedule_flush)
         self.message_count = 0
         self.report_count = 0
 
@@ -156,7 +117,7 @@
     def add(self, executor_id: str, bound_ms: int = 0) -> None:
         """Adds an executor; `bound_ms` is the lease bound of an earlier direct link."""
         if executor_id not in self._links:
-            self._links[executor_id] = _RelayedLink(executor_id, bound_ms)
+            self._links[executor_id] = RelayedLink(executor_id, bound_ms)
             self._unplaced[executor_id] = None
 
     def remove(self, executor_id: str) -> int:
@@ -165,14 +126,14 @@
         self._unassign(link)
         del self._links[executor_id]
         self._unplaced.pop(executor_id, None)
-        self._unacknowledged.pop(executor_id, None)
+        self._reports.forget(executor_id)
         return link.bound_ms
 
     def lease_end_ms(self, executor_id: str) -> int:
         """Returns the local time by which all runs have ended if the executor is unreachable."""
         link = self._links[executor_id]
         former_end_ms = self._context.former_leases.end_ms(executor_id)
-        return max(former_end_ms, link.bound_ms, self._current_bound_ms(link))
+        return max(former_end_ms, link.bound_ms, link.current_bound_ms(self._context.lease_limits))
 
     def send(self, order: Run | StopOrder) -> None:
         """Queues a start or a stop; a start waits until the executor's contact is granted."""
@@ -186,7 +147,7 @@
             if not any(held is order for held in link.held_starts):
                 link.held_starts.append(order)
         else:
-            self._start(link, session, order)
+            self._reports.send_start(link, session, order)
             self._schedule_flush(session)
 
     def handle_report(self, peer: Hello, message: RelayReport) -> None:
@@ -200,28 +161,17 @@
             return
         if body.session != session.number:
             return
-        self._apply_body(session, body)
+        self.report_count += 1
+        now_ms = self._context.clock.now_ms()
+        if session.ready_ms is None:
+            self._last_ready_ms = now_ms
+            self._first_ready_ms = self._first_ready_ms or now_ms
+        session.record_report(body, now_ms)
+        self._reports.apply(session, body)
 
     def acknowledge_stored(self) -> None:
         """Queues acknowledgements of ends that have been stored."""
-        for executor_id in list(self._unacknowledged):
-            self._acknowledge(self._links[executor_id])
-
-    def _acknowledge(self, link: _RelayedLink) -> None:
-        executor = self._find_executor(link.executor_id)
-        if executor is None or link.session is None:
-            self._unacknowledged.pop(link.executor_id, None)
-            return
-        stored_upto = self._context.scheduler.acknowledged_upto(link.executor_id)
-        if stored_upto > link.acknowledged:
-            link.acknowledged = stored_upto
-            incarnation = executor.listing.incarnation
-            link.session.acknowledge(Acknowledgement(link.slot, incarnation, stored_upto))
-            self._schedule_flush(link.session)
-        if executor.pending_ends:
-            self._unacknowledged[link.executor_id] = None
-        else:
-            self._unacknowledged.pop(link.executor_id, None)
+        self._reports.acknowledge_stored()
 
     def run_timers(self) -> None:
         """Checks sessions and links if due, assigns executors, and sends queued orders.
@@ -290,22 +240,24 @@
             session = link.session
             if session is None:
                 continue
-            if self._assignment_terms(executor) != link.assigned:
+            if assignment_terms(executor, self._context.lease_limits) != link.assigned:
                 self._unassign(link)
                 self._assign(link, session, executor, now_ms)
             elif not link.is_reached and ready_count >= 2:
                 self._release_unreached(link, session, now_ms)
 
-    def _expire_if_due(self, link: _RelayedLink, executor: Executor, now_ms: int) -> None:
+    def _expire_if_due(self, link: RelayedLink, executor: Executor, now_ms: int) -> None:
         if now_ms < self.lease_end_ms(link.executor_id):
             return
-        expired = ExpiredLeases(executor, self._current_bound_ms(link), link.bound_ms)
+        expired = ExpiredLeases(
+            executor, link.current_bound_ms(self._context.lease_limits), link.bound_ms
+        )
         log_expiry(expired, self._context.former_leases, now_ms, self._context.log)
         self._context.scheduler.expire_executor(link.executor_id, "lease expired", now_ms)
         self._context.request_plan()
 
     def _release_unreached(
-        self, link: _RelayedLink, session: OwnerRelaySession, now_ms: int
+        self, link: RelayedLink, session: OwnerRelaySession, now_ms: int
     ) -> None:
         """Moves an executor away from a relay that doesn't reach it for some time."""
         limit_ms = min(UNREACHED_MOVE_MS * 2**link.unreached_moves, MAX_UNREACHED_MOVE_MS)
@@ -388,7 +340,7 @@
                 count_by_zone[zone] = count_by_zone.get(zone, 0) + 1
         return select_relays(candidates, count_by_zone)
 
-    def _next_settled(self) -> list[_RelayedLink]:
+    def _next_settled(self) -> list[RelayedLink]:
         """Returns the next few assigned executors to compare with other relays, in turn."""
         links = list(self._links.values())
         start = self._settled_cursor % max(1, len(links))
@@ -396,14 +348,14 @@
         window = links[start : start + SETTLED_PER_CHECK]
         return [link for link in window if link.session is not None and link.is_reached]
 
-    def _make_entry(self, link: _RelayedLink) -> AssignedExecutor:
+    def _make_entry(self, link: RelayedLink) -> AssignedExecutor:
         executor = self._find_executor(link.executor_id)
         zone = executor.listing.zone if executor is not None else ""
         number = link.session.number if link.session is not None else None
         return AssignedExecutor(link.executor_id, zone, number, link.avoided_host)
 
     def _assign(
-        self, link: _RelayedLink, session: OwnerRelaySession, executor: Executor, now_ms: int
+        self, link: RelayedLink, session: OwnerRelaySession, executor: Executor, now_ms: int
     ) -> None:
         self._last_slot += 1
         link.session = session
@@ -412,18 +364,18 @@
         link.granted_contact = 0
         link.is_reached = False
         link.acknowledged = 0
-        link.assigned = self._assignment_terms(executor)
+        link.assigned = assignment_terms(executor, self._context.lease_limits)
         link.assigned_ms = now_ms
         address, incarnation, lease_ms = link.assigned
         session.assign(Assignment(link.slot, link.executor_id, address, incarnation, lease_ms))
         self._unplaced.pop(link.executor_id, None)
 
-    def _unassign(self, link: _RelayedLink) -> None:
+    def _unassign(self, link: RelayedLink) -> None:
         """Ends the current slot; starts without an outcome count as unanswered."""
         session = link.session
         if session is None:
             return
-        link.bound_ms = max(link.bound_ms, self._current_bound_ms(link))
+        link.bound_ms = max(link.bound_ms, link.current_bound_ms(self._context.lease_limits))
         link.session = None
         link.is_reached = False
         link.granted_contact = 0
@@ -433,141 +385,6 @@
             self._context.scheduler.record_start_outcome(run, StartOutcome.UNKNOWN, now_ms)
         self._context.request_plan()
 
-    def _current_bound_ms(self, link: _RelayedLink) -> int:
-        """Returns the bound of the leases of the current contact, 0 if none were granted."""
-        if link.session is None or link.granted_contact != link.contact:
-            return 0
-        lease_ms = max_lease_validity_ms(self._context.lease_limits.shortest_ms)
-        return link.session.permission_end_ms() + lease_ms
-
-    def _assignment_terms(self, executor: Executor) -> tuple[str, int, int]:
-        listing = executor.listing
-        lease_ms = lease_ms_of(listing, self._context.lease_limits.shortest_ms)
-        return listing.address, listing.incarnation, lease_ms
-
-    def _apply_body(self, session: OwnerRelaySession, body: ReportBody) -> None:
-        now_ms = self._context.clock.now_ms()
-        self.report_count += 1
-        if session.ready_ms is None:
-            self._last_ready_ms = now_ms
-            self._first_ready_ms = self._first_ready_ms or now_ms
-        session.record_report(body, now_ms)
-        for loss in body.losses:
-            self._apply_loss(session, loss, now_ms)
-        self._apply_outcomes(session, body, now_ms)
-        for report in body.reports:
-            self._apply_report(session, report, now_ms)
-        self._apply_ages(session, body, now_ms)
-        for slot in body.fenced_slots:
-            if slot in session.executor_by_slot:
-                self._context.on_fenced(session.executor_by_slot[slot])
-                return
-        if body.losses or body.start_results or body.confirmed_stops or body.reports:
-            self._context.request_plan()
-
-    def _apply_outcomes(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
-        scheduler = self._context.scheduler
-        for result in body.start_results:
-            start = session.starts_by_order.pop(result.order, None)
-            if start is not None:
-                scheduler.record_start_outcome(start[1], result.outcome, now_ms)
-        for order in body.confirmed_stops:
-            stop = session.stops_by_order.pop(order, None)
-            if stop is not None:
-                scheduler.record_stop_confirmation(stop[1], now_ms)
-
-    def _apply_report(self, session: OwnerRelaySession, report: SlotReport, now_ms: int) -> None:
-        link = self._find_link(session, report.slot)
-        if link is None or report.contact < link.contact:
-            return
-        if report.contact > link.contact:
-            link.bound_ms = max(link.bound_ms, self._current_bound_ms(link))
-            link.contact = report.contact
-        self._allow_for_restart(link, report.incarnation, now_ms)
-        running = tuple(decode_running(entry) for entry in report.running)
-        ended = tuple(decode_end(entry) for entry in report.ended)
-        self._context.scheduler.apply_report(
-            link.executor_id,
-            ExecutorReport(
-                report.incarnation,
-                report.sent_ms,
-                running,
-                ended,
-                report.age_ms,
-                report.may_omit_ends,
-                frozenset(run_id_of(name).task for name in report.unclear_tasks),
-            ),
-            now_ms,
-        )
-        if report.ended:
-            # The relay may have lost the acknowledgement with the contact that it came in.
-            lowest = min(end.sequence for end in report.ended)
-            link.acknowledged = min(link.acknowledged, lowest - 1)
-            self._acknowledge(link)
-        if not link.is_reached:
-            self._begin_contact(link, session)
-
-    def _begin_contact(self, link: _RelayedLink, session: OwnerRelaySession) -> None:
-        link.is_reached = True
-        self._context.former_leases.record_answer(link.executor_id, self._context.clock.now_ms())
-        link.unreached_moves = 0
-        link.granted_contact = link.contact
-        session.grant(link.slot, link.contact)
-        if link.is_lost_logged:
-            link.is_lost_logged = False
-            self._context.log("executor_regained", {"executor": link.executor_id})
-        held, link.held_starts = link.held_starts, []
-        for run in held:
-            self._start(link, session, run)
-        self._schedule_flush(session)
-
-    def _apply_loss(self, session: OwnerRelaySession, loss: SlotLoss, now_ms: int) -> None:
-        """Ends a contact: the relay renews no lease of it, and starts nothing, from now on."""
-        link = self._find_link(session, loss.slot)
-        if link is None or loss.contact < link.contact:
-            return
-        left_ms = int(loss.left_ms / (1 - CLOCK_SLOWNESS))
-        if link.granted_contact:
-            link.bound_ms = max(link.bound_ms, now_ms + left_ms + LEASE_MARGIN_MS)
-        link.contact = loss.contact + 1
-        link.granted_contact = 0
-        link.assigned_ms = now_ms if link.is_reached else link.assigned_ms
-        link.is_reached = False
-        if not link.is_lost_logged:
-            link.is_lost_logged = True
-            self._context.scheduler.record_unreachable(link.executor_id, now_ms)
-            fields = {
-                "executor": link.executor_id,
-                "reason": loss.detail,
-                "relay": session.host_id,
-            }
-            self._context.log("executor_lost", fields)
-        executor = self._find_executor(link.executor_id)
-        if loss.is_replaced and executor and self._assignment_terms(executor) == link.assigned:
-            self._context.scheduler.expire_executor(link.executor_id, "executor replaced", now_ms)
-
-    def _apply_ages(self, session: OwnerRelaySession, body: ReportBody, now_ms: int) -> None:
-        """Records the time of the last response of each executor that the relay reaches."""
-        stale_age_by_slot = {entry.slot: entry.age_ms for entry in body.stale}
-        for slot, executor_id in session.executor_by_slot.items():
-            if not self._links[executor_id].is_reached:
-                continue
-            executor = self._find_executor(executor_id)
-            if executor is not None and executor.has_reported:
-                age_ms = stale_age_by_slot.get(slot, body.age_ms)
-                executor.last_report_ms = max(executor.last_report_ms, now_ms - age_ms)
-
-    def _start(self, link: _RelayedLink, session: OwnerRelaySession, run: Run) -> None:
-        job = self._context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
-        executor = self._find_executor(link.executor_id)
-        if job is None or executor is None or run.state is not RunState.STARTING:
-            return
-        if executor.listing.incarnation != run.incarnation:
-            outcome, now_ms = StartOutcome.REFUSED_INCARNATION, self._context.clock.now_ms()
-            self._context.scheduler.record_start_outcome(run, outcome, now_ms)
-            return
-        session.start(link.slot, run, job.record.spec.payload)
-
     def _schedule_flush(self, session: OwnerRelaySession) -> None:
         """Sends queued orders in the next iteration of the event loop, grouped by relay."""
         if not self._sessions_to_flush:
@@ -585,20 +402,5 @@
         now_ms = self._context.clock.now_ms()
         self.message_count += session.flush(now_ms, self._context.may_order())
 
-    def _allow_for_restart(self, link: _RelayedLink, incarnation: int, now_ms: int) -> None:
-        """Allows for leases that the relay requested by the clock of an earlier incarnation.
-
-        The restarted executor's clock has begun anew, so that they last for the longest at most.
-        """
-        executor = self._find_executor(link.executor_id)
-        if executor is None or executor.reported_incarnation in (0, incarnation):
-            return
-        longest_ms = max_lease_validity_ms(self._context.lease_limits.longest_ms)
-        link.bound_ms = max(link.bound_ms, now_ms + longest_ms)
-
-    def _find_link(self, session: OwnerRelaySession, slot: int) -> _RelayedLink | None:
-        executor_id = session.executor_by_slot.get(slot)
-        return self._links[executor_id] if executor_id is not None else None
-
     def _find_executor(self, executor_id: str) -> Executor | None:
         return self._context.scheduler.tables.executors_by_id.get(executor_id)
