--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from node_fakes import ManualClock, ScriptedExecutors
@@ -23,6 +24,9 @@
 from jacinthreel_node._executor_exchange import ExecutorClock, max_lease_validity_ms
 from jacinthreel_node._executor_link import ExecutorLink, LinkContext
 from jacinthreel_node._former_leases import FormerLeases
+from jacinthreel_node._relays._relay_reports import RelayReports
+from jacinthreel_node._relays._relay_session import OwnerRelaySession
+from jacinthreel_node._relays._relayed_link import RelayedLink
 from jacinthreel_node._slow_steps import MAX_PAUSE_MS, SLOW_STEP_MS
 from jacinthreel_steps import (
     EndReason,
@@ -351,6 +355,21 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_relay_gets_no_start_that_waited_for_an_earlier_incarnation() -> None:
+    harness = LinkHarness()
+    now_ms = harness.clock.now_ms()
+    harness.scheduler.apply_report("e1", ExecutorReport(1, now_ms, (), ()), now_ms)
+    harness.place_task()
+    [run] = harness.scheduler.tables.jobs_by_id["j1"].live_runs()
+    run.state = RunState.STARTING
+    harness.scheduler.apply_report("e1", ExecutorReport(2, now_ms, (), ()), now_ms)
+    session = OwnerRelaySession(1, 1, cast(Any, SimpleNamespace(peer=None)), now_ms)
+    reports = RelayReports(harness.context, {}, lambda session: None)
+    reports.send_start(RelayedLink("e1"), session, run)
+    assert session.starts_by_order == {}
+    assert run.state is RunState.ENDED
+
+
 def test_run_that_never_started_is_gone_as_soon_as_its_stop_is_confirmed() -> None:
     """Its gang waited up to a second for the next report before it could start elsewhere."""
 
