--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -26,7 +26,7 @@
 from jacinthreel_node._records import EarlierLeases
 from jacinthreel_steps import LeaseLimits
 
-OUTAGE_RENEWAL_LIMIT_MS: Final = 8_000  # Limit for renewing task leases without the owner lease.
+OUTAGE_RENEWAL_LIMIT_MS: Final = 9_000  # Limit for renewing task leases without the owner lease.
 MAX_OUTAGE_RENEWAL_MS: Final = 12_000  # Of owners whose row doesn't tell, as in earlier versions.
 LONG_LEASE_LIMIT_MS: Final = 2_000
 """Without the owner lease for longer, only the shortest task leases are granted.
