Log a reservation, a missing rack, and the length of a wait for jobs that could run

The log line of a job that could run and doesn't named "no room" for three different causes, gave the time since a run's placement as if it was the time in its state, and wasn't written at all while claimed capacity made the service look more than half full.

It now tells "reserved for urgent jobs" and "no rack" from "no room", how many executors are reserved, for how long the job has been held and each run has been in its state, and whether the run's executor is usable. `job_held_ended` has the length of the whole wait. Claimed capacity counts as free: from outside nothing runs there for the claim.

--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -74,7 +74,7 @@
         if slots is None:
             executors = self.usable.by_service.get(service, [])
             if priority > 0:
-                executors = self._without_headroom(executors)
+                executors = self._without_headroom(service, executors)
             slots = ServiceSlots(
                 SlotIndex(executors, _free_capacity), SlotIndex(executors, _capacity)
             )
@@ -105,10 +105,11 @@
         for index in self._reclaimable_by_service.values():
             index.update(executor_id)
 
-    def _without_headroom(self, executors: list[Executor]) -> list[Executor]:
+    def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
         reserved_ids = self.context.headroom.select_reserved_ids(executors, self.now_ms)
         if not reserved_ids:
             return executors
+        self.context.waiting_jobs.note_reserved(service, len(reserved_ids))
         return [executor for executor in executors if executor.executor_id not in reserved_ids]
 
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -138,7 +138,8 @@
         pending = [task for task in pending if task.task_id not in placed]
         admitted = [task for task in admitted if task.task_id not in placed]
     if not placement:
-        state.context.waiting_jobs.note(job, Hold.NO_ROOM if admitted else Hold.QUOTA)
+        hold = _find_hold(state, job, step, admitted, slots)
+        state.context.waiting_jobs.note(job, hold)
     if (
         may_claim
         and len(admitted) < len(pending)
@@ -151,6 +152,22 @@
         state.context.held_jobs.add(job, step)
 
 
+def _find_hold(
+    state: PassState, job: Job, step: Step, admitted: list[Task], slots: ServiceSlots
+) -> Hold:
+    """Returns what kept tasks from being placed; `admitted` are those within the quota."""
+    if not admitted:
+        return Hold.QUOTA
+    spec, queue = step.spec, job.record.queue
+    needed = len(admitted) if spec.is_gang else 1
+    if slots.free.slots(spec.required_label, spec.shape).total >= needed:
+        return Hold.NO_RACK if spec.is_gang and spec.wants_one_rack else Hold.NO_ROOM
+    with_reserved = state.slots_for(queue.service, 0).free
+    if with_reserved.slots(spec.required_label, spec.shape).total >= needed:
+        return Hold.RESERVED
+    return Hold.NO_ROOM
+
+
 def _admitted_tasks(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
     """Returns the tasks that the workspace's quota admits; of a gang, all or none."""
     count = count_admitted(state.context, job.record.workspace, step.spec.shape)
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -3,8 +3,9 @@
 A job counts if it is accepted, tasks of it are ready, none of its runs is at work, most capacity of
 its service is unused, and at least `ROOM_FACTOR` times what it needs is free.  After
 `HELD_AFTER_MS` the log names what the scheduling passes found to hold it, the states of its runs,
-and why executors take no tasks.  After `PREFERENCE_LIMIT_MS` it no longer waits for executors that
-it only prefers.
+and why executors take no tasks; one more line tells for how long it was held.  Claimed capacity
+counts as free, because nothing runs there for the claim yet.  After `PREFERENCE_LIMIT_MS` the job
+no longer waits for executors that it only prefers.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
 
 from jacinthreel_steps._model import Resources, StepSpec, weighted_cores
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS, exclusion_of
-from jacinthreel_steps._tables import Executor, Job, RunState, Step, Tables
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 
 Log = Callable[[str, dict[str, Any]], None]
 
@@ -38,6 +39,8 @@
     QUOTA = "quota"
     NO_EXECUTOR = "no usable executor"
     NO_ROOM = "no room"
+    NO_RACK = "no rack"
+    RESERVED = "reserved for urgent jobs"
     TRIAL_OF_OTHERS = "another task of the step is tried first"
     OUTAGE = "outage"
     NO_EMPTY_EXECUTOR = "no empty executor for a suspect"
@@ -58,16 +61,22 @@
     def __init__(self) -> None:
         self._hold_by_job: dict[str, Hold] = {}
         self._wait_by_job: dict[str, _Wait] = {}
+        self._reserved_by_service: dict[str, int] = {}
         self._checked_ms = 0
 
     def begin_pass(self) -> None:
         """Forgets what held jobs in the last pass."""
         self._hold_by_job.clear()
+        self._reserved_by_service.clear()
 
     def note(self, job: Job, hold: Hold) -> None:
         """Records what held a step of the job in the current pass; the first step counts."""
         self._hold_by_job.setdefault(job.job_id, hold)
 
+    def note_reserved(self, service: str, count: int) -> None:
+        """Records how many executors of a service the current pass reserves for urgent jobs."""
+        self._reserved_by_service[service] = count
+
     def is_overdue(self, job: Job, now_ms: int) -> bool:
         """Whether the job is to be placed even where it runs less well than elsewhere."""
         wait = self._wait_by_job.get(job.job_id)
@@ -92,21 +101,39 @@
             waits[job.job_id] = wait
             if now_ms - wait.since_ms >= HELD_AFTER_MS and not wait.is_logged:
                 overdue.append((job, step, wait))
+        self._log_ended(tables, waits, log, now_ms)
         self._wait_by_job = waits
         if not overdue:
             return
         exclusions = _count_exclusions(tables, now_ms)
         for job, step, wait in overdue[:MAX_LOGGED_JOBS]:
             wait.is_logged = True
-            self._log_held(job, step, exclusions[job.record.queue.service], log, now_ms)
+            counts = dict(exclusions[job.record.queue.service])
+            self._log_held(tables, job, step, wait, counts, log, now_ms)
+
+    def _log_ended(self, tables: Tables, waits: dict[str, _Wait], log: Log, now_ms: int) -> None:
+        """Logs the end of each logged wait that is not in `waits` any more."""
+        for job_id, wait in self._wait_by_job.items():
+            if not wait.is_logged or job_id in waits:
+                continue
+            fields = {
+                "job_id": job_id,
+                "held_ms": now_ms - wait.since_ms,
+                "ended_by": _describe_end(tables.open_jobs_by_id.get(job_id)),
+            }
+            log("job_held_ended", fields)
 
     def _log_held(
-        self, job: Job, step: Step, exclusions: Counter[str], log: Log, now_ms: int
+        self,
+        tables: Tables,
+        job: Job,
+        step: Step,
+        wait: _Wait,
+        exclusions: dict[str, int],
+        log: Log,
+        now_ms: int,
     ) -> None:
-        runs = [
-            f"{run.state.name.lower()} on {run.executor_id} for {now_ms - run.placed_ms} ms"
-            for run in job.live_runs()
-        ]
+        runs = [_describe_run(tables, run, now_ms) for run in job.live_runs()]
         log(
             "job_held",
             {
@@ -115,16 +142,53 @@
                 "tasks": len(step.tasks),
                 "held_by": self._hold_by_job.get(job.job_id, ""),
                 "age_ms": now_ms - job.accepted_ms,
+                "held_ms": now_ms - wait.since_ms,
+                "priority": job.record.queue.priority,
                 "gang": step.spec.is_gang,
                 "one_rack": step.spec.wants_one_rack,
                 "accelerators": step.spec.shape.accelerators,
                 "cpu_milli": step.spec.shape.cpu_milli,
                 "runs": runs[:MAX_LOGGED_RUNS],
-                "executors": dict(exclusions),
+                "executors": exclusions,
+                "reserved": self._reserved_by_service.get(job.record.queue.service, 0),
             },
         )
 
 
+def _describe_run(tables: Tables, run: Run, now_ms: int) -> str:
+    """Returns the state of a run, for how long it has been in it, and its executor's state."""
+    executor = tables.executors_by_id.get(run.executor_id)
+    usability: str = "unknown"
+    if executor is not None:
+        usability = exclusion_of(tables, executor, now_ms, MAX_REPORT_AGE_MS) or "usable"
+    return (
+        f"{run.state.name.lower()} for {now_ms - _state_since_ms(run)} ms, placed"
+        f" {now_ms - run.placed_ms} ms ago, on {run.executor_id} ({usability})"
+    )
+
+
+def _state_since_ms(run: Run) -> int:
+    match run.state:
+        case RunState.STOPPING if run.stopping_since_ms is not None:
+            return run.stopping_since_ms
+        case RunState.RUNNING if run.start_confirmed_ms is not None:
+            return run.start_confirmed_ms
+        case _:
+            return run.placed_ms
+
+
+def _describe_end(job: Job | None) -> str:
+    """Returns why a job is no longer held; `job` is None if it has ended."""
+    if job is None:
+        return "job ended"
+    states = {run.state for run in job.live_runs()}
+    if RunState.RUNNING in states:
+        return "run at work"
+    if states & {RunState.PLACED, RunState.STARTING}:
+        return "run placed"
+    return "no room to spare"
+
+
 def _count_exclusions(tables: Tables, now_ms: int) -> dict[str, Counter[str]]:
     """Returns how many executors of each service take no tasks, by the reason, and how many do."""
     counts: defaultdict[str, Counter[str]] = defaultdict(Counter)
@@ -160,7 +224,7 @@
         and not executor.listing.is_draining
         and executor.listing.zone not in tables.policy.zones_out_of_service
     ]
-    used = sum(weighted_cores(executor.used) for executor in executors)
+    used = sum(weighted_cores(executor.used.minus(executor.claimed)) for executor in executors)
     capacity = sum(weighted_cores(executor.listing.capacity) for executor in executors)
     return executors if used <= MAX_BUSY_SHARE * capacity else []
 
@@ -189,6 +253,6 @@
         for executor in executors:
             if spec.required_label and spec.required_label not in executor.listing.labels:
                 continue
-            count = spec.shape.count_fitting_into(executor.free_resources)
+            count = spec.shape.count_fitting_into(executor.free_resources.plus(executor.claimed))
             total += min(count, spec.max_per_executor) if spec.max_per_executor else count
         return total
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -10,7 +10,7 @@
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
 from jacinthreel_steps import EndReason, StepSpec
-from jacinthreel_steps._tables import CrashRecord, GangLosses
+from jacinthreel_steps._tables import CrashRecord, Executor, GangLosses
 
 RACKS = 3
 EXECUTORS_PER_RACK = 4
@@ -45,6 +45,23 @@
     harness.pass_time(3_500)
 
 
+def hold_by_reservation(harness: SchedulerHarness) -> None:
+    for index in range(2):
+        harness.submit(f"urgent{index}", step(6, accelerators=8, is_gang=True), terms=queue(0))
+        harness.settle()
+        for run in harness.runs(f"urgent{index}"):
+            harness.end(run, EndReason.DONE)
+    harness.submit("held", step(3, accelerators=8, is_gang=True))
+    harness.pass_time(3_500)
+
+
+def claim_all(executor: Executor) -> None:
+    """Marks the free capacity of an executor as claimed."""
+    free = executor.free_resources
+    executor.used = executor.used.plus(free)
+    executor.claimed = executor.claimed.plus(free)
+
+
 def hold_by_silence(harness: SchedulerHarness) -> None:
     harness.submit("held", step(2, accelerators=8, is_gang=True))
     harness.settle()
@@ -57,7 +74,12 @@
 
 
 @pytest.mark.parametrize(
-    ("hold", "held_by", "run"), [(hold_by_rack, "no room", ""), (hold_by_silence, "", "stopping")]
+    ("hold", "held_by", "run"),
+    [
+        (hold_by_rack, "no rack", ""),
+        (hold_by_reservation, "reserved for urgent jobs", ""),
+        (hold_by_silence, "", "stopping"),
+    ],
 )
 def test_job_that_could_run_is_logged_once_with_what_holds_it(
     hold: Callable[[SchedulerHarness], None], held_by: str, run: str
@@ -71,6 +93,29 @@
     assert all(text.startswith(run) for text in held_lines(harness)[0]["runs"])
 
 
+def test_end_of_a_logged_wait_is_logged_with_its_length() -> None:
+    harness = make_cluster()
+    hold_by_reservation(harness)
+
+    harness.pass_time(2_500)
+
+    [ended] = [fields for event, fields in harness.log_lines if event == "job_held_ended"]
+    assert ended["job_id"] == "held"
+    assert ended["ended_by"] == "run placed"
+    assert 3_000 <= ended["held_ms"] <= 5_500
+
+
+def test_claimed_capacity_does_not_hide_a_job_that_could_run() -> None:
+    harness = make_cluster()
+    for executor in list(harness.scheduler.tables.executors_by_id.values())[:10]:
+        claim_all(executor)
+    harness.submit("held", step(3, accelerators=8, is_gang=True))
+
+    harness.pass_time(3_500)
+
+    assert [line["job_id"] for line in held_lines(harness)] == ["held"]
+
+
 def test_job_that_waits_in_a_busy_service_is_not_logged() -> None:
     harness = SchedulerHarness(*(listing(f"e{index}") for index in range(4)))
     harness.submit("busy", step(3, accelerators=8))
