A job that could run uses reserved executors after 1.5 s in a mostly idle service

Callers saw jobs wait for 2 to 3.6 s with every executor usable, gangs and plain tasks of one accelerator.

Cause: up to 35 % of the accelerators are reserved for urgent jobs, and each claim prolongs that by 4 s, so that a row of urgent jobs keeps the executors with the most free room from all others without an end.

A pass now counts the executors of a service by reach: without the reserved ones, and with them. A job that is overdue, in a service that is mostly unused with room for it twice over, is placed on the reserved ones too: a gang whole, of other steps a single task, and only if no run is at work or about to start. In a busy service the reservation holds as before; the test shows both.

Slots of both reaches are counted once when nothing is reserved. Limits per executor count in what the log says of the hold. The new test fails before for the gang and the plain task.

--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from enum import IntEnum
 from typing import Final
 
 from jacinthreel_steps._context import Context
@@ -16,13 +17,24 @@
 from jacinthreel_steps._planning._placement import UsableExecutors
 from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._victims import VictimIndex
-from jacinthreel_steps._tables import Executor, Tables
+from jacinthreel_steps._tables import Executor, Job, Tables
 from jacinthreel_steps._workspaces._shares import Shares
 
 PASS_BUDGET: Final = 4_000  # Tasks; keeps a pass well below the lease of the owner.
 EXECUTORS_PER_TASK: Final = 2  # Comparing that many executors costs about as much as a task.
 
 
+class Reach(IntEnum):
+    """Which executors of a service a job may use; each level adds to the ones before.
+
+    `UNRESERVED`: those that take new tasks and are not reserved for urgent jobs.  `USABLE`: the
+    reserved ones too.
+    """
+
+    UNRESERVED = 0
+    USABLE = 1
+
+
 @dataclass(slots=True)
 class ServiceSlots:
     """The slot counts of the executors that one class of jobs may use in one service.
@@ -44,6 +56,7 @@
     weights.  The jobs in `best_effort_ids` preempt nothing.  Executors at `suspect_addresses` may
     crash by themselves.  `budget` is the work that is left for this pass, in tasks to place,
     and `start_slots` how many tasks of other priorities than 0 may still be placed outside gangs.
+    A task of each of the `due_jobs` is placed before the other tasks of lower priorities.
     """
 
     context: Context
@@ -57,30 +70,41 @@
     suspect_addresses: set[str] = field(default_factory=set)
     budget: int = PASS_BUDGET
     start_slots: int = 0
-    _urgent_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
-    _other_slots_by_service: dict[str, ServiceSlots] = field(default_factory=dict)
+    due_jobs: list[Job] = field(default_factory=list)
+    _slots_by_reach: dict[tuple[str, Reach], ServiceSlots] = field(default_factory=dict)
+    _all_slots: list[ServiceSlots] = field(default_factory=list)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
 
     def spend(self, tasks: int, executors: int) -> None:
         """Counts tasks that were placed and the executors that were compared for them."""
         self.budget -= tasks + executors // EXECUTORS_PER_TASK
 
-    def slots_for(self, service: str, priority: int) -> ServiceSlots:
-        """Returns the slots for jobs of a priority; only urgent jobs use the reserved headroom."""
-        by_service = (
-            self._urgent_slots_by_service if priority == 0 else self._other_slots_by_service
-        )
-        slots = by_service.get(service)
-        if slots is None:
-            executors = self.usable.by_service.get(service, [])
-            if priority > 0:
-                executors = self._without_headroom(service, executors)
+    def slots_for(self, job: Job) -> ServiceSlots:
+        """Returns the slots that the job prefers; only urgent jobs use the reserved headroom."""
+        reach = Reach.USABLE if job.record.queue.priority == 0 else Reach.UNRESERVED
+        return self.slots_within(job.record.queue.service, reach)
+
+    def slots_within(self, service: str, reach: Reach) -> ServiceSlots:
+        """Returns the slots on the executors of a service that are within reach."""
+        key = (service, reach)
+        slots = self._slots_by_reach.get(key)
+        if slots is not None:
+            return slots
+        executors = self._executors_within(service, reach)
+        if reach is not Reach.USABLE and len(executors) == len(self._usable_executors(service)):
+            slots = self.slots_within(service, Reach.USABLE)  # The same executors, counted once.
+        else:
             slots = ServiceSlots(
                 SlotIndex(executors, _free_capacity), SlotIndex(executors, _capacity)
             )
-            by_service[service] = slots
+            self._all_slots.append(slots)
+        self._slots_by_reach[key] = slots
         return slots
 
+    def is_overdue(self, job: Job) -> bool:
+        """Whether the job is to be placed even where it runs less well than elsewhere."""
+        return self.context.waiting_jobs.is_overdue(job, self.now_ms)
+
     def reclaimable_slots(self, service: str) -> SlotIndex:
         """Returns the slots that are free if all runs of lower priority are preempted."""
         index = self._reclaimable_by_service.get(service)
@@ -98,13 +122,22 @@
     def record_change(self, executor_id: str) -> None:
         """Updates what is known of an executor whose runs have changed."""
         self.victims.forget(executor_id)
-        for slots in self._urgent_slots_by_service.values():
-            slots.free.update(executor_id)
-        for slots in self._other_slots_by_service.values():
+        for slots in self._all_slots:
             slots.free.update(executor_id)
         for index in self._reclaimable_by_service.values():
             index.update(executor_id)
 
+    def _usable_executors(self, service: str) -> list[Executor]:
+        return self.usable.by_service.get(service, [])
+
+    def _executors_within(self, service: str, reach: Reach) -> list[Executor]:
+        executors = self._usable_executors(service)
+        match reach:
+            case Reach.UNRESERVED:
+                return self._without_headroom(service, executors)
+            case Reach.USABLE:
+                return executors
+
     def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
         reserved_ids = self.context.headroom.select_reserved_ids(executors, self.now_ms)
         if not reserved_ids:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -22,6 +22,7 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
+from jacinthreel_steps._model import StepSpec
 from jacinthreel_steps._planning._claims import (
     is_gang_claimed,
     place_or_release_claims,
@@ -29,7 +30,12 @@
     release_gang_claims,
 )
 from jacinthreel_steps._planning._job_order import job_sort_key
-from jacinthreel_steps._planning._pass_state import PassState, ServiceSlots, count_used_accelerators
+from jacinthreel_steps._planning._pass_state import (
+    PassState,
+    Reach,
+    ServiceSlots,
+    count_used_accelerators,
+)
 from jacinthreel_steps._planning._placement import (
     Candidate,
     Placement,
@@ -46,8 +52,8 @@
 from jacinthreel_steps._planning._trials import schedule_trials, update_closed_executors
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._planning._victims import Victim, VictimIndex
-from jacinthreel_steps._planning._waiting_jobs import Hold
-from jacinthreel_steps._tables import Job, Step, Task
+from jacinthreel_steps._planning._waiting_jobs import PREFERENCE_LIMIT_MS, Hold
+from jacinthreel_steps._tables import Job, Run, RunState, Step, Task
 from jacinthreel_steps._workspaces._fair_order import make_shares, schedule_in_fair_order
 from jacinthreel_steps._workspaces._quota_preemption import find_quota_victims
 from jacinthreel_steps._workspaces._quotas import count_admitted
@@ -77,6 +83,7 @@
         start_slots=count_start_slots(context.tables),
     )
     ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
+    state.due_jobs = [job for job in ordered if context.waiting_jobs.is_due(job, now_ms)]
     if context.tables.policy.quota_by_workspace or shares is not None:
         schedule_in_fair_order(state, ordered, _schedule_job)
     else:
@@ -88,6 +95,10 @@
 
 
 def _schedule_job(state: PassState, job: Job) -> None:
+    if state.due_jobs and job.record.queue.priority > 0:
+        due_jobs, state.due_jobs = state.due_jobs, []
+        for due_job in due_jobs:
+            _place_first_task(state, due_job)
     for step in job.steps:
         if state.budget <= 0:
             state.context.waiting_jobs.note(job, Hold.PASS_ENDED)
@@ -105,6 +116,27 @@
             _place_claimed_gang_elsewhere(state, job, step)
 
 
+def _place_first_task(state: PassState, job: Job) -> None:
+    """Places a task of a job that could run and has no run, if one fits where the job prefers it.
+
+    Capacity that becomes free then goes to such jobs before jobs that run get more of it, and few
+    of them become overdue and use what is reserved.  The task is started however many starts wait.
+    """
+    if state.budget <= 0 or job.record.queue.priority == 0 or job.live_runs():
+        return
+    for step in job.steps:
+        pending = job.pending_tasks(step)
+        if not pending or step.spec.is_gang or any(task.crash_record for task in step.tasks):
+            continue
+        admitted = _admitted_tasks(state, job, step, pending[:1])
+        slots = state.slots_for(job)
+        placement = _find_placement(state, job, step, admitted, slots) if admitted else None
+        if placement:
+            place_tasks(state, job, step, placement)
+            state.start_slots = max(0, state.start_slots - 1)
+            return
+
+
 def _count_allowed(state: PassState, job: Job, step: Step) -> int:
     """Returns how many tasks of a step may be placed in this pass; not for gangs."""
     allowed = min(state.budget, count_start_slots_of_step(step))
@@ -125,11 +157,10 @@
         state.context.held_jobs.add(job, step)
         state.context.waiting_jobs.note(job, Hold.QUOTA)
         return
-    slots = state.slots_for(queue.service, queue.priority)
-    if not slots.free.executors:
-        state.context.waiting_jobs.note(job, Hold.NO_EXECUTOR)
-        return
+    slots = state.slots_for(job)
     placement = _find_placement(state, job, step, admitted, slots) if admitted else None
+    if not placement and admitted and state.is_overdue(job):
+        placement = _find_less_preferred(state, job, step, admitted)
     if placement:
         place_tasks(state, job, step, placement)
         if not step.spec.is_gang and queue.priority > 0:
@@ -140,6 +171,8 @@
     if not placement:
         hold = _find_hold(state, job, step, admitted, slots)
         state.context.waiting_jobs.note(job, hold)
+    if not slots.free.executors:
+        return
     if (
         may_claim
         and len(admitted) < len(pending)
@@ -152,22 +185,52 @@
         state.context.held_jobs.add(job, step)
 
 
+def _find_less_preferred(
+    state: PassState, job: Job, step: Step, pending: list[Task]
+) -> Placement | None:
+    """Returns executors for an overdue job among those that it does not prefer.
+
+    A gang takes what it needs; of other steps a single task is placed, so that the job makes
+    progress and most of what is reserved stays free for urgent jobs.
+    """
+    if any(_is_starting_or_at_work(run, state.now_ms) for run in job.live_runs()):
+        return None
+    tasks = pending if step.spec.is_gang else pending[:1]
+    slots = state.slots_within(job.record.queue.service, Reach.USABLE)
+    return _find_placement(state, job, step, tasks, slots)
+
+
+def _is_starting_or_at_work(run: Run, now_ms: int) -> bool:
+    """Whether the run is at work, or may be so soon: a start that takes long may never succeed."""
+    return run.state is RunState.RUNNING or now_ms - run.placed_ms < PREFERENCE_LIMIT_MS
+
+
 def _find_hold(
     state: PassState, job: Job, step: Step, admitted: list[Task], slots: ServiceSlots
 ) -> Hold:
     """Returns what kept tasks from being placed; `admitted` are those within the quota."""
     if not admitted:
         return Hold.QUOTA
-    spec, queue = step.spec, job.record.queue
+    spec = step.spec
     needed = len(admitted) if spec.is_gang else 1
-    if slots.free.slots(spec.required_label, spec.shape).total >= needed:
+    if _count_slots(slots, spec) >= needed:
         return Hold.NO_RACK if spec.is_gang and spec.wants_one_rack else Hold.NO_ROOM
-    with_reserved = state.slots_for(queue.service, 0).free
-    if with_reserved.slots(spec.required_label, spec.shape).total >= needed:
+    usable = state.slots_within(job.record.queue.service, Reach.USABLE)
+    if not usable.free.executors:
+        return Hold.NO_EXECUTOR
+    if _count_slots(usable, spec) >= needed:
         return Hold.RESERVED
     return Hold.NO_ROOM
 
 
+def _count_slots(slots: ServiceSlots, spec: StepSpec) -> int:
+    """Returns how many tasks of a step fit, with its limit per executor."""
+    free = slots.free.slots(spec.required_label, spec.shape)
+    if not spec.max_per_executor:
+        return free.total
+    return sum(min(count, spec.max_per_executor) for count in free.by_executor_id.values())
+
+
 def _admitted_tasks(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
     """Returns the tasks that the workspace's quota admits; of a gang, all or none."""
     count = count_admitted(state.context, job.record.workspace, step.spec.shape)
@@ -203,12 +266,11 @@
 
 def _place_claimed_gang_elsewhere(state: PassState, job: Job, step: Step) -> None:
     """Places a gang that waits for claimed capacity if other capacity has become free meanwhile."""
-    queue = job.record.queue
     shape = step.spec.shape
     own_claims = shape.times(len(step.tasks))
     if count_admitted(state.context, job.record.workspace, shape, own_claims) < len(step.tasks):
         return
-    slots = state.slots_for(queue.service, queue.priority)
+    slots = state.slots_for(job)
     placement = _find_placement(state, job, step, step.tasks, slots)
     if placement:
         release_gang_claims(state, job, step)
@@ -234,7 +296,7 @@
     wait_limit_ms = state.context.stop_limit_ms + RACK_WAIT_MARGIN_MS
     if job.record.queue.priority == 0 and waited_ms > wait_limit_ms:
         return True
-    if state.context.waiting_jobs.is_overdue(job, state.now_ms):
+    if state.is_overdue(job):
         return True
     if step.spec.max_per_executor:
         return not fits_on_empty_rack(step, slots.free.executors, len(step.tasks))
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -23,7 +23,7 @@
 
 from jacinthreel_steps._executors._crash_evidence import has_limited_starts, is_suspect
 from jacinthreel_steps._model import UNBOUNDED_FIT
-from jacinthreel_steps._planning._pass_state import PassState, ServiceSlots
+from jacinthreel_steps._planning._pass_state import PassState, Reach, ServiceSlots
 from jacinthreel_steps._planning._placement import (
     Placement,
     find_candidates,
@@ -125,7 +125,9 @@
 
 def _try_suspects(state: PassState, job: Job, step: Step, suspects: list[Task]) -> list[Task]:
     """Places the suspects; returns those that have waited too long to be placed apart."""
-    slots = state.slots_for(job.record.queue.service, job.record.queue.priority)
+    slots = state.slots_for(job)
+    if state.is_overdue(job):
+        slots = state.slots_within(job.record.queue.service, Reach.USABLE)
     scope = _choose_scope(state, job, step, suspects, slots)
     if scope is TrialScope.NONE:
         state.context.waiting_jobs.note(job, Hold.OUTAGE)
@@ -155,7 +157,7 @@
     may_wait = waited_ms <= OUTAGE_WAIT_MS and any(has_limited_starts(task) for task in suspects)
     if may_wait and context.executor_losses.is_outage_current(context.tables, state.now_ms):
         return TrialScope.NONE
-    if context.waiting_jobs.is_overdue(job, state.now_ms):
+    if state.is_overdue(job):
         return TrialScope.ANY  # No rack may ever hold a gang on sound executors.
     if waited_ms <= TRIAL_WAIT_MS:
         return TrialScope.EMPTY
@@ -196,7 +198,7 @@
     searches = [(step, [item for item in sound if not item.runs_by_task], 0), (step, sound, 0)]
     if scope >= TrialScope.SOUND:
         searches += [(step, sound, limit) for limit in OTHER_RUNS_LIMITS]
-    if state.context.waiting_jobs.is_overdue(job, state.now_ms):
+    if state.is_overdue(job):
         on_any_racks = Step(replace(step.spec, wants_one_rack=False), step.tasks)
         searches.append((on_any_racks, sound, UNBOUNDED_FIT))
     if scope >= TrialScope.ANY:
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -4,8 +4,9 @@
 its service is unused, and at least `ROOM_FACTOR` times what it needs is free.  After
 `HELD_AFTER_MS` the log names what the scheduling passes found to hold it, the states of its runs,
 and why executors take no tasks; one more line tells for how long it was held.  Claimed capacity
-counts as free, because nothing runs there for the claim yet.  After `PREFERENCE_LIMIT_MS` the job
-no longer waits for executors that it only prefers: it is overdue.
+counts as free, because nothing runs there for the claim yet.  After `DUE_AFTER_MS` a task of the
+job is placed before those of jobs that run; after `PREFERENCE_LIMIT_MS` the job is overdue and no
+longer waits for executors that it only prefers.
 
 All open jobs are checked each `CHECK_PERIOD_MS`.  Those that a preference holds, and those known to
 wait, are checked more often, so that the limit is kept without reading all jobs so often.
@@ -26,6 +27,7 @@
 Log = Callable[[str, dict[str, Any]], None]
 
 HELD_AFTER_MS: Final = 2_000
+DUE_AFTER_MS: Final = 500
 # With a check, storing and starting, an overdue job runs within 3 s of when it could run.
 PREFERENCE_LIMIT_MS: Final = 1_500
 CHECK_PERIOD_MS: Final = 1_000
@@ -52,8 +54,16 @@
     NO_SOUND_EXECUTOR = "no sound executor for a suspect"
 
 
-PREFERENCES: Final = frozenset({Hold.NO_RACK, Hold.NO_EMPTY_EXECUTOR, Hold.NO_SOUND_EXECUTOR})
-"""The holds that end once a job is overdue."""
+PREFERENCES: Final = frozenset(
+    {
+        Hold.START_LIMIT,
+        Hold.NO_RACK,
+        Hold.RESERVED,
+        Hold.NO_EMPTY_EXECUTOR,
+        Hold.NO_SOUND_EXECUTOR,
+    }
+)
+"""The holds that end once a job is due or overdue."""
 
 
 @dataclass(slots=True)
@@ -92,6 +102,11 @@
         wait = self._wait_by_job.get(job.job_id)
         return wait is not None and now_ms - wait.since_ms >= PREFERENCE_LIMIT_MS
 
+    def is_due(self, job: Job, now_ms: int) -> bool:
+        """Whether a task of the job is to be placed before those of jobs that run."""
+        wait = self._wait_by_job.get(job.job_id)
+        return wait is not None and now_ms - wait.since_ms >= DUE_AFTER_MS
+
     def check(self, tables: Tables, log: Log, now_ms: int) -> None:
         """Logs the jobs that have been held for `HELD_AFTER_MS`, each once; if a check is due."""
         jobs = self._select_jobs(tables, now_ms)
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -9,7 +9,7 @@
 import pytest
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
-from jacinthreel_steps import EndReason, StepSpec
+from jacinthreel_steps import EndReason, Resources, StepSpec
 from jacinthreel_steps._planning._waiting_jobs import WaitingJobs
 from jacinthreel_steps._tables import CrashRecord, Executor, GangLosses
 
@@ -138,6 +138,29 @@
     assert held_lines(harness) == []
 
 
+PLAIN = step(5, accelerators=8)
+ON_MOST_CPU = StepSpec(RACKS * EXECUTORS_PER_RACK, Resources(120_000, 1_000, 0), 5_000)
+
+
+@pytest.mark.parametrize(("wanted", "placed"), [(replace(ONE_RACK_GANG, count=2), 2), (PLAIN, 1)])
+@pytest.mark.parametrize("is_busy", [False, True])
+def test_job_does_not_wait_long_for_room_reserved_for_a_row_of_urgent_jobs(
+    wanted: StepSpec, placed: int, is_busy: bool
+) -> None:
+    harness = make_cluster()
+    if is_busy:
+        harness.submit("busy", ON_MOST_CPU)
+    harness.submit("filler", step(accelerators=8))
+    harness.settle()
+    began_ms = harness.now_ms
+    harness.submit("held", wanted)
+    while harness.now_ms - began_ms < MAX_WAIT_MS:
+        harness.scheduler._context.headroom.record_claim(80, harness.now_ms)
+        harness.pass_time(250)
+
+    assert len(harness.runs("held")) == (0 if is_busy else placed)
+
+
 def make_suspect(harness: SchedulerHarness, job_id: str) -> None:
     """Records that executors were lost under a gang, which has a limited number of starts since."""
     tables = harness.scheduler.tables
