Don't extend leases at an executor that has not answered by sending it starts

A start extended the executor's lease also while the executor was out of reach, and so did each repeat of an unanswered one, for up to 1.5 s. All runs there, and with them whole gangs, had to wait until the extended lease had ended; the task of a start that was ordered too late waited as long, although nothing had ever been sent for it.

A start is not sent to an executor that is out of reach: it protects nothing, so its task is placed again at once. After an unanswered start, further starts carry the latest lease that was sent, until the next response. The wait for a lease still ends only after the latest lease that was granted.

--- a/packages/node/src/jacinthreel_node/_executor_exchange.py
+++ b/packages/node/src/jacinthreel_node/_executor_exchange.py
@@ -6,7 +6,8 @@
 `CLOCK_SLOWNESS`.  Each response gives a lower bound for the executor's clock, and lease end times
 are computed from this bound.  All runs on an unreachable executor have ended once its clock must
 have passed the latest lease end that was sent to it.  For this bound to stay fixed, the requests
-that follow a failed one don't renew leases.  Leases vary in length (`choose_lease`), so the first
+that follow one without an answer, a report request or a start, don't renew leases until the next
+response.  Leases vary in length (`choose_lease`), so the first
 renewal doesn't cover what an earlier owner has granted; that is bounded separately, by the longest
 lease after the first response.
 
@@ -79,6 +80,7 @@
     incarnation: int = 0
     is_unreachable: bool = False
     clock: ExecutorClock = field(default_factory=ExecutorClock)
+    _has_unanswered_start: bool = False
     _last_response_ms: int = 0
     _lowest_reported_end: int | None = None
 
@@ -101,6 +103,7 @@
         self._lowest_reported_end = min((end.sequence for end in response.ended), default=None)
         was_unreachable = self.is_unreachable
         self.is_unreachable = False
+        self._has_unanswered_start = False
         return was_unreachable
 
     def record_failure(self) -> bool:
@@ -109,6 +112,10 @@
         self.is_unreachable = True
         return is_first
 
+    def record_unanswered_start(self) -> None:
+        """Records a start without an answer: no lease is extended before the next response."""
+        self._has_unanswered_start = True
+
     def acknowledged_upto(self, stored_upto: int, now_ms: int) -> int:
         """Returns the highest end that the executor may discard, if all up to `stored_upto` are.
 
@@ -123,11 +130,14 @@
     def extend_lease(self, lease_ms: int, now_ms: int) -> int | None:
         """Returns the lease end to request, on the executor's clock; None before the first reading.
 
-        The caller must send it: it counts as granted from here on.
+        The caller must send it: it counts as granted from here on.  After an unanswered start it is
+        the latest one that was sent, so that repeated starts don't prolong the wait for its end.
         """
         clock_ms = self.clock.earliest_time_ms(now_ms)
         if clock_ms is None:
             return None
+        if self._has_unanswered_start:
+            return self.clock.lease_until_ms
         until_ms = clock_ms + lease_ms
         self.clock.lease_until_ms = max(self.clock.lease_until_ms, until_ms)
         return until_ms
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -318,8 +318,9 @@
         executor = self._find_executor()
         if executor is None or run.state is not RunState.STARTING or not context.may_order():
             return
-        if run.has_unanswered_start and self._exchange.is_unreachable:
-            # The earlier order may have crashed the executor; its next incarnation would obey too.
+        if self._exchange.is_unreachable:
+            # It would extend the wait for the leases there.  An earlier order for the run may have
+            # crashed the executor; its next incarnation would obey too.
             outcome = StartOutcome.REFUSED_UNHEALTHY
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
@@ -339,6 +340,8 @@
         if response.is_fenced:
             context.on_fenced(self._executor_id)
             return
+        if response.outcome is StartOutcome.UNKNOWN:
+            self._exchange.record_unanswered_start()
         context.scheduler.record_start_outcome(run, response.outcome, context.clock.now_ms())
 
     async def _stop(self, order: StopOrder) -> None:
--- a/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
+++ b/packages/node/src/jacinthreel_node/_relays/_relayed_executor.py
@@ -260,6 +260,8 @@
         if response.is_fenced:
             session.on_fenced(self.slot)
             return
+        if response.outcome is StartOutcome.UNKNOWN:
+            self._exchange.record_unanswered_start()
         session.on_start_result(order.order, response.outcome)
 
     async def _stop(self, order: StopRunOrder) -> None:
--- a/packages/node/tests/node_fakes.py
+++ b/packages/node/tests/node_fakes.py
@@ -107,24 +107,26 @@
 
 
 class ScriptedExecutors:
-    """Executors that answer report requests with `on_report` and accept every command."""
+    """Executors that answer report requests with `on_report`, and every start in the same way."""
 
     def __init__(self, on_report: Callable[[ReportRequest], Result[ReportResponse, Fault]]) -> None:
         self._on_report = on_report
         self.requests: list[ReportRequest] = []
         self.starts: list[StartCommand] = []
         self.stops: list[RunId] = []
+        self.start_outcome = StartOutcome.STARTED
+        self.report_pause_s = 0.001  # Yields to the event loop, as a real reply does.
 
     async def report(
         self, target: ExecutorTarget, request: ReportRequest
     ) -> Result[ReportResponse, Fault]:
         self.requests.append(request)
-        await asyncio.sleep(0.001)  # Yields to the event loop, as a real reply does.
+        await asyncio.sleep(self.report_pause_s)
         return self._on_report(request)
 
     async def start(self, target: ExecutorTarget, command: StartCommand) -> StartResponse:
         self.starts.append(command)
-        return StartResponse(StartOutcome.STARTED)
+        return StartResponse(self.start_outcome)
 
     async def stop(self, target: ExecutorTarget, run_id: RunId, epoch: int) -> Result[None, Fault]:
         self.stops.append(run_id)
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -44,6 +44,7 @@
     RunId,
     RunState,
     Scheduler,
+    StartOutcome,
     StepSpec,
     StopOrder,
     TaskId,
@@ -337,6 +338,49 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_start_to_an_executor_out_of_reach_is_not_sent_and_its_task_is_free_at_once() -> None:
+    """It extended the lease there: its task, and all other runs, waited for the new end."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        [run] = harness.scheduler.tables.jobs_by_id["j1"].live_runs()
+        run.state = RunState.STARTING
+        harness.is_reachable = False
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 1)
+        lease_end_ms = harness.link.lease_end_ms()
+        harness.link.send(run)
+        await wait_until(lambda: run.state is not RunState.STARTING)
+        assert harness.gateway.starts == []
+        assert run.state is RunState.ENDED
+        assert harness.link.lease_end_ms() == lease_end_ms
+
+    run_scenario(LinkHarness(), scenario)
+
+
+def test_repeated_start_does_not_extend_the_lease_of_an_executor_that_may_be_lost() -> None:
+    """Repeats for 1.5 s made the wait for the end of its lease longer by as much."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        [run] = harness.scheduler.tables.jobs_by_id["j1"].live_runs()
+        run.state = RunState.STARTING
+        harness.gateway.start_outcome = StartOutcome.UNKNOWN
+        harness.gateway.report_pause_s = 30  # The request that is under way gets no response.
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count)
+        harness.link.send(run)
+        await wait_until(lambda: len(harness.gateway.starts) == 1)
+        harness.clock.time_ms += 400
+        harness.link.send(run)
+        await wait_until(lambda: len(harness.gateway.starts) == 2)
+        assert len({start.lease_until_ms for start in harness.gateway.starts}) == 1
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_start_that_waited_for_an_earlier_incarnation_is_not_sent_to_the_next_one() -> None:
     """It has forgotten that it refuses this owner, if another one has taken over meanwhile."""
 
