End lost runs when their lease ends, and ask executors out of reach without a long poll

The end of a lease at an executor out of reach was checked only after each failed request, and each of these was a long poll that times out after 1.8 s. With the pause, lost runs ended up to 2 s after their lease, and an executor that was back was noticed as late; the stops of gang members there, which a report has to confirm, held their gangs for as long.

The periodic checks of the owner now end runs whose lease has ended, and a request to an executor out of reach doesn't wait for events, so that it times out after 0.8 s. A response that arrives after its executor was removed is ignored. The lease itself is unchanged.

Both tests failed before: the runs could be ended by the requests alone, and these asked to wait for 1 s.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -170,7 +170,12 @@
         sent_ms = context.clock.now_ms()
         has_unstored_ends = context.scheduler.has_unstored_ends(self._executor_id)
         acknowledged_upto = self._acknowledged_upto(sent_ms)
-        is_urgent = has_unstored_ends or acknowledged_upto > 0 or not executor.has_reported
+        is_urgent = (
+            has_unstored_ends
+            or acknowledged_upto > 0
+            or not executor.has_reported
+            or self._exchange.is_unreachable
+        )
         request = ReportRequest(
             context.epoch,
             acknowledged_upto,
@@ -190,7 +195,7 @@
                 self._end_replaced_runs(executor, requested_listing)
             case Failure(Fault() as fault):
                 self._mark_unreachable(fault)
-                self._expire_unreachable(executor)
+                self.expire_unreachable()
         return False
 
     def _may_renew(self, executor: Executor) -> bool:
@@ -204,6 +209,8 @@
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
+        if self._find_executor() is None:
+            return  # Its leases have expired since the request, and it was not listed any more.
         context.former_leases.record_answer(self._executor_id, now_ms)
         if self._exchange.has_restarted(response):
             # A lease end by the clock of the earlier incarnation is later by that of the new one.
@@ -267,8 +274,11 @@
         spec = job.steps[task_id.step_index].spec
         return spec.count >= WIDE_STEP_TASKS and not spec.is_gang
 
-    def _expire_unreachable(self, executor: Executor) -> None:
-        """Ends the runs of an unreachable executor once its leases have expired."""
+    def expire_unreachable(self) -> None:
+        """Ends the runs of the executor if it is unreachable and its leases have expired."""
+        executor = self._find_executor()
+        if executor is None or not self._exchange.is_unreachable:
+            return
         now_ms = self._context.clock.now_ms()
         if now_ms < self.lease_end_ms() or not (executor.runs_by_task or not executor.is_listed):
             return
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -421,6 +421,7 @@
         while True:
             await asyncio.sleep(PERIODIC_CHECK_MS / 1000)
             now_ms = self._clock.now_ms()
+            self.fleet.expire_unreachable()
             self._close_unlisted_links()
             self.scheduler.expire_orphans(self.former_leases.end_ms, now_ms)
             self.request_plan()
--- a/packages/node/src/jacinthreel_node/_relays/_fleet.py
+++ b/packages/node/src/jacinthreel_node/_relays/_fleet.py
@@ -94,6 +94,14 @@
         elif self.relays.has(order.executor_id):
             self.relays.send(order)
 
+    def expire_unreachable(self) -> None:
+        """Ends the runs of unreachable executors whose leases have expired.
+
+        Relayed executors are checked by `run_timers`.
+        """
+        for link in list(self._direct_links.values()):
+            link.expire_unreachable()
+
     def lease_ends(self) -> dict[str, int]:
         """Returns the local time by which all leases have certainly ended, by executor."""
         ends = {key: link.lease_end_ms() for key, link in self._direct_links.items()}
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -275,6 +275,44 @@
     run_scenario(LinkHarness(), scenario)
 
 
+def test_lost_runs_are_ended_while_a_request_to_their_executor_is_under_way() -> None:
+    """They waited for the time-out of a request that was sent before their lease had expired."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.place_task()
+        harness.is_reachable = False
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 1)
+        harness.scheduler.remove_listing("e1")
+        harness.gateway.report_pause_s = 0.5
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count)
+        harness.link.expire_unreachable()
+        assert harness.held_run_count == 1
+        harness.clock.time_ms += 2 * LEASE_MS
+        harness.link.expire_unreachable()
+        assert "e1" not in harness.scheduler.tables.executors_by_id
+        harness.is_reachable = True  # The answer arrives after the executor was removed.
+        await asyncio.sleep(0.6)
+        assert harness.errors == []
+
+    run_scenario(LinkHarness(), scenario)
+
+
+def test_executor_out_of_reach_is_asked_without_a_long_poll() -> None:
+    """Its return was noticed only after the time-out of a long poll."""
+
+    async def scenario(harness: LinkHarness) -> None:
+        await wait_until(lambda: len(harness.gateway.requests) > 2)
+        harness.is_reachable = False
+        request_count = len(harness.gateway.requests)
+        await wait_until(lambda: len(harness.gateway.requests) > request_count + 2)
+        assert [request.wait_ms for request in harness.gateway.requests[-2:]] == [0, 0]
+
+    run_scenario(LinkHarness(), scenario)
+
+
 def test_leases_of_a_former_owner_count_after_the_first_response() -> None:
     # Leases at a draining executor are shorter than those granted before it began to drain.
     async def scenario(harness: LinkHarness) -> None:
