Soak: check from outside the nodes for accepted jobs that could run and don't

The scheduler logs such jobs from its own tables, so it logs none about which its tables are wrong: a job that was accepted and isn't known, a run that it believes to be at work, a task it believes done.

The soak now asks callers and executors only: accepted, not cancelled or ended, a task whose turn has come, no run, less than half of the capacity in use and room twice over for 3 s, with no disruption in these and the 4 s before. Lateness of the observer or of a node of over 100 ms counts as a disruption, so that the verdict doesn't depend on the load of the machine. Some jobs are submitted after the faults, so that there is something to observe in a calm period. The message tells what the owners logged of the job. Waits beside faults are printed by scripts/soak.py only.

The ports move to a module of their own.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,8 @@
 """Runs the fault soak manually: `soak.py FIRST COUNT [NODES EXECUTORS JOBS]`.
 
 FIRST is the first seed, COUNT the number of seeds.  Prints one line for each seed and keeps the
-logs of the seeds for which a check failed.
+logs of the seeds for which a check failed.  Also prints the jobs that could run and had no run for
+some seconds beside faults, which is no failure.
 """
 
 from __future__ import annotations
@@ -27,9 +28,12 @@
     for seed in range(first, first + count):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         started_s = time.monotonic()
-        violations = asyncio.run(SoakRun(seed, folder, size).execute())
+        run = SoakRun(seed, folder, size)
+        violations = asyncio.run(run.execute())
         took_s = time.monotonic() - started_s
         print(f"seed {seed}: {violations or 'ok'} ({took_s:.0f} s)", flush=True)
+        for wait in run.observer.check.long_waits:
+            print(f"  {run.observer.describe(wait)}", flush=True)
         if violations:
             failed_count += 1
             print(f"  logs in {folder}", flush=True)
--- /dev/null
+++ b/tests/soak/soak_observer.py
@@ -0,0 +1,125 @@
+"""Observes a soak from outside the nodes, for the check of jobs that could run and don't.
+
+Lateness of this process or of a node counts as a disruption, because neither the nodes nor the
+executors can keep their times on a machine without processor time to spare.
+"""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+from subprocess import Popen
+from typing import TYPE_CHECKING
+
+from standin_platform import MAX_CRASHES
+from waiting_jobs_check import ExecutorRoom, Wait, WaitingJobsCheck, WaitingStep
+
+if TYPE_CHECKING:
+    from soak_run import SoakRun, SubmittedJob
+
+PERIOD_MS = 100
+MAX_LAG_MS = 100
+
+
+class SoakObserver:
+    """Observes a run each `PERIOD_MS`."""
+
+    def __init__(self, run: SoakRun) -> None:
+        self.check = WaitingJobsCheck()
+        self._run = run
+        self._due_ms: int | None = None
+        self._ready_processes: set[int] = set()
+        self._delay_ms_by_process: dict[int, int] = {}
+
+    def tick(self, now_ms: int) -> None:
+        """Takes an observation if one is due."""
+        if self._due_ms is not None and now_ms < self._due_ms:
+            return
+        lag_ms = 0 if self._due_ms is None else now_ms - self._due_ms
+        self._due_ms = now_ms + PERIOD_MS
+        if max(lag_ms, self._longest_node_delay_ms()) > MAX_LAG_MS or self._is_disrupted():
+            self.check.note_disruption(now_ms)
+        observations = self._run.observations
+        active_jobs = {task.split(".")[0] for task in observations.running_by_task}
+        for task, started_ms in observations.started_ms_by_task.items():
+            if started_ms >= now_ms - PERIOD_MS - lag_ms:
+                active_jobs.add(task.split(".")[0])  # Its run may have ended already.
+        steps_by_job = {
+            job.job_id: self._ready_steps(job)
+            for job in self._run.jobs
+            if job.is_accepted
+            and not job.is_cancel_sent
+            and not job.has_ended
+            and job.job_id not in active_jobs
+        }
+        executors = [
+            ExecutorRoom(executor.capacity, [run.shape for run in executor.runs.values()])
+            for executor in self._run.executors
+        ]
+        self.check.observe(now_ms, steps_by_job, executors)
+
+    def describe_violations(self) -> list[str]:
+        """Returns the violations, each with what the owners logged of the job that is held."""
+        return [self.describe(wait) for wait in self.check.long_waits if wait.is_violation]
+
+    def describe(self, wait: Wait) -> str:
+        """Returns a wait with the owners' log lines about jobs that could run and don't."""
+        lines = [line for line in self._run.find_log_lines(wait.job_id) if wait.job_id in line]
+        held = [line for line in lines if "job_held" in line]
+        return f"{wait}; the owners logged {held or 'nothing of it'}"
+
+    def _is_disrupted(self) -> bool:
+        # Besides the task that calls this, only faults run as tasks.
+        is_fault_running = len(self._run.tasks) > 1
+        return not self._run.are_faults_over or is_fault_running or self._is_node_starting()
+
+    def _is_node_starting(self) -> bool:
+        for node in self._run.nodes:
+            process = node.process
+            if (
+                process is None
+                or process.poll() is not None
+                or process.pid in self._ready_processes
+            ):
+                continue
+            with socket.socket() as probe:
+                if probe.connect_ex(("127.0.0.1", node.caller_port)):
+                    return True
+            self._ready_processes.add(process.pid)
+        return False
+
+    def _longest_node_delay_ms(self) -> int:
+        """Returns for how long a node that could run got no processor since the last call."""
+        delays = [self._measure_delay_ms(node.process) for node in self._run.nodes]
+        return max(delays, default=0)
+
+    def _measure_delay_ms(self, process: Popen[bytes] | None) -> int:
+        if process is None or process.poll() is not None:
+            return 0
+        try:
+            fields = Path(f"/proc/{process.pid}/schedstat").read_text().split()
+        except OSError:
+            return 0  # The system doesn't tell it; then only the lateness of this process counts.
+        total_ms = int(fields[1]) // 1_000_000
+        last_ms = self._delay_ms_by_process.get(process.pid, total_ms)
+        self._delay_ms_by_process[process.pid] = total_ms
+        return total_ms - last_ms
+
+    def _ready_steps(self, job: SubmittedJob) -> list[WaitingStep]:
+        """Returns the steps whose turn has come, by what the executors have done."""
+        observations = self._run.observations
+        ready: list[WaitingStep] = []
+        done_by_step: list[list[bool]] = []
+        for index, step in enumerate(observations.steps_by_job[job.job_id]):
+            names = [f"{job.job_id}.0.{index}.{task}" for task in range(step["count"])]
+            if any(observations.crashes_by_task.get(name, 0) >= MAX_CRASHES for name in names):
+                return []  # The job has failed.
+            done = [name in observations.done_tasks for name in names]
+            done_by_step.append(done)
+            is_gang = bool(step.get("gang"))
+            if any(done) if is_gang else all(done):
+                continue
+            if all(all(done_by_step[before]) for before in step.get("after", [])):
+                shape = {name: step[name] for name in ("cpu", "mem_mb", "gpu")}
+                ready.append(WaitingStep(shape, step["count"] if is_gang else 1))
+        return ready
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -1,10 +1,11 @@
 """A randomized soak test with real node processes, a stand-in platform and injected faults.
 
 Phases of a run: the stand-ins and nodes start; callers submit, show and cancel jobs while
-overlapping faults are injected; then the faults end, stopped nodes are restarted, and every
-accepted job must end.  The executors check the scheduling invariants at each start and at each
-acknowledged end; the callers check the responses that they get.  All random choices except port
-numbers derive from the seed.
+overlapping faults are injected; then the faults end, stopped nodes are restarted, some more jobs
+are submitted, and every accepted job must end.  The executors check the scheduling invariants at
+each start and at each acknowledged end; the callers check the responses that they get; an observer
+checks that no job is held that could run.  All random choices except port numbers derive from the
+seed.
 """
 
 from __future__ import annotations
@@ -14,7 +15,6 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -22,6 +22,8 @@
 from typing import Any
 
 from loopback_proxy import LoopbackProxy
+from port_window import ports
+from soak_observer import SoakObserver
 from standin_platform import (
     SharedObservations,
     StandinExecutor,
@@ -39,11 +41,9 @@
 STOP_TIMEOUT_S = 8.0
 EXECUTOR_DOWN_S = 1.0
 RESIZED_S = 6.0
-FIRST_PORT = 12_000
-PORT_WINDOWS = 30
-WINDOW_PORTS = 600
 CRASHING_SHARE = 0.1  # Of the jobs; their tasks crash the executors that start them.
 CRASH_DELAYS_MS = (0, 100, 400)
+LATE_JOBS_S = (3.0, 5.0)  # After the end of the faults, so that they wait in a calm period.
 REFUSED_STATUSES = frozenset({429, 503})
 
 
@@ -55,6 +55,7 @@
     executors: int = 4
     jobs: int = 24
     fault_phase_s: float = 9.0
+    late_jobs: int = 4
 
 
 @dataclass(slots=True)
@@ -80,7 +81,8 @@
     job_id: str
     is_accepted: bool = False
     is_refused: bool = True
-    is_cancelled: bool = False
+    is_cancel_sent: bool = False
+    has_ended: bool = False
 
 
 @dataclass(slots=True)
@@ -97,12 +99,15 @@
     executor_proxies: list[LoopbackProxy] = field(default_factory=list)
     nodes: list[NodeProcess] = field(default_factory=list)
     jobs: list[SubmittedJob] = field(default_factory=list)
+    observer: SoakObserver = field(init=False)
+    are_faults_over: bool = False
     is_over: bool = False
     config_version: int = 1
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        self.observer = SoakObserver(self)
         ports.allocated.clear()
 
     async def execute(self) -> list[str]:
@@ -114,7 +119,7 @@
             ]
             await self._inject_faults()
             await self._end_faults()
-            await asyncio.gather(*callers)
+            await asyncio.gather(*callers, self._submit_late_jobs())
             await self._wait_for_jobs_to_end()
         finally:
             self._kill_nodes()
@@ -220,16 +225,16 @@
         if crash_rng.random() < CRASHING_SHARE:
             delay_ms = crash_rng.choice(CRASH_DELAYS_MS)
             self.observations.crash_delay_by_job[job.job_id] = delay_ms
-        steps = self._choose_steps()
+        steps = self._choose_steps(self.rng)
         self.observations.steps_by_job[job.job_id] = steps
         path = f"/{self.rng.choice(['urgent', 'batch'])}/{job.job_id}"
         body = json.dumps({"spec": "soak", "steps": steps})
         await self._submit(job, path, body)
         if job.is_accepted and self.rng.random() < 0.2:
             await asyncio.sleep(self.rng.uniform(0, 1.5))
+            job.is_cancel_sent = True
             status = await self._send_request("DELETE", path)
             if status in (200, 410):
-                job.is_cancelled = True
                 self.observations.cancelled_ms_by_job[job.job_id] = now_ms()
                 if status == 410:
                     self.observations.violations.append(f"{job.job_id} was accepted but is unknown")
@@ -238,12 +243,25 @@
             if job.is_accepted and await self._send_request("GET", path) == 410:
                 self.observations.violations.append(f"{job.job_id} was accepted but is unknown")
 
-    def _choose_steps(self) -> list[dict[str, Any]]:
-        is_gang = self.rng.random() < 0.5
-        count = self.rng.randint(1, 5)
-        first = {"count": count, "cpu": 500, "mem_mb": 500, "gpu": self.rng.choice([1, 2, 4])}
+    async def _submit_late_jobs(self) -> None:
+        # Drawn apart, because callers of the fault phase may still draw.
+        rng = random.Random(f"{self.seed} late")
+        first_s, last_s = LATE_JOBS_S
+        await asyncio.sleep(first_s)
+        for index in range(self.size.jobs, self.size.jobs + self.size.late_jobs):
+            job = SubmittedJob(f"{self.seed & 0xFFFFFFFF:08x}{index:08x}")
+            self.jobs.append(job)
+            steps = self.observations.steps_by_job[job.job_id] = self._choose_steps(rng)
+            body = json.dumps({"spec": "soak", "steps": steps})
+            await self._submit(job, f"/{rng.choice(['urgent', 'batch'])}/{job.job_id}", body)
+            await asyncio.sleep((last_s - first_s) / self.size.late_jobs)
+
+    def _choose_steps(self, rng: random.Random) -> list[dict[str, Any]]:
+        is_gang = rng.random() < 0.5
+        count = rng.randint(1, 5)
+        first = {"count": count, "cpu": 500, "mem_mb": 500, "gpu": rng.choice([1, 2, 4])}
         steps: list[dict[str, Any]] = [{**first, "estimate_ms": 500, "gang": is_gang}]
-        if self.rng.random() < 0.3:
+        if rng.random() < 0.3:
             steps.append({"count": 2, "cpu": 500, "mem_mb": 500, "gpu": 1, "after": [0]})
         return steps
 
@@ -350,6 +368,7 @@
             self._send_signal(node, signal.SIGCONT)
             if node.process is None or node.process.poll() is not None:
                 self._start_node(node)
+        self.are_faults_over = True
 
     async def _wait_for_jobs_to_end(self) -> None:
         """Waits until every accepted job is reported as completed or cancelled."""
@@ -357,16 +376,18 @@
         remaining_jobs = [job for job in self.jobs if job.is_accepted]
         while remaining_jobs and now_ms() < end_ms:
             await asyncio.sleep(0.3)
-            remaining_jobs = [job for job in remaining_jobs if not await self._has_ended(job)]
+            for job in remaining_jobs:
+                job.has_ended = await self._has_ended(job)
+            remaining_jobs = [job for job in remaining_jobs if not job.has_ended]
         if remaining_jobs:
             for node in self.nodes:
                 self._send_signal(node, signal.SIGUSR1)  # The nodes log their pending work.
             await asyncio.sleep(1.0)
         for job in remaining_jobs:
             self.observations.violations.append(f"{job.job_id} was accepted but did not end")
-            self.observations.violations += self._find_log_lines(job.job_id)
+            self.observations.violations += self.find_log_lines(job.job_id)
 
-    def _find_log_lines(self, job_id: str) -> list[str]:
+    def find_log_lines(self, job_id: str) -> list[str]:
         """Returns the nodes' log lines about a job, and those about work that executors hold."""
         lines: list[str] = []
         for node in self.nodes:
@@ -406,7 +427,7 @@
                 )
 
     def _collect_violations(self) -> list[str]:
-        violations = list(self.observations.violations)
+        violations = self.observations.violations + self.observer.describe_violations()
         for job in self.jobs:
             if job.is_refused and job.job_id in self.observations.started_jobs:
                 violations.append(f"{job.job_id} ran although every submission was refused")
@@ -423,6 +444,7 @@
                 executor.tick()
                 if executor.is_crash_due:
                     self._spawn(self._restart_executor(index))
+            self.observer.tick(now_ms())
             await asyncio.sleep(0.02)
 
     def _spawn(self, coroutine: Any) -> None:
@@ -437,52 +459,3 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 node.process.wait()
-
-
-class PortWindow:
-    """A range of ports that this process reserves among the soaks on this machine.
-
-    Without it, a concurrent soak could take the port of a node while that node restarts.
-    """
-
-    def __init__(self) -> None:
-        self.allocated: set[int] = set()
-        self._window_socket = socket.socket()
-        self._first_port = self._reserve_window()
-
-    def allocate(self, count: int = 1) -> int:
-        """Returns the first of `count` consecutive free ports that this run has not used yet."""
-        while True:
-            port = random.randrange(self._first_port + 1, self._first_port + WINDOW_PORTS - count)
-            candidates = set(range(port, port + count))
-            if candidates & self.allocated or not all(
-                _is_free(candidate) for candidate in candidates
-            ):
-                continue
-            self.allocated.update(candidates)
-            return port
-
-    def _reserve_window(self) -> int:
-        """Reserves a window by listening on its first port; returns that port."""
-        for offset in range(PORT_WINDOWS):
-            first = FIRST_PORT + (os.getpid() + offset) % PORT_WINDOWS * WINDOW_PORTS
-            try:
-                self._window_socket.bind(("127.0.0.1", first))
-            except OSError:
-                continue
-            self._window_socket.listen()
-            return first
-        raise OSError("all port windows are in use by other soaks")
-
-
-ports = PortWindow()
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-        return True
--- a/tests/soak/zone_cut_run.py
+++ b/tests/soak/zone_cut_run.py
@@ -16,7 +16,8 @@
 
 import msgspec
 from loopback_proxy import LoopbackProxy
-from soak_run import SoakRun, ports
+from port_window import ports
+from soak_run import SoakRun
 from standin_platform import serve_store
 
 from jacinthreel_node._records import OwnerRow, decode_owner, encode_record
