A late check no longer extends a timeout that ran out before its request began

The request fails as timed out, as it should; only the check raised. It now asks first whether the timeout has run out.

The test blocks the event loop in that place; on the code before, the loop's exception handler gets the error.

--- a/packages/daemon/src/jacinthreel_daemon/_http_pool.py
+++ b/packages/daemon/src/jacinthreel_daemon/_http_pool.py
@@ -224,6 +224,8 @@
 
     def extend_if_late() -> None:
         now_s = loop.time()
+        if timeout.expired():
+            return  # It had run out before the request began, and can't be extended any more.
         if now_s - end_s > LATE_S and timeout.when() == end_s:
             timeout.reschedule(now_s + LATE_EXTENSION_S)
 
