The next owner counts a crash that the former one had not stored

The former owner ended before the crash was stored; the next one ended the run because its executor wasn't listed again, which always counted as a planned leave.

The progress row now tells which executors have announced their shutdown, and is written when they do; a run on another executor that isn't listed again counts as lost with it. Ruled out: counting every missing executor, which would give up sound jobs on executors that leave as announced.

The case without an announcement fails on the code before.

--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_registry.py
@@ -114,7 +114,8 @@
                 task = self._context.tables.task(run.run_id.task)
                 if task is not None and task.run is run:
                     reason = "executor not listed again"
-                    end_lost_run(self._context, run, reason, now_ms, has_left=True)
+                    has_left = run.is_executor_leaving
+                    end_lost_run(self._context, run, reason, now_ms, has_left)
 
     def _attach_recovered_runs(self, executor: Executor, now_ms: int) -> None:
         """Attaches runs that were restored from storage before their executor was listed."""
@@ -150,6 +151,7 @@
 
     def _update_earliest_shutdown(self, executor: Executor, now_ms: int) -> None:
         listing = executor.listing
+        self._mark_runs(executor)
         if not listing.is_draining:
             executor.earliest_shutdown_ms = None
         elif listing.remaining_ms is not None and executor.earliest_shutdown_ms is None:
@@ -160,3 +162,13 @@
                 "runs": len(executor.runs_by_task),
             }
             self._context.log("executor_leaving", fields)
+
+    def _mark_runs(self, executor: Executor) -> None:
+        """Stores for the runs of an executor whether it has announced its shutdown."""
+        for run in executor.runs_by_task.values():
+            if run.is_executor_leaving is executor.listing.is_draining:
+                continue
+            run.is_executor_leaving = executor.listing.is_draining
+            self._context.tables.bump_revision(
+                self._context.tables.jobs_by_id[run.run_id.task.job_id]
+            )
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -69,13 +69,20 @@
 class ProgressRow(msgspec.Struct, array_like=True, frozen=True):
     """The progress of a job.
 
-    `write_id` is unique to each write; `executors` holds pairs of executor id and incarnation.
+    `write_id` is unique to each write; `executors` holds pairs of executor id and incarnation, and
+    `leaving` the indexes of those that have announced their shutdown, so that a next owner doesn't
+    take them for lost.  Rows of earlier versions have no `leaving`.
     """
 
     write_id: str
     state: int
     executors: list[tuple[str, Number]]
     steps: list[StepRow]
+    leaving: list[Number] | None = None
+
+    def is_leaving(self, executor: int) -> bool:
+        """Whether the executor at an index may have left as announced."""
+        return self.leaving is None or executor in self.leaving
 
 
 _decoder = msgspec.msgpack.Decoder(ProgressRow)
@@ -104,7 +111,15 @@
                 step.counted_failure_run, tasks, _make_crash_rows(step), _make_gang_losses_row(step)
             )
         )
-    return _encoder.encode(ProgressRow(write_id, int(job.state), list(positions), steps))
+    leaving = sorted(
+        {
+            positions[run.executor_id, run.incarnation]
+            for run in job.live_runs()
+            if run.is_executor_leaving and run.state is not RunState.CLAIMED
+        }
+    )
+    row = ProgressRow(write_id, int(job.state), list(positions), steps, leaving)
+    return _encoder.encode(row)
 
 
 def decode_progress(value: bytes) -> ProgressRow | None:
@@ -228,6 +243,7 @@
         RunState.STARTING,
         now_ms,
         is_recovered=True,
+        is_executor_leaving=progress.is_leaving(row.executor),
         progress_changed_ms=now_ms,
         checkpoint=row.checkpoint,
     )
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -67,8 +67,9 @@
     `has_unanswered_start` is set once a start order got no answer in time: the executor may then
     still start the run until it has confirmed a stop.  `is_recovered` is set for a run that an
     earlier owner placed and that the executor has not reported yet, `is_from_zero` for one that
-    this owner placed without a checkpoint.  `reported_incarnation` is the executor's incarnation
-    that last reported the run, 0 before the first report.
+    this owner placed without a checkpoint.  `is_executor_leaving` is set once the executor has
+    announced its shutdown.  `reported_incarnation` is the executor's incarnation that last reported
+    the run, 0 before the first report.
 
     `placed_ms` is when the run was claimed or placed, set again when its start is ordered.
     `start_confirmed_ms` is when the start was confirmed, by an answer or a report.
@@ -90,6 +91,7 @@
     has_unanswered_start: bool = False
     is_recovered: bool = False
     is_from_zero: bool = False
+    is_executor_leaving: bool = False
     isolation: Isolation = Isolation.NONE
     reported_incarnation: int = 0
     start_confirmed_ms: int | None = None
--- a/packages/steps/tests/test_crashing_tasks.py
+++ b/packages/steps/tests/test_crashing_tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -49,6 +50,27 @@
     assert max(world.late_starts.values(), default=0) <= MAX_LATE_STARTS
 
 
+@pytest.mark.parametrize("is_announced", [False, True])
+def test_crash_that_the_former_owner_did_not_store_counts_unless_the_executor_was_to_leave(
+    is_announced: bool,
+) -> None:
+    world = CrashWorld(listing("e0"), listing("e1"))
+    world.submit("job", step())
+    world.settle()
+    [run] = world.runs("job")
+    if is_announced:
+        leaving = replace(world.listings[run.executor_id], is_draining=True)
+        world.scheduler.apply_listing(leaving, world.now_ms)
+    world.store()
+    del world.listings[run.executor_id]
+
+    world.take_over()
+    world.scheduler.expire_orphans(lambda _: world.now_ms, world.now_ms)
+
+    record = world.scheduler.tables.jobs_by_id["job"].steps[0].tasks[0].crash_record
+    assert (0 if record is None else record.crashes) == (0 if is_announced else 1)
+
+
 def test_wide_step_that_crashes_executors_takes_few_of_them_down() -> None:
     world = CrashWorld(*executors(24))
     world.submit_crashing("crashing", step(12, accelerators=8))
