A job that could run uses slow or avoided executors if nothing else has room

Callers saw jobs wait with a third of the executors avoided or slow after a disruption, for up to 12 s after the last failure there, although these were free and most of them sound again.

Cause: an executor that is avoided, or taken for slow, takes no task until its time is over, whatever waits; the time doubles with each failure up to 12 s, and nobody gives it back sooner while it runs nothing.

An overdue job (1.5 s, service mostly unused, room twice over) is now placed on wider sets of executors in order: with the reserved ones, with those taken for slow, with those avoided. An avoided executor is left alone for 1.5 s after each failure, refusal or stall, so that no refused start is repeated in a loop. A run there may fail and cost an attempt, so a job whose task has only one attempt left waits for another executor: what is failed for good earns nothing and stays failed. An executor that is silent too counts as silent and is used by nobody: before, 'avoided' hid that in the log as well.

What executors a pass excludes is found while it looks for the usable ones; their free slots are counted apart, so the cost follows their number.

--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
@@ -63,6 +63,7 @@
     executor: Executor, duration_ms: int, reason: str, now_ms: int, log: DecisionLog
 ) -> None:
     """Places no tasks on the executor for a while; never shortens an earlier period."""
+    executor.health.avoided_ms = now_ms
     until_ms = now_ms + duration_ms
     if until_ms <= executor.health.avoid_until_ms:
         return
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -28,11 +28,13 @@
     """Which executors of a service a job may use; each level adds to the ones before.
 
     `UNRESERVED`: those that take new tasks and are not reserved for urgent jobs.  `USABLE`: the
-    reserved ones too.
+    reserved ones too.  `SLOW` and `AVOIDED`: those that are taken for slow, or avoided, too.
     """
 
     UNRESERVED = 0
     USABLE = 1
+    SLOW = 2
+    AVOIDED = 3
 
 
 @dataclass(slots=True)
@@ -73,6 +75,7 @@
     due_jobs: list[Job] = field(default_factory=list)
     _slots_by_reach: dict[tuple[str, Reach], ServiceSlots] = field(default_factory=dict)
     _all_slots: list[ServiceSlots] = field(default_factory=list)
+    _excluded_by_service: dict[str, SlotIndex] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
 
     def spend(self, tasks: int, executors: int) -> None:
@@ -114,6 +117,14 @@
             self._reclaimable_by_service[service] = index
         return index
 
+    def excluded_slots(self, service: str) -> SlotIndex:
+        """Returns the free slots on the executors that are taken for slow or avoided."""
+        index = self._excluded_by_service.get(service)
+        if index is None:
+            index = SlotIndex(self.usable.excluded(service), _free_capacity)
+            self._excluded_by_service[service] = index
+        return index
+
     def record_changes(self, executor_ids: Iterable[str]) -> None:
         """Updates what is known of executors whose runs have changed, each once."""
         for executor_id in dict.fromkeys(executor_ids):
@@ -124,8 +135,9 @@
         self.victims.forget(executor_id)
         for slots in self._all_slots:
             slots.free.update(executor_id)
-        for index in self._reclaimable_by_service.values():
-            index.update(executor_id)
+        for indexes in (self._excluded_by_service, self._reclaimable_by_service):
+            for index in indexes.values():
+                index.update(executor_id)
 
     def _usable_executors(self, service: str) -> list[Executor]:
         return self.usable.by_service.get(service, [])
@@ -137,6 +149,10 @@
                 return self._without_headroom(service, executors)
             case Reach.USABLE:
                 return executors
+            case Reach.SLOW:
+                return executors + self.usable.slow_by_service.get(service, [])
+            case Reach.AVOIDED:
+                return executors + self.usable.excluded(service)
 
     def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
         reserved_ids = self.context.headroom.select_reserved_ids(executors, self.now_ms)
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -21,7 +21,7 @@
 
 from jacinthreel_steps._executors._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
-from jacinthreel_steps._planning._usability import exclusion_of
+from jacinthreel_steps._planning._usability import Exclusion, exclusion_of, may_be_tried
 from jacinthreel_steps._tables import Executor, GangMove, Step, Tables, Task
 
 MOVED_GANG_AVOID_MS = 6_000  # How long a gang avoids the executor that it was moved from.
@@ -64,18 +64,34 @@
 
 @dataclass(slots=True)
 class UsableExecutors:
-    """The executors that currently accept new tasks, by service."""
+    """The executors that currently accept new tasks, by service.
+
+    Only overdue jobs use those that are taken for slow or avoided.
+    """
 
     by_service: dict[str, list[Executor]] = field(default_factory=dict)
+    slow_by_service: dict[str, list[Executor]] = field(default_factory=dict)
+    avoided_by_service: dict[str, list[Executor]] = field(default_factory=dict)
+
+    def excluded(self, service: str) -> list[Executor]:
+        """Returns the executors of a service that are taken for slow or avoided."""
+        return self.slow_by_service.get(service, []) + self.avoided_by_service.get(service, [])
 
 
 def find_usable_executors(tables: Tables, now_ms: int, max_report_age_ms: int) -> UsableExecutors:
     """Returns all executors that accept new tasks now."""
     usable = UsableExecutors()
     for executor in tables.executors_by_id.values():
-        if exclusion_of(tables, executor, now_ms, max_report_age_ms) is not None:
-            continue
-        usable.by_service.setdefault(executor.listing.service, []).append(executor)
+        match exclusion_of(tables, executor, now_ms, max_report_age_ms):
+            case None:
+                by_service = usable.by_service
+            case Exclusion.SLOW:
+                by_service = usable.slow_by_service
+            case Exclusion.AVOIDED if may_be_tried(executor, now_ms):
+                by_service = usable.avoided_by_service
+            case _:
+                continue
+        by_service.setdefault(executor.listing.service, []).append(executor)
     return usable
 
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -48,6 +48,7 @@
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
 from jacinthreel_steps._planning._run_creation import place_tasks
+from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._start_limits import count_start_slots, count_start_slots_of_step
 from jacinthreel_steps._planning._trials import schedule_trials, update_closed_executors
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
@@ -196,8 +197,20 @@
     if any(_is_starting_or_at_work(run, state.now_ms) for run in job.live_runs()):
         return None
     tasks = pending if step.spec.is_gang else pending[:1]
-    slots = state.slots_within(job.record.queue.service, Reach.USABLE)
-    return _find_placement(state, job, step, tasks, slots)
+    widest = Reach.AVOIDED if _has_spare_attempt(job, tasks) else Reach.SLOW
+    for reach in (Reach.USABLE, Reach.SLOW, Reach.AVOIDED):
+        if reach > widest:
+            break
+        slots = state.slots_within(job.record.queue.service, reach)
+        placement = _find_placement(state, job, step, tasks, slots)
+        if placement:
+            return placement
+    return None
+
+
+def _has_spare_attempt(job: Job, tasks: list[Task]) -> bool:
+    """Whether the job goes on after one more failure: an avoided executor may fail each run."""
+    return all(task.failures + 1 < job.record.queue.max_attempts for task in tasks)
 
 
 def _is_starting_or_at_work(run: Run, now_ms: int) -> bool:
@@ -213,19 +226,21 @@
         return Hold.QUOTA
     spec = step.spec
     needed = len(admitted) if spec.is_gang else 1
-    if _count_slots(slots, spec) >= needed:
+    if _count_slots(slots.free, spec) >= needed:
         return Hold.NO_RACK if spec.is_gang and spec.wants_one_rack else Hold.NO_ROOM
-    usable = state.slots_within(job.record.queue.service, Reach.USABLE)
-    if not usable.free.executors:
+    service = job.record.queue.service
+    usable, excluded = state.slots_within(service, Reach.USABLE), state.excluded_slots(service)
+    if not usable.free.executors and not excluded.executors:
         return Hold.NO_EXECUTOR
-    if _count_slots(usable, spec) >= needed:
+    count = _count_slots(usable.free, spec)
+    if count >= needed:
         return Hold.RESERVED
-    return Hold.NO_ROOM
+    return Hold.EXCLUDED if count + _count_slots(excluded, spec) >= needed else Hold.NO_ROOM
 
 
-def _count_slots(slots: ServiceSlots, spec: StepSpec) -> int:
+def _count_slots(index: SlotIndex, spec: StepSpec) -> int:
     """Returns how many tasks of a step fit, with its limit per executor."""
-    free = slots.free.slots(spec.required_label, spec.shape)
+    free = index.slots(spec.required_label, spec.shape)
     if not spec.max_per_executor:
         return free.total
     return sum(min(count, spec.max_per_executor) for count in free.by_executor_id.values())
--- a/packages/steps/src/jacinthreel_steps/_planning/_usability.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_usability.py
@@ -7,11 +7,12 @@
 
 from jacinthreel_steps._tables import Executor, Tables
 
+MIN_AVOID_MS: Final = 1_500
 MAX_REPORT_AGE_MS: Final = 1_400  # An executor whose last report is older gets no new tasks.
 
 
 class Exclusion(StrEnum):
-    """Why an executor takes no new tasks."""
+    """Why an executor takes no new tasks; `AVOIDED` and `SLOW` only if nothing else is why."""
 
     UNLISTED = "not listed"
     UNREPORTED = "no report"
@@ -40,10 +41,18 @@
         return Exclusion.OUTDATED
     if executor.listing.zone in tables.policy.zones_out_of_service:
         return Exclusion.ZONE
+    if now_ms - executor.last_report_ms > max_report_age_ms:
+        return Exclusion.SILENT
     if executor.health.avoid_until_ms > now_ms:
         return Exclusion.AVOIDED
     if executor.health.slow_until_ms > now_ms:
         return Exclusion.SLOW
-    if now_ms - executor.last_report_ms > max_report_age_ms:
-        return Exclusion.SILENT
     return None
+
+
+def may_be_tried(executor: Executor, now_ms: int) -> bool:
+    """Whether an avoided executor takes a task that has waited too long for others.
+
+    Not for some time after the last failure, refusal or stall there: it would only be repeated.
+    """
+    return now_ms - executor.health.avoided_ms >= MIN_AVOID_MS
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -48,6 +48,7 @@
     NO_ROOM = "no room"
     NO_RACK = "no rack"
     RESERVED = "reserved for urgent jobs"
+    EXCLUDED = "executors slow or avoided"
     TRIAL_OF_OTHERS = "another task of the step is tried first"
     OUTAGE = "outage"
     NO_EMPTY_EXECUTOR = "no empty executor for a suspect"
@@ -59,6 +60,7 @@
         Hold.START_LIMIT,
         Hold.NO_RACK,
         Hold.RESERVED,
+        Hold.EXCLUDED,
         Hold.NO_EMPTY_EXECUTOR,
         Hold.NO_SOUND_EXECUTOR,
     }
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -337,7 +337,8 @@
     `failures` counts the failed runs since the last successful one, and `failed_ms` is the time of
     the last failure, `unreachable_ms` that of the last failed exchange with the executor after a
     successful one.  The executor gets no new tasks before `avoid_until_ms`, nor before
-    `slow_until_ms`, which is set to 0 when later runs are normal.  `verdict_by_task` holds the
+    `slow_until_ms`, which is set to 0 when later runs are normal; `avoided_ms` is when it last gave
+    a reason to avoid it.  `verdict_by_task` holds the
     verdicts on recent runs, the one that changed last at the end, and `has_new_verdict` is set
     until they are applied.  `proven_ms` is the latest start time among the runs that made progress
     or succeeded there.  `speed_class` is its speed in steps of `CLASS_FACTOR`: 0 is average,
@@ -346,6 +347,7 @@
 
     failures: int = 0
     avoid_until_ms: int = 0
+    avoided_ms: int = 0
     slow_until_ms: int = 0
     has_new_verdict: bool = False
     verdict_by_task: dict[TaskId, PaceVerdict] = field(default_factory=dict)
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -10,6 +10,7 @@
 from scheduler_harness import SchedulerHarness, listing, queue, step
 
 from jacinthreel_steps import EndReason, Resources, StepSpec
+from jacinthreel_steps._executors._executor_health import avoid_executor
 from jacinthreel_steps._planning._waiting_jobs import WaitingJobs
 from jacinthreel_steps._tables import CrashRecord, Executor, GangLosses
 
@@ -161,6 +162,43 @@
     assert len(harness.runs("held")) == (0 if is_busy else placed)
 
 
+def exclude_most(harness: SchedulerHarness, reason: str) -> None:
+    """Excludes all executors but two, which hold small tasks."""
+    tables = harness.scheduler.tables
+    for executor in list(tables.executors_by_id.values())[SMALL_TASKS_PER_RACK:]:
+        match reason:
+            case "slow":
+                executor.health.slow_until_ms = harness.now_ms + 6_000
+            case _:
+                avoid_executor(executor, 12_000, reason, harness.now_ms, lambda *line: None)
+        if reason == "silent":
+            del harness.listings[executor.executor_id]
+
+
+@pytest.mark.parametrize(
+    ("reason", "wanted", "max_attempts", "placed"),
+    [
+        ("slow", ONE_RACK_GANG, 1, 3),
+        ("failures", ONE_RACK_GANG, 2, 3),
+        ("failures", PLAIN, 2, 1),
+        ("failures", PLAIN, 1, 0),  # Another failure would be the end of the job.
+        ("silent", PLAIN, 2, 0),
+    ],
+)
+def test_job_does_not_wait_long_for_other_executors_than_slow_or_avoided_ones(
+    reason: str, wanted: StepSpec, max_attempts: int, placed: int
+) -> None:
+    harness = make_cluster()
+    exclude_most(harness, reason)
+    harness.submit("held", wanted, terms=queue(1, max_attempts))
+
+    harness.pass_time(MAX_WAIT_MS - 1_000)
+    assert harness.runs("held") == []
+
+    harness.pass_time(1_000)
+    assert len(harness.runs("held")) == placed
+
+
 def make_suspect(harness: SchedulerHarness, job_id: str) -> None:
     """Records that executors were lost under a gang, which has a limited number of starts since."""
     tables = harness.scheduler.tables
