Withdraw placements at executors that fell silent before their start was ordered

The start of a placed run was ordered as soon as the placement was stored, also if its executor had fallen silent while the store was slow or away. The task, and with it a whole gang, then waited for the end of a lease, although nothing had been sent when the silence was known.

Such a placement is withdrawn, which frees the task at once; of a gang all members are checked before any is ordered. The bound is the one after which the planner doesn't use an executor either.

Both cases of the test failed before: the start was sent to the silent executor.

--- a/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
@@ -1,13 +1,15 @@
 """Orders the starts of placed runs once their placement is stored.
 
-The quota or the capacity of the executor may have been lowered in the meantime, so both are checked
-again.
+The quota or the capacity of the executor may have been lowered in the meantime, or the executor may
+be out of reach, so these are checked again.  A withdrawn placement protects nothing, because no
+start was ordered for it; one that was ordered out of reach is protected by its lease.
 """
 
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context, run_name
 from jacinthreel_steps._model import StopCause, StopReason
+from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._lifecycle import stop_gang, stop_run
 from jacinthreel_steps._tables import Job, Run, RunState, Step
 from jacinthreel_steps._workspaces._quotas import exceeds_quota
@@ -18,22 +20,35 @@
     if job.announced_ms is not None:
         return
     for step in job.steps:
-        for task in step.tasks:
-            run = task.run
-            if run is None or run.state is not RunState.PLACED:
-                continue
-            if run.needed_revision <= job.stored_revision:
-                _order_start(context, job, step, run, now_ms)
-
-
-def _order_start(context: Context, job: Job, step: Step, run: Run, now_ms: int) -> None:
-    """Orders the start of a placed run, or withdraws it if it doesn't fit any more."""
-    reason = _withdrawal_reason(context, job, run, now_ms)
-    if not reason:
+        runs = [
+            task.run
+            for task in step.tasks
+            if task.run is not None
+            and task.run.state is RunState.PLACED
+            and task.run.needed_revision <= job.stored_revision
+        ]
+        if not step.spec.is_gang:
+            for run in runs:
+                _order_starts(context, job, step, [run], now_ms)
+        elif runs:
+            _order_starts(context, job, step, runs, now_ms)
+
+
+def _order_starts(context: Context, job: Job, step: Step, runs: list[Run], now_ms: int) -> None:
+    """Orders the starts of placed runs, or withdraws all if one doesn't fit any more."""
+    for run in runs:
+        reason = _withdrawal_reason(context, job, run, now_ms)
+        if reason:
+            _withdraw(context, job, step, run, reason, now_ms)
+            return
+    for run in runs:
         run.state = RunState.STARTING
         run.placed_ms = now_ms
         context.orders.starts.append(run)
-        return
+
+
+def _withdraw(context: Context, job: Job, step: Step, run: Run, reason: str, now_ms: int) -> None:
+    """Withdraws a placed run, and the rest of its gang."""
     fields = {
         "job_id": job.job_id,
         "run": run_name(run.run_id),
@@ -59,4 +74,6 @@
         return ""
     if executor.exceeds_capacity():
         return "capacity"
+    if now_ms - executor.last_report_ms > MAX_REPORT_AGE_MS:
+        return "out of reach"
     return "registry" if context.tables.is_capacity_outdated(executor, now_ms) else ""
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from scheduler_harness import SchedulerHarness, listing, step
 
 from jacinthreel_steps import EndReason, ExecutorReport, Run, StartOutcome, StopOrder
@@ -111,6 +112,28 @@
     assert [run.run_id.number for run in harness.runs("j1")] == [2, 2]
 
 
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_placement_at_an_executor_that_fell_silent_is_withdrawn_before_its_start(
+    is_gang: bool,
+) -> None:
+    """Its task, with its whole gang, waited for the lease of a start that was sent too late."""
+    names = ["e1", "e2", "e3", "e4"]
+    harness = SchedulerHarness(*map(listing, names))
+    harness.submit("j1", step(2, accelerators=8, is_gang=is_gang))
+    harness.scheduler.plan(harness.now_ms)
+    silent = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[1].executor_id
+    for _ in range(4):  # The store answers late.
+        harness.now_ms += 500
+        for name in names:
+            if name != silent:
+                harness.report(name)
+    harness.settle()
+
+    assert silent not in {run.executor_id for run in harness.started}
+    assert len(harness.runs("j1")) == 2
+    assert harness.scheduler.tables.executors_by_id[silent].runs_by_task == {}
+
+
 def test_unanswered_start_is_not_repeated_at_a_restarted_executor() -> None:
     harness = SchedulerHarness(listing("e1"))
     harness.submit("j1", step())
