Withdraw a gang as a whole if a member's executor is out of reach before any start

A start to an executor whose last request got no response is refused by the link. For a gang, the other members had been started by then, and had to be stopped and confirmed one by one.

The check of stored placements now takes the last failed request into account as well, so that no member of such a gang is started. The executor is avoided for as long as after a refused start, because its last report may be recent enough for the planner to use it again.

Both new cases of the test failed before: a start was ordered at the executor out of reach.

--- a/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
@@ -8,10 +8,11 @@
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context, run_name
+from jacinthreel_steps._executors._executor_health import UNHEALTHY_AVOID_MS, avoid_executor
 from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._lifecycle import stop_gang, stop_run
-from jacinthreel_steps._tables import Job, Run, RunState, Step
+from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step
 from jacinthreel_steps._workspaces._quotas import exceeds_quota
 
 
@@ -75,5 +76,15 @@
     if executor.exceeds_capacity():
         return "capacity"
     if now_ms - executor.last_report_ms > MAX_REPORT_AGE_MS:
+        return "silent"
+    if _is_unreachable(executor):
+        # Its last report is so recent that the planner would use it again.
+        avoid_executor(executor, UNHEALTHY_AVOID_MS, "out of reach", now_ms, context.log)
         return "out of reach"
     return "registry" if context.tables.is_capacity_outdated(executor, now_ms) else ""
+
+
+def _is_unreachable(executor: Executor) -> bool:
+    """Whether the last request got no response."""
+    unreachable_ms = executor.health.unreachable_ms
+    return unreachable_ms is not None and unreachable_ms > executor.last_report_ms
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -113,24 +113,26 @@
 
 
 @pytest.mark.parametrize("is_gang", [False, True])
-def test_placement_at_an_executor_that_fell_silent_is_withdrawn_before_its_start(
-    is_gang: bool,
+@pytest.mark.parametrize(("silent_ms", "is_unreachable"), [(2_000, False), (200, True)])
+def test_placement_at_an_executor_out_of_reach_is_withdrawn_before_any_start(
+    silent_ms: int, is_unreachable: bool, is_gang: bool
 ) -> None:
-    """Its task, with its whole gang, waited for the lease of a start that was sent too late."""
+    """Its task waited for the lease of a late start, or its gang for the stops of other members."""
     names = ["e1", "e2", "e3", "e4"]
     harness = SchedulerHarness(*map(listing, names))
     harness.submit("j1", step(2, accelerators=8, is_gang=is_gang))
     harness.scheduler.plan(harness.now_ms)
     silent = harness.scheduler.tables.jobs_by_id["j1"].live_runs()[1].executor_id
-    for _ in range(4):  # The store answers late.
-        harness.now_ms += 500
-        for name in names:
-            if name != silent:
-                harness.report(name)
+    if is_unreachable:
+        harness.scheduler.record_unreachable(silent, harness.now_ms + 1)
+    harness.now_ms += silent_ms  # The store answers late.
+    for name in names:
+        if name != silent:
+            harness.report(name)
     harness.settle()
 
     assert silent not in {run.executor_id for run in harness.started}
-    assert len(harness.runs("j1")) == 2
+    assert len(harness.started) == len(harness.runs("j1")) == 2
     assert harness.scheduler.tables.executors_by_id[silent].runs_by_task == {}
 
 
