Use executors again soon after a moment out of reach

An executor to which a start was not sent, because its last request got no response, was avoided for 1.5 s. After a reset of all connections that would be each executor with a new placement, although the next request, 0.2 s later, finds it in order.

It is avoided for 0.3 s, which keeps the planner from repeating the same placement before the next request. A repeated start that is not sent still counts as a sign of a crash, with the longer time.

Both tests failed before: the executor was not used 0.5 s later, and avoided after a start in the queue.

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -331,7 +331,9 @@
         if self._exchange.is_unreachable:
             # It would extend the wait for the leases there.  An earlier order for the run may have
             # crashed the executor; its next incarnation would obey too.
-            outcome = StartOutcome.REFUSED_UNHEALTHY
+            outcome = StartOutcome.REFUSED_OTHER
+            if run.has_unanswered_start:
+                outcome = StartOutcome.REFUSED_UNHEALTHY
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
         until_ms = self._lease_until_ms(executor, run) if executor.has_reported else None
--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -393,6 +393,8 @@
         assert harness.gateway.starts == []
         assert run.state is RunState.ENDED
         assert harness.link.lease_end_ms() == lease_end_ms
+        executor = harness.scheduler.tables.executors_by_id["e1"]
+        assert executor.health.avoid_until_ms == 0  # It may be back after a reset of connections.
 
     run_scenario(LinkHarness(), scenario)
 
--- a/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_executor_health.py
@@ -31,6 +31,7 @@
 MIN_PROOF_PERCENT: Final = 3
 NO_ROOM_AVOID_MS: Final = 300
 UNHEALTHY_AVOID_MS: Final = 1_500
+UNREACHABLE_AVOID_MS: Final = 300  # More than the time until the next request to the executor.
 
 
 def record_success(executor: Executor | None, run: Run) -> None:
--- a/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_start_orders.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from jacinthreel_steps._context import Context, run_name
-from jacinthreel_steps._executors._executor_health import UNHEALTHY_AVOID_MS, avoid_executor
+from jacinthreel_steps._executors._executor_health import UNREACHABLE_AVOID_MS, avoid_executor
 from jacinthreel_steps._model import StopCause, StopReason
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._lifecycle import stop_gang, stop_run
@@ -79,7 +79,7 @@
         return "silent"
     if _is_unreachable(executor):
         # Its last report is so recent that the planner would use it again.
-        avoid_executor(executor, UNHEALTHY_AVOID_MS, "out of reach", now_ms, context.log)
+        avoid_executor(executor, UNREACHABLE_AVOID_MS, "out of reach", now_ms, context.log)
         return "out of reach"
     return "registry" if context.tables.is_capacity_outdated(executor, now_ms) else ""
 
--- a/packages/steps/tests/test_doubtful_starts.py
+++ b/packages/steps/tests/test_doubtful_starts.py
@@ -136,6 +136,20 @@
     assert harness.scheduler.tables.executors_by_id[silent].runs_by_task == {}
 
 
+def test_executor_that_was_out_of_reach_for_a_moment_is_used_again_soon() -> None:
+    """After a reset of all connections, those with placements were not used for 1.5 s."""
+    harness = SchedulerHarness(listing("e1"))
+    harness.submit("j1", step())
+    harness.scheduler.plan(harness.now_ms)
+    harness.scheduler.record_unreachable("e1", harness.now_ms + 1)
+    harness.settle()
+    assert harness.started == []
+
+    harness.pass_time(500)
+
+    assert len(harness.runs("j1")) == 1
+
+
 def test_unanswered_start_is_not_repeated_at_a_restarted_executor() -> None:
     harness = SchedulerHarness(listing("e1"))
     harness.submit("j1", step())
