Model of ownership: check from outside the owner for jobs that could run and don't

The model test only asked the last owner whether all jobs got done in the end, so it found no job that waits for seconds beside free executors, and not what an owner wrongly believes.

Three more jobs are submitted 4 s after the last fault.

--- a/packages/node/tests/ownership_world.py
+++ b/packages/node/tests/ownership_world.py
@@ -19,6 +19,7 @@
 import msgspec
 from node_fakes import MemoryStore
 from returns.result import Failure, Result, Success
+from world_observer import WorldObserver
 
 from jacinthreel_common import (
     Fault,
@@ -166,6 +167,7 @@
         self._feeds: list[tuple[str, int, Callable[[Any], None]]] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._event_count = 0
+        self.observer = WorldObserver(self, SHAPE)
 
     def at(self, time_ms: int, event: Callable[[], None]) -> None:
         self._event_count += 1
@@ -263,6 +265,7 @@
         elif row.steps[run_id.task.step_index].tasks[run_id.task.task_index].is_done:
             self.violations.append(f"{run_id} started after its task was stored as done")
         self.running_on[run_id.task] = executor_id
+        self.observer.started_jobs.add(run_id.task.job_id)
 
     def check_acknowledged(self, executor_id: str, end: ReportedEnd) -> None:
         row = self.progress(end.run_id.task.job_id)
@@ -304,6 +307,7 @@
     rate: float
     incarnation: int = 0
     is_up: bool = False
+    has_readable_row: bool = True
     epoch: int = 0
     lease_until_ms: int = 0
     runs: dict[TaskId, FakeRun] = field(default_factory=dict)
@@ -329,8 +333,9 @@
         self.ended.clear()
         self.write_row()
 
-    def write_row(self) -> None:
-        value = msgspec.msgpack.encode(self.listing())
+    def write_row(self, is_readable: bool = True) -> None:
+        value = msgspec.msgpack.encode(self.listing()) if is_readable else b"?"
+        self.has_readable_row = is_readable
         self.world.put_row(RowWrite(EXECUTOR_TABLE, self.executor_id, value))
 
     def stop_process(self) -> None:
@@ -417,6 +422,8 @@
 
     def _end_run(self, task_id: TaskId, reason: EndReason) -> None:
         run = self._remove_run(task_id)
+        if reason is EndReason.DONE:
+            self.world.observer.done_tasks.add(task_id)
         number = run.run_id.number
         self.last_number[task_id] = max(number, self.last_number.get(task_id, 0))
         self.sequence += 1
@@ -530,6 +537,7 @@
         outcome = await insert_intake_row(self.store, key, encode_record(record), 900)
         if isinstance(outcome, Success):
             self.world.accepted_job_ids.add(record.job_id)
+            self.world.observer.steps_by_job[record.job_id] = record.spec.steps
 
     async def _guard(self, coroutine: Coroutine[Any, Any, None]) -> None:
         try:
--- a/packages/node/tests/test_ownership_machine.py
+++ b/packages/node/tests/test_ownership_machine.py
@@ -1,8 +1,8 @@
 """Random takeovers, pauses, lost and late messages, restarts and clocks 2 % apart.
 
 Guards against tasks that run twice at once, orders and writes of an earlier owner after a later
-one, ends that are acknowledged before they are stored, accepted jobs that are never run, and jobs
-that run although they were only announced.
+one, ends that are acknowledged before they are stored, accepted jobs that are never run or that
+wait while they could run, and jobs that run although they were only announced.
 """
 
 from __future__ import annotations
@@ -19,14 +19,14 @@
     rule,
     run_state_machine_as_test,
 )
-from ownership_world import EXECUTOR_TABLE, FakeExecutor, LinkFault, Node, World, make_job
+from ownership_world import FakeExecutor, LinkFault, Node, World, make_job
 
-from jacinthreel_node import RowWrite
 from jacinthreel_steps import JobState
 
 HOSTS = ("1", "2", "3")
 RATES = {"e1": 0.98, "e2": 1.0, "e3": 1.02}
 MAX_JOBS = 8
+LATE_JOBS_AFTER_MS = 4_000
 SETTLE_MS = 150_000  # Covers the longest leases, all work and a few restarts of it.
 HOST = st.sampled_from(HOSTS)
 EXECUTOR = st.sampled_from(sorted(RATES))
@@ -219,10 +219,7 @@
 
     @rule(executor_id=EXECUTOR, is_readable=st.booleans())
     def write_executor_row(self, executor_id: str, is_readable: bool) -> None:
-        if is_readable:
-            self.world.executors[executor_id].write_row()
-        else:
-            self.world.put_row(RowWrite(EXECUTOR_TABLE, executor_id, b"?"))
+        self.world.executors[executor_id].write_row(is_readable)
         self.world.advance(200)
 
     @invariant()
@@ -245,6 +242,10 @@
         for host in HOSTS:
             if not self.world.nodes[host].is_alive:
                 self.world.nodes[host] = Node(self.world, host)
+        self.world.advance(LATE_JOBS_AFTER_MS)
+        for index, host in enumerate(HOSTS, MAX_JOBS + 1):
+            job = make_job(f"{index:016x}", 3_000, 2, index % 2, is_gang=host == "1")
+            self.world.nodes[host].submit(job)
         self.world.advance(SETTLE_MS)
         self.no_violation()
         ownerships = [node.elector.ownership for node in self.world.nodes.values()]
