Halve the cost of the check for jobs that could run

It made several objects for each executor. Results are the same; the tests of waiting jobs pass unchanged.

--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -20,7 +20,13 @@
 from enum import StrEnum
 from typing import Any, Final
 
-from jacinthreel_steps._model import Resources, StepSpec, weighted_cores
+from jacinthreel_steps._model import (
+    NO_RESOURCES,
+    Resources,
+    StepSpec,
+    sum_resources,
+    weighted_cores,
+)
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS, exclusion_of
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Step, Tables
 
@@ -266,9 +272,11 @@
         and not executor.listing.is_draining
         and executor.listing.zone not in tables.policy.zones_out_of_service
     ]
-    used = sum(weighted_cores(executor.used.minus(executor.claimed)) for executor in executors)
-    capacity = sum(weighted_cores(executor.listing.capacity) for executor in executors)
-    return executors if used <= MAX_BUSY_SHARE * capacity else []
+    used = sum_resources(executor.used for executor in executors)
+    claimed = sum_resources(executor.claimed for executor in executors)
+    capacity = sum_resources(executor.listing.capacity for executor in executors)
+    is_idle = weighted_cores(used.minus(claimed)) <= MAX_BUSY_SHARE * weighted_cores(capacity)
+    return executors if is_idle else []
 
 
 @dataclass(slots=True)
@@ -327,6 +335,8 @@
         if spec.required_label and spec.required_label not in executor.listing.labels:
             return 0
         if self._free is None:
-            self._free = executor.free_resources.plus(executor.claimed)
+            free = executor.free_resources
+            has_claims = executor.claimed is not NO_RESOURCES
+            self._free = free.plus(executor.claimed) if has_claims else free
         count = spec.shape.count_fitting_into(self._free)
         return min(count, spec.max_per_executor) if spec.max_per_executor else count
