A short lack of room doesn't begin the wait of a job that could run anew

A gang was held for 17 s with 176 executors usable, and the log showed two pieces of it: a wait counted anew each time that there was no room twice over in one check. The bounds of preferences, 1.5 s, so never came.

A wait now outlasts a lack of room, or a busy service, of up to 0.5 s, which is two checks.

--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -38,6 +38,7 @@
 PREFERENCE_LIMIT_MS: Final = 1_500
 CHECK_PERIOD_MS: Final = 1_000
 PREFERENCE_CHECK_PERIOD_MS: Final = 250
+MAX_BREAK_MS: Final = 500  # Room that is missing for less time does not begin a wait anew.
 ROOM_FACTOR: Final = 2
 MAX_BUSY_SHARE: Final = 0.5
 MAX_LOGGED_RUNS: Final = 8
@@ -76,9 +77,13 @@
 
 @dataclass(slots=True)
 class _Wait:
-    """A job that could run since `since_ms`; `is_logged` is set once that was logged."""
+    """A job that could run since `since_ms`; `is_logged` is set once that was logged.
+
+    `room_ms` is when there was last room for it.
+    """
 
     since_ms: int
+    room_ms: int
     is_logged: bool = False
 
 
@@ -129,9 +134,12 @@
             if step is None:
                 continue
             needed = len(step.tasks) if step.spec.is_gang else 1
-            if not room.has_slots(job.record.queue.service, step.spec, ROOM_FACTOR * needed):
+            wait = self._wait_by_job.get(job.job_id)
+            if room.has_slots(job.record.queue.service, step.spec, ROOM_FACTOR * needed):
+                wait = wait or _Wait(now_ms, now_ms)
+                wait.room_ms = now_ms
+            elif wait is None or now_ms - wait.room_ms > MAX_BREAK_MS:
                 continue
-            wait = self._wait_by_job.get(job.job_id) or _Wait(now_ms)
             waits[job.job_id] = wait
             if now_ms - wait.since_ms >= HELD_AFTER_MS and not wait.is_logged:
                 overdue.append((job, step, wait))
