Reports: a gang whose executor has lost it doesn't wait for its stops to be confirmed

Callers saw a gang with nothing at work for seconds: after its executor restarted before it had reported the gang, the first run that was missing from the next report was ended, which set the others of the gang to stopping while the same report was applied. From then on only a confirmed stop counted, although the same report shows that they have ended too.

The rule on missing runs says that a run has ended if its start or its stop was confirmed before the report was requested; for a stopping run only the stop was regarded. A stop is still waited for where the start is not confirmed, or the report lists the run.

--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -217,13 +217,10 @@
     """Whether a run that is missing from a report requested at `sent_ms` has certainly ended."""
     if run.is_recovered:
         return True
-    match run.state:
-        case RunState.RUNNING:
-            return run.start_confirmed_ms is not None and run.start_confirmed_ms < sent_ms
-        case RunState.STOPPING:
-            return run.stop_confirmed_ms is not None and run.stop_confirmed_ms < sent_ms
-        case _:
-            return False
+    if run.state not in (RunState.RUNNING, RunState.STOPPING):
+        return False
+    confirmed = (run.start_confirmed_ms, run.stop_confirmed_ms)
+    return any(time_ms is not None and time_ms < sent_ms for time_ms in confirmed)
 
 
 def _end_missing_run(context: Context, run: Run, now_ms: int) -> None:
