A stopping run whose earlier start order got no answer waits for its confirmed stop

Found in the review of the rule on runs that a report lacks: a start that got no answer may still be carried out later, and a repeat of it may have been confirmed. If the executor restarts under its id and the gang is being stopped, the report lacks the run although the first order may start it once more.

--- a/packages/steps/src/jacinthreel_steps/_runs/_reports.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_reports.py
@@ -217,10 +217,21 @@
     """Whether a run that is missing from a report requested at `sent_ms` has certainly ended."""
     if run.is_recovered:
         return True
-    if run.state not in (RunState.RUNNING, RunState.STOPPING):
-        return False
-    confirmed = (run.start_confirmed_ms, run.stop_confirmed_ms)
-    return any(time_ms is not None and time_ms < sent_ms for time_ms in confirmed)
+    match run.state:
+        case RunState.RUNNING:
+            return _is_before(run.start_confirmed_ms, sent_ms)
+        case RunState.STOPPING if run.has_unanswered_start:
+            return _is_before(run.stop_confirmed_ms, sent_ms)  # It may start once more until then.
+        case RunState.STOPPING:
+            return _is_before(run.start_confirmed_ms, sent_ms) or _is_before(
+                run.stop_confirmed_ms, sent_ms
+            )
+        case _:
+            return False
+
+
+def _is_before(confirmed_ms: int | None, sent_ms: int) -> bool:
+    return confirmed_ms is not None and confirmed_ms < sent_ms
 
 
 def _end_missing_run(context: Context, run: Run, now_ms: int) -> None:
