A job whose only run is stuck doesn't wait for the starts of others

With too many starts waiting, a task of a job that could run is placed all the same, but not if any run of the job was left, also one that is being stopped on a silent executor: nothing of the job was at work until its lease ended. Runs that are neither at work nor about to start no longer count.

The test fails on the code before.

--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -122,12 +122,14 @@
 
 
 def _place_first_task(state: PassState, job: Job) -> None:
-    """Places a task of a job that could run and has no run, if one fits where the job prefers it.
+    """Places a task of a job that could run and has none at work, if one fits where it prefers.
 
     Capacity that becomes free then goes to such jobs before jobs that run get more of it, and few
     of them become overdue and use what is reserved.  The task is started however many starts wait.
     """
-    if state.budget <= 0 or job.record.queue.priority == 0 or job.live_runs():
+    if state.budget <= 0 or job.record.queue.priority == 0:
+        return
+    if any(_is_starting_or_at_work(run, state.now_ms) for run in job.live_runs()):
         return
     for step in job.steps:
         pending = job.pending_tasks(step)
--- a/packages/steps/tests/test_waiting_jobs.py
+++ b/packages/steps/tests/test_waiting_jobs.py
@@ -11,8 +11,9 @@
 
 from jacinthreel_steps import EndReason, Resources, StepSpec
 from jacinthreel_steps._executors._executor_health import avoid_executor
+from jacinthreel_steps._planning import _start_limits
 from jacinthreel_steps._planning._waiting_jobs import WaitingJobs
-from jacinthreel_steps._tables import CrashRecord, Executor, GangLosses
+from jacinthreel_steps._tables import CrashRecord, Executor, GangLosses, RunState
 
 RACKS = 3
 EXECUTORS_PER_RACK = 4
@@ -179,6 +180,24 @@
     assert bool(harness.runs("held")) == ran
 
 
+def test_job_whose_only_run_is_stuck_does_not_wait_for_the_starts_of_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = make_cluster()
+    harness.submit("held", step(2))
+    harness.settle()
+    stuck, failed = harness.runs("held")
+    stuck.state = RunState.STOPPING
+    harness.end(failed, EndReason.FAILED)
+    harness.scheduler.take_stops()  # The executor doesn't get them.
+    del harness.listings[stuck.executor_id]
+    monkeypatch.setattr(_start_limits, "MAX_WAITING_STARTS", 0)
+
+    harness.pass_time(MAX_WAIT_MS)
+
+    assert [run.run_id.number for run in harness.runs("held")] == [1, 2]
+
+
 def exclude_most(harness: SchedulerHarness, reason: str) -> None:
     """Excludes all executors but two, which hold small tasks."""
     tables = harness.scheduler.tables
