--- a/packages/node/tests/test_handover_chains.py
+++ b/packages/node/tests/test_handover_chains.py
@@ -223,6 +223,23 @@
     assert START_MS + lost_ms - taken_over_ms <= terms_ms + PERIODIC_CHECK_MS
 
 
+def test_changes_of_owner_do_not_prolong_the_wait_for_an_executor_that_none_of_them_reached(
+    world: World,
+) -> None:
+    # Guards against a job that could run and waits anew with each owner that never saw its run.
+    [executor_id] = world.running_on.values()
+    world.executors[executor_id].stop_process()
+    stopped_ms = world.now_ms
+    for _ in range(4):
+        epoch = owner_row(world).epoch
+        kill_and_restart(world)
+        await_takeover(world, epoch)
+        world.advance(3_000)
+    world.advance(LONGEST_LEASE_MS)
+    [lost_ms] = [time_ms for time_ms, _, event, _ in world.log_lines if event == "run_lost"]
+    assert START_MS + lost_ms - stopped_ms <= LONGEST_LEASE_MS + 600
+
+
 @pytest.mark.parametrize(
     "value",
     [
