Soak: a job whose task crashed its executors three times is observed until it is shown as ended

The check took such a job for failed, but executors also crash beside tasks of other jobs. Callers ask for the state of each job after the faults, so a job that has failed is known to have ended.

--- a/tests/soak/soak_observer.py
+++ b/tests/soak/soak_observer.py
@@ -11,7 +11,6 @@
 from subprocess import Popen
 from typing import TYPE_CHECKING
 
-from standin_platform import MAX_CRASHES
 from waiting_jobs_check import ExecutorRoom, Wait, WaitingJobsCheck, WaitingStep
 
 if TYPE_CHECKING:
@@ -112,8 +111,6 @@
         done_by_step: list[list[bool]] = []
         for index, step in enumerate(observations.steps_by_job[job.job_id]):
             names = [f"{job.job_id}.0.{index}.{task}" for task in range(step["count"])]
-            if any(observations.crashes_by_task.get(name, 0) >= MAX_CRASHES for name in names):
-                return []  # The job has failed.
             done = [name in observations.done_tasks for name in names]
             done_by_step.append(done)
             is_gang = bool(step.get("gang"))
