--- a/packages/node/src/jacinthreel_node/_elector.py
+++ b/packages/node/src/jacinthreel_node/_elector.py
@@ -101,15 +101,8 @@
         lease = self.former_lease
         if lease is None:
             return FormerOwner(former.host_id, former.epoch, has_stopped, None, now_ms)
-        return FormerOwner(
-            former.host_id,
-            former.epoch,
-            has_stopped,
-            lease.earlier_leases,
-            now_ms,
-            lease.validity_ms,
-            former.nonce,
-        )
+        earlier, validity_ms = lease.earlier_leases, lease.validity_ms
+        return FormerOwner(former.host_id, former.epoch, has_stopped, earlier, now_ms, validity_ms)
 
 
 class Elector:
--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -175,7 +175,6 @@
             or acknowledged_upto > 0
             or not executor.has_reported
             or self._exchange.is_unreachable
-            or not self._may_grant()
         )
         request = ReportRequest(
             context.epoch,
@@ -205,10 +204,7 @@
         Its clock has begun anew, so that a lease by the earlier clock would last too long.
         """
         is_known = executor.has_reported and not self._exchange.is_unreachable
-        return is_known and self._context.may_order() and self._may_grant()
-
-    def _may_grant(self) -> bool:
-        return self._context.scheduler.may_grant(self._executor_id)
+        return is_known and self._context.may_order()
 
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
@@ -216,7 +212,6 @@
         if self._find_executor() is None:
             return  # Its leases have expired since the request, and it was not listed any more.
         context.former_leases.record_answer(self._executor_id, now_ms)
-        context.scheduler.record_reached(self._executor_id)
         if self._exchange.has_restarted(response):
             # A lease end by the clock of the earlier incarnation is later by that of the new one.
             longest_ms = max_lease_validity_ms(context.lease_limits.longest_ms)
@@ -341,8 +336,7 @@
                 outcome = StartOutcome.REFUSED_UNHEALTHY
             context.scheduler.record_start_outcome(run, outcome, context.clock.now_ms())
             return
-        may_grant = executor.has_reported and self._may_grant()
-        until_ms = self._lease_until_ms(executor, run) if may_grant else None
+        until_ms = self._lease_until_ms(executor, run) if executor.has_reported else None
         job = context.scheduler.tables.jobs_by_id.get(run.run_id.task.job_id)
         if job is None:
             return
--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -3,10 +3,9 @@
 This matters for executors that the current owner has not reached yet, because it can't know which
 leases they hold.  At a takeover only the longest possible bound is known: the former owner may
 still be running, renew leases for `MAX_OUTAGE_RENEWAL_MS` without the store, and so may every
-owner before it.  Evidence of five kinds lowers the bounds:
+owner before it.  Evidence of four kinds lowers the bounds:
 
 - The executor has answered the current owner.  It refuses all earlier owners from then on.
-- The former owner has stored that it had not reached the executor, and so granted nothing there.
 - The former owner has stored for how long its leases may be valid after a takeover.
 - The former owner has stopped.  It grants nothing more, but what it was still waiting for has not
   ended with it.  It stores those bounds with each renewal of its lease row.
@@ -45,8 +44,7 @@
     `has_stopped` is set if it certainly grants nothing more, as its process has ended or resigned.
     `earlier` is what it last stored about the owners before it, None if that is unknown; the times
     count from `read_ms` on the clock of this process.  `validity_ms` is for how long after the
-    takeover its own leases may be valid if it has not stopped, None if that is unknown.  `nonce` is
-    that of its takeover.
+    takeover its own leases may be valid if it has not stopped, None if that is unknown.
     """
 
     host_id: str
@@ -55,7 +53,6 @@
     earlier: EarlierLeases | None
     read_ms: int
     validity_ms: int | None = None
-    nonce: str = ""
 
 
 def validity_after_takeover_ms(limits: LeaseLimits) -> int:
@@ -130,24 +127,6 @@
         self._answered_ids.add(executor_id)
         self._lower(executor_id, now_ms + self._longest_ms)
 
-    def has_answered(self, executor_id: str) -> bool:
-        """Whether an executor has answered the current owner."""
-        return executor_id in self._answered_ids
-
-    def record_unreached(self, executor_ids: Iterable[str]) -> None:
-        """Records where the former owner has granted nothing: only the owners before it count.
-
-        Their bounds are those that it has stored.  Where it stored none, it moves nothing.
-        """
-        former = self._former
-        if former is None or former.earlier is None or self._relay_extension_ms:
-            return
-        earlier = former.earlier
-        for executor_id in executor_ids:
-            left_ms = earlier.left_ms_by_executor.get(executor_id, earlier.others_ms)
-            if left_ms:
-                self._lower(executor_id, former.read_ms + left_ms)
-
     def record_stop(self, now_ms: int) -> None:
         """Records that the former owner has stopped, without an answer that tells its leases.
 
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -36,7 +36,7 @@
     RowWrite,
     Snapshot,
 )
-from jacinthreel_node._progress_writer import ProgressWriter, write_id_prefix
+from jacinthreel_node._progress_writer import ProgressWriter
 from jacinthreel_node._records import (
     INTAKE_TABLE,
     LEASE_TABLE,
@@ -55,13 +55,12 @@
 from jacinthreel_node._slow_steps import measure_step
 from jacinthreel_node._speed_store import ExecutorSpeedStore
 from jacinthreel_node._table_follower import TableFollower
-from jacinthreel_steps import JobState, Scheduler, find_unreached
+from jacinthreel_steps import JobState, Scheduler
 
 MIN_PLAN_INTERVAL_MS: Final = 20
 PLAN_SHARE_DIVISOR: Final = 3  # Passes may take 1/3 of the process's time,
 PLAN_SHARE_DIVISOR_RELAYS: Final = 4  # and 1/4 with relays.
 PERIODIC_CHECK_MS: Final = 250
-UNREACHED_AFTER_MS: Final = 1_000  # Executors in order answer a new owner well before.
 FEED_WAIT_MS: Final = 1_500
 LISTING_FEED_PAUSE_MS: Final = 100  # With hundreds of executors a row changes every few ms.
 LOAD_TIMEOUT_MS: Final = 3_000
@@ -121,8 +120,7 @@
             LONGEST_PERMISSION_MS,
             former,
         )
-        self._former = former
-        self._loaded_ms = 0
+        self._has_former_stopped = former is not None and former.has_stopped
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._is_plan_pending = False
@@ -301,7 +299,6 @@
     async def _load_and_run(self) -> None:
         versions, _ = await asyncio.gather(self._load(), self._speed_store.load())
         self.is_loaded = True
-        self._loaded_ms = self._clock.now_ms()
         self._metrics.count("takeovers_total")
         self._log(
             "owner_ready",
@@ -364,11 +361,10 @@
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
-        if self._former is not None and self._former.has_stopped:
+        if self._has_former_stopped:
             self.former_leases.record_stop(self._takeover_ms)
         else:
             self.former_leases.record_takeover(self._takeover_ms)
-        self._apply_unreached(progress.rows)
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         await self._job_rows.load(intake.rows, progress.rows)
         self.fleet.begin(len(listings.rows))
@@ -379,17 +375,6 @@
             self._row_decoder.executor_table: listings.version,
         }
 
-    def _apply_unreached(self, rows: tuple[Row, ...]) -> None:
-        """Applies the progress that tells where the former owner has granted nothing."""
-        former = self._former
-        if former is None or former.earlier is None or not former.earlier.is_any_left:
-            return
-        values = [row.value for row in rows if row.value is not None]
-        unreached = find_unreached(values, write_id_prefix(former.nonce))
-        self.former_leases.record_unreached(unreached)
-        if unreached:
-            self._log("former_owner_unreached", {"executors": len(unreached)})
-
     async def _read_jobs(self) -> tuple[Snapshot, Snapshot]:
         """Reads progress and intake.
 
@@ -439,19 +424,8 @@
             self.fleet.expire_unreachable()
             self._close_unlisted_links()
             self.scheduler.expire_orphans(self.former_leases.end_ms, now_ms)
-            self._mark_unreached(now_ms)
             self.request_plan()
 
-    def _mark_unreached(self, now_ms: int) -> None:
-        """Marks where this owner grants nothing, while leases of earlier owners may be left.
-
-        Not with relays, which grant leases without asking.
-        """
-        is_early = now_ms - self._loaded_ms < UNREACHED_AFTER_MS
-        if is_early or self._are_relays_recorded or now_ms >= self.former_leases.latest_end_ms:
-            return
-        self.scheduler.mark_unreached(self.former_leases.has_answered)
-
     def _close_unlisted_links(self) -> None:
         for executor_id in self.fleet.executor_ids:
             if executor_id not in self.scheduler.tables.executors_by_id:
--- a/packages/node/src/jacinthreel_node/_progress_writer.py
+++ b/packages/node/src/jacinthreel_node/_progress_writer.py
@@ -32,11 +32,6 @@
 MAX_RETRY_PAUSE_MS: Final = 400
 
 
-def write_id_prefix(nonce: str) -> str:
-    """Returns what the ids of all writes of an owner begin with, by the nonce of its takeover."""
-    return f"{nonce}."
-
-
 class ProgressWriter:
     """Stores the scheduler's decisions; calls `on_lost` if a conflict shows a lost ownership."""
 
@@ -89,7 +84,7 @@
     async def _store_batch(self) -> bool:
         """Stores one batch; returns false if there were no rows or the ownership is lost."""
         self._batch_count += 1
-        write_id = f"{write_id_prefix(self._nonce)}{self._batch_count}"
+        write_id = f"{self._nonce}.{self._batch_count}"
         with measure_step(self._clock, self._log, "encode_progress") as timing:
             rows = self._scheduler.take_unstored(MAX_BATCH_ROWS, write_id, MAX_BATCH_BYTES)
         if not rows:
--- a/packages/node/src/jacinthreel_node/_records.py
+++ b/packages/node/src/jacinthreel_node/_records.py
@@ -75,11 +75,6 @@
     left_ms_by_executor: dict[str, Number]
     others_ms: Number
 
-    @property
-    def is_any_left(self) -> bool:
-        """Whether some lease may be left."""
-        return bool(self.left_ms_by_executor) or self.others_ms > 0
-
 
 class LeaseRow(msgspec.Struct, frozen=True):
     """An owner's lease, stored under the id of its host and rewritten at each renewal.
--- a/packages/steps/src/jacinthreel_steps/__init__.py
+++ b/packages/steps/src/jacinthreel_steps/__init__.py
@@ -29,7 +29,6 @@
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
 from jacinthreel_steps._runs._lease_choice import LeaseChoice, LeaseLimits, choose_lease
 from jacinthreel_steps._runs._progress_rows import decode_progress_state, progress_write_id
-from jacinthreel_steps._runs._unreached import find_unreached
 from jacinthreel_steps._scheduler import Scheduler, StoredProgress, UnstoredRow
 from jacinthreel_steps._tables import Executor, Job, Run, RunState, Tables
 from jacinthreel_steps._workspaces._limits import find_step_beyond_quota
@@ -73,7 +72,6 @@
     "choose_lease",
     "decode_progress_state",
     "find_step_beyond_quota",
-    "find_unreached",
     "find_refusal",
     "is_record_usable",
     "objective_ms",
--- a/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
+++ b/packages/steps/src/jacinthreel_steps/_runs/_progress_rows.py
@@ -71,8 +71,7 @@
 
     `write_id` is unique to each write; `executors` holds pairs of executor id and incarnation, and
     `leaving` the indexes of those that have announced their shutdown, so that a next owner doesn't
-    take them for lost.  `unreached` holds those of executors that the owner which wrote the row
-    had not reached, and where it has granted no lease.  Rows of earlier versions have neither.
+    take them for lost.  Rows of earlier versions have no `leaving`.
     """
 
     write_id: str
@@ -80,7 +79,6 @@
     executors: list[tuple[str, Number]]
     steps: list[StepRow]
     leaving: list[Number] | None = None
-    unreached: list[Number] = []
 
     def is_leaving(self, executor: int) -> bool:
         """Whether the executor at an index may have left as announced."""
@@ -113,20 +111,17 @@
                 step.counted_failure_run, tasks, _make_crash_rows(step), _make_gang_losses_row(step)
             )
         )
-    runs = [run for run in job.live_runs() if run.state is not RunState.CLAIMED]
-    leaving = {_position(run, positions) for run in runs if run.is_executor_leaving}
-    unreached = {_position(run, positions) for run in runs if run.is_unreached}
-    unreached -= {_position(run, positions) for run in runs if not run.is_unreached}
-    row = ProgressRow(
-        write_id, int(job.state), list(positions), steps, sorted(leaving), sorted(unreached)
+    leaving = sorted(
+        {
+            positions[run.executor_id, run.incarnation]
+            for run in job.live_runs()
+            if run.is_executor_leaving and run.state is not RunState.CLAIMED
+        }
     )
+    row = ProgressRow(write_id, int(job.state), list(positions), steps, leaving)
     return _encoder.encode(row)
 
 
-def _position(run: Run, positions: dict[tuple[str, int], int]) -> int:
-    return positions[run.executor_id, run.incarnation]
-
-
 def decode_progress(value: bytes) -> ProgressRow | None:
     """Decodes a row; returns None if it is malformed."""
     try:
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -71,7 +71,6 @@
     handle_unanswered_start,
     mark_begun,
 )
-from jacinthreel_steps._runs._unreached import mark_unreached, may_grant, unmark_reached
 from jacinthreel_steps._tables import Job, Run, RunState, Tables, make_job
 from jacinthreel_steps._workspaces._quotas import count_admitted
 from jacinthreel_steps._workspaces._summary import WorkspaceSummary, summarize_workspaces
@@ -274,24 +273,6 @@
                     executor_ids.add(run.executor_id)
         return executor_ids
 
-    def mark_unreached(self, has_answered: Callable[[str], bool]) -> None:
-        """Marks in the progress the executors with runs of earlier owners that have not answered.
-
-        No lease may be granted at an executor while `may_grant` returns false.
-        """
-        mark_unreached(self.tables, has_answered)
-
-    def record_reached(self, executor_id: str) -> None:
-        """Records that an executor has answered; call before its report is applied."""
-        executor = self.tables.executors_by_id.get(executor_id)
-        if executor is not None:
-            unmark_reached(self.tables, executor)
-
-    def may_grant(self, executor_id: str) -> bool:
-        """Whether a lease may be granted at an executor that has answered."""
-        executor = self.tables.executors_by_id.get(executor_id)
-        return executor is None or may_grant(self.tables, executor)
-
     def expire_orphans(self, lease_end_ms: Callable[[str], int], now_ms: int) -> None:
         """Ends recovered runs whose executor has not been listed again.
 
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -68,9 +68,8 @@
     still start the run until it has confirmed a stop.  `is_recovered` is set for a run that an
     earlier owner placed and that the executor has not reported yet, `is_from_zero` for one that
     this owner placed without a checkpoint.  `is_executor_leaving` is set once the executor has
-    announced its shutdown, `is_unreached` while the stored progress is to tell that this owner has
-    not reached the executor.  `reported_incarnation` is the executor's incarnation that last
-    reported the run, 0 before the first report.
+    announced its shutdown.  `reported_incarnation` is the executor's incarnation that last reported
+    the run, 0 before the first report.
 
     `placed_ms` is when the run was claimed or placed, set again when its start is ordered.
     `start_confirmed_ms` is when the start was confirmed, by an answer or a report.
@@ -93,7 +92,6 @@
     is_recovered: bool = False
     is_from_zero: bool = False
     is_executor_leaving: bool = False
-    is_unreached: bool = False
     isolation: Isolation = Isolation.NONE
     reported_incarnation: int = 0
     start_confirmed_ms: int | None = None
@@ -392,8 +390,6 @@
     `claimed` is the part of `used` that claims hold, which wait for runs to end.
     `is_closed` is set while an isolated run keeps runs of other jobs away.  `untracked` is what the
     reported runs use that are not in `runs_by_task`, until they have stopped.
-    `unreached_revisions` holds, by job, the revision that must be stored before a lease is granted:
-    until then the stored progress tells that the executor was not reached.
     """
 
     listing: ExecutorListing
@@ -415,7 +411,6 @@
     earliest_shutdown_ms: int | None = None
     is_closed: bool = False
     untracked: Resources = NO_RESOURCES
-    unreached_revisions: dict[str, int] = field(default_factory=dict)
 
     @property
     def executor_id(self) -> str:
