Jobs that wait long are logged, with how often later jobs of their queue passed them

Cause: a gang that is never placed while narrower jobs are leaves no line. job_held asks for room for the whole gang twice over, so it never counts a wide one, and nobody counts how often a job is passed.

The room is told apart: within reach, reserved for urgent jobs, on avoided or slow executors, on the widest rack, and if all were empty. No decision depends on it.

--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -31,6 +31,7 @@
     release_gang_claims,
 )
 from jacinthreel_steps._planning._job_order import job_sort_key
+from jacinthreel_steps._planning._long_waits import log_long_waits
 from jacinthreel_steps._planning._pass_state import (
     PassState,
     Reach,
@@ -96,6 +97,7 @@
             _schedule_job(state, job)
     context.held_jobs.finish_pass(context.tables, context.usage, context.log, now_ms)
     context.waiting_jobs.check(context.tables, context.log, now_ms)
+    log_long_waits(state)
     return state.budget <= 0
 
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -51,6 +51,7 @@
 
 def commit_placement(context: Context, job: Job, step: Step, runs: list[Run], now_ms: int) -> None:
     """Marks runs as placed: they are started once the job's new revision is stored."""
+    context.passed_jobs.record_placement(job, context.log, now_ms)
     if job.state is JobState.QUEUED:
         job.state = JobState.RUNNING
     context.tables.bump_revision(job)
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -106,6 +106,10 @@
         """Records what held a step of the job in the current pass; the first step counts."""
         self._hold_by_job.setdefault(job.job_id, hold)
 
+    def hold_of(self, job: Job) -> Hold | None:
+        """Returns what held the job in the current pass, None if nothing was recorded."""
+        return self._hold_by_job.get(job.job_id)
+
     def note_reserved(self, service: str, count: int) -> None:
         """Records how many executors of a service the current pass reserves for urgent jobs."""
         self._reserved_by_service[service] = count
