Bounds of earlier owners apply from the start of an ownership

Cause: an owner applied what its takeover had shown about the owners before it only after it had read the tables, but its first lease rows are written before. An owner that ended in between left the longest bound.

`FormerLeases.record_takeover` now applies the stop of the former owner, or its stored terms, when the ownership begins, and once more after the tables show that no relays are used: the bounds only move earlier, so that the second application lowers what allowed for relays. A stop may be recorded more than once for the same reason. Until the tables are read, the rows, a resignation and the answer to a next owner tell the bounds with the time for relays.

The test ends an owner between its first lease row and its reads.

--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -90,7 +90,6 @@
         self._relay_extension_ms = relay_extension_ms
         self._end_ms_by_executor: dict[str, int] = {}
         self._answered_ids: set[str] = set()
-        self._has_recorded_stop = False
 
     @property
     def _default_end_ms(self) -> int:
@@ -133,16 +132,19 @@
         Its own leases expire one longest lease later, and those of the owners before it as it has
         stored.  Relays may go on renewing its leases, so call `exclude_relays` before if none may.
         """
-        if self._has_recorded_stop:
-            return
-        self._has_recorded_stop = True
         self._lower_all(now_ms + self._longest_ms, "stored")
 
     def record_takeover(self, takeover_ms: int) -> None:
-        """Applies what the former owner has stored of its leases, as it may still be running."""
-        former = self._former
-        if former is not None and former.validity_ms is not None:
-            self._lower_all(takeover_ms + former.validity_ms, "terms")
+        """Applies what the takeover has shown: the former owner has stopped, or its stored terms.
+
+        Call it when the ownership begins, because its first lease row is written before any table
+        is read, and again after `exclude_relays`.
+        """
+        match self._former:
+            case FormerOwner(has_stopped=True):
+                self.record_stop(takeover_ms)
+            case FormerOwner(validity_ms=int() as validity_ms):
+                self._lower_all(takeover_ms + validity_ms, "terms")
 
     def _lower_all(self, own_end_ms: int, source: str) -> None:
         """Lowers all bounds: the former owner's own leases have ended by `own_end_ms`."""
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -120,7 +120,7 @@
             LONGEST_PERMISSION_MS,
             former,
         )
-        self._has_former_stopped = former is not None and former.has_stopped
+        self.former_leases.record_takeover(self._takeover_ms)
         self._are_relays_recorded = False
         self._tasks: list[asyncio.Task[None]] = []
         self._is_plan_pending = False
@@ -361,9 +361,6 @@
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
-        if self._has_former_stopped:
-            self.former_leases.record_stop(self._takeover_ms)
-        else:
             self.former_leases.record_takeover(self._takeover_ms)
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         await self._job_rows.load(intake.rows, progress.rows)
--- a/packages/node/tests/test_handover_chains.py
+++ b/packages/node/tests/test_handover_chains.py
@@ -16,6 +16,7 @@
 from jacinthreel_node._node import LEASE_RENEWAL_PERIOD_MS
 from jacinthreel_node._ownership import PERIODIC_CHECK_MS
 from jacinthreel_node._records import LEASE_TABLE, LeaseRow, OwnerRow, decode_lease, encode_record
+from jacinthreel_node._relays._relay_session import LONGEST_PERMISSION_MS
 from jacinthreel_steps import JobState
 
 HOSTS = ("1", "2", "3", "4")
@@ -224,6 +225,50 @@
     assert START_MS + lost_ms - taken_over_ms <= terms_ms + PERIODIC_CHECK_MS
 
 
+def await_lease_row_before_load(world: World, epoch: int) -> None:
+    """Waits until the owner after `epoch` has stored a lease row, before it has read the tables."""
+    for _ in range(20_000):
+        owner = owner_row(world)
+        row = world.store.rows.get((LEASE_TABLE, owner.host_id))
+        lease = decode_lease(row.value or b"") if row is not None else None
+        if owner.epoch > epoch and lease is not None and lease.epoch == owner.epoch:
+            ownership = world.nodes[owner.host_id].elector.ownership
+            assert ownership is not None and not ownership.is_loaded
+            return
+        world.advance(1)
+    raise AssertionError("no owner has stored a lease row")
+
+
+@pytest.mark.parametrize(
+    ("end_owner", "bound_ms"),
+    [
+        (kill_and_restart, LONGEST_LEASE_MS),
+        (resign_and_exit, LONGEST_LEASE_MS),
+        (kill_for_good, OUTAGE_RENEWAL_LIMIT_MS + SHORTEST_LEASE_MS),
+    ],
+)
+def test_owner_that_ends_before_it_has_read_the_tables_leaves_no_longer_wait_than_its_own(
+    world: World, end_owner: EndOwner, bound_ms: int
+) -> None:
+    # Guards against a next owner that waits the longest time, though the takeover showed less.
+    world.advance(2_000)
+    [executor_id] = world.running_on.values()
+    epoch = owner_row(world).epoch
+    world.executors[executor_id].stop_process()
+    end_owner(world)
+    await_lease_row_before_load(world, epoch)
+    epoch = owner_row(world).epoch
+    kill_and_restart(world)
+    await_takeover(world, epoch)
+    taken_over_ms = world.now_ms
+    world.advance(LONGEST_RENEWAL_MS + LONGEST_LEASE_MS + LONGEST_PERMISSION_MS)
+    [lost_ms] = [time_ms for time_ms, _, event, _ in world.log_lines if event == "run_lost"]
+    # Until the tables are read, relays may exist; stored times count from the second takeover.
+    limit_ms = bound_ms + LONGEST_PERMISSION_MS + PERIODIC_CHECK_MS
+    assert START_MS + lost_ms - taken_over_ms <= limit_ms
+    assert not world.violations, world.violations
+
+
 def test_changes_of_owner_do_not_prolong_the_wait_for_an_executor_that_none_of_them_reached(
     world: World,
 ) -> None:
