--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import os
 import random
@@ -34,6 +35,8 @@
 )
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from jacinthreel_node._records import OwnerRow, decode_owner
+
 API_KEY = "soak-key"
 ROUTE_HOST = "soak.example"
 MAX_SUBMIT_ATTEMPTS = 8
@@ -76,9 +79,12 @@
     """A job as its caller sees it.
 
     `is_refused` is set while every attempt got a response that guarantees the job was not accepted.
+    `accepted_ms` is when the caller got the acceptance.
     """
 
     job_id: str
+    api_key: str = API_KEY
+    accepted_ms: int = 0
     is_accepted: bool = False
     is_refused: bool = True
     is_cancel_sent: bool = False
@@ -103,6 +109,7 @@
     are_faults_over: bool = False
     is_over: bool = False
     config_version: int = 1
+    start_up_s: float = 1.5
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -130,9 +137,7 @@
         serve_store(self.store, store_port)
         self._put_config()
         for index in range(self.size.executors):
-            work_ms = self.rng.randint(150, 900)
-            guards = index % 2 == 0
-            executor = StandinExecutor(f"e{index}", self.observations, work_ms, guards)
+            executor = self._make_executor(index)
             port = ports.allocate()
             serve_executor(executor, port)
             self.executors.append(executor)
@@ -145,7 +150,11 @@
         for node in self.nodes:
             self._start_node(node)
         self._spawn(self._tick_executors())
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(self.start_up_s)
+
+    def _make_executor(self, index: int) -> StandinExecutor:
+        work_ms = self.rng.randint(150, 900)
+        return StandinExecutor(f"e{index}", self.observations, work_ms, guards=index % 2 == 0)
 
     def _store_port_of(self, index: int, store_port: int) -> int:
         """Returns the port at which a node's proxy finds the store."""
@@ -172,7 +181,7 @@
         return NodeProcess(name, front, stream, boot, self.folder / f"{name}.log", proxy)
 
     def _start_node(self, node: NodeProcess) -> None:
-        environment = {**os.environ, "JACINTHREEL_BOOT": str(node.boot)}
+        environment = {**self._code_environment(), "JACINTHREEL_BOOT": str(node.boot)}
         with node.log.open("ab") as log:
             node.process = subprocess.Popen(
                 [sys.executable, "-P", "-m", "jacinthreel_platform"],
@@ -181,19 +190,26 @@
                 stderr=log,
             )
 
+    def _code_environment(self) -> dict[str, str]:
+        """Returns the environment that decides which code the nodes run."""
+        return dict(os.environ)
+
     def _publish_executor(self, index: int, state: str = "ready") -> None:
         executor, proxy = self.executors[index], self.executor_proxies[index]
         entry = {
             "service": "soak",
             "addr": f"127.0.0.1:{proxy.port}",
-            "zone": f"z{index % 2}",
             "state": state,
-            "labels": ["a", f"r{index % 2}"],
             "capacity": executor.capacity,
             "born": executor.born,
+            **self._place_executor(index),
         }
         self.store.put("servers", executor.name, json.dumps(entry).encode())
 
+    def _place_executor(self, index: int) -> dict[str, Any]:
+        """Returns the zone and the labels of an executor, one of which names its rack."""
+        return {"zone": f"z{index % 2}", "labels": ["a", f"r{index % 2}"]}
+
     def _put_config(self) -> None:
         routes = [self._make_route("urgent", 0), self._make_route("batch", 1)]
         config = {
@@ -265,24 +281,35 @@
             steps.append({"count": 2, "cpu": 500, "mem_mb": 500, "gpu": 1, "after": [0]})
         return steps
 
-    async def _submit(self, job: SubmittedJob, path: str, body: str) -> None:
+    async def _submit(
+        self, job: SubmittedJob, path: str, body: str, rng: random.Random | None = None
+    ) -> None:
+        rng = rng or self.rng
         for _ in range(MAX_SUBMIT_ATTEMPTS):
-            status = await self._send_request("POST", path, body)
+            status = await self._send_request("POST", path, body, job.api_key, rng)
             if status == 200:
+                job.accepted_ms = now_ms()
                 job.is_accepted = True
                 job.is_refused = False
                 return
             if status not in REFUSED_STATUSES:
                 job.is_refused = False
-            await asyncio.sleep(self.rng.uniform(0.1, 0.6))
-
-    async def _send_request(self, method: str, path: str, body: str | None = None) -> int:
+            await asyncio.sleep(rng.uniform(0.1, 0.6))
+
+    async def _send_request(
+        self,
+        method: str,
+        path: str,
+        body: str | None = None,
+        api_key: str = API_KEY,
+        rng: random.Random | None = None,
+    ) -> int:
         """Sends a request to a random node; returns the status, or 0 if no response arrived."""
-        node = self.rng.choice(self.nodes)
+        node = (rng or self.rng).choice(self.nodes)
         request = HTTPRequest(
             f"http://127.0.0.1:{node.caller_port}{path}",
             method,
-            {"Host": ROUTE_HOST, "Authorization": f"Token {API_KEY}", "X-Deadline-Ms": "3000"},
+            {"Host": ROUTE_HOST, "Authorization": f"Token {api_key}", "X-Deadline-Ms": "3000"},
             body=body,
             request_timeout=3.0,
             connect_timeout=1.0,
@@ -357,6 +384,13 @@
         if process.poll() is not None and node.process is process:
             self._start_node(node)
 
+    def _owner(self) -> OwnerRow | None:
+        """Returns who owns the jobs, by the store."""
+        for (table, _, _), row in self.store.rows.items():
+            if table == "owner":
+                return decode_owner(base64.b64decode(row["value"]))
+        return None
+
     def _send_signal(self, node: NodeProcess, signal_number: signal.Signals) -> None:
         if node.process is not None and node.process.poll() is None:
             node.process.send_signal(signal_number)
@@ -400,7 +434,7 @@
         url = f"http://127.0.0.1:{node.caller_port}/batch/{job.job_id}"
         request = HTTPRequest(
             url,
-            headers={"Host": ROUTE_HOST, "Authorization": f"Token {API_KEY}"},
+            headers={"Host": ROUTE_HOST, "Authorization": f"Token {job.api_key}"},
             request_timeout=3.0,
         )
         try:
@@ -429,7 +463,7 @@
     def _collect_violations(self) -> list[str]:
         violations = self.observations.violations + self.observer.describe_violations()
         for job in self.jobs:
-            if job.is_refused and job.job_id in self.observations.started_jobs:
+            if job.is_refused and job.job_id in self.observations.first_start_ms_by_job:
                 violations.append(f"{job.job_id} ran although every submission was refused")
         for node in self.nodes:
             text = node.log.read_text(errors="replace")
--- a/tests/soak/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -168,7 +168,7 @@
     done_tasks: set[str] = field(default_factory=set)
     acknowledged_done_tasks: set[str] = field(default_factory=set)
     started_ms_by_task: dict[str, int] = field(default_factory=dict)
-    started_jobs: set[str] = field(default_factory=set)
+    first_start_ms_by_job: dict[str, int] = field(default_factory=dict)
     tasks_by_gang: dict[str, set[str]] = field(default_factory=dict)
     cancelled_ms_by_job: dict[str, int] = field(default_factory=dict)
     crash_delay_by_job: dict[str, int] = field(default_factory=dict)
@@ -327,9 +327,9 @@
                 f"{task} started more than 3 s after its job was cancelled"
             )
         self.observations.running_by_task[task] = self.name
-        self.observations.started_jobs.add(job)
+        self.observations.first_start_ms_by_job.setdefault(job, now_ms())
         is_gang = bool(step.get("gang"))
-        due_ms = None if is_gang else now_ms() + self.work_ms
+        due_ms = None if is_gang else now_ms() + self._work_ms_of(step)
         self.runs[task] = StandinRun(task, number, step, now_ms(), due_ms, gang)
         if is_gang:
             self.observations.tasks_by_gang.setdefault(gang, set()).add(task)
@@ -344,7 +344,7 @@
 
     def _check_gang(self, run: StandinRun) -> None:
         if len(self.observations.tasks_by_gang.get(run.gang, ())) >= run.shape["count"]:
-            run.due_ms = now_ms() + self.work_ms
+            run.due_ms = now_ms() + self._work_ms_of(run.shape)
         elif now_ms() - run.started_ms > GANG_TIMEOUT_MS:
             self._end_run(run.task, "alone")
 
@@ -370,7 +370,10 @@
         if run.due_ms is None:
             return 0
         remaining_ms = max(0, run.due_ms - now_ms())
-        return min(100, 100 - 100 * remaining_ms // max(1, self.work_ms))
+        return min(100, 100 - 100 * remaining_ms // max(1, self._work_ms_of(run.shape)))
+
+    def _work_ms_of(self, step: dict[str, Any]) -> int:
+        return int(step.get("work_ms", self.work_ms))
 
     def _has_capacity(self, step: dict[str, Any], capacity: dict[str, int]) -> bool:
         for name, amount in capacity.items():
--- a/tests/soak/zone_cut_run.py
+++ b/tests/soak/zone_cut_run.py
@@ -20,7 +20,7 @@
 from soak_run import SoakRun
 from standin_platform import serve_store
 
-from jacinthreel_node._records import OwnerRow, decode_owner, encode_record
+from jacinthreel_node._records import decode_owner, encode_record
 
 ZONES = 2
 SLOWEST_CLOCK_RATE = 0.98
@@ -82,12 +82,6 @@
                 value = encode_record(msgspec.structs.replace(owner, port=port))
         return {**row, "value": base64.b64encode(value).decode()}
 
-    def _owner(self) -> OwnerRow | None:
-        for (table, _, _), row in self.store.rows.items():
-            if table == "owner":
-                return decode_owner(base64.b64decode(row["value"]))
-        return None
-
     async def _inject_faults(self) -> None:
         await asyncio.sleep(self.size.fault_phase_s / 2)
         owner = self._owner()
