--- a/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
+++ b/packages/steps/src/jacinthreel_steps/_admission/_backlog.py
@@ -11,7 +11,7 @@
 
 from jacinthreel_steps._admission._forecast import accelerators_at_once, needs_one_rack, rank_of
 from jacinthreel_steps._context import Context
-from jacinthreel_steps._model import StepSpec
+from jacinthreel_steps._model import NO_RESOURCES, StepSpec
 from jacinthreel_steps._planning._job_order import (
     USELESS_AFTER_OBJECTIVES,
     job_sort_key,
@@ -210,11 +210,14 @@
 def _count_free(
     context: Context, backlog: ServiceBacklog, executors: list[Executor], now_ms: int
 ) -> None:
-    """Counts the free accelerators; those reserved for priority 0 are not free for others."""
+    """Counts the free accelerators; for others than priority 0, without reserved ones."""
     reserved_ids = context.headroom.select_reserved_ids(executors, now_ms)
+    service = executors[0].listing.service if executors else ""
+    held = context.reservations.held_by_executor(service)
     for executor in executors:
         used = executor.used.accelerators
         free = max(0, executor.listing.capacity.accelerators - used)
         backlog.free_urgent += free
         if executor.executor_id not in reserved_ids:
-            backlog.free += free
+            held_here = held.get(executor.executor_id, NO_RESOURCES).accelerators
+            backlog.free += max(0, free - held_here)
--- a/packages/steps/src/jacinthreel_steps/_context.py
+++ b/packages/steps/src/jacinthreel_steps/_context.py
@@ -11,6 +11,7 @@
 from jacinthreel_steps._executors._speed_model import SpeedModel
 from jacinthreel_steps._model import RunId
 from jacinthreel_steps._planning._headroom import Headroom
+from jacinthreel_steps._planning._reservation_table import ReservationTable
 from jacinthreel_steps._planning._waiting_jobs import WaitingJobs
 from jacinthreel_steps._tables import Run, Tables
 from jacinthreel_steps._workspaces._arrivals import ArrivalRates
@@ -56,6 +57,7 @@
     usage: WorkspaceUsage = field(default_factory=WorkspaceUsage)
     held_jobs: HeldJobs = field(default_factory=HeldJobs)
     waiting_jobs: WaitingJobs = field(default_factory=WaitingJobs)
+    reservations: ReservationTable = field(default_factory=ReservationTable)
     arrivals: ArrivalRates = field(default_factory=ArrivalRates)
     run_times: RunTimeModel = field(default_factory=RunTimeModel)
     executor_losses: ExecutorLosses = field(default_factory=ExecutorLosses)
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 from typing import Final
@@ -27,6 +27,7 @@
 class Reach(IntEnum):
     """Which executors of a service a job may use; each level adds to the ones before.
 
+    Room that is reserved for single jobs (`_reservations`) is not within reach of others.
     `UNRESERVED`: those that take new tasks and are not reserved for urgent jobs.  `USABLE`: the
     reserved ones too.  `SLOW` and `AVOIDED`: those that are taken for slow, or avoided, too.
     """
@@ -41,11 +42,13 @@
 class ServiceSlots:
     """The slot counts of the executors that one class of jobs may use in one service.
 
-    `free` counts capacity that is free now, `empty` all capacity of the executors.
+    `free` counts capacity that is free now, `empty` all capacity of the executors.  `held` is the
+    room on executors that is reserved for other jobs; it isn't part of `free`.
     """
 
     free: SlotIndex
     empty: SlotIndex
+    held: Mapping[str, Resources]
 
 
 @dataclass(slots=True)
@@ -58,7 +61,8 @@
     weights.  The jobs in `best_effort_ids` preempt nothing.  Executors at `suspect_addresses` may
     crash by themselves.  `budget` is the work that is left for this pass, in tasks to place,
     and `start_slots` how many tasks of other priorities than 0 may still be placed outside gangs.
-    A task of each of the `due_jobs` is placed before the other tasks of lower priorities.
+    The `reserved_jobs`, which have reservations, and a task of each of the `due_jobs` are placed
+    before the other tasks of lower priorities.
     `compared_count` is how many executors were compared for the placement that is about to be
     committed, None for all.
     """
@@ -75,8 +79,12 @@
     budget: int = PASS_BUDGET
     start_slots: int = 0
     due_jobs: list[Job] = field(default_factory=list)
+    reserved_jobs: list[Job] = field(default_factory=list)
     compared_count: int | None = None
     _slots_by_reach: dict[tuple[str, Reach], ServiceSlots] = field(default_factory=dict)
+    _slots_by_holder: dict[str, ServiceSlots] = field(default_factory=dict)
+    _shared_slots: dict[tuple[str, float], ServiceSlots] = field(default_factory=dict)
+    _held_by_service: dict[str, Mapping[str, Resources]] = field(default_factory=dict)
     _all_slots: list[ServiceSlots] = field(default_factory=list)
     _excluded_by_service: dict[str, SlotIndex] = field(default_factory=dict)
     _reclaimable_by_service: dict[str, SlotIndex] = field(default_factory=dict)
@@ -86,7 +94,12 @@
         self.budget -= tasks + executors // EXECUTORS_PER_TASK
 
     def slots_for(self, job: Job) -> ServiceSlots:
-        """Returns the slots that the job prefers; only urgent jobs use the reserved headroom."""
+        """Returns the slots that the job prefers; only urgent jobs use the reserved headroom.
+
+        A job with a reservation uses all but the room that is reserved for other such jobs.
+        """
+        if job.job_id in self.context.reservations.by_job:
+            return self._slots_of_holder(job)
         reach = Reach.USABLE if job.record.queue.priority == 0 else Reach.UNRESERVED
         return self.slots_within(job.record.queue.service, reach)
 
@@ -100,13 +113,50 @@
         if reach is not Reach.USABLE and len(executors) == len(self._usable_executors(service)):
             slots = self.slots_within(service, Reach.USABLE)  # The same executors, counted once.
         else:
-            slots = ServiceSlots(
-                SlotIndex(executors, _free_capacity), SlotIndex(executors, _capacity)
-            )
-            self._all_slots.append(slots)
+            slots = self._make_slots(executors, self.held_room(service))
         self._slots_by_reach[key] = slots
         return slots
 
+    def held_room(self, service: str) -> Mapping[str, Resources]:
+        """Returns the room that is reserved for single jobs, by executor."""
+        held = self._held_by_service.get(service)
+        if held is None:
+            held = self.context.reservations.held_by_executor(service)
+            self._held_by_service[service] = held
+        return held
+
+    def shared_slots(self, service: str, since_before_ms: float) -> ServiceSlots:
+        """Returns the slots with the room reserved for jobs that began to wait after a time.
+
+        They include executors that are taken for slow.
+        """
+        key = (service, since_before_ms)
+        slots = self._shared_slots.get(key)
+        if slots is None:
+            held = self.context.reservations.held_by_executor(
+                service, since_before_ms=since_before_ms
+            )
+            slots = self._shared_slots[key] = self._make_slots(self._with_slow(service), held)
+        return slots
+
+    def _slots_of_holder(self, job: Job) -> ServiceSlots:
+        slots = self._slots_by_holder.get(job.job_id)
+        if slots is None:
+            service = job.record.queue.service
+            held = self.context.reservations.held_by_executor(service, job.job_id)
+            slots = self._make_slots(self._with_slow(service), held)
+            self._slots_by_holder[job.job_id] = slots
+        return slots
+
+    def _with_slow(self, service: str) -> list[Executor]:
+        return self._usable_executors(service) + self.usable.slow_by_service.get(service, [])
+
+    def _make_slots(self, executors: list[Executor], held: Mapping[str, Resources]) -> ServiceSlots:
+        free = SlotIndex(executors, _free_capacity_beside(held))
+        slots = ServiceSlots(free, SlotIndex(executors, _capacity), held)
+        self._all_slots.append(slots)
+        return slots
+
     def is_overdue(self, job: Job) -> bool:
         """Whether the job is to be placed even where it runs less well than elsewhere."""
         return self.context.waiting_jobs.is_overdue(job, self.now_ms)
@@ -158,7 +208,9 @@
                 return executors + self.usable.excluded(service)
 
     def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
-        reserved_ids = self.context.headroom.select_reserved_ids(executors, self.now_ms)
+        held = self.held_room(service)
+        unheld = [item for item in executors if item.executor_id not in held] if held else executors
+        reserved_ids = self.context.headroom.select_reserved_ids(unheld, self.now_ms)
         if not reserved_ids:
             return executors
         self.context.waiting_jobs.note_reserved(service, len(reserved_ids))
@@ -180,5 +232,18 @@
     return NO_RESOURCES if executor.is_closed else executor.free_resources
 
 
+def _free_capacity_beside(held: Mapping[str, Resources]) -> Callable[[Executor], Resources]:
+    """Returns a function that gives the free capacity of an executor without reserved room."""
+    if not held:
+        return _free_capacity
+
+    def free_capacity_beside(executor: Executor) -> Resources:
+        amount = held.get(executor.executor_id)
+        free = _free_capacity(executor)
+        return free if amount is None else free.minus(amount)
+
+    return free_capacity_beside
+
+
 def _capacity(executor: Executor) -> Resources:
     return executor.listing.capacity
--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -15,9 +15,10 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence, Set
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from enum import IntEnum
+from types import MappingProxyType
 
 from jacinthreel_steps._executors._executor_health import is_proven, is_suspect
 from jacinthreel_steps._model import Resources, StepSpec
@@ -101,10 +102,12 @@
     max_attempts: int,
     now_ms: int,
     suspect_addresses: Set[str] = frozenset(),
+    held: Mapping[str, Resources] = MappingProxyType({}),
 ) -> list[Candidate]:
     """Returns a candidate for each of `executors` that has the label required by the step.
 
-    Executors at `suspect_addresses`, and those lost under the step, are less preferred.
+    Executors at `suspect_addresses`, and those lost under the step, are less preferred.  `held` is
+    the room on executors that is reserved for other jobs.
     """
     spec = step.spec
     placed_count_by_executor = _count_tasks_by_executor(step) if spec.max_per_executor else {}
@@ -137,9 +140,10 @@
         elif is_last_attempt and not is_proven(executor, now_ms):
             trust = Trust.UNPROVEN
         speed_class = executor.health.speed_class
-        candidates.append(
-            Candidate(executor, executor.free_resources, slots_left, trust, speed_class)
-        )
+        free = executor.free_resources
+        if executor.executor_id in held:
+            free = free.minus(held[executor.executor_id])
+        candidates.append(Candidate(executor, free, slots_left, trust, speed_class))
     return candidates
 
 
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
@@ -48,6 +49,12 @@
     widen_by_trust,
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
+from jacinthreel_steps._planning._reservations import (
+    SHARED_WITH_OVERDUE_MS,
+    SHARED_WITH_URGENT_MS,
+    release_reservation,
+    update_reservations,
+)
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._slot_index import Room, SlotIndex
 from jacinthreel_steps._planning._start_limits import count_start_slots, count_start_slots_of_step
@@ -76,6 +83,7 @@
     update_closed_executors(context.tables)
     jobs = [job for job in context.tables.open_jobs_by_id.values() if job.may_be_planned(now_ms)]
     usable = find_usable_executors(context.tables, now_ms, MAX_REPORT_AGE_MS)
+    update_reservations(context, usable, now_ms)
     shares = make_shares(context, usable, jobs)
     state = PassState(
         context,
@@ -89,6 +97,7 @@
     )
     ordered = sorted(jobs, key=lambda job: job_sort_key(job, now_ms))
     state.due_jobs = [job for job in ordered if context.waiting_jobs.is_due(job, now_ms)]
+    state.reserved_jobs = _find_reserved_jobs(context)
     if context.tables.policy.quota_by_workspace or shares is not None:
         schedule_in_fair_order(state, ordered, _schedule_job)
     else:
@@ -99,11 +108,39 @@
     return state.budget <= 0
 
 
+def _find_reserved_jobs(context: Context) -> list[Job]:
+    """Returns the open jobs with reservations, in the order in which these were made."""
+    open_jobs_by_id = context.tables.open_jobs_by_id
+    return [open_jobs_by_id[key] for key in context.reservations.by_job if key in open_jobs_by_id]
+
+
 def _schedule_job(state: PassState, job: Job) -> None:
-    if state.due_jobs and job.record.queue.priority > 0:
-        due_jobs, state.due_jobs = state.due_jobs, []
-        for due_job in due_jobs:
-            _place_first_task(state, due_job)
+    if job.record.queue.priority > 0:
+        _schedule_waiting_jobs(state)
+    _schedule_steps(state, job)
+
+
+def _schedule_waiting_jobs(state: PassState) -> None:
+    """Places the jobs that have waited too long, once in a pass, after those of priority 0."""
+    reserved_jobs, state.reserved_jobs = state.reserved_jobs, []
+    for job in reserved_jobs:
+        _place_reserved_job(state, job)
+    due_jobs, state.due_jobs = state.due_jobs, []
+    for job in due_jobs:
+        _place_first_task(state, job)
+
+
+def _place_reserved_job(state: PassState, job: Job) -> None:
+    """Places a gang of a job with a reservation, or a task of another step, and releases that."""
+    if any(step.spec.is_gang and job.pending_tasks(step) for step in job.steps):
+        _schedule_steps(state, job)
+    else:
+        _place_first_task(state, job)
+    if job.live_runs():
+        release_reservation(state.context, job.job_id, state.now_ms)
+
+
+def _schedule_steps(state: PassState, job: Job) -> None:
     for step in job.steps:
         if state.budget <= 0:
             state.context.waiting_jobs.note(job, Hold.PASS_ENDED)
@@ -127,7 +164,8 @@
     Capacity that becomes free then goes to such jobs before jobs that run get more of it, and few
     of them become overdue and use what is reserved.  The task is started however many starts wait.
     """
-    if state.budget <= 0 or job.record.queue.priority == 0:
+    has_reservation = job.job_id in state.context.reservations.by_job
+    if state.budget <= 0 or (job.record.queue.priority == 0 and not has_reservation):
         return
     if any(_is_starting_or_at_work(run, state.now_ms) for run in job.live_runs()):
         return
@@ -166,6 +204,11 @@
         return
     slots = state.slots_for(job)
     placement = _find_placement(state, job, step, admitted, slots) if admitted else None
+    wider_slots = None
+    if admitted and not placement:
+        wider_slots = _wider_slots(state, job, step, admitted)
+    if wider_slots is not None:
+        placement = _find_placement(state, job, step, admitted, wider_slots)
     if not placement and admitted and state.is_overdue(job):
         placement = _find_less_preferred(state, job, step, admitted)
     if placement:
@@ -187,11 +230,28 @@
     ):
         return
     if admitted and may_claim:
-        _claim_by_preemption(state, job, step, admitted, slots)
+        is_claimed = _claim_by_preemption(state, job, step, admitted, slots)
+        if not is_claimed and wider_slots is not None:
+            _claim_by_preemption(state, job, step, admitted, wider_slots)
     elif pending and not admitted:
         state.context.held_jobs.add(job, step)
 
 
+def _wider_slots(
+    state: PassState, job: Job, step: Step, pending: list[Task]
+) -> ServiceSlots | None:
+    """Returns the slots of an urgent job that has to wait otherwise, None if there are no others.
+
+    They include room that is reserved for other jobs.
+    """
+    service = job.record.queue.service
+    if job.record.queue.priority > 0 or not state.held_room(service):
+        return None
+    if _is_within_guarantee(state, job, step, len(pending)):
+        return state.shared_slots(service, -math.inf)
+    return state.shared_slots(service, state.now_ms - SHARED_WITH_URGENT_MS)
+
+
 def _find_less_preferred(
     state: PassState, job: Job, step: Step, pending: list[Task]
 ) -> Placement | None:
@@ -211,7 +271,11 @@
         placement = _find_placement(state, job, step, tasks, slots)
         if placement:
             return placement
-    return None
+    if not state.held_room(job.record.queue.service):
+        return None
+    since_before_ms = state.now_ms - SHARED_WITH_OVERDUE_MS
+    slots = state.shared_slots(job.record.queue.service, since_before_ms)
+    return _find_placement(state, job, step, tasks, slots)
 
 
 def _has_spare_attempt(job: Job, tasks: list[Task]) -> bool:
@@ -241,6 +305,10 @@
     count = _count_slots(usable.free, spec)
     if count >= needed:
         return Hold.RESERVED
+    if state.held_room(service):
+        open_slots = state.shared_slots(service, -math.inf)
+        if _count_slots(open_slots.free, spec) >= needed:
+            return Hold.RESERVED_FOR_OTHERS
     return Hold.EXCLUDED if count + _count_slots(excluded, spec) >= needed else Hold.NO_ROOM
 
 
@@ -325,7 +393,9 @@
     if len(executors) == fitting_count:
         return None
     max_attempts = job.record.queue.max_attempts
-    return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
+    return find_candidates(
+        step, executors, max_attempts, state.now_ms, state.suspect_addresses, slots.held
+    )
 
 
 def _place_claimed_gang_elsewhere(state: PassState, job: Job, step: Step) -> None:
@@ -346,7 +416,9 @@
     spec = step.spec
     executors = slots.free.fitting_executors(spec.required_label, spec.shape)
     max_attempts = job.record.queue.max_attempts
-    return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
+    return find_candidates(
+        step, executors, max_attempts, state.now_ms, state.suspect_addresses, slots.held
+    )
 
 
 def _may_span_racks(state: PassState, job: Job, step: Step, slots: ServiceSlots) -> bool:
@@ -360,7 +432,7 @@
     wait_limit_ms = state.context.stop_limit_ms + RACK_WAIT_MARGIN_MS
     if job.record.queue.priority == 0 and waited_ms > wait_limit_ms:
         return True
-    if state.is_overdue(job):
+    if state.is_overdue(job) or job.job_id in state.context.reservations.by_job:
         return True
     if step.spec.max_per_executor:
         return not fits_on_empty_rack(step, slots.free.executors, len(step.tasks))
@@ -405,8 +477,9 @@
         most = shape_slots.widest_rack if needs_one_rack else shape_slots.total
         if most < len(pending):
             return False
+    executors = [each for each in slots.free.executors if each.executor_id not in slots.held]
     candidates = find_candidates(
-        step, slots.free.executors, queue.max_attempts, state.now_ms, state.suspect_addresses
+        step, executors, queue.max_attempts, state.now_ms, state.suspect_addresses
     )
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
@@ -425,11 +498,18 @@
     state: PassState, job: Job, step: Step, pending_count: int
 ) -> dict[str, int]:
     """Returns what other workspaces use beyond their guarantee, if the job is within its own."""
+    if not _is_within_guarantee(state, job, step, pending_count):
+        return {}
     guaranteed = state.context.tables.policy.guaranteed_accelerators_by_workspace
     used = state.used_by_workspace
     workspace = job.record.workspace
-    needed = pending_count * step.spec.shape.accelerators
-    if used.get(workspace, 0) + needed > guaranteed.get(workspace, 0):
-        return {}
     excess = {key: amount - guaranteed.get(key, 0) for key, amount in used.items()}
     return {key: amount for key, amount in excess.items() if key != workspace and amount > 0}
+
+
+def _is_within_guarantee(state: PassState, job: Job, step: Step, pending_count: int) -> bool:
+    """Whether the pending tasks of an urgent job are within the guarantee of its workspace."""
+    guaranteed = state.context.tables.policy.guaranteed_accelerators_by_workspace
+    workspace = job.record.workspace
+    needed = pending_count * step.spec.shape.accelerators
+    return state.used_by_workspace.get(workspace, 0) + needed <= guaranteed.get(workspace, 0)
--- /dev/null
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservation_table.py
@@ -0,0 +1,70 @@
+"""The room reserved for jobs that have waited long (`_reservations`)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from jacinthreel_steps._model import NO_RESOURCES, Resources
+
+
+@dataclass(slots=True)
+class Reservation:
+    """The room reserved for a step of a job: how many of its tasks on each executor.
+
+    `shape` is what a task needs.  `since_ms` is when the job began to wait, `made_ms` when the
+    reservation was made.
+    """
+
+    service: str
+    workspace: str
+    step_index: int
+    shape: Resources
+    since_ms: int
+    made_ms: int
+    count_by_executor: dict[str, int]
+
+
+class ReservationTable:
+    """All reservations, by job, and since when jobs have waited with no run.
+
+    They are kept in memory only: the next owner makes new ones, because the time of acceptance is
+    stored and most of the jobs have waited since then.
+
+    `newest_placed_by_service` holds the time of acceptance of the newest job of which a run was
+    placed: older jobs that wait have been passed.  `retry_by_job` holds when to look again for room
+    for a job that fits on no executors.
+    """
+
+    def __init__(self) -> None:
+        self.by_job: dict[str, Reservation] = {}
+        self.since_by_job: dict[str, int] = {}
+        self.retry_by_job: dict[str, int] = {}
+        self.newest_placed_by_service: dict[str, int] = {}
+        self.checked_ms = 0
+        self.improved_job = ""
+
+    def note_placed(self, service: str, accepted_ms: int) -> None:
+        """Records that a run was placed of a job that was accepted at a time."""
+        newest = self.newest_placed_by_service
+        if accepted_ms > newest.get(service, 0):
+            newest[service] = accepted_ms
+
+    def held_by_executor(
+        self, service: str, except_job: str = "", since_before_ms: float = math.inf
+    ) -> Mapping[str, Resources]:
+        """Returns the reserved room on the executors of a service that have some.
+
+        That of `except_job`, and of jobs that began to wait after a time, is left out.
+        """
+        held: dict[str, Resources] = {}
+        for job_id, reservation in self.by_job.items():
+            if reservation.service != service or job_id == except_job:
+                continue
+            if reservation.since_ms > since_before_ms:
+                continue
+            for executor_id, count in reservation.count_by_executor.items():
+                amount = reservation.shape.times(count)
+                held[executor_id] = held.get(executor_id, NO_RESOURCES).plus(amount)
+        return held
--- a/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_run_creation.py
@@ -54,6 +54,7 @@
     if job.state is JobState.QUEUED:
         job.state = JobState.RUNNING
     context.tables.bump_revision(job)
+    context.reservations.note_placed(job.record.queue.service, job.accepted_ms)
     for run in runs:
         if run.state is RunState.CLAIMED:
             context.usage.turn_into_run(job.record.workspace, run.shape)
--- a/packages/steps/src/jacinthreel_steps/_planning/_trials.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_trials.py
@@ -16,13 +16,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from enum import IntEnum
 from typing import Final
 
 from jacinthreel_steps._executors._crash_evidence import has_limited_starts, is_suspect
-from jacinthreel_steps._model import UNBOUNDED_FIT
+from jacinthreel_steps._model import UNBOUNDED_FIT, Resources
 from jacinthreel_steps._planning._pass_state import PassState, Reach, ServiceSlots
 from jacinthreel_steps._planning._placement import (
     Placement,
@@ -194,6 +194,8 @@
 ) -> Placement | None:
     """Returns executors for the tasks, with as few runs of other jobs as possible."""
     fitting = slots.free.fitting_executors(step.spec.required_label, step.spec.shape)
+    if not state.is_overdue(job):  # A trial would keep other jobs away from reserved room.
+        fitting = [executor for executor in fitting if executor.executor_id not in slots.held]
     sound = _sound_executors(state, step, fitting)
     searches = [(step, [item for item in sound if not item.runs_by_task], 0), (step, sound, 0)]
     if scope >= TrialScope.SOUND:
@@ -205,19 +207,24 @@
         searches += [(step, fitting, limit) for limit in OTHER_RUNS_LIMITS]
     for searched_step, eligible, limit in searches:
         executors = [item for item in eligible if _count_runs_of_others(item, job) <= limit]
-        placement = _place_among(state, job, searched_step, tasks, executors)
+        placement = _place_among(state, job, searched_step, tasks, executors, slots.held)
         if placement:
             return placement
     return None
 
 
 def _place_among(
-    state: PassState, job: Job, step: Step, tasks: list[Task], executors: list[Executor]
+    state: PassState,
+    job: Job,
+    step: Step,
+    tasks: list[Task],
+    executors: list[Executor],
+    held: Mapping[str, Resources],
 ) -> Placement | None:
     """Places the tasks on these executors, those of a gang all or none."""
     max_attempts = job.record.queue.max_attempts
     candidates = find_candidates(
-        step, executors, max_attempts, state.now_ms, state.suspect_addresses
+        step, executors, max_attempts, state.now_ms, state.suspect_addresses, held
     )
     is_urgent = job.record.queue.priority == 0
     if step.spec.is_gang:
--- a/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_waiting_jobs.py
@@ -55,6 +55,7 @@
     NO_ROOM = "no room"
     NO_RACK = "no rack"
     RESERVED = "reserved for urgent jobs"
+    RESERVED_FOR_OTHERS = "reserved for jobs that have waited longer"
     EXCLUDED = "executors slow or avoided"
     TRIAL_OF_OTHERS = "another task of the step is tried first"
     OUTAGE = "outage"
@@ -67,6 +68,7 @@
         Hold.START_LIMIT,
         Hold.NO_RACK,
         Hold.RESERVED,
+        Hold.RESERVED_FOR_OTHERS,
         Hold.EXCLUDED,
         Hold.NO_EMPTY_EXECUTOR,
         Hold.NO_SOUND_EXECUTOR,
