The owner logs what it believes to be in use, and its scheduling passes

Cause: capacity_sampled tells accelerators only, so neither cores and memory nor claims and reservations can be read from a log, nothing compares them with the executors' own lists, and how long passes take is a metric without a time.

Change: use_sampled, once a second, has for each service the capacity, what runs hold, what claims keep, what is free on executors reserved for urgent jobs, and what is held of executors that leave; and the job that waits longest. passes_sampled, every two seconds, has the number of passes, the longest, the longest time between two, and how many ended early. The period of capacity_sampled stays: it looks at the tasks of all waiting gangs.

--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -28,6 +28,7 @@
 from jacinthreel_node._intake import insert_intake_row
 from jacinthreel_node._job_rows import JobRows
 from jacinthreel_node._listings import Listings
+from jacinthreel_node._pass_times import PassTimes
 from jacinthreel_node._ports import (
     ExecutorGateway,
     KeyedStore,
@@ -126,6 +127,7 @@
         self._is_plan_pending = False
         self._last_plan_ms = 0
         self._plan_took_ms = 0
+        self._pass_times = PassTimes(services.log, self._takeover_ms)
         self._writer = ProgressWriter(
             store,
             self.scheduler,
@@ -280,6 +282,7 @@
             is_cut_short = self.scheduler.plan(started_ms)
         self._plan_took_ms = self._clock.now_ms() - started_ms
         self._metrics.observe_ms("plan_ms", self._plan_took_ms)
+        self._pass_times.record(started_ms, self._plan_took_ms, is_cut_short)
         self._send_orders()
         self._writer.wake()
         if is_cut_short:
--- a/packages/steps/src/jacinthreel_steps/_planning/_service_use.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_service_use.py
@@ -1,4 +1,4 @@
-"""What is in use of the executors of each service that stay."""
+"""What is in use of the executors of each service."""
 
 from __future__ import annotations
 
@@ -11,24 +11,29 @@
 
 @dataclass(slots=True)
 class ServiceUse:
-    """The capacity of a service, and what runs and claims hold of it.
+    """The capacity of a service, on executors that stay, and what is in use of it.
 
-    `used` includes what is claimed.  `executors_by_kind` counts the executors by capacity and
-    labels.
+    `at_work` is what runs hold, until they are known to have ended.  `untracked` is what those
+    reported runs hold that no task has, `claimed` what is kept for jobs of priority 0 until
+    preempted runs have ended.  `leaving` is what runs hold of executors that drain, or are out of
+    the registry or in a zone out of service.  `executors_by_kind` counts the executors that stay by
+    capacity and labels.
     """
 
     capacity: Resources = NO_RESOURCES
-    used: Resources = NO_RESOURCES
+    at_work: Resources = NO_RESOURCES
+    untracked: Resources = NO_RESOURCES
     claimed: Resources = NO_RESOURCES
+    leaving: Resources = NO_RESOURCES
     executors_by_kind: Counter[tuple[Resources, frozenset[str]]] = field(default_factory=Counter)
 
     def percent_used(self) -> Resources:
         """Returns what runs hold, in percent of the capacity; claims don't count."""
-        at_work = self.used.minus(self.claimed)
+        held = self.at_work.plus(self.untracked)
         return Resources(
-            _percent(at_work.cpu_milli, self.capacity.cpu_milli),
-            _percent(at_work.memory_mb, self.capacity.memory_mb),
-            _percent(at_work.accelerators, self.capacity.accelerators),
+            _percent(held.cpu_milli, self.capacity.cpu_milli),
+            _percent(held.memory_mb, self.capacity.memory_mb),
+            _percent(held.accelerators, self.capacity.accelerators),
         )
 
     def count_slots_if_empty(self, spec: StepSpec) -> int:
@@ -42,19 +47,24 @@
 
 
 def sum_use_by_service(tables: Tables) -> dict[str, ServiceUse]:
-    """Returns what is in use of each service, on executors that are listed and stay."""
+    """Returns what is in use of each service, by its name."""
     use_by_service: dict[str, ServiceUse] = {}
     for executor in tables.executors_by_id.values():
         listing = executor.listing
-        if not executor.is_listed or listing.is_draining:
-            continue
-        if listing.zone in tables.policy.zones_out_of_service:
-            continue
         use = use_by_service.setdefault(listing.service, ServiceUse())
+        at_work = executor.used
+        if executor.claimed is not NO_RESOURCES:
+            at_work = at_work.minus(executor.claimed)
+        is_leaving = not executor.is_listed or listing.is_draining
+        if is_leaving or listing.zone in tables.policy.zones_out_of_service:
+            use.leaving = use.leaving.plus(at_work).plus(executor.untracked)
+            continue
         use.capacity = use.capacity.plus(listing.capacity)
         use.executors_by_kind[listing.capacity, listing.labels] += 1
-        if executor.used is not NO_RESOURCES:
-            use.used = use.used.plus(executor.used)
+        if at_work is not NO_RESOURCES:
+            use.at_work = use.at_work.plus(at_work)
+        if executor.untracked is not NO_RESOURCES:
+            use.untracked = use.untracked.plus(executor.untracked)
         if executor.claimed is not NO_RESOURCES:
             use.claimed = use.claimed.plus(executor.claimed)
     return use_by_service
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -42,6 +42,7 @@
 from jacinthreel_steps._planning._placement import find_usable_executors
 from jacinthreel_steps._planning._planner import plan
 from jacinthreel_steps._planning._usability import MAX_REPORT_AGE_MS
+from jacinthreel_steps._planning._use_sample import sample_use
 from jacinthreel_steps._runs._announced_jobs import (
     accept_announced,
     is_same_submission,
@@ -78,6 +79,7 @@
 
 RUN_CHECK_PERIOD_MS: Final = 200
 CAPACITY_SAMPLE_PERIOD_MS: Final = 2_000
+USE_SAMPLE_PERIOD_MS: Final = 1_000
 UNBOUNDED_BYTES: Final = 2**62
 
 
@@ -115,6 +117,7 @@
         self._context = Context(self.tables, Orders(), log, stop_limit_ms)
         self._runs_checked_ms = 0
         self._capacity_sampled_ms = 0
+        self._use_sampled_ms = 0
         self._registry = ExecutorRegistry(self._context)
 
     @property
@@ -332,6 +335,10 @@
             self._capacity_sampled_ms = now_ms
             usable = find_usable_executors(self.tables, now_ms, MAX_REPORT_AGE_MS)
             self._context.log("capacity_sampled", sample_fragmentation(self.tables, usable))
+        if now_ms - self._use_sampled_ms >= USE_SAMPLE_PERIOD_MS:
+            self._use_sampled_ms = now_ms
+            usable = find_usable_executors(self.tables, now_ms, MAX_REPORT_AGE_MS)
+            self._context.log("use_sampled", sample_use(self._context, usable, now_ms))
         return is_cut_short
 
     def _check_runs(self, now_ms: int) -> None:
