--- a/packages/cli/src/jacinthreel_cli/_explain.py
+++ b/packages/cli/src/jacinthreel_cli/_explain.py
@@ -56,7 +56,12 @@
     times = history.stage_times().items()
     stages = ", ".join(f"{stage.value} {time_s:.1f} s" for stage, time_s in times if time_s >= 0.05)
     late_s = history.completion_s - history.objective_s
-    return f"late by {late_s:.1f} s: {stages}" + (f"; core-seconds lost: {lost}" if lost else "")
+    parts = [f"late by {late_s:.1f} s: {stages}"]
+    if history.held_by:
+        parts.append(f"passed by {history.passed_by} later jobs, held by {history.held_by}")
+    if lost:
+        parts.append(f"core-seconds lost: {lost}")
+    return "; ".join(parts)
 
 
 def _concerns_job(line: LogLine, job_id: str) -> bool:
--- a/packages/cli/src/jacinthreel_cli/_job_history.py
+++ b/packages/cli/src/jacinthreel_cli/_job_history.py
@@ -31,7 +31,8 @@
     `refusal` is the last answer to a submission that was not accepted.  `lost_by_cause` holds the
     core-seconds of its runs that did not count, `lost_run_s_by_step` how long the longest of them
     worked in each step.  `objective_s` and `chain_s` are the latency objective and the predicted
-    time of the longest chain of steps.
+    time of the longest chain of steps.  `passed_by` is how many later jobs of its queue were placed
+    during its longest logged wait, `held_by` what the last scheduling passes found to hold it.
     """
 
     job_id: str
@@ -47,6 +48,8 @@
     state: str = ""
     refusal: str = ""
     is_cancelled: bool = False
+    passed_by: int = 0
+    held_by: str = ""
     lost_by_cause: dict[str, float] = field(default_factory=dict)
     lost_run_s_by_step: dict[str, float] = field(default_factory=dict)
 
@@ -97,6 +100,8 @@
         "job_not_accepted",
         "job_accepted",
         "job_taken_in",
+        "job_waits",
+        "job_wait_ended",
         "tasks_placed",
         "job_begun",
         "run_ended",
@@ -121,6 +126,9 @@
             accepted_s = now_s - line.number("age_ms") / 1000
             history.first_seen_s = history.first_seen_s or accepted_s
             history.accepted_s = history.accepted_s or now_s
+        case "job_waits" | "job_wait_ended":
+            history.passed_by = max(history.passed_by, int(line.number("passed_by")))
+            history.held_by = line.text("held_by") or history.held_by
         case "tasks_placed":
             history.placed_s = history.placed_s or now_s
         case "job_begun":
--- a/packages/cli/tests/test_summary.py
+++ b/packages/cli/tests/test_summary.py
@@ -57,6 +57,17 @@
     )
 
 
+def test_late_job_that_others_passed_is_explained_with_their_number_and_the_last_hold() -> None:
+    waits = [
+        line(6.0, "job_waits", "a1", passed_by=4, held_by="no room"),
+        line(9.0, "job_wait_ended", "a1", passed_by=7),
+    ]
+
+    history = read_histories(parse_lines(late_job("a1", 9.0, 11.0, *waits)))["a1"]
+
+    assert describe(history).endswith("; passed by 7 later jobs, held by no room")
+
+
 def test_the_end_of_a_gang_member_is_the_cause_for_the_others() -> None:
     member = {"stop_cause": "gang member ended", "stopped_by": "a1.0.1#1 lapsed"}
     lines = parse_lines([lost_run("a1", 2.0, **member)])
