What is in use is summed up without a new object for each executor

Cause: sums by Resources.plus made a sample of use over 2,600 executors cost 18 ms each second, and a check of 2,000 waiting jobs 32 to 45 ms.

Change: amounts are added as numbers, the kinds of executors are counted only for lines, and usable executors are sought only while some are reserved.

--- a/packages/steps/src/jacinthreel_steps/_planning/_long_waits.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_long_waits.py
@@ -14,11 +14,11 @@
 from bisect import bisect_right
 from typing import Final
 
-from jacinthreel_steps._model import JobState
+from jacinthreel_steps._model import NO_RESOURCES, JobState, Resources
 from jacinthreel_steps._planning._job_order import job_sort_key
 from jacinthreel_steps._planning._pass_state import PassState, Reach
 from jacinthreel_steps._planning._passed_jobs import LongWait
-from jacinthreel_steps._planning._service_use import ServiceUse, sum_use_by_service
+from jacinthreel_steps._planning._service_use import ServiceUse, find_use_by_service
 from jacinthreel_steps._tables import Job, RunState, Step, Task
 
 LINE_AFTER_MS: Final = (5_000, 10_000, 20_000, 40_000, 80_000)
@@ -59,11 +59,14 @@
     passed_jobs.forget_placements(oldest_by_queue)
     if not overdue:
         return
-    use_by_service = sum_use_by_service(context.tables)
+    use_by_service = find_use_by_service(context.tables)
+    percent_by_service = {service: use.percent_used() for service, use in use_by_service.items()}
     for job, step, wait in overdue[:MAX_LOGGED_JOBS]:
         wait.logged_lines = bisect_right(LINE_AFTER_MS, now_ms - wait.since_ms)
-        use = use_by_service.get(job.record.queue.service, ServiceUse())
-        _log_wait(state, job, step, wait, use)
+        service = job.record.queue.service
+        use = use_by_service.get(service, ServiceUse())
+        percent = percent_by_service.get(service, NO_RESOURCES)
+        _log_wait(state, job, step, wait, use, percent)
 
 
 def _remove_ended_waits(state: PassState, waits: dict[str, LongWait]) -> None:
@@ -100,13 +103,14 @@
     return False
 
 
-def _log_wait(state: PassState, job: Job, step: Step, wait: LongWait, use: ServiceUse) -> None:
+def _log_wait(
+    state: PassState, job: Job, step: Step, wait: LongWait, use: ServiceUse, percent: Resources
+) -> None:
     context, spec, queue = state.context, step.spec, job.record.queue
     is_useless, _, is_late, *_ = job_sort_key(job, state.now_ms)
     free = state.slots_for(job).free.slots(spec.required_label, spec.shape)
     usable = state.slots_within(queue.service, Reach.USABLE)
     excluded = state.excluded_slots(queue.service)
-    percent = use.percent_used()
     fields = {
         "job_id": job.job_id,
         "queue": queue.name,
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -337,8 +337,7 @@
             self._context.log("capacity_sampled", sample_fragmentation(self.tables, usable))
         if now_ms - self._use_sampled_ms >= USE_SAMPLE_PERIOD_MS:
             self._use_sampled_ms = now_ms
-            usable = find_usable_executors(self.tables, now_ms, MAX_REPORT_AGE_MS)
-            self._context.log("use_sampled", sample_use(self._context, usable, now_ms))
+            self._context.log("use_sampled", sample_use(self._context, now_ms))
         return is_cut_short
 
     def _check_runs(self, now_ms: int) -> None:
