The soak compares what the owner believes to be in use with what the executors run

Change: each use_sampled line of the owners is compared with the sums of the stand-in executors' runs. A difference of any amount that lasts 3 s in one direction is a violation; samples up to 4 s after a fault, or after a delay of 500 ms, are left out. A run goes on until five samples were compared, for 10 s at most.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -32,6 +32,8 @@
         violations = asyncio.run(run.execute())
         took_s = time.monotonic() - started_s
         print(f"seed {seed}: {violations or 'ok'} ({took_s:.0f} s)", flush=True)
+        belief = run.observer.belief
+        print(f"  use compared {belief.compared_samples} times in calm periods", flush=True)
         for wait in run.observer.check.long_waits:
             print(f"  {run.observer.describe(wait)}", flush=True)
         if violations:
--- a/tests/soak/soak_observer.py
+++ b/tests/soak/soak_observer.py
@@ -1,4 +1,4 @@
-"""Observes a soak from outside the nodes, for the check of jobs that could run and don't.
+"""Observes a soak from outside the nodes, for checks of jobs that could run and of what is in use.
 
 Lateness of this process or of a node counts as a disruption, because neither the nodes nor the
 executors can keep their times on a machine without processor time to spare.
@@ -6,11 +6,14 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from pathlib import Path
 from subprocess import Popen
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from belief_check import EVENT, BeliefCheck
+from standin_platform import CAPACITY
 from waiting_jobs_check import ExecutorRoom, Wait, WaitingJobsCheck, WaitingStep
 
 if TYPE_CHECKING:
@@ -18,6 +21,7 @@
 
 PERIOD_MS = 100
 MAX_LAG_MS = 100
+MAX_SAMPLE_LAG_MS = 500
 
 
 class SoakObserver:
@@ -25,6 +29,8 @@
 
     def __init__(self, run: SoakRun) -> None:
         self.check = WaitingJobsCheck()
+        self.belief = BeliefCheck()
+        self._read_bytes_by_log: dict[Path, int] = {}
         self._run = run
         self._due_ms: int | None = None
         self._ready_processes: set[int] = set()
@@ -36,8 +42,12 @@
             return
         lag_ms = 0 if self._due_ms is None else now_ms - self._due_ms
         self._due_ms = now_ms + PERIOD_MS
-        if max(lag_ms, self._longest_node_delay_ms()) > MAX_LAG_MS or self._is_disrupted():
+        is_disrupted = self._is_disrupted()
+        delay_ms = max(lag_ms, self._longest_node_delay_ms())
+        if delay_ms > MAX_LAG_MS or is_disrupted:
             self.check.note_disruption(now_ms)
+        if delay_ms > MAX_SAMPLE_LAG_MS or is_disrupted:
+            self.belief.note_disruption(now_ms)
         observations = self._run.observations
         active_jobs = {task.split(".")[0] for task in observations.running_by_task}
         for task, started_ms in observations.started_ms_by_task.items():
@@ -56,10 +66,14 @@
             for executor in self._run.executors
         ]
         self.check.observe(now_ms, steps_by_job, executors)
+        used = {name: sum(item.used(name) for item in executors) for name in CAPACITY}
+        for sample in self._read_samples():
+            self.belief.observe(now_ms, sample, used)
 
     def describe_violations(self) -> list[str]:
         """Returns the violations, each with what the owners logged of the job that is held."""
-        return [self.describe(wait) for wait in self.check.long_waits if wait.is_violation]
+        held = [self.describe(wait) for wait in self.check.long_waits if wait.is_violation]
+        return held + self.belief.violations
 
     def describe(self, wait: Wait) -> str:
         """Returns a wait with the owners' log lines about jobs that could run and don't."""
@@ -67,6 +81,19 @@
         held = [line for line in lines if "job_held" in line]
         return f"{wait}; the owners logged {held or 'nothing of it'}"
 
+    def _read_samples(self) -> list[dict[str, Any]]:
+        """Returns the owners' samples of what is in use that were logged since the last call."""
+        samples: list[dict[str, Any]] = []
+        for node in self._run.nodes:
+            with node.log.open("rb") as log:
+                log.seek(self._read_bytes_by_log.get(node.log, 0))
+                lines = log.read().rpartition(b"\n")[0]
+            self._read_bytes_by_log[node.log] = self._read_bytes_by_log.get(node.log, 0) + (
+                len(lines) + 1 if lines else 0
+            )
+            samples += [json.loads(line) for line in lines.splitlines() if EVENT.encode() in line]
+        return samples
+
     def _is_disrupted(self) -> bool:
         # Besides the task that calls this, only faults run as tasks.
         is_fault_running = len(self._run.tasks) > 1
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -39,6 +39,8 @@
 MAX_SUBMIT_ATTEMPTS = 8
 SETTLE_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 8.0
+SAMPLES_TIMEOUT_S = 10.0
+MIN_SAMPLES = 5
 EXECUTOR_DOWN_S = 1.0
 RESIZED_S = 6.0
 CRASHING_SHARE = 0.1  # Of the jobs; their tasks crash the executors that start them.
@@ -121,6 +123,7 @@
             await self._end_faults()
             await asyncio.gather(*callers, self._submit_late_jobs())
             await self._wait_for_jobs_to_end()
+            await self._wait_for_samples()
         finally:
             self._kill_nodes()
         return self._collect_violations()
@@ -387,6 +390,12 @@
             self.observations.violations.append(f"{job.job_id} was accepted but did not end")
             self.observations.violations += self.find_log_lines(job.job_id)
 
+    async def _wait_for_samples(self) -> None:
+        """Waits until what the owner believes to be in use was compared some times."""
+        end_ms = now_ms() + int(SAMPLES_TIMEOUT_S * 1000)
+        while self.observer.belief.compared_samples < MIN_SAMPLES and now_ms() < end_ms:
+            await asyncio.sleep(0.1)
+
     def find_log_lines(self, job_id: str) -> list[str]:
         """Returns the nodes' log lines about a job, and those about work that executors hold."""
         lines: list[str] = []
