Reservations: design note, and a bound on the executors compared in a check

A check compares at most 1,500 executors, or those of one service, and a service without room beside other reservations is looked at again after 1 s: with thousands of executors each look takes long.

--- a/packages/steps/src/jacinthreel_steps/_planning/_reservation_table.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservation_table.py
@@ -34,13 +34,15 @@
 
     `newest_placed_by_service` holds the time of acceptance of the newest job of which a run was
     placed: older jobs that wait have been passed.  `retry_by_job` holds when to look again for room
-    for a job that fits on no executors.
+    for a job that fits on no executors, `retry_by_service` when to look for any in a service where
+    there was not enough beside other reservations.
     """
 
     def __init__(self) -> None:
         self.by_job: dict[str, Reservation] = {}
         self.since_by_job: dict[str, int] = {}
         self.retry_by_job: dict[str, int] = {}
+        self.retry_by_service: dict[str, int] = {}
         self.newest_placed_by_service: dict[str, int] = {}
         self.checked_ms = 0
         self.improved_job = ""
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
@@ -40,7 +40,8 @@
 MAX_RESERVED_SHARE: Final = 0.4
 CHECK_PERIOD_MS: Final = 250
 RETRY_MS: Final = 5_000  # For a job that fits on no executors.
-MAX_TRIES_PER_CHECK: Final = 4  # Each compares all executors of a service.
+FULL_RETRY_MS: Final = 1_000  # For a service without enough room beside other reservations.
+MAX_COMPARED: Final = 1_500  # Executors to compare in a check; at least those of one service.
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +80,7 @@
     """Lets other jobs use the room that was reserved for a job; a no-op if there is none."""
     reservation = context.reservations.by_job.pop(job_id, None)
     if reservation is not None:
+        context.reservations.retry_by_service.pop(reservation.service, None)
         fields = {"job_id": job_id, "held_ms": now_ms - reservation.made_ms}
         context.log("executors_released", fields)
 
@@ -171,28 +173,27 @@
     """Makes reservations, the longest wait first.
 
     A job for which there is not enough room beside other reservations keeps later ones from getting
-    any in its service.
+    any in its service, for `FULL_RETRY_MS` or until one is released.
     """
     table = context.reservations
     holders = {(each.service, each.workspace) for each in table.by_job.values()}
-    full_services: set[str] = set()
-    tries = 0
+    compared = 0
     for item in starved:
         holder = (item.service, item.job.record.workspace)
-        if holder in holders or item.service in full_services:
+        if holder in holders or now_ms < table.retry_by_service.get(item.service, 0):
             continue
         if now_ms < table.retry_by_job.get(item.job.job_id, 0) or not _is_admitted(context, item):
             continue
-        if tries >= MAX_TRIES_PER_CHECK:
+        if compared >= MAX_COMPARED:
             return
-        tries += 1
         executors = _usable_executors(usable, item.service)
+        compared += len(executors)
         choice = _choose(context, item, executors, now_ms)
         if choice is not None and _is_within_share(context, item, executors, choice):
             holders.add(holder)
             _reserve(context, item, choice, now_ms)
         elif choice is not None or fits_when_empty(item.step.spec, item.needed, executors):
-            full_services.add(item.service)
+            table.retry_by_service[item.service] = now_ms + FULL_RETRY_MS
         else:
             table.retry_by_job[item.job.job_id] = now_ms + RETRY_MS
 
