Reservations: a gang that wants one rack gets room on one, shared room counts as headroom

A gang with a reservation was placed on several racks, where it runs longer, though it fits on one. It now gets room on the rack where it fits first, and spans racks only if it fits on none.

Reserved room that urgent jobs may still use counts as the room that is kept free for them, so that less is idle.

--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -15,6 +15,7 @@
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._placement import UsableExecutors
+from jacinthreel_steps._planning._reservation_table import SHARED_WITH_URGENT_MS
 from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Executor, Job, Tables
@@ -125,16 +126,16 @@
             self._held_by_service[service] = held
         return held
 
-    def shared_slots(self, service: str, since_before_ms: float) -> ServiceSlots:
-        """Returns the slots with the room reserved for jobs that began to wait after a time.
+    def shared_slots(self, service: str, made_before_ms: float) -> ServiceSlots:
+        """Returns the slots with the room that was reserved for jobs after a time.
 
         They include executors that are taken for slow.
         """
-        key = (service, since_before_ms)
+        key = (service, made_before_ms)
         slots = self._shared_slots.get(key)
         if slots is None:
             held = self.context.reservations.held_by_executor(
-                service, since_before_ms=since_before_ms
+                service, made_before_ms=made_before_ms
             )
             slots = self._shared_slots[key] = self._make_slots(self._with_slow(service), held)
         return slots
@@ -208,9 +209,10 @@
                 return executors + self.usable.excluded(service)
 
     def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
-        held = self.held_room(service)
-        unheld = [item for item in executors if item.executor_id not in held] if held else executors
-        reserved_ids = self.context.headroom.select_reserved_ids(unheld, self.now_ms)
+        made_before_ms = self.now_ms - SHARED_WITH_URGENT_MS
+        closed = self.context.reservations.held_by_executor(service, made_before_ms=made_before_ms)
+        shared = [item for item in executors if item.executor_id not in closed]
+        reserved_ids = self.context.headroom.select_reserved_ids(shared, self.now_ms)
         if not reserved_ids:
             return executors
         self.context.waiting_jobs.note_reserved(service, len(reserved_ids))
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -49,12 +49,11 @@
     widen_by_trust,
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
-from jacinthreel_steps._planning._reservations import (
+from jacinthreel_steps._planning._reservation_table import (
     SHARED_WITH_OVERDUE_MS,
     SHARED_WITH_URGENT_MS,
-    release_reservation,
-    update_reservations,
 )
+from jacinthreel_steps._planning._reservations import release_reservation, update_reservations
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._slot_index import Room, SlotIndex
 from jacinthreel_steps._planning._start_limits import count_start_slots, count_start_slots_of_step
@@ -273,8 +272,8 @@
             return placement
     if not state.held_room(job.record.queue.service):
         return None
-    since_before_ms = state.now_ms - SHARED_WITH_OVERDUE_MS
-    slots = state.shared_slots(job.record.queue.service, since_before_ms)
+    made_before_ms = state.now_ms - SHARED_WITH_OVERDUE_MS
+    slots = state.shared_slots(job.record.queue.service, made_before_ms)
     return _find_placement(state, job, step, tasks, slots)
 
 
@@ -432,7 +431,7 @@
     wait_limit_ms = state.context.stop_limit_ms + RACK_WAIT_MARGIN_MS
     if job.record.queue.priority == 0 and waited_ms > wait_limit_ms:
         return True
-    if state.is_overdue(job) or job.job_id in state.context.reservations.by_job:
+    if state.is_overdue(job) or _has_room_on_racks(state, job):
         return True
     if step.spec.max_per_executor:
         return not fits_on_empty_rack(step, slots.free.executors, len(step.tasks))
@@ -440,6 +439,16 @@
     return empty.widest_rack < len(step.tasks)
 
 
+def _has_room_on_racks(state: PassState, job: Job) -> bool:
+    """Whether room on several racks is reserved for the job: it didn't fit on one."""
+    reservation = state.context.reservations.by_job.get(job.job_id)
+    if reservation is None:
+        return False
+    executors_by_id = state.context.tables.executors_by_id
+    executors = [executors_by_id.get(key) for key in reservation.count_by_executor]
+    return len({each.listing.rack for each in executors if each is not None}) > 1
+
+
 def _preempt_own_runs(
     state: PassState, job: Job, step: Step, pending: list[Task], slots: ServiceSlots
 ) -> bool:
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservation_choice.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservation_choice.py
@@ -58,7 +58,45 @@
     held_by_others: Mapping[str, Resources],
     now_ms: int,
 ) -> Choice | None:
-    """Returns the room to reserve, None if the tasks wouldn't fit even if nothing ran there."""
+    """Returns the room to reserve, None if the tasks wouldn't fit even if nothing ran there.
+
+    A gang that wants one rack gets room on the one where it fits first, if there is any.  It
+    changes the rack only if it does not fit there any more.
+    """
+    if demand.spec.is_gang and demand.spec.wants_one_rack:
+        choice = _choose_rack(tables, demand, executors, held_by_others, now_ms)
+        if choice is not None:
+            return choice
+    return _choose(tables, demand, executors, held_by_others, now_ms)
+
+
+def _choose_rack(
+    tables: Tables,
+    demand: Demand,
+    executors: Iterable[Executor],
+    held_by_others: Mapping[str, Resources],
+    now_ms: int,
+) -> Choice | None:
+    by_rack: dict[str, list[Executor]] = {}
+    held_racks: set[str] = set()
+    for executor in executors:
+        rack = executor.listing.rack
+        by_rack.setdefault(rack, []).append(executor)
+        if executor.executor_id in demand.held_count_by_executor:
+            held_racks.add(rack)
+    racks = held_racks if len(held_racks) == 1 else by_rack
+    choices = [_choose(tables, demand, by_rack[rack], held_by_others, now_ms) for rack in racks]
+    fitting = [choice for choice in choices if choice is not None]
+    return min(fitting, key=lambda choice: choice.fit_ms, default=None)
+
+
+def _choose(
+    tables: Tables,
+    demand: Demand,
+    executors: Iterable[Executor],
+    held_by_others: Mapping[str, Resources],
+    now_ms: int,
+) -> Choice | None:
     slots = [
         item
         for executor in executors
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
@@ -6,9 +6,9 @@
 reservation: room for its tasks on executors on which they fit once runs there have ended
 (`_reservation_choice`).  Other jobs get new tasks there only beside it, except that
 
-- urgent jobs that have to wait otherwise use it in the first `SHARED_WITH_URGENT_MS` of its wait,
+- urgent jobs that have to wait otherwise use it in the first `SHARED_WITH_URGENT_MS`,
 - urgent jobs within the guarantee of their workspace always do, and
-- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS` of its wait.
+- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS`.
 
 Reservations are made in the order in which the jobs began to wait, one for each workspace of a
 service, and a further one only while they are on at most `MAX_RESERVED_SHARE` of the executors.
@@ -35,8 +35,6 @@
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 RESERVE_AFTER_MS: Final = 5_000
-SHARED_WITH_URGENT_MS: Final = 10_000  # From when the job began to wait, like the next one.
-SHARED_WITH_OVERDUE_MS: Final = 15_000
 MAX_RESERVED_SHARE: Final = 0.4
 CHECK_PERIOD_MS: Final = 250
 RETRY_MS: Final = 5_000  # For a job that fits on no executors.
@@ -70,8 +68,9 @@
         return
     table.checked_ms = now_ms
     starved = {item.job.job_id: item for item in _find_starved(context, now_ms)}
-    for job_id in [job_id for job_id in table.retry_by_job if job_id not in starved]:
-        del table.retry_by_job[job_id]
+    for times in (table.first_made_by_job, table.retry_by_job):
+        for job_id in [job_id for job_id in times if job_id not in starved]:
+            del times[job_id]
     _renew_reservations(context, usable, starved, now_ms)
     _make_reservations(context, usable, starved.values(), now_ms)
 
@@ -237,8 +236,7 @@
         item.job.record.workspace,
         item.step.index,
         item.step.spec.shape,
-        item.since_ms,
-        now_ms,
+        table.first_made_by_job.setdefault(job_id, now_ms),
         choice.count_by_executor,
     )
     context.log(
