--- a/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
@@ -6,9 +6,9 @@
 reservation: room for its tasks on executors on which they fit once runs there have ended
 (`_reservation_choice`).  Other jobs get new tasks there only beside it, except that
 
-- urgent jobs that have to wait otherwise use it in the first `SHARED_WITH_URGENT_MS` of its wait,
+- urgent jobs that have to wait otherwise use it in the first `SHARED_WITH_URGENT_MS`,
 - urgent jobs within the guarantee of their workspace always do, and
-- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS` of its wait.
+- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS`.
 
 Reservations are made in the order in which the jobs began to wait, one for each workspace of a
 service, and a further one only while they are on at most `MAX_RESERVED_SHARE` of the executors.
@@ -35,12 +35,11 @@
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 RESERVE_AFTER_MS: Final = 5_000
-SHARED_WITH_URGENT_MS: Final = 10_000  # From when the job began to wait, like the next one.
-SHARED_WITH_OVERDUE_MS: Final = 15_000
 MAX_RESERVED_SHARE: Final = 0.4
 CHECK_PERIOD_MS: Final = 250
 RETRY_MS: Final = 5_000  # For a job that fits on no executors.
-MAX_TRIES_PER_CHECK: Final = 4  # Each compares all executors of a service.
+FULL_RETRY_MS: Final = 1_000  # For a service without enough room beside other reservations.
+MAX_COMPARED: Final = 1_500  # Executors to compare in a check; at least those of one service.
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +68,9 @@
         return
     table.checked_ms = now_ms
     starved = {item.job.job_id: item for item in _find_starved(context, now_ms)}
-    for job_id in [job_id for job_id in table.retry_by_job if job_id not in starved]:
-        del table.retry_by_job[job_id]
+    for times in (table.first_made_by_job, table.retry_by_job):
+        for job_id in [job_id for job_id in times if job_id not in starved]:
+            del times[job_id]
     _renew_reservations(context, usable, starved, now_ms)
     _make_reservations(context, usable, starved.values(), now_ms)
 
@@ -79,6 +79,7 @@
     """Lets other jobs use the room that was reserved for a job; a no-op if there is none."""
     reservation = context.reservations.by_job.pop(job_id, None)
     if reservation is not None:
+        context.reservations.retry_by_service.pop(reservation.service, None)
         fields = {"job_id": job_id, "held_ms": now_ms - reservation.made_ms}
         context.log("executors_released", fields)
 
@@ -171,28 +172,27 @@
     """Makes reservations, the longest wait first.
 
     A job for which there is not enough room beside other reservations keeps later ones from getting
-    any in its service.
+    any in its service, for `FULL_RETRY_MS` or until one is released.
     """
     table = context.reservations
     holders = {(each.service, each.workspace) for each in table.by_job.values()}
-    full_services: set[str] = set()
-    tries = 0
+    compared = 0
     for item in starved:
         holder = (item.service, item.job.record.workspace)
-        if holder in holders or item.service in full_services:
+        if holder in holders or now_ms < table.retry_by_service.get(item.service, 0):
             continue
         if now_ms < table.retry_by_job.get(item.job.job_id, 0) or not _is_admitted(context, item):
             continue
-        if tries >= MAX_TRIES_PER_CHECK:
+        if compared >= MAX_COMPARED:
             return
-        tries += 1
         executors = _usable_executors(usable, item.service)
+        compared += len(executors)
         choice = _choose(context, item, executors, now_ms)
         if choice is not None and _is_within_share(context, item, executors, choice):
             holders.add(holder)
             _reserve(context, item, choice, now_ms)
         elif choice is not None or fits_when_empty(item.step.spec, item.needed, executors):
-            full_services.add(item.service)
+            table.retry_by_service[item.service] = now_ms + FULL_RETRY_MS
         else:
             table.retry_by_job[item.job.job_id] = now_ms + RETRY_MS
 
@@ -236,8 +236,7 @@
         item.job.record.workspace,
         item.step.index,
         item.step.spec.shape,
-        item.since_ms,
-        now_ms,
+        table.first_made_by_job.setdefault(job_id, now_ms),
         choice.count_by_executor,
     )
     context.log(
