Soak: take the bound of first runs from the design of reservations; plan times of rehearsals

The bound now follows docs/design/reservations.md: later than 5.25 s and the runs of earlier jobs that wait too, or 15 s while others may share the room, then the longest run and 1 s to start.

Rehearsals have nodes in all three zones and show the nodes' metrics of planning passes.

--- a/scripts/rehearsal.py
+++ b/scripts/rehearsal.py
@@ -75,6 +75,7 @@
         print(f"  {reading}: {_describe_waits(waits, result.finish_ms)}")
     print(f"observations with a delayed process: {result.delayed_observations}")
     print(f"log lines: {result.log_counts}, slowest steps (ms): {result.slowest_step_ms}")
+    print(f"planning passes: {result.plan_times}")
     print(f"violations: {len(result.violations)}")
     for violation in result.violations:
         print(f"  {violation}")
--- a/tests/soak/rehearsal_load.py
+++ b/tests/soak/rehearsal_load.py
@@ -19,9 +19,10 @@
 PASSING_USE: Final = 0.7
 PASSING_WORK_MS: Final = 1_000
 WIDE_QUARTERS: Final = 3  # Quarters of the hosts that the wide gang needs.
-RESERVATION_AFTER_MS: Final = 5_000
-URGENT_SHARING_MS: Final = 5_000
-LONGEST_LEASE_WAIT_MS: Final = 22_300  # Of a run that an earlier owner started.
+RESERVED_AFTER_MS: Final = 5_000
+RESERVATION_CHECK_MS: Final = 250
+SHARED_UNTIL_MS: Final = 15_000  # Others may use the room of a job that has waited less.
+PLACEMENT_MS: Final = 1_000  # To plan, store, order and start.
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,15 +114,16 @@
     return jobs
 
 
-def first_run_bound_ms(jobs: Sequence[DrawnJob], has_faults: bool) -> int:
-    """Returns the longest allowed wait of an accepted job for its first run.
+def first_run_bound_ms(jobs: Sequence[DrawnJob], earlier_waits: int) -> int:
+    """Returns the longest allowed wait of an accepted job for its first run, without faults.
 
-    It depends on how long the tasks run, not on later jobs: the time until room is reserved, the
-    runs that hold this room, once more for runs of a reservation before it, and urgent jobs.
+    It is the bound of docs/design/reservations.md.  It depends on how long the tasks run and on
+    `earlier_waits`, the earlier accepted jobs for which room may be reserved first, not on later
+    jobs.
     """
-    runs_ms = 2 * longest_work_ms(jobs)
-    lease_ms = LONGEST_LEASE_WAIT_MS if has_faults else 0
-    return RESERVATION_AFTER_MS + runs_ms + URGENT_SHARING_MS + lease_ms
+    run_ms = longest_work_ms(jobs)
+    reserved_ms = RESERVED_AFTER_MS + RESERVATION_CHECK_MS + earlier_waits * run_ms
+    return max(reserved_ms, SHARED_UNTIL_MS) + run_ms + PLACEMENT_MS
 
 
 def longest_work_ms(jobs: Sequence[DrawnJob]) -> int:
--- a/tests/soak/rehearsal_run.py
+++ b/tests/soak/rehearsal_run.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from enum import Flag, auto
 from pathlib import Path
-from typing import Any, Final
+from typing import Final
 
 from rehearsal_judge import (
     Calm,
@@ -32,9 +32,9 @@
 )
 from rehearsal_load import HOST_CAPACITY, QUEUES, WORKSPACES, DrawnJob, draw_load
 from soak_observer import MAX_LAG_MS, PERIOD_MS, SoakObserver
-from soak_run import SoakRun, SubmittedJob
+from soak_run import NodeProcess, SoakRun, SubmittedJob
 from standin_platform import SharedObservations, StandinExecutor, now_ms
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from waiting_jobs_check import ExecutorRoom
 
 ZONES: Final = 3
@@ -90,6 +90,7 @@
     delayed_observations: int
     log_counts: dict[str, int]
     slowest_step_ms: dict[str, int]
+    plan_times: list[str]
 
 
 class RehearsalExecutor(StandinExecutor):
@@ -189,6 +190,7 @@
     started_ms: int = 0
     traffic_end_ms: int = 0
     settled_ms: int = 0
+    plan_times: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         SoakRun.__post_init__(self)
@@ -209,6 +211,7 @@
             await faults
             await self._wait_for_jobs_to_end()
             self.settled_ms = now_ms()
+            self.plan_times = [line for node in self.nodes for line in await _read_plan_times(node)]
         finally:
             self._kill_nodes()
         return self._collect_result()
@@ -262,9 +265,11 @@
     def _make_executor(self, index: int) -> StandinExecutor:
         return RehearsalExecutor(f"e{index}", self.observations, work_ms=1_000)
 
-    def _place_executor(self, index: int) -> dict[str, Any]:
-        rack = index // RACK_EXECUTORS
-        return {"zone": f"z{index % ZONES}", "labels": ["a", f"r{rack}"]}
+    def _zone(self, index: int) -> str:
+        return f"z{index % ZONES}"
+
+    def _rack(self, index: int) -> str:
+        return f"r{index // RACK_EXECUTORS}"
 
     def _put_config(self) -> None:
         guaranteed = self.size.executors * HOST_CAPACITY["gpu"] // GUARANTEED_DIVISOR
@@ -300,6 +305,7 @@
             self.observer.delayed_observations,
             {event: log_text.count(f'"{event}"') for event in LOG_EVENTS},
             _slowest_steps(log_text),
+            self.plan_times,
         )
 
     def _waits_since_start(self, judge: RehearsalJudge) -> dict[Reading, list[HeldWait]]:
@@ -348,6 +354,17 @@
     return f"key{drawn.workspace}"
 
 
+async def _read_plan_times(node: NodeProcess) -> list[str]:
+    """Returns a node's metrics of its planning passes; none if it has planned nothing."""
+    request = HTTPRequest(f"http://127.0.0.1:{node.metrics_port}/metrics", request_timeout=3.0)
+    try:
+        reply = await AsyncHTTPClient().fetch(request, raise_error=False)
+    except (HTTPClientError, OSError):
+        return []
+    lines = reply.body.decode(errors="replace").splitlines()
+    return [f"{node.name}: {line}" for line in lines if line.startswith("plan_ms")]
+
+
 def _slowest_steps(log_text: str) -> dict[str, int]:
     """Returns the longest time of each kind of slow step that the nodes logged."""
     slowest_ms: Counter[str] = Counter()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -73,6 +73,11 @@
     store_proxy: LoopbackProxy
     process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def metrics_port(self) -> int:
+        """The port after the one for other nodes, by the settings file."""
+        return self.stream_port + 1
+
 
 @dataclass(slots=True)
 class SubmittedJob:
@@ -170,7 +175,7 @@
         settings = {
             "node": name,
             "ip": "127.0.0.1",
-            "zone": f"z{index % 2}",
+            "zone": self._zone(index),
             "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "port_range": [stream, stream + 1],
             "limits": {"cpu_share": 1.0, "cores": 1, "link_mbps": 1000.0},
@@ -199,16 +204,21 @@
         entry = {
             "service": "soak",
             "addr": f"127.0.0.1:{proxy.port}",
+            "zone": self._zone(index),
             "state": state,
+            "labels": ["a", self._rack(index)],
             "capacity": executor.capacity,
             "born": executor.born,
-            **self._place_executor(index),
         }
         self.store.put("servers", executor.name, json.dumps(entry).encode())
 
-    def _place_executor(self, index: int) -> dict[str, Any]:
-        """Returns the zone and the labels of an executor, one of which names its rack."""
-        return {"zone": f"z{index % 2}", "labels": ["a", f"r{index % 2}"]}
+    def _zone(self, index: int) -> str:
+        """Returns the zone of the node, and of the executor, of this index."""
+        return f"z{index % 2}"
+
+    def _rack(self, index: int) -> str:
+        """Returns the rack of an executor."""
+        return f"r{index % 2}"
 
     def _put_config(self) -> None:
         routes = [self._make_route("urgent", 0), self._make_route("batch", 1)]
