Reservations hold after losses, takeovers and silence, and keep out no urgent and no overdue job

Urgent jobs preempt runs beside reserved room, and only the free part of it is kept; those within their guarantee preempt runs of their own workspace there too. Overdue jobs of a mostly idle service use the room for tasks that are predicted to end before the job fits, after 10 s as well; the prediction goes by the pace of a run. A job that lost executors without being suspect gets room like others. Room is kept while executors are silent, and a next owner that plans before executors have reported tries again at its next check, not after 5 s. Jobs that would not fit on the listed executors take no tries from others. A job that waits keeps what it needs of its workspace's quota from later jobs. A step that fits nowhere does not hide another ready step. At most ten reservations for a service, and the executors are listed once in a check.

--- a/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
+++ b/packages/steps/src/jacinthreel_steps/_executors/_crash_evidence.py
@@ -91,6 +91,13 @@
     return record.unexplained >= SUSPECT_LOSSES or record.crashes >= CRASH_LIMIT
 
 
+def has_suspects(step: Step) -> bool:
+    """Whether a task of the step that is not done is to be tried on an executor of its own."""
+    if step.gang_losses is None and not any(task.crash_record for task in step.tasks):
+        return False
+    return any(is_suspect(step, task) for task in step.tasks if not task.is_done)
+
+
 def is_crashing(task: Task) -> bool:
     """Whether the losses of executors show that the task crashes them.
 
--- a/packages/steps/src/jacinthreel_steps/_model.py
+++ b/packages/steps/src/jacinthreel_steps/_model.py
@@ -36,6 +36,18 @@
             self.accelerators + other.accelerators,
         )
 
+    def overlap(self, other: Resources) -> Resources:
+        """Returns the smaller of both in each field, at least 0.
+
+        >>> Resources(5, -1, 3).overlap(Resources(4, 2, 8))
+        Resources(cpu_milli=4, memory_mb=0, accelerators=3)
+        """
+        return Resources(
+            max(0, min(self.cpu_milli, other.cpu_milli)),
+            max(0, min(self.memory_mb, other.memory_mb)),
+            max(0, min(self.accelerators, other.accelerators)),
+        )
+
     def times(self, count: int) -> Resources:
         """Returns the sum of `count` such amounts."""
         return Resources(self.cpu_milli * count, self.memory_mb * count, self.accelerators * count)
--- a/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_pass_state.py
@@ -15,7 +15,6 @@
 from jacinthreel_steps._context import Context
 from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._placement import UsableExecutors
-from jacinthreel_steps._planning._reservation_table import SHARED_WITH_URGENT_MS
 from jacinthreel_steps._planning._slot_index import SlotIndex
 from jacinthreel_steps._planning._victims import VictimIndex
 from jacinthreel_steps._tables import Executor, Job, Tables
@@ -83,8 +82,7 @@
     reserved_jobs: list[Job] = field(default_factory=list)
     compared_count: int | None = None
     _slots_by_reach: dict[tuple[str, Reach], ServiceSlots] = field(default_factory=dict)
-    _slots_by_holder: dict[str, ServiceSlots] = field(default_factory=dict)
-    _shared_slots: dict[tuple[str, float], ServiceSlots] = field(default_factory=dict)
+    _shared_slots: dict[tuple[str, frozenset[str]], ServiceSlots] = field(default_factory=dict)
     _held_by_service: dict[str, Mapping[str, Resources]] = field(default_factory=dict)
     _all_slots: list[ServiceSlots] = field(default_factory=list)
     _excluded_by_service: dict[str, SlotIndex] = field(default_factory=dict)
@@ -126,28 +124,20 @@
             self._held_by_service[service] = held
         return held
 
-    def shared_slots(self, service: str, made_before_ms: float) -> ServiceSlots:
-        """Returns the slots with the room that was reserved for jobs after a time.
+    def shared_slots(self, service: str, open_ids: frozenset[str]) -> ServiceSlots:
+        """Returns the slots with the room reserved for the jobs in `open_ids`.
 
         They include executors that are taken for slow.
         """
-        key = (service, made_before_ms)
+        key = (service, open_ids)
         slots = self._shared_slots.get(key)
         if slots is None:
-            held = self.context.reservations.held_by_executor(
-                service, made_before_ms=made_before_ms
-            )
+            held = self.context.reservations.held_by_executor(service, open_ids)
             slots = self._shared_slots[key] = self._make_slots(self._with_slow(service), held)
         return slots
 
     def _slots_of_holder(self, job: Job) -> ServiceSlots:
-        slots = self._slots_by_holder.get(job.job_id)
-        if slots is None:
-            service = job.record.queue.service
-            held = self.context.reservations.held_by_executor(service, job.job_id)
-            slots = self._make_slots(self._with_slow(service), held)
-            self._slots_by_holder[job.job_id] = slots
-        return slots
+        return self.shared_slots(job.record.queue.service, frozenset({job.job_id}))
 
     def _with_slow(self, service: str) -> list[Executor]:
         return self._usable_executors(service) + self.usable.slow_by_service.get(service, [])
@@ -209,8 +199,8 @@
                 return executors + self.usable.excluded(service)
 
     def _without_headroom(self, service: str, executors: list[Executor]) -> list[Executor]:
-        made_before_ms = self.now_ms - SHARED_WITH_URGENT_MS
-        closed = self.context.reservations.held_by_executor(service, made_before_ms=made_before_ms)
+        table = self.context.reservations
+        closed = table.held_by_executor(service, table.job_ids_open_to_urgent(service, self.now_ms))
         shared = [item for item in executors if item.executor_id not in closed]
         reserved_ids = self.context.headroom.select_reserved_ids(shared, self.now_ms)
         if not reserved_ids:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -17,14 +17,14 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Sequence
 from dataclasses import replace
 from typing import Final
 
 from jacinthreel_steps._context import Context
+from jacinthreel_steps._executors._crash_evidence import has_suspects
 from jacinthreel_steps._executors._executor_health import is_suspect
-from jacinthreel_steps._model import StepSpec
+from jacinthreel_steps._model import NO_RESOURCES, Resources, StepSpec
 from jacinthreel_steps._planning._claims import (
     is_gang_claimed,
     place_or_release_claims,
@@ -50,10 +50,6 @@
     widen_by_trust,
 )
 from jacinthreel_steps._planning._preemption import plan_preemption
-from jacinthreel_steps._planning._reservation_table import (
-    SHARED_WITH_OVERDUE_MS,
-    SHARED_WITH_URGENT_MS,
-)
 from jacinthreel_steps._planning._reservations import release_reservation, update_reservations
 from jacinthreel_steps._planning._run_creation import place_tasks
 from jacinthreel_steps._planning._slot_index import Room, SlotIndex
@@ -172,7 +168,7 @@
         return
     for step in job.steps:
         pending = job.pending_tasks(step)
-        if not pending or step.spec.is_gang or any(task.crash_record for task in step.tasks):
+        if not pending or step.spec.is_gang or _waits_for_trial(step, has_reservation):
             continue
         admitted = _admitted_tasks(state, job, step, pending[:1])
         slots = state.slots_for(job)
@@ -183,6 +179,13 @@
             return
 
 
+def _waits_for_trial(step: Step, has_reservation: bool) -> bool:
+    """Whether trials decide where a step runs, or may do so for one without a reservation."""
+    if has_reservation:
+        return has_suspects(step)
+    return any(task.crash_record for task in step.tasks)
+
+
 def _count_allowed(state: PassState, job: Job, step: Step) -> int:
     """Returns how many tasks of a step may be placed in this pass; not for gangs."""
     allowed = min(state.budget, count_start_slots_of_step(step))
@@ -205,10 +208,8 @@
         return
     slots = state.slots_for(job)
     placement = _find_placement(state, job, step, admitted, slots) if admitted else None
-    wider_slots = None
-    if admitted and not placement:
-        wider_slots = _wider_slots(state, job, step, admitted)
-    if wider_slots is not None:
+    wider_slots = None if placement else _wider_slots(state, job, step, admitted or pending)
+    if wider_slots is not None and admitted:
         placement = _find_placement(state, job, step, admitted, wider_slots)
     if not placement and admitted and state.is_overdue(job):
         placement = _find_less_preferred(state, job, step, admitted)
@@ -227,7 +228,7 @@
     if (
         may_claim
         and len(admitted) < len(pending)
-        and _preempt_own_runs(state, job, step, pending, slots)
+        and _preempt_own_runs(state, job, step, pending, wider_slots or slots)
     ):
         return
     if admitted and may_claim:
@@ -248,9 +249,10 @@
     service = job.record.queue.service
     if job.record.queue.priority > 0 or not state.held_room(service):
         return None
+    table = state.context.reservations
     if _is_within_guarantee(state, job, step, len(pending)):
-        return state.shared_slots(service, -math.inf)
-    return state.shared_slots(service, state.now_ms - SHARED_WITH_URGENT_MS)
+        return state.shared_slots(service, table.job_ids(service))
+    return state.shared_slots(service, table.job_ids_open_to_urgent(service, state.now_ms))
 
 
 def _find_less_preferred(
@@ -272,11 +274,12 @@
         placement = _find_placement(state, job, step, tasks, slots)
         if placement:
             return placement
-    if not state.held_room(job.record.queue.service):
+    service = job.record.queue.service
+    if not state.held_room(service):
         return None
-    made_before_ms = state.now_ms - SHARED_WITH_OVERDUE_MS
-    slots = state.shared_slots(job.record.queue.service, made_before_ms)
-    return _find_placement(state, job, step, tasks, slots)
+    table, run_ms = state.context.reservations, step.spec.estimate_ms
+    open_ids = table.job_ids_open_to_overdue(service, run_ms, state.now_ms)
+    return _find_placement(state, job, step, tasks, state.shared_slots(service, open_ids))
 
 
 def _has_spare_attempt(job: Job, tasks: list[Task]) -> bool:
@@ -307,7 +310,7 @@
     if count >= needed:
         return Hold.RESERVED
     if state.held_room(service):
-        open_slots = state.shared_slots(service, -math.inf)
+        open_slots = state.shared_slots(service, state.context.reservations.job_ids(service))
         if _count_slots(open_slots.free, spec) >= needed:
             return Hold.RESERVED_FOR_OTHERS
     return Hold.EXCLUDED if count + _count_slots(excluded, spec) >= needed else Hold.NO_ROOM
@@ -323,7 +326,9 @@
 
 def _admitted_tasks(state: PassState, job: Job, step: Step, pending: list[Task]) -> list[Task]:
     """Returns the tasks that the workspace's quota admits; of a gang, all or none."""
-    count = count_admitted(state.context, job.record.workspace, step.spec.shape)
+    kept = state.context.reservations.quota_kept_from(job)
+    own_claims = NO_RESOURCES.minus(kept)
+    count = count_admitted(state.context, job.record.workspace, step.spec.shape, own_claims)
     if step.spec.is_gang and count < len(pending):
         return []
     return pending[:count] if count < len(pending) else pending
@@ -488,16 +493,16 @@
         most = shape_slots.widest_rack if needs_one_rack else shape_slots.total
         if most < len(pending):
             return False
-    executors = [each for each in slots.free.executors if each.executor_id not in slots.held]
     candidates = find_candidates(
-        step, executors, queue.max_attempts, state.now_ms, state.suspect_addresses
+        step, slots.free.executors, queue.max_attempts, state.now_ms, state.suspect_addresses
     )
+    kept = _find_kept_capacity(slots)
     searches = [(step, trusted) for trusted in widen_by_trust(candidates)]
     if may_span_racks:
         searches.append((Step(replace(step.spec, wants_one_rack=False), step.tasks), candidates))
     for searched_step, trusted in searches:
         preemption = plan_preemption(
-            state.victims, searched_step, pending, trusted, excess_by_workspace, chosen
+            state.victims, searched_step, pending, trusted, excess_by_workspace, chosen, kept
         )
         if preemption is not None:
             preempt_and_claim(state, job, step, preemption)
@@ -505,6 +510,19 @@
     return False
 
 
+def _find_kept_capacity(slots: ServiceSlots) -> dict[str, Resources]:
+    """Returns the free part of the room that is reserved for other jobs, by executor.
+
+    What preempted runs free may be claimed, because none are placed there for others any more.
+    """
+    kept: dict[str, Resources] = {}
+    for executor in slots.free.executors:
+        held = slots.held.get(executor.executor_id)
+        if held is not None:
+            kept[executor.executor_id] = executor.free_resources.overlap(held)
+    return kept
+
+
 def _preemptible_excess(
     state: PassState, job: Job, step: Step, pending_count: int
 ) -> dict[str, int]:
--- a/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_preemption.py
@@ -17,8 +17,9 @@
 import heapq
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
-from jacinthreel_steps._model import Resources
+from jacinthreel_steps._model import NO_RESOURCES, Resources
 from jacinthreel_steps._planning._placement import Candidate, Placement, Trust, group_by_rack
 from jacinthreel_steps._planning._victims import (
     Victim,
@@ -100,17 +101,19 @@
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
     chosen: Sequence[Victim] = (),
+    kept: Mapping[str, Resources] = MappingProxyType({}),
 ) -> PreemptionPlan | None:
     """Returns the cheapest plan found that places all `tasks`, or None if there is none.
 
     `excess_by_workspace` holds the accelerators that workspaces use beyond their guarantee; only
     their runs of priority 0 may be preempted.  `chosen` are victims that are stopped in any case.
+    `kept` is free capacity, by executor, that is left free.
     """
     if not step.spec.wants_one_rack:
-        return _find_plan(victims, step, tasks, candidates, excess_by_workspace, chosen)
+        return _find_plan(victims, step, tasks, candidates, excess_by_workspace, chosen, kept)
     best: PreemptionPlan | None = None
     for rack_candidates in group_by_rack(candidates).values():
-        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace, chosen)
+        plan = _find_plan(victims, step, tasks, rack_candidates, excess_by_workspace, chosen, kept)
         if plan is not None and (best is None or plan.cost < best.cost):
             best = plan
     return best
@@ -123,11 +126,17 @@
     candidates: list[Candidate],
     excess_by_workspace: Mapping[str, int],
     chosen: Sequence[Victim],
+    kept: Mapping[str, Resources],
 ) -> PreemptionPlan | None:
     search = _Search(
         step,
         candidates,
-        [victims.capacity_soon(item.executor) for item in candidates],
+        [
+            victims.capacity_soon(item.executor).minus(
+                kept.get(item.executor.executor_id, NO_RESOURCES)
+            )
+            for item in candidates
+        ],
         victims,
         dict(excess_by_workspace),
         {item.executor.executor_id: index for index, item in enumerate(candidates)},
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservation_choice.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservation_choice.py
@@ -10,10 +10,13 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import Final
 
 from jacinthreel_steps._model import NO_RESOURCES, Resources, StepSpec
 from jacinthreel_steps._tables import Executor, Run, RunState, Tables
 
+MIN_PERCENT_FOR_PACE: Final = 10
+
 
 class _Rank(IntEnum):
     """How much slots are preferred; lower values come first."""
@@ -121,7 +124,7 @@
     """Whether the tasks of a step fit on the executors if nothing else runs there."""
     left = needed
     for executor in executors:
-        left -= _limit(spec, executor, _capacity(executor, NO_RESOURCES))
+        left -= _limit(spec, executor, executor.listing.capacity)
         if left <= 0:
             return True
     return False
@@ -138,7 +141,7 @@
     spec = demand.spec
     others = held_by_others.get(executor.executor_id, NO_RESOURCES)
     most = _limit(spec, executor, _capacity(executor, others))
-    if most <= 0:
+    if most <= 0 or executor.is_closed:
         return
     held = demand.held_count_by_executor.get(executor.executor_id, 0)
     free = executor.free_resources.minus(others)
@@ -180,8 +183,6 @@
 
 def _limit(spec: StepSpec, executor: Executor, capacity: Resources) -> int:
     """Returns how many tasks of a step the executor may hold in some capacity."""
-    if executor.is_closed:
-        return 0
     if spec.required_label and spec.required_label not in executor.listing.labels:
         return 0
     count = spec.shape.count_fitting_into(capacity)
@@ -189,7 +190,7 @@
 
 
 def _predicted_end_ms(tables: Tables, run: Run, now_ms: int) -> int:
-    """Returns when a run is predicted to end, by its estimate and its progress."""
+    """Returns when a run is predicted to end, by its estimate, its age and its progress."""
     if run.state is RunState.STOPPING:
         return now_ms
     task_id = run.run_id.task
@@ -198,5 +199,8 @@
         return now_ms
     estimate_ms = job.steps[task_id.step_index].spec.estimate_ms
     by_progress_ms = round(estimate_ms * (1 - run.percent / 100))
-    by_age_ms = estimate_ms - (now_ms - (run.start_confirmed_ms or now_ms))
-    return now_ms + max(by_progress_ms, by_age_ms, 0)
+    age_ms = now_ms - (run.start_confirmed_ms or now_ms)
+    if run.percent < MIN_PERCENT_FOR_PACE:
+        return now_ms + max(by_progress_ms, estimate_ms - age_ms, 0)
+    by_pace_ms = age_ms * (100 - run.percent) // run.percent
+    return now_ms + max(by_progress_ms, by_pace_ms)
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservation_table.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservation_table.py
@@ -2,22 +2,23 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Final
 
 from jacinthreel_steps._model import NO_RESOURCES, Resources
+from jacinthreel_steps._tables import Job
 
 SHARED_WITH_URGENT_MS: Final = 5_000  # From when the room was reserved, like the next one.
-SHARED_WITH_OVERDUE_MS: Final = 10_000
+SHARED_WITH_OVERDUE_MS: Final = 10_000  # Later only for tasks that end before the job fits.
 
 
 @dataclass(slots=True)
 class Reservation:
     """The room reserved for a step of a job: how many of its tasks on each executor.
 
-    `shape` is what a task needs.  `made_ms` is when the job first got a reservation for the wait.
+    `shape` is what a task needs.  `made_ms` is when the job first got a reservation for the wait,
+    `fit_ms` when it is predicted to fit.
     """
 
     service: str
@@ -25,9 +26,19 @@
     step_index: int
     shape: Resources
     made_ms: int
+    fit_ms: int
     count_by_executor: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaHolder:
+    """A job that has waited long, and how much of its workspace's quota is kept for it."""
+
+    job_id: str
+    accepted_ms: int
+    amount: Resources
+
+
 class ReservationTable:
     """All reservations, by job, and since when jobs have waited with no run.
 
@@ -36,9 +47,9 @@
 
     `newest_placed_by_service` holds the time of acceptance of the newest job of which a run was
     placed: older jobs that wait have been passed.  `first_made_by_job` holds when a job that still
-    waits first got a reservation.  `retry_by_job` holds when to look again for room
-    for a job that fits on no executors, `retry_by_service` when to look for any in a service where
-    there was not enough beside other reservations.
+    waits first got a reservation.  `retry_by_job` holds when to look again for a
+    job that does not fit on the executors that take tasks, `retry_by_service` when to look for any
+    in a service where there was not enough beside other reservations.
     """
 
     def __init__(self) -> None:
@@ -48,6 +59,7 @@
         self.retry_by_job: dict[str, int] = {}
         self.retry_by_service: dict[str, int] = {}
         self.newest_placed_by_service: dict[str, int] = {}
+        self.quota_holder_by_workspace: dict[str, QuotaHolder] = {}
         self.checked_ms = 0
         self.improved_job = ""
 
@@ -57,18 +69,47 @@
         if accepted_ms > newest.get(service, 0):
             newest[service] = accepted_ms
 
+    def quota_kept_from(self, job: Job) -> Resources:
+        """Returns how much of its workspace's quota a job leaves to one that has waited longer.
+
+        Jobs of priority 0 leave none: their guarantee is within the quota.
+        """
+        holder = self.quota_holder_by_workspace.get(job.record.workspace)
+        if holder is None or holder.job_id == job.job_id or job.record.queue.priority == 0:
+            return NO_RESOURCES
+        return holder.amount if job.accepted_ms >= holder.accepted_ms else NO_RESOURCES
+
+    def job_ids(self, service: str) -> frozenset[str]:
+        """Returns the jobs with reservations in a service."""
+        return frozenset(key for key, item in self.by_job.items() if item.service == service)
+
+    def job_ids_open_to_urgent(self, service: str, now_ms: int) -> frozenset[str]:
+        """Returns the jobs whose reserved room urgent jobs may use."""
+        return frozenset(
+            job_id
+            for job_id, item in self.by_job.items()
+            if item.service == service and now_ms - item.made_ms < SHARED_WITH_URGENT_MS
+        )
+
+    def job_ids_open_to_overdue(self, service: str, run_ms: int, now_ms: int) -> frozenset[str]:
+        """Returns the jobs whose reserved room overdue jobs may use for tasks of this run time."""
+        return frozenset(
+            job_id
+            for job_id, item in self.by_job.items()
+            if item.service == service
+            and (now_ms - item.made_ms < SHARED_WITH_OVERDUE_MS or item.fit_ms >= now_ms + run_ms)
+        )
+
     def held_by_executor(
-        self, service: str, except_job: str = "", made_before_ms: float = math.inf
+        self, service: str, open_ids: Collection[str] = ()
     ) -> Mapping[str, Resources]:
         """Returns the reserved room on the executors of a service that have some.
 
-        That of `except_job`, and what was reserved after a time, is left out.
+        That of the jobs in `open_ids` is left out.
         """
         held: dict[str, Resources] = {}
         for job_id, reservation in self.by_job.items():
-            if reservation.service != service or job_id == except_job:
-                continue
-            if reservation.made_ms > made_before_ms:
+            if reservation.service != service or job_id in open_ids:
                 continue
             for executor_id, count in reservation.count_by_executor.items():
                 amount = reservation.shape.times(count)
--- a/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
@@ -23,6 +23,8 @@
 from typing import Final
 
 from jacinthreel_steps._context import Context
+from jacinthreel_steps._executors._crash_evidence import has_suspects
+from jacinthreel_steps._model import Resources
 from jacinthreel_steps._planning._placement import UsableExecutors
 from jacinthreel_steps._planning._reservation_choice import (
     Choice,
@@ -30,14 +32,16 @@
     choose_executors,
     fits_when_empty,
 )
-from jacinthreel_steps._planning._reservation_table import Reservation
-from jacinthreel_steps._tables import Executor, Job, Step
+from jacinthreel_steps._planning._reservation_table import QuotaHolder, Reservation
+from jacinthreel_steps._tables import Executor, Job, Step, Tables
+from jacinthreel_steps._workspaces._limits import fits_empty_quota
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
 RESERVE_AFTER_MS: Final = 5_000
 MAX_RESERVED_SHARE: Final = 0.4
 CHECK_PERIOD_MS: Final = 250
-RETRY_MS: Final = 5_000  # For a job that fits on no executors.
+MAX_RESERVATIONS: Final = 10  # For each service.
+RETRY_MS: Final = 500  # For a job that does not fit on the executors that take tasks now.
 FULL_RETRY_MS: Final = 1_000  # For a service without enough room beside other reservations.
 MAX_COMPARED: Final = 1_500  # Executors to compare in a check; at least those of one service.
 
@@ -53,7 +57,7 @@
     @property
     def needed(self) -> int:
         """How many tasks have to fit: all of a gang, one of another step."""
-        return len(self.step.tasks) if self.step.spec.is_gang else 1
+        return _count_needed(self.step)
 
     @property
     def service(self) -> str:
@@ -61,6 +65,10 @@
         return self.job.record.queue.service
 
 
+def _count_needed(step: Step) -> int:
+    return len(step.tasks) if step.spec.is_gang else 1
+
+
 def update_reservations(context: Context, usable: UsableExecutors, now_ms: int) -> None:
     """Makes, changes and releases reservations; a no-op unless a check is due."""
     table = context.reservations
@@ -71,8 +79,10 @@
     for times in (table.first_made_by_job, table.retry_by_job):
         for job_id in [job_id for job_id in times if job_id not in starved]:
             del times[job_id]
-    _renew_reservations(context, usable, starved, now_ms)
-    _make_reservations(context, usable, starved.values(), now_ms)
+    table.quota_holder_by_workspace = _find_quota_holders(context, starved.values())
+    check = _Check(context, usable, now_ms)
+    _renew_reservations(check, starved)
+    _make_reservations(check, starved.values())
 
 
 def release_reservation(context: Context, job_id: str, now_ms: int) -> None:
@@ -87,149 +97,206 @@
 def _find_starved(context: Context, now_ms: int) -> list[_Starved]:
     """Returns the jobs that have waited too long with no run, the longest wait first.
 
-    Those that wait only for jobs that were accepted earlier are left out.
+    Those that wait only for jobs that were accepted earlier are left out, and those that would not
+    fit if nothing else ran.
     """
     table = context.reservations
     jobs = context.tables.open_jobs_by_id.values()
     for job in jobs:
         if job.has_begun:
             table.note_placed(job.record.queue.service, job.accepted_ms)
+    room = _ListedRoom(context.tables)
     starved: list[_Starved] = []
     since_by_job: dict[str, int] = {}
     for job in jobs:
         if job.announced_ms is not None or now_ms - job.accepted_ms < RESERVE_AFTER_MS:
             continue
-        step = _find_waiting_step(job)
-        if step is None:
+        steps = _find_waiting_steps(job)
+        if not steps:
             continue
         since_ms = table.since_by_job.get(job.job_id, now_ms if job.has_begun else job.accepted_ms)
         since_by_job[job.job_id] = since_ms
-        is_passed = job.accepted_ms < table.newest_placed_by_service.get(
-            job.record.queue.service, 0
-        )
-        if is_passed and now_ms - since_ms >= RESERVE_AFTER_MS:
+        service = job.record.queue.service
+        is_passed = job.accepted_ms < table.newest_placed_by_service.get(service, 0)
+        if not is_passed or now_ms - since_ms < RESERVE_AFTER_MS:
+            continue
+        step = next((each for each in steps if room.fits(service, each)), None)
+        if step is not None:
             starved.append(_Starved(since_ms, job, step))
     table.since_by_job = since_by_job
     starved.sort(key=lambda item: (item.since_ms, item.job.job_id))
     return starved
 
 
-def _find_waiting_step(job: Job) -> Step | None:
-    """Returns the first step to place of a job without runs, None if it has some or none is ready.
+def _find_waiting_steps(job: Job) -> list[Step]:
+    """Returns the steps to place of a job without runs; none if it has some.
 
-    Steps under which executors were lost are left out: trials decide where they run.
+    Steps with suspects are left out: trials decide where they run.
     """
     open_steps = [step for step in job.steps if not step.is_done]
     for step in open_steps:
         if any(task.run is not None for task in step.tasks):
-            return None
-    for step in open_steps:
-        if not job.is_step_ready(step) or step.gang_losses is not None:
-            continue
-        if not any(task.crash_record for task in step.tasks):
-            return step
-    return None
+            return []
+    return [step for step in open_steps if job.is_step_ready(step) and not has_suspects(step)]
+
 
+class _ListedRoom:
+    """Whether steps fit on the executors of a service that are listed and stay, if these are empty.
+
+    Executors that don't take tasks for the moment count.  Each kind of step is tried once.
+    """
 
-def _renew_reservations(
-    context: Context, usable: UsableExecutors, starved: dict[str, _Starved], now_ms: int
-) -> None:
+    def __init__(self, tables: Tables) -> None:
+        self._tables = tables
+        self._executors_by_service: dict[str, list[Executor]] = {}
+        self._fits_by_kind: dict[tuple[str, str, Resources, int, int], bool] = {}
+
+    def fits(self, service: str, step: Step) -> bool:
+        """Whether a task of a step fits, or the whole gang."""
+        spec, needed = step.spec, _count_needed(step)
+        kind = (service, spec.required_label, spec.shape, spec.max_per_executor, needed)
+        fits = self._fits_by_kind.get(kind)
+        if fits is None:
+            fits = fits_when_empty(spec, needed, self._executors(service))
+            self._fits_by_kind[kind] = fits
+        return fits
+
+    def _executors(self, service: str) -> list[Executor]:
+        if not self._executors_by_service:
+            zones_out = self._tables.policy.zones_out_of_service
+            for executor in self._tables.executors_by_id.values():
+                listing = executor.listing
+                if not executor.is_listed or listing.is_draining or listing.zone in zones_out:
+                    continue
+                self._executors_by_service.setdefault(listing.service, []).append(executor)
+        return self._executors_by_service.get(service, [])
+
+
+def _find_quota_holders(context: Context, starved: Iterable[_Starved]) -> dict[str, QuotaHolder]:
+    """Returns the job of each workspace with a quota that has waited longest, with its needs.
+
+    Jobs that exceed the whole quota are left out.
+    """
+    quotas = context.tables.policy.quota_by_workspace
+    holders: dict[str, QuotaHolder] = {}
+    for item in starved:
+        workspace = item.job.record.workspace
+        quota, shape = quotas.get(workspace), item.step.spec.shape
+        if quota is None or workspace in holders or item.job.record.queue.priority == 0:
+            continue
+        if fits_empty_quota(quota, item.needed, shape):
+            amount = shape.times(item.needed)
+            holders[workspace] = QuotaHolder(item.job.job_id, item.job.accepted_ms, amount)
+    return holders
+
+
+class _Check:
+    """The inputs of one check, with the executors of each service that take tasks."""
+
+    def __init__(self, context: Context, usable: UsableExecutors, now_ms: int) -> None:
+        self.context = context
+        self.now_ms = now_ms
+        self._usable = usable
+        self._executors_by_service: dict[str, dict[str, Executor]] = {}
+
+    def executors(self, service: str) -> dict[str, Executor]:
+        """Returns the executors of a service that take tasks, also slow ones, by id."""
+        executors_by_id = self._executors_by_service.get(service)
+        if executors_by_id is None:
+            executors = self._usable.by_service.get(service, [])
+            executors = executors + self._usable.slow_by_service.get(service, [])
+            executors_by_id = {executor.executor_id: executor for executor in executors}
+            self._executors_by_service[service] = executors_by_id
+        return executors_by_id
+
+    def is_admitted(self, item: _Starved) -> bool:
+        """Whether the quota of its workspace admits a job."""
+        workspace = item.job.record.workspace
+        return count_admitted(self.context, workspace, item.step.spec.shape) >= item.needed
+
+    def choose(self, item: _Starved) -> Choice | None:
+        """Returns the room to reserve for a job beside other reservations, None if none is left."""
+        table, job_id = self.context.reservations, item.job.job_id
+        reservation = table.by_job.get(job_id)
+        held = {} if reservation is None else reservation.count_by_executor
+        held_by_others = table.held_by_executor(item.service, (job_id,))
+        demand = Demand(item.step.spec, item.needed, held)
+        executors = list(self.executors(item.service).values())
+        return choose_executors(self.context.tables, demand, executors, held_by_others, self.now_ms)
+
+
+def _renew_reservations(check: _Check, starved: dict[str, _Starved]) -> None:
     """Releases reservations that are of no use, and replaces room that is gone.
 
     One of them also takes room that is free now for room that isn't; each has its turn.
     """
-    table = context.reservations
+    table = check.context.reservations
     order = list(table.by_job)
     turn = order.index(table.improved_job) + 1 if table.improved_job in table.by_job else 0
     table.improved_job = order[turn % len(order)] if order else ""
     for job_id in order:
-        item = starved.get(job_id)
-        if item is None or not _renew(context, usable, item, now_ms):
-            release_reservation(context, job_id, now_ms)
-
-
-def _renew(context: Context, usable: UsableExecutors, item: _Starved, now_ms: int) -> bool:
-    """Replaces the room of a reservation as needed; returns whether there is enough."""
-    table = context.reservations
-    reservation = table.by_job[item.job.job_id]
-    if reservation.step_index != item.step.index or not _is_admitted(context, item):
-        return False
-    executors = _usable_executors(usable, item.service)
-    usable_ids = {executor.executor_id for executor in executors}
-    is_whole = all(key in usable_ids for key in reservation.count_by_executor)
-    if is_whole and table.improved_job != item.job.job_id:
-        return True
-    choice = _choose(context, item, executors, now_ms)
-    if choice is None:
-        return False
-    reservation.count_by_executor = choice.count_by_executor
-    return True
+        item, reservation = starved.get(job_id), table.by_job[job_id]
+        if item is None or reservation.step_index != item.step.index or not check.is_admitted(item):
+            release_reservation(check.context, job_id, check.now_ms)
+            continue
+        executors_by_id = check.executors(item.service)
+        is_whole = all(key in executors_by_id for key in reservation.count_by_executor)
+        if is_whole and table.improved_job != job_id:
+            continue
+        choice = check.choose(item)
+        if choice is None:
+            continue  # The room that is left is kept, until other executors take tasks again.
+        reservation.count_by_executor = choice.count_by_executor
+        reservation.fit_ms = choice.fit_ms
 
 
-def _make_reservations(
-    context: Context, usable: UsableExecutors, starved: Iterable[_Starved], now_ms: int
-) -> None:
+def _make_reservations(check: _Check, starved: Iterable[_Starved]) -> None:
     """Makes reservations, the longest wait first.
 
     A job for which there is not enough room beside other reservations keeps later ones from getting
     any in its service, for `FULL_RETRY_MS` or until one is released.
     """
-    table = context.reservations
+    table, now_ms = check.context.reservations, check.now_ms
     holders = {(each.service, each.workspace) for each in table.by_job.values()}
     compared = 0
     for item in starved:
         holder = (item.service, item.job.record.workspace)
         if holder in holders or now_ms < table.retry_by_service.get(item.service, 0):
             continue
-        if now_ms < table.retry_by_job.get(item.job.job_id, 0) or not _is_admitted(context, item):
+        if now_ms < table.retry_by_job.get(item.job.job_id, 0) or not check.is_admitted(item):
             continue
         if compared >= MAX_COMPARED:
             return
-        executors = _usable_executors(usable, item.service)
-        compared += len(executors)
-        choice = _choose(context, item, executors, now_ms)
-        if choice is not None and _is_within_share(context, item, executors, choice):
+        executors_by_id = check.executors(item.service)
+        if not executors_by_id:
+            continue
+        compared += len(executors_by_id)
+        choice = check.choose(item)
+        if choice is not None and _is_within_limits(check, item, choice):
             holders.add(holder)
-            _reserve(context, item, choice, now_ms)
-        elif choice is not None or fits_when_empty(item.step.spec, item.needed, executors):
+            _reserve(check, item, choice)
+        elif choice is not None or fits_when_empty(
+            item.step.spec, item.needed, executors_by_id.values()
+        ):
             table.retry_by_service[item.service] = now_ms + FULL_RETRY_MS
         else:
             table.retry_by_job[item.job.job_id] = now_ms + RETRY_MS
 
 
-def _is_admitted(context: Context, item: _Starved) -> bool:
-    workspace = item.job.record.workspace
-    return count_admitted(context, workspace, item.step.spec.shape) >= item.needed
-
-
-def _usable_executors(usable: UsableExecutors, service: str) -> list[Executor]:
-    return usable.by_service.get(service, []) + usable.slow_by_service.get(service, [])
-
-
-def _choose(
-    context: Context, item: _Starved, executors: list[Executor], now_ms: int
-) -> Choice | None:
-    job_id = item.job.job_id
-    reservation = context.reservations.by_job.get(job_id)
-    held = {} if reservation is None else reservation.count_by_executor
-    held_by_others = context.reservations.held_by_executor(item.service, job_id)
-    demand = Demand(item.step.spec, item.needed, held)
-    return choose_executors(context.tables, demand, executors, held_by_others, now_ms)
-
-
-def _is_within_share(
-    context: Context, item: _Starved, executors: list[Executor], choice: Choice
-) -> bool:
+def _is_within_limits(check: _Check, item: _Starved, choice: Choice) -> bool:
     """Whether a further reservation leaves enough executors without any; the first one may."""
-    reserved_ids = set(context.reservations.held_by_executor(item.service))
+    table = check.context.reservations
+    reserved_ids = set(table.held_by_executor(item.service))
     if not reserved_ids:
         return True
     reserved_ids.update(choice.count_by_executor)
-    return len(reserved_ids) <= MAX_RESERVED_SHARE * len(executors)
+    if len(table.job_ids(item.service)) >= MAX_RESERVATIONS:
+        return False
+    return len(reserved_ids) <= MAX_RESERVED_SHARE * len(check.executors(item.service))
 
 
-def _reserve(context: Context, item: _Starved, choice: Choice, now_ms: int) -> None:
-    table = context.reservations
+def _reserve(check: _Check, item: _Starved, choice: Choice) -> None:
+    table, now_ms = check.context.reservations, check.now_ms
     job_id = item.job.job_id
     table.by_job[job_id] = Reservation(
         item.service,
@@ -237,9 +304,10 @@
         item.step.index,
         item.step.spec.shape,
         table.first_made_by_job.setdefault(job_id, now_ms),
+        choice.fit_ms,
         choice.count_by_executor,
     )
-    context.log(
+    check.context.log(
         "executors_reserved",
         {
             "job_id": job_id,
--- a/packages/steps/tests/test_reservations.py
+++ b/packages/steps/tests/test_reservations.py
@@ -288,3 +288,145 @@
     world.submit("wide", replace(WIDE, count=rng.randint(4, EXECUTORS)))
     world.pass_stream(5 * BOUND_MS, later)
     assert waits(world, "wide")[0] <= RESERVE_AFTER_MS + SHARED_WITH_OVERDUE_MS + RUN_MS + MARGIN_MS
+
+
+def hold_all_executors_beside_long_runs(world: StreamWorld, **options: Any) -> None:
+    """Fills all executors with runs of a minute, with a gang that waits for all of them."""
+    for index in range(EXECUTORS):
+        if index == EXECUTORS - 1:
+            world.submit("wide", replace(WIDE, count=EXECUTORS))
+            world.pass_stream(500, nothing)
+        world.run_ms_by_job[f"long{index}"] = 60_000
+        world.submit(f"long{index}", SINGLE, **(options if index < 2 else {}))
+        world.pass_stream(ROUND_MS, nothing)
+
+
+def test_urgent_job_preempts_nothing_because_all_executors_have_held_room() -> None:
+    world = StreamWorld()
+    hold_all_executors_beside_long_runs(world)
+    world.pass_stream(SHARED_WITH_URGENT_MS, nothing)
+    world.submit("urgent", NARROW, terms=queue(0), workspace="u")
+    world.pass_stream(RECLAIM_MS, nothing)
+    assert waits(world, "urgent")[0] <= RECLAIM_MS
+
+
+def test_guaranteed_job_preempts_no_runs_of_its_workspace_beside_held_room() -> None:
+    policy = Policy(
+        1,
+        quota_by_workspace={"u": Resources(10**9, 10**9, 16)},
+        guaranteed_accelerators_by_workspace={"u": 16},
+    )
+    world = StreamWorld(policy=policy)
+    hold_all_executors_beside_long_runs(world, workspace="u")
+    world.pass_stream(RESERVE_AFTER_MS, nothing)
+    world.submit("urgent", NARROW, terms=queue(0), workspace="u")
+    world.pass_stream(RECLAIM_MS, nothing)
+    assert waits(world, "urgent")[0] <= RECLAIM_MS
+
+
+def test_job_in_a_mostly_idle_service_is_kept_out_by_a_reservation_that_lasts() -> None:
+    world = StreamWorld(10)
+    world.run_ms_by_job["long"] = 60_000
+    world.submit("long", SINGLE)
+    world.submit("wide", replace(WIDE, count=10))
+    world.pass_stream(RESERVE_AFTER_MS, submit_every(NEVER_MS, SINGLE, "first"))
+    world.pass_stream(30_000, submit_every(10, SINGLE))
+    later = [job_id for job_id in world.accepted_by_job if job_id.startswith("later")]
+    assert max(waits(world, *later[:-3])) <= RECLAIM_MS
+
+
+def test_wide_gang_waits_for_ever_while_later_jobs_use_the_quota_of_its_workspace() -> None:
+    world = StreamWorld(policy=Policy(1, quota_by_workspace={"w": Resources(10**9, 10**9, 48)}))
+    world.pass_stream(FILLING_MS, GANGS)
+    world.submit("wide", WIDE)
+    world.pass_stream(4 * BOUND_MS, GANGS)
+    assert waits(world, "wide")[0] <= BOUND_MS + RUN_MS
+
+
+def wait_after_loss(world: StreamWorld, job_id: str, later: Stream) -> int:
+    """Returns how long a job has no run after it has lost an executor."""
+    name = min(run.executor_id for run in world.runs(job_id))
+    del world.listings[name], world.running[name]
+    world.scheduler.expire_executor(name, "silent", world.now_ms)
+    world.scheduler.remove_listing(name)
+    job = world.scheduler.tables.jobs_by_id[job_id]
+    while job.live_runs():
+        world.pass_stream(ROUND_MS, later)
+    begin_ms = world.now_ms
+    while not job.live_runs() and world.now_ms - begin_ms < 4 * BOUND_MS:
+        world.pass_stream(ROUND_MS, later)
+    return world.now_ms - begin_ms
+
+
+@pytest.mark.parametrize("executors", [7, 8])
+def test_gang_that_lost_one_executor_waits_for_ever(executors: int) -> None:
+    world = StreamWorld(executors)
+    world.run_ms_by_job["wide"] = 60_000
+    world.submit("wide", WIDE)
+    world.pass_stream(1_000, nothing)
+    for index in range(executors - WIDE.count):
+        world.submit(f"other{index}", SINGLE)
+    world.pass_stream(1_000, nothing)
+    assert wait_after_loss(world, "wide", GANGS) <= BOUND_MS + RUN_MS
+
+
+def test_late_task_that_lost_its_executor_waits_for_ever() -> None:
+    world = StreamWorld()
+    world.run_ms_by_job["single"] = 90_000
+    world.submit("single", SINGLE)
+    world.pass_stream(40_000, SINGLES)
+    assert wait_after_loss(world, "single", SINGLES) <= BOUND_MS
+
+
+@pytest.mark.parametrize("period", [NEVER_MS, 50])
+def test_next_owner_reserves_nothing_because_it_plans_before_executors_report(period: int) -> None:
+    world = StreamWorld()
+
+    def later(world: StreamWorld, number: int) -> None:
+        if number == 94 or number % period == 0:
+            accepted = dict(world.accepted_by_job)
+            world.scheduler = world._make_scheduler()
+            for job_id, record in world.records.items():
+                row = world.rows.get(job_id)
+                world.scheduler.add_job(record, row, accepted[job_id], world.now_ms)
+            world.scheduler.plan(world.now_ms)  # As an owner does once it has read the tables.
+        GANGS(world, number)
+
+    world.pass_stream(FILLING_MS, later)
+    world.submit("wide", WIDE)
+    world.pass_stream(4 * BOUND_MS, later)
+    assert waits(world, "wide")[0] <= BOUND_MS + RUN_MS
+
+
+def test_wide_gang_waits_for_ever_behind_jobs_that_fit_on_no_executors() -> None:
+    world = StreamWorld()
+    for index in range(100):
+        spec = replace(SINGLE, required_label="none")
+        world.submit(f"nowhere{index}", spec, workspace=f"x{index}")
+    world.pass_stream(FILLING_MS, GANGS)
+    world.submit("wide", WIDE)
+    world.pass_stream(4 * BOUND_MS, GANGS)
+    assert waits(world, "wide")[0] <= BOUND_MS + RUN_MS
+
+
+def test_gang_waits_for_ever_beside_a_step_of_its_job_that_fits_nowhere() -> None:
+    world = StreamWorld()
+    world.pass_stream(FILLING_MS, GANGS)
+    world.submit("wide", replace(SINGLE, required_label="none"), WIDE)
+    world.pass_stream(4 * BOUND_MS, GANGS)
+    assert waits(world, "wide")[0] <= BOUND_MS
+
+
+def test_gang_waits_for_ever_because_one_executor_is_silent_for_two_seconds_now_and_then() -> None:
+    world = StreamWorld()
+    report = world.report
+
+    def report_unless_silent(name: str, incarnation: int | None = None) -> None:
+        if name != "e7" or (world.now_ms - world.begin_ms) // ROUND_MS % 80 >= 20:
+            report(name, incarnation)
+
+    world.report = report_unless_silent  # type: ignore[method-assign]
+    world.pass_stream(FILLING_MS, GANGS)
+    world.submit("wide", replace(WIDE, count=EXECUTORS))
+    world.pass_stream(8 * BOUND_MS, GANGS)
+    assert waits(world, "wide")[0] <= 3 * BOUND_MS
