--- a/packages/steps/tests/test_reservations.py
+++ b/packages/steps/tests/test_reservations.py
@@ -150,6 +150,17 @@
     assert waits(world, "wide")[0] <= BOUND_MS
 
 
+def test_gang_that_wants_one_rack_is_spread_because_it_has_waited() -> None:
+    world = StreamWorld()
+    world.pass_stream(FILLING_MS, SINGLES)
+    world.submit("wide", replace(WIDE, count=4, wants_one_rack=True))
+    while not world.runs("wide"):
+        world.pass_stream(ROUND_MS, SINGLES)
+        assert world.now_ms - world.accepted_by_job["wide"] <= BOUND_MS
+    racks = {world.listings[run.executor_id].rack for run in world.runs("wide")}
+    assert len(racks) == 1
+
+
 @pytest.mark.parametrize(("workspaces", "turns"), [(("w", "w"), 2), (("w", "v"), 2)])
 def test_second_wide_gang_waits_for_ever_behind_the_first(
     workspaces: tuple[str, ...], turns: int
