An overdue gang returns to the executor that it was moved from

A gang of priority 0 that was stopped because a member was slow avoids that member's executor for 6 s. If it fits only with this executor, it had nothing at work all the while, though room was free: the one preference that did not end when a job is overdue.

`find_candidates` now leaves the executor out only while the job is not overdue. The test has four usable executors, four more that have not reported, and a moved gang of four: on the code before it had no run 2.75 s after the move; now it runs, and it still doesn't return within 1.5 s.

--- a/packages/steps/src/jacinthreel_steps/_planning/_placement.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_placement.py
@@ -101,10 +101,12 @@
     max_attempts: int,
     now_ms: int,
     suspect_addresses: Set[str] = frozenset(),
+    is_overdue: bool = False,
 ) -> list[Candidate]:
     """Returns a candidate for each of `executors` that has the label required by the step.
 
-    Executors at `suspect_addresses`, and those lost under the step, are less preferred.
+    Executors at `suspect_addresses`, and those lost under the step, are less preferred.  Only an
+    overdue gang returns to an executor that it was just moved from.
     """
     spec = step.spec
     placed_count_by_executor = _count_tasks_by_executor(step) if spec.max_per_executor else {}
@@ -115,13 +117,14 @@
     }
     suspect_addresses = suspect_addresses | step.lost_addresses()
     is_last_attempt = any(0 < max_attempts - 1 <= task.failures for task in step.tasks)
+    move = step.move if not is_overdue else None
     candidates: list[Candidate] = []
     for executor in executors:
         if executor.is_closed:
             continue
         if spec.required_label and spec.required_label not in executor.listing.labels:
             continue
-        if step.move is not None and _was_just_moved_from(step.move, executor, now_ms):
+        if move is not None and _was_just_moved_from(move, executor, now_ms):
             continue
         slots_left = spec.count
         if spec.max_per_executor:
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -345,8 +345,14 @@
     """Returns the candidates for a step on which at least one task fits now."""
     spec = step.spec
     executors = slots.free.fitting_executors(spec.required_label, spec.shape)
-    max_attempts = job.record.queue.max_attempts
-    return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
+    return find_candidates(
+        step,
+        executors,
+        job.record.queue.max_attempts,
+        state.now_ms,
+        state.suspect_addresses,
+        state.is_overdue(job),
+    )
 
 
 def _may_span_racks(state: PassState, job: Job, step: Step, slots: ServiceSlots) -> bool:
--- a/packages/steps/tests/test_slowness.py
+++ b/packages/steps/tests/test_slowness.py
@@ -9,10 +9,13 @@
 
 
 def gang_with_progress(
-    percents: dict[str, int], priority: int = 0, after_ms: int = 1_000
+    percents: dict[str, int],
+    priority: int = 0,
+    after_ms: int = 1_000,
+    executors: tuple[str, ...] = EXECUTORS,
 ) -> SchedulerHarness:
-    """Returns a harness with a gang on four of five executors that have reported `percents`."""
-    harness = SchedulerHarness(*(listing(name) for name in EXECUTORS))
+    """Returns a harness with a gang on four of the executors that have reported `percents`."""
+    harness = SchedulerHarness(*(listing(name) for name in executors))
     gang = step(4, accelerators=8, is_gang=True)
     harness.submit("j1", gang, terms=queue(priority))
     harness.settle()
@@ -68,6 +71,18 @@
     assert slow not in {run.executor_id for run in runs}
 
 
+def test_moved_gang_that_fits_only_with_the_executor_that_it_left_is_placed_when_overdue() -> None:
+    # Guards against 6 s without work while executors that it could run on are free.
+    harness = gang_with_progress({"a": 40, "b": 38, "c": 45, "d": 2}, executors=EXECUTORS[:4])
+    assert logged_executors(harness, "gang_moved")
+    for index in range(4):  # Room that may be used soon: these have not reported yet.
+        harness.scheduler.apply_listing(listing(f"silent{index}"), harness.now_ms)
+    harness.pass_time(1_500)
+    assert harness.runs("j1") == []
+    harness.pass_time(1_250)
+    assert [run.run_id.number for run in harness.runs("j1")] == [2, 2, 2, 2]
+
+
 def test_gang_is_moved_at_most_once() -> None:
     harness = gang_with_progress({"a": 40, "b": 38, "c": 45, "d": 2})
     harness.settle()
