Urgent tasks outside gangs take capacity that becomes free before what they claimed

A task of priority 0 that waited for claimed capacity stayed with its claim until the victim had stopped, or the claim timed out after a stop and 0.6 s, also if another executor became free meanwhile. Only gangs were placed elsewhere.

`_place_claimed_elsewhere` now does it for both: a gang as a whole, other tasks as many as fit and the quota admits; only their claims are released. On the code before, two of the three tests fail: the task was still claimed after another executor had become free.

--- a/packages/steps/src/jacinthreel_steps/_planning/_claims.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_claims.py
@@ -16,7 +16,7 @@
 from jacinthreel_steps._planning._preemption import PreemptionPlan
 from jacinthreel_steps._planning._run_creation import commit_placement, create_runs
 from jacinthreel_steps._runs._lifecycle import release_run, stop_gang, stop_run
-from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables
+from jacinthreel_steps._tables import Job, Run, RunState, Step, Tables, Task
 from jacinthreel_steps._workspaces._quotas import count_admitted_claims
 
 CLAIM_MARGIN_MS: Final = 600
@@ -49,17 +49,20 @@
     create_runs(state, job, step, preemption.placement, RunState.CLAIMED)
 
 
-def is_gang_claimed(job: Job, step: Step) -> bool:
-    """Whether the step is a gang that waits for claimed capacity."""
-    if job.record.queue.priority > 0 or not step.spec.is_gang:
-        return False
-    return all(task.run is not None and task.run.state is RunState.CLAIMED for task in step.tasks)
+def claimed_tasks(job: Job, step: Step) -> list[Task]:
+    """Returns the tasks that wait for claimed capacity; of a gang, all or none."""
+    if job.record.queue.priority > 0:
+        return []
+    claimed = [
+        task for task in step.tasks if task.run is not None and task.run.state is RunState.CLAIMED
+    ]
+    return [] if step.spec.is_gang and len(claimed) < len(step.tasks) else claimed
 
 
-def release_gang_claims(state: PassState, job: Job, step: Step) -> None:
-    """Releases the claims of a gang; the capacity goes to the next urgent jobs."""
+def release_claims(state: PassState, job: Job, tasks: list[Task]) -> None:
+    """Releases the claims of some tasks; the capacity goes to the next urgent jobs."""
     released: list[Run] = []
-    for task in step.tasks:
+    for task in tasks:
         run = task.run
         if run is None:
             continue
--- a/packages/steps/src/jacinthreel_steps/_planning/_planner.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_planner.py
@@ -25,10 +25,10 @@
 from jacinthreel_steps._executors._executor_health import is_suspect
 from jacinthreel_steps._model import StepSpec
 from jacinthreel_steps._planning._claims import (
-    is_gang_claimed,
+    claimed_tasks,
     place_or_release_claims,
     preempt_and_claim,
-    release_gang_claims,
+    release_claims,
 )
 from jacinthreel_steps._planning._job_order import job_sort_key
 from jacinthreel_steps._planning._pass_state import (
@@ -108,6 +108,9 @@
         if state.budget <= 0:
             state.context.waiting_jobs.note(job, Hold.PASS_ENDED)
             return
+        claimed = claimed_tasks(job, step)
+        if claimed:
+            _place_claimed_elsewhere(state, job, step, claimed)
         pending = job.pending_tasks(step)
         if pending and not step.spec.is_gang:
             pending = pending[: _count_allowed(state, job, step)]
@@ -117,8 +120,6 @@
             pending = schedule_trials(state, job, step, pending)
             if pending:
                 _schedule_step(state, job, step, pending)
-        elif is_gang_claimed(job, step):
-            _place_claimed_gang_elsewhere(state, job, step)
 
 
 def _place_first_task(state: PassState, job: Job) -> None:
@@ -328,16 +329,18 @@
     return find_candidates(step, executors, max_attempts, state.now_ms, state.suspect_addresses)
 
 
-def _place_claimed_gang_elsewhere(state: PassState, job: Job, step: Step) -> None:
-    """Places a gang that waits for claimed capacity if other capacity has become free meanwhile."""
+def _place_claimed_elsewhere(state: PassState, job: Job, step: Step, claimed: list[Task]) -> None:
+    """Places tasks that wait for claimed capacity where capacity has become free meanwhile."""
     shape = step.spec.shape
-    own_claims = shape.times(len(step.tasks))
-    if count_admitted(state.context, job.record.workspace, shape, own_claims) < len(step.tasks):
+    own_claims = shape.times(len(claimed))
+    admitted = count_admitted(state.context, job.record.workspace, shape, own_claims)
+    if admitted < len(claimed):
+        claimed = [] if step.spec.is_gang else claimed[:admitted]
+    if not claimed:
         return
-    slots = state.slots_for(job)
-    placement = _find_placement(state, job, step, step.tasks, slots)
+    placement = _find_placement(state, job, step, claimed, state.slots_for(job))
     if placement:
-        release_gang_claims(state, job, step)
+        release_claims(state, job, [task for task, _ in placement])
         place_tasks(state, job, step, placement)
 
 
