Grants are written with the time limit of a takeover

An owner isn't ready before its first row is stored. With a shorter limit than the takeover's, a store that answers each commit after 1 to 1.5 s would let owners take over that never become ready.

--- a/packages/node/src/jacinthreel_node/_executor_grants.py
+++ b/packages/node/src/jacinthreel_node/_executor_grants.py
@@ -32,7 +32,7 @@
     encode_record,
 )
 
-COMMIT_TIMEOUT_MS: Final = 1_000
+COMMIT_TIMEOUT_MS: Final = 1_500  # As for a takeover: a store that took one takes this too.
 RETRY_PAUSE_MS: Final = 200
 
 
