Grants: no row until an owner narrows it

Before, the first row was written while the tables are loaded.

Without a row of its epoch an owner now counts as one that may have granted leases anywhere, as before this work. What is lost: an owner that ends before it has loaded isn't known to have granted none.

--- a/packages/node/src/jacinthreel_node/_executor_grants.py
+++ b/packages/node/src/jacinthreel_node/_executor_grants.py
@@ -5,12 +5,12 @@
 It is one row, written under the condition that the owner row is unchanged: what a next owner reads
 after its takeover is final, and this owner can't grant beyond it any more.
 
-The row allows all executors from the start, so that an owner needs no write more to renew leases.
-`narrow` limits it to those with leases of this owner; from then on each further executor is stored
-before the first lease there.
+Without a row of its epoch an owner may grant leases anywhere, so that it needs no write to renew
+them after its takeover.  `narrow` stores those with leases of this owner; from then on each further
+executor is stored before the first lease there.
 
-Invariant: every executor with a lease of this owner is in the stored row, whichever of the writes
-on their way takes effect.
+Invariant: every executor with a lease of this owner is in the stored row of its epoch, if there is
+one, whichever of the writes on their way takes effect.
 """
 
 from __future__ import annotations
@@ -32,7 +32,7 @@
     encode_record,
 )
 
-COMMIT_TIMEOUT_MS: Final = 1_500  # As for a takeover: a store that took one takes this too.
+COMMIT_TIMEOUT_MS: Final = 1_500  # As for a takeover.
 RETRY_PAUSE_MS: Final = 200
 
 
@@ -56,7 +56,7 @@
         self._on_lost = on_lost
         self._log = log
         self._granted_ids: set[str] = set()
-        self._allowed_ids: Set[str] | None = frozenset()  # None for all.
+        self._allowed_ids: Set[str] | None = None  # None for all.
         self._wanted_ids: set[str] = set()
         self._keeps_all = False
         self._row_version = 0
@@ -77,14 +77,15 @@
         """Whether this owner may have granted a lease itself, not through relays."""
         return executor_id in self._granted_ids
 
-    async def begin(self, row: Row | None) -> None:
-        """Allows all executors; `row` is the stored one, None if there is none."""
+    def record_stored(self, row: Row | None) -> None:
+        """Records the row that later writes replace, read after the takeover; None if absent."""
         self._row_version = row.version if row is not None else 0
-        async with self._write_lock:
-            await self._allow_all()
 
     async def narrow(self) -> None:
-        """Allows only executors with leases of this owner, unless relays may grant others."""
+        """Allows only executors with leases of this owner, unless relays may grant others.
+
+        Call it after `record_stored`.
+        """
         async with self._write_lock:
             if not self._keeps_all:
                 self._allowed_ids = frozenset(self._granted_ids)
@@ -94,8 +95,8 @@
         """Allows all executors for good, because relays grant leases without asking."""
         async with self._write_lock:
             self._keeps_all = True
-            if self._allowed_ids is not None:
-                await self._allow_all()
+            if self._allowed_ids is not None and await self._write(None):
+                self._allowed_ids = None
 
     async def run(self) -> None:
         """Stores executors that answer after `narrow`, until cancelled."""
@@ -109,10 +110,6 @@
                 if wider_ids != self._allowed_ids and await self._write(wider_ids):
                     self._allowed_ids = wider_ids
 
-    async def _allow_all(self) -> None:
-        if await self._write(None):
-            self._allowed_ids = None
-
     async def _write(self, executor_ids: Set[str] | None) -> bool:
         """Writes the row until the outcome is known; returns false if the ownership is lost.
 
--- a/packages/node/src/jacinthreel_node/_former_leases.py
+++ b/packages/node/src/jacinthreel_node/_former_leases.py
@@ -153,14 +153,13 @@
     def record_grants(self, row: GrantsRow | None) -> None:
         """Records the row of grants, read after the takeover, None if there is none.
 
-        Call it only if no earlier owner has used relays, and `record_takeover` after it.
+        Only a row of the former owner tells anything.  Call it only if no earlier owner has used
+        relays, and `record_takeover` after it.
         """
         former = self._former
-        if former is None or not former.records_grants:
+        if row is None or former is None or not former.records_grants:
             return
-        if row is None or row.epoch < former.epoch:
-            self._former_granted_ids = frozenset()  # It ended before it could grant any.
-        elif row.epoch == former.epoch and row.executor_ids is not None:
+        if row.epoch == former.epoch and row.executor_ids is not None:
             self._former_granted_ids = frozenset(row.executor_ids)
 
     def _lower_all(self, own_end_ms: int, source: str) -> None:
--- a/packages/node/src/jacinthreel_node/_ownership.py
+++ b/packages/node/src/jacinthreel_node/_ownership.py
@@ -368,12 +368,15 @@
             self._read_jobs(),
             self._read_until_available(self._row_decoder.executor_table),
             self._read_until_available(LEASE_TABLE, RELAYS_KEY),
-            self._begin_grants(),
+            self._read_until_available(OWNER_TABLE, GRANTS_KEY),
         )
+        grants_row = grants.rows[0] if grants.rows else None
+        self._grants.record_stored(grants_row)
         self._are_relays_recorded = bool(relay_use.rows)
         if not relay_use.rows:
             self.former_leases.exclude_relays()
-            self._apply_former_grants(grants)
+            if grants_row is not None and grants_row.value is not None:
+                self.former_leases.record_grants(decode_grants(grants_row.value))
             self.former_leases.record_takeover(self._takeover_ms)
         self.scheduler.apply_policy(self._policy.scheduling_policy())
         await self._job_rows.load(intake.rows, progress.rows)
@@ -385,18 +388,6 @@
             self._row_decoder.executor_table: listings.version,
         }
 
-    async def _begin_grants(self) -> Row | None:
-        """Stores that this owner may grant leases; returns the row of grants before that."""
-        snapshot = await self._read_until_available(OWNER_TABLE, GRANTS_KEY)
-        row = snapshot.rows[0] if snapshot.rows else None
-        await self._grants.begin(row)
-        return row
-
-    def _apply_former_grants(self, row: Row | None) -> None:
-        grants = decode_grants(row.value) if row is not None and row.value is not None else None
-        if row is None or grants is not None:
-            self.former_leases.record_grants(grants)
-
     async def _narrow_grants(self) -> None:
         """Shows a next owner which executors this one has not reached, if tasks are placed there.
 
