Soak: stand-in store finds unchanged tables without a scan; rehearsal executors poll less often

With many nodes and executors the one process of the stand-ins had no processor time left: each change of the store made each feed scan all rows, and each waiting report looked for ends each 20 ms. Feeds of unchanged tables return at once; executors of a rehearsal look each 50 ms.

--- a/tests/soak/rehearsal_run.py
+++ b/tests/soak/rehearsal_run.py
@@ -96,6 +96,8 @@
 class RehearsalExecutor(StandinExecutor):
     """An executor of the deployment's size."""
 
+    report_poll_s = 0.05  # One process serves the reports of all executors.
+
     def __init__(
         self,
         name: str,
--- a/tests/soak/standin_platform.py
+++ b/tests/soak/standin_platform.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
         self.version = 0
+        self._version_by_table: dict[str, int] = {}  # Of the last change.
         self.changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: bytes, part: str = "") -> None:
@@ -50,7 +51,7 @@
         self.version += 1
         row = self.rows.get((table, "", key))
         if row is not None:
-            row.update(value=None, deleted=True, ver=self.version)
+            self._delete_row(row)
         self._notify_feeds()
 
     def transact(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -66,7 +67,7 @@
         for name in body.get("remove", []):
             row = self.rows.get((name["table"], name["part"], name["key"]))
             if row is not None:
-                row.update(value=None, deleted=True, ver=self.version)
+                self._delete_row(row)
         self._notify_feeds()
         return 200, {"ver": self.version, "now_ms": now_ms()}
 
@@ -82,12 +83,19 @@
 
     def changes(self, table: str, after: int) -> list[dict[str, Any]]:
         """Returns the rows of a table that changed after a version, oldest first."""
+        if self._version_by_table.get(table, 0) <= after:
+            return []
         rows = [row for (row_table, _, _), row in self.rows.items() if row_table == table]
         return sorted((row for row in rows if row["ver"] > after), key=lambda row: row["ver"])
 
     def _put_row(self, table: str, part: str, key: str, value: str) -> None:
         row = {"table": table, "part": part, "key": key, "value": value, "ver": self.version}
         self.rows[(table, part, key)] = row
+        self._version_by_table[table] = self.version
+
+    def _delete_row(self, row: dict[str, Any]) -> None:
+        row.update(value=None, deleted=True, ver=self.version)
+        self._version_by_table[row["table"]] = self.version
 
     def _conflict(self, body: dict[str, Any]) -> dict[str, Any]:
         names = [
@@ -190,9 +198,12 @@
 
     One that does not guard its capacity records a violation where others refuse a start.
     `unconfirmed_ends` numbers the ends that were not acknowledged when the lease expired: their
-    tasks may have been started again.
+    tasks may have been started again.  A report that waits for ends looks for them each
+    `report_poll_s`.
     """
 
+    report_poll_s = 0.02
+
     def __init__(
         self,
         name: str,
@@ -409,7 +420,7 @@
                 end_ms = now_ms() + body.get("wait_ms", 0)
                 status, reply = executor.report(body)
                 while status == 200 and not reply["ended"] and now_ms() < end_ms:
-                    await asyncio.sleep(0.02)
+                    await asyncio.sleep(executor.report_poll_s)
                     if executor.born != incarnation:  # A crashed incarnation sends no reply.
                         self.detach().close()
                         return
