No task is placed at an executor before a lease may be granted there

Found by a safety review of the record of grants: after an owner had narrowed it, tasks were placed at executors that had just joined, their starts refused, and members of their gang stopped, again and again until the row was stored (7 members at a store delay of 300 ms; the test failed before). Such an executor takes no tasks now.

An unreadable progress row of a job that is not accepted yet left its executors out of the stored bounds; now the longest bound is stored (the third case of the test failed before).

--- a/packages/node/src/jacinthreel_node/_executor_link.py
+++ b/packages/node/src/jacinthreel_node/_executor_link.py
@@ -212,8 +212,10 @@
     async def _apply_report(self, response: ReportResponse, sent_ms: int) -> None:
         context = self._context
         now_ms = context.clock.now_ms()
-        if self._find_executor() is None:
+        executor = self._find_executor()
+        if executor is None:
             return  # Its leases have expired since the request, and it was not listed any more.
+        executor.awaits_grant = not context.may_grant(self._executor_id)
         context.former_leases.record_answer(self._executor_id, now_ms)
         if self._exchange.has_restarted(response):
             # A lease end by the clock of the earlier incarnation is later by that of the new one.
@@ -267,7 +269,10 @@
         lease_ms = self._lease_choice.lease_ms
         if not context.may_grant_long():
             lease_ms = min(lease_ms, context.lease_limits.shortest_ms)
-        if not self._exchange.is_clock_known or not context.may_grant(self._executor_id):
+        if not self._exchange.is_clock_known:
+            return None
+        executor.awaits_grant = not context.may_grant(self._executor_id)
+        if executor.awaits_grant:
             return None
         return self._exchange.extend_lease(lease_ms, now_ms)
 
--- a/packages/node/src/jacinthreel_node/_job_rows.py
+++ b/packages/node/src/jacinthreel_node/_job_rows.py
@@ -79,7 +79,10 @@
             return None
         executor_ids = self._scheduler.executor_ids_with_runs()
         for progress in self._orphaned_progress.values():
-            executor_ids |= progress.executor_ids()
+            placed_ids = progress.executor_ids()
+            if placed_ids is None:
+                return None
+            executor_ids |= placed_ids
         return executor_ids
 
     async def _load_jobs(
--- a/packages/node/tests/test_earlier_leases.py
+++ b/packages/node/tests/test_earlier_leases.py
@@ -62,7 +62,10 @@
     assert ownership.earlier_leases() == EarlierLeases({}, 0)
 
 
-@pytest.mark.parametrize("rows", [(JOB, UNREADABLE_PROGRESS), (UNREADABLE_JOB, PLACED)])
+@pytest.mark.parametrize(
+    "rows",
+    [(JOB, UNREADABLE_PROGRESS), (UNREADABLE_JOB, PLACED), (UNREADABLE_PROGRESS,)],
+)
 def test_longest_bound_is_stored_if_a_row_is_unreadable(rows: tuple[Row, ...]) -> None:
     # A next owner of another version may be able to read it, and restarts its runs.
     ownership, _, longest_ms = load(*rows)
--- a/packages/node/tests/test_handover_chains.py
+++ b/packages/node/tests/test_handover_chains.py
@@ -391,3 +391,25 @@
     ownership = owner_of(world).elector.ownership
     assert ownership is not None
     assert ownership.job_state(late_job.job_id) is JobState.COMPLETED
+
+
+@pytest.mark.parametrize("delay_ms", [0, 300])
+def test_tasks_are_started_over_and_over_at_executors_that_join_after_grants_were_narrowed(
+    world: World, delay_ms: int
+) -> None:
+    [executor_id] = world.running_on.values()
+    epoch = owner_row(world).epoch
+    world.executors[executor_id].stop_process()
+    kill_and_restart(world)
+    await_takeover(world, epoch)
+    world.advance(NARROW_GRANTS_AFTER_MS + 600)
+    for host_id in HOSTS:
+        world.faults[(host_id, "store")] = LinkFault(delay_ms=delay_ms)
+    owner_of(world).submit(make_job("0000000000000009", 5_000, 8, 0, True))
+    for index in range(3, 7):
+        world.executors[f"e{index}"] = FakeExecutor(world, f"e{index}", 1.0)
+        world.executors[f"e{index}"].start_process()
+        world.advance(120)
+    world.advance(2_500)
+    assert "start_refused" not in {event for _, _, event, _ in world.log_lines}
+    assert not world.violations, world.violations
--- a/packages/steps/src/jacinthreel_steps/_planning/_usability.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_usability.py
@@ -17,6 +17,7 @@
     UNLISTED = "not listed"
     UNREPORTED = "no report"
     DRAINING = "draining"
+    UNGRANTED = "no lease may be granted yet"
     CLOSED = "closed for a trial"
     OUTDATED = "registry not read"
     ZONE = "zone out of service"
@@ -35,6 +36,8 @@
         return Exclusion.UNREPORTED
     if executor.listing.is_draining:
         return Exclusion.DRAINING
+    if executor.awaits_grant:
+        return Exclusion.UNGRANTED
     if executor.is_closed:
         return Exclusion.CLOSED
     if tables.is_capacity_outdated(executor, now_ms):
--- a/packages/steps/src/jacinthreel_steps/_scheduler.py
+++ b/packages/steps/src/jacinthreel_steps/_scheduler.py
@@ -100,10 +100,10 @@
     value: bytes
     version: int
 
-    def executor_ids(self) -> set[str]:
-        """Returns the executors on which the row has runs; none if it is unreadable."""
+    def executor_ids(self) -> set[str] | None:
+        """Returns the executors on which the row has runs, None if it is unreadable."""
         row = decode_progress(self.value)
-        return {executor_id for executor_id, _ in row.executors} if row is not None else set()
+        return {executor_id for executor_id, _ in row.executors} if row is not None else None
 
 
 class Scheduler:
--- a/packages/steps/src/jacinthreel_steps/_tables.py
+++ b/packages/steps/src/jacinthreel_steps/_tables.py
@@ -390,6 +390,7 @@
     `claimed` is the part of `used` that claims hold, which wait for runs to end.
     `is_closed` is set while an isolated run keeps runs of other jobs away.  `untracked` is what the
     reported runs use that are not in `runs_by_task`, until they have stopped.
+    `awaits_grant` is set while no lease may be granted there: it is not stored yet that one may be.
     """
 
     listing: ExecutorListing
@@ -411,6 +412,7 @@
     earliest_shutdown_ms: int | None = None
     is_closed: bool = False
     untracked: Resources = NO_RESOURCES
+    awaits_grant: bool = False
 
     @property
     def executor_id(self) -> str:
