Room is reserved after 8 s, in order of acceptance

The order is that of acceptance, so that a job that lost its run goes before jobs that were accepted later; a begun job's wait counts from when it is first seen without a run, however young it is.

--- a/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
+++ b/packages/steps/src/jacinthreel_steps/_planning/_reservations.py
@@ -8,9 +8,12 @@
 
 - urgent jobs that have to wait otherwise use it in the first `SHARED_WITH_URGENT_MS`,
 - urgent jobs within the guarantee of their workspace always do, and
-- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS`.
+- overdue jobs of a mostly idle service do in the first `SHARED_WITH_OVERDUE_MS`, and then for
+  tasks that are predicted to end before the job fits.
 
-Reservations are made in the order in which the jobs began to wait, one for each workspace of a
+What a job needs of the quota of its workspace is kept from later jobs in the same way.
+
+Reservations are made in the order in which the jobs were accepted, one for each workspace of a
 service, and a further one only while they are on at most `MAX_RESERVED_SHARE` of the executors.
 
 Targets a stream of narrow jobs on a busy cluster, with a few gangs that need a large part of it.
@@ -37,7 +40,7 @@
 from jacinthreel_steps._workspaces._limits import fits_empty_quota
 from jacinthreel_steps._workspaces._quotas import count_admitted
 
-RESERVE_AFTER_MS: Final = 5_000
+RESERVE_AFTER_MS: Final = 8_000
 MAX_RESERVED_SHARE: Final = 0.4
 CHECK_PERIOD_MS: Final = 250
 MAX_RESERVATIONS: Final = 10  # For each service.
@@ -95,7 +98,7 @@
 
 
 def _find_starved(context: Context, now_ms: int) -> list[_Starved]:
-    """Returns the jobs that have waited too long with no run, the longest wait first.
+    """Returns the jobs that have waited too long with no run, in order of acceptance.
 
     Those that wait only for jobs that were accepted earlier are left out, and those that would not
     fit if nothing else ran.
@@ -109,7 +112,9 @@
     starved: list[_Starved] = []
     since_by_job: dict[str, int] = {}
     for job in jobs:
-        if job.announced_ms is not None or now_ms - job.accepted_ms < RESERVE_AFTER_MS:
+        if job.announced_ms is not None:
+            continue
+        if not job.has_begun and now_ms - job.accepted_ms < RESERVE_AFTER_MS:
             continue
         steps = _find_waiting_steps(job)
         if not steps:
@@ -124,7 +129,7 @@
         if step is not None:
             starved.append(_Starved(since_ms, job, step))
     table.since_by_job = since_by_job
-    starved.sort(key=lambda item: (item.since_ms, item.job.job_id))
+    starved.sort(key=lambda item: (item.job.accepted_ms, item.job.job_id))
     return starved
 
 
@@ -173,7 +178,7 @@
 
 
 def _find_quota_holders(context: Context, starved: Iterable[_Starved]) -> dict[str, QuotaHolder]:
-    """Returns the job of each workspace with a quota that has waited longest, with its needs.
+    """Returns the first of these jobs of each workspace with a quota, with its needs.
 
     Jobs that exceed the whole quota are left out.
     """
@@ -251,7 +256,7 @@
 
 
 def _make_reservations(check: _Check, starved: Iterable[_Starved]) -> None:
-    """Makes reservations, the longest wait first.
+    """Makes reservations, in order of acceptance.
 
     A job for which there is not enough room beside other reservations keeps later ones from getting
     any in its service, for `FULL_RETRY_MS` or until one is released.
