Soak: the view of the owner table passes other rows as they are; a link test places its task itself

The zone-cut soak's view of the store took each row of the owner table for the owner row, so that reads of the row of grants got status 500 and the next owner never loaded. The link test expected a task to be placed at an executor at which no lease may be granted yet; none is placed there now, which the test also asks for, and one placed before is still not started.

--- a/packages/node/tests/test_executor_link.py
+++ b/packages/node/tests/test_executor_link.py
@@ -502,6 +502,10 @@
     async def scenario(harness: LinkHarness) -> None:
         await wait_until(lambda: len(harness.gateway.requests) > 2)
         harness.place_task()
+        assert harness.scheduler.tables.jobs_by_id["j1"].live_runs() == []
+        for executor in harness.scheduler.tables.executors_by_id.values():
+            executor.awaits_grant = False  # A task that was placed before is not started either.
+        harness.scheduler.plan(harness.clock.now_ms())
         [run] = harness.scheduler.tables.jobs_by_id["j1"].live_runs()
         run.state = RunState.STARTING
         harness.link.send(run)
--- a/tests/soak/zone_cut_run.py
+++ b/tests/soak/zone_cut_run.py
@@ -20,7 +20,7 @@
 from soak_run import SoakRun
 from standin_platform import serve_store
 
-from jacinthreel_node._records import decode_owner, encode_record
+from jacinthreel_node._records import OWNER_KEY, OWNER_TABLE, decode_owner, encode_record
 
 ZONES = 2
 SLOWEST_CLOCK_RATE = 0.98
@@ -74,7 +74,7 @@
             entry = json.loads(value)
             entry["addr"] = f"127.0.0.1:{self.links[node, row['key']].port}"
             value = json.dumps(entry).encode()
-        elif row["table"] == "owner":
+        elif row["table"] == OWNER_TABLE and row["key"] == OWNER_KEY:
             owner = decode_owner(value)
             assert owner is not None
             if owner.host_id != self.nodes[node].name:
