--- a/review/common-3/standins_3.py
+++ b/review/common-3/standins_3.py
@@ -102,6 +102,10 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Resets all connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -148,6 +152,7 @@
         self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
         self.version = 0
         self.refused_rows = 0
+        self.late_ms = 0  # When a write was last carried out late.
         self.plan_tx: Callable[[dict[str, Any]], None | str | float] = lambda body: None
         self._record = record
         self._changed = asyncio.Event()
@@ -219,6 +224,7 @@
     async def _apply_late(self, body: dict[str, Any], delay_s: float) -> None:
         await asyncio.sleep(delay_s)
         status, _ = self._apply(body, 0)
+        self.late_ms = now_ms()
         keys = [row["key"] for row in body.get("writes", [])]
         self._record.line(f"store: carried out {delay_s} s late, status {status}: write of {keys}")
 
@@ -348,10 +354,12 @@
         self.is_logged = True
         self.state = "ready"
         self.is_up = False
+        self.is_cut = False
         self._store = store
         self._record = record
         self._server = HttpServer(self._handle)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._late_calls: set[asyncio.Task[None]] = set()  # They outlast a life.
         self._seq = 0
         self._begin_life()
 
@@ -395,6 +403,23 @@
         await self.start()
         self._record.line(f"{self.name}: has started again")
 
+    def cut_off(self) -> None:
+        """Cuts the executor off from all nodes, but not from the store; nothing is reset."""
+        self._record.line(f"{self.name}: is cut off from all nodes")
+        self.is_cut = True
+
+    def begin_again_behind_cut(self) -> None:
+        """Crashes and starts again under its id; behind the cut no node notices."""
+        self._record.line(f"{self.name}: crashes with {len(self.runs)} runs, starts again under its id")
+        self._begin_life()
+        self.publish()
+
+    def mend_cut(self) -> None:
+        """Ends the cut; connections to the earlier life are reset."""
+        self.is_cut = False
+        self._server.reset_connections()
+        self._record.line(f"{self.name}: is reached by the nodes again")
+
     def leave(self) -> None:
         """Ends the executor as planned, and removes its entry."""
         self.crash()
@@ -460,6 +485,9 @@
         self, method: str, path: str, headers: dict[str, str], body: bytes
     ) -> Answer:
         value = json.loads(body)
+        if self.is_cut:
+            await asyncio.sleep(SILENT_S)  # What is sent across the cut is lost.
+            return CLOSE
         if headers.get("x-expect-instance", self.name) != self.name:
             return 421, {}
         born = self.born
@@ -469,7 +497,7 @@
             return CLOSE
         if isinstance(plan, float | int):
             task = asyncio.get_running_loop().create_task(self._carry_out_late(path, value, plan))
-            self._tasks.add(task)
+            self._late_calls.add(task)
             await asyncio.sleep(SILENT_S)
             return CLOSE
         status, answer = self._carry_out(path, value)
@@ -478,6 +506,8 @@
             return CLOSE
         if path == "/v1/hold" and status == 200:
             await self._wait_for_news(value, born)
+            if self.is_cut:
+                await asyncio.sleep(SILENT_S)
             if self.born != born or not self.is_up:
                 return CLOSE
             answer = self._lists()
