--- a/review/12/case.py
+++ b/review/12/case.py
@@ -11,8 +11,10 @@
 from standins_3 import Executor, Record, World, call, now_ms, route, run_case  # noqa: E402
 
 JOB = "5c0e7a21d94b36f8"
-STEPS = [{"count": 1, "cpu": 2_000, "mem_mb": 1_024, "estimate_ms": 1_000}]
-OTHERS = 6
+STEPS = [{"count": 1, "cpu": 8_000, "mem_mb": 1_024, "estimate_ms": 1_000}]
+OTHER_STEPS = [{"count": 1, "cpu": 8_000, "mem_mb": 1_024, "estimate_ms": 12_000}]
+OTHERS = 4  # As many as executors: each takes a whole one.
+WORK_MS, OTHER_WORK_MS = 1_000, 12_000
 LATE_S = 6.0
 CANCEL_MS = 3_000
 CONTACT_MS = 3_000
@@ -22,7 +24,7 @@
     """Hands in another job after a while, so that the store has other writes to do."""
     await asyncio.sleep(index * 0.25)
     job = f"77aa{index:012x}"
-    status, _ = await call(port, "POST", f"/scan/{job}", {"spec": "b", "steps": STEPS})
+    status, _ = await call(port, "POST", f"/scan/{job}", {"spec": "b", "steps": OTHER_STEPS})
     world.record.line(f"client: handed in {job}, answer {status}")
 
 
@@ -41,6 +43,8 @@
         for index in range(4):
             executor = Executor(f"i-{index:04d}", world.store, record, zone="abc"[index % 3])
             executor.on_start = note_start
+            executor.work_ms = lambda task, run: WORK_MS if task.startswith(JOB) else OTHER_WORK_MS
+            executor.shape = lambda task: {"cpu": 8_000, "mem_mb": 1_024}
             world.executors.append(executor)
             await executor.start()
         world.configure([route("scan", "desk")], ["desk"])
@@ -74,10 +78,10 @@
             record.line("the cancelling was not acknowledged")
             return 2
         record.line(f"store: {window['lost']} of {window['writes']} writes were not answered")
-        await asyncio.sleep(LATE_S + 6)
+        await asyncio.sleep(OTHER_WORK_MS / 1000 + 4)
         status, value = await call(ports[2], "GET", f"/scan/{JOB}")
         record.line(f"client: state of {JOB}: {status} {value}")
-        stable_ms = max(lost_ms, default=0) + CONTACT_MS
+        stable_ms = max([world.store.late_ms, *lost_ms]) + CONTACT_MS
         late = [ms - acknowledged_ms for ms in started_ms if ms >= stable_ms]
         late = [ms for ms in late if ms > CANCEL_MS]
         record.line(f"starts later than {CANCEL_MS} ms after the acknowledgement: {late}")
