--- a/review/11/case.py
+++ b/review/11/case.py
@@ -26,6 +26,7 @@
 
 
 async def main(record: Record, has_trouble: bool) -> int:
+    """Runs the case; returns its exit status."""
     world = World(record)
     try:
         await world.store.start()
@@ -56,7 +57,9 @@
             await move(world)
         else:
             await asyncio.sleep(8)
-        status, _ = await call(ports[1], "POST", f"/scan/{LATER_JOB}", {"spec": "b", "steps": STEPS})
+        status, _ = await call(
+            ports[1], "POST", f"/scan/{LATER_JOB}", {"spec": "b", "steps": STEPS}
+        )
         record.line(f"client: handed in {LATER_JOB}, answer {status}")
         await asyncio.sleep(FINISH_S)
         return await judge(world, ports)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -29,6 +29,7 @@
 
 
 async def main(record: Record, has_trouble: bool) -> int:
+    """Runs the case; returns its exit status."""
     world = World(record)
     started_ms: list[int] = []
     lost_ms: list[int] = []
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""Two executors crash in turn under a wide gang: then no other job runs, though much room is free."""
+"""Two executors crash in turn under a wide gang: then no other job runs, with much room free."""
 
 import asyncio
 import sys
@@ -36,7 +36,8 @@
 
 def members(world: World) -> int:
     """Returns how many members of the gang are at work."""
-    return sum(task.startswith(GANG) for each in world.executors if each.is_up for task in each.runs)
+    tasks = [task for each in world.executors if each.is_up for task in each.runs]
+    return sum(task.startswith(GANG) for task in tasks)
 
 
 async def wait_for_gang(world: World, limit_s: float) -> bool:
@@ -59,6 +60,7 @@
 
 
 async def main(record: Record, has_trouble: bool) -> int:
+    """Runs the case; returns its exit status."""
     world = World(record)
     started_ms: dict[str, int] = {}
 
@@ -83,7 +85,9 @@
         await world.start_nodes()
         await asyncio.sleep(3)
         ports = [node.front_port for node in world.nodes]
-        status, _ = await call(ports[0], "POST", f"/scan/{GANG}", {"spec": "a", "steps": GANG_STEPS})
+        status, _ = await call(
+            ports[0], "POST", f"/scan/{GANG}", {"spec": "a", "steps": GANG_STEPS}
+        )
         record.line(f"client: handed in {GANG}, a gang of {EXECUTORS}, answer {status}")
         if not await wait_for_gang(world, 5):
             return 2
@@ -100,7 +104,9 @@
                 return 2
             record.line("the whole gang is at work again")
         await asyncio.sleep(CONTACT_MS / 1000)
-        status, _ = await call(ports[1], "POST", f"/quick/{OTHER}", {"spec": "b", "steps": OTHER_STEPS})
+        status, _ = await call(
+            ports[1], "POST", f"/quick/{OTHER}", {"spec": "b", "steps": OTHER_STEPS}
+        )
         record.line(f"client: handed in {OTHER}, which needs 1 GPU, answer {status}")
         if status != 200:
             return 2
--- a/review/common-3/standins_3.py
+++ b/review/common-3/standins_3.py
@@ -127,8 +127,7 @@
                 data = json.dumps(value).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode()
-                    + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
@@ -191,9 +190,7 @@
                 return base64.b64decode(row["value"])
         return None
 
-    async def _handle(
-        self, method: str, path: str, headers: dict[str, str], body: bytes
-    ) -> Answer:
+    async def _handle(self, method: str, path: str, headers: dict[str, str], body: bytes) -> Answer:
         await asyncio.sleep(0.004)
         url = urlsplit(path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -349,7 +346,9 @@
         self.work_ms: Callable[[str, int], int] = lambda task, run: 1_000
         self.how: Callable[[str, int], str] = lambda task, run: "done"
         self.shape: Callable[[str], dict[str, int]] = lambda task: {"cpu": 1_000}
-        self.plan_call: Callable[[str, dict[str, Any]], None | str | float] = lambda path, body: None
+        self.plan_call: Callable[[str, dict[str, Any]], None | str | float] = (
+            lambda path, body: None
+        )
         self.on_start: Callable[[Executor, str, int], None] = lambda executor, task, run: None
         self.is_logged = True
         self.state = "ready"
@@ -410,7 +409,8 @@
 
     def begin_again_behind_cut(self) -> None:
         """Crashes and starts again under its id; behind the cut no node notices."""
-        self._record.line(f"{self.name}: crashes with {len(self.runs)} runs, starts again under its id")
+        count = len(self.runs)
+        self._record.line(f"{self.name}: crashes with {count} runs, starts again under its id")
         self._begin_life()
         self.publish()
 
@@ -481,9 +481,7 @@
         self._news.set()
         self._news = asyncio.Event()
 
-    async def _handle(
-        self, method: str, path: str, headers: dict[str, str], body: bytes
-    ) -> Answer:
+    async def _handle(self, method: str, path: str, headers: dict[str, str], body: bytes) -> Answer:
         value = json.loads(body)
         if self.is_cut:
             await asyncio.sleep(SILENT_S)  # What is sent across the cut is lost.
@@ -555,10 +553,10 @@
 
     def _lists(self) -> dict[str, Any]:
         now = now_ms()
-        running = [
-            [task, run, "", max(0, min(99, 100 - (due - now) * 100 // max(1, self.work_ms(task, run))))]
-            for task, (run, due) in self.runs.items()
-        ]
+        running: list[list[Any]] = []
+        for task, (run, due_ms) in self.runs.items():
+            left_percent = (due_ms - now) * 100 // max(1, self.work_ms(task, run))
+            running.append([task, run, "", max(0, min(99, 100 - left_percent))])
         return {"running": running, "ended": self.ended[:LISTED_ENDS]}
 
     def _start(self, value: dict[str, Any]) -> Answer:
