--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A queue moves to a new service and the old executors leave: an accepted job never runs."""
+"""A queue moves to another service and one executor leaves: an accepted job never runs."""
 
 import asyncio
 import sys
@@ -11,10 +11,10 @@
 
 OLD, NEW = "desk-old", "desk-new"
 JOB, LATER_JOB = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
-STEPS = [
-    {"count": 2, "cpu": 2_000, "mem_mb": 1_024, "estimate_ms": 8_000},
-    {"count": 2, "cpu": 2_000, "mem_mb": 1_024, "estimate_ms": 1_000, "after": [0]},
-]
+KIND = "wide"  # One of the old executors has this label, and all of the new ones.
+OLD_COUNT, NEW_COUNT = 16, 8
+TASKS = {"count": 2, "cpu": 2_000, "mem_mb": 1_024, "requires": KIND}
+STEPS = [{**TASKS, "estimate_ms": 8_000}, {**TASKS, "estimate_ms": 1_000, "after": [0]}]
 FIRST_STEP_MS, SECOND_STEP_MS = 8_000, 1_000
 FINISH_S = 14.0
 IDLE_S = 3.0
@@ -30,11 +30,12 @@
     world = World(record)
     try:
         await world.store.start()
-        for index in range(14):
-            service = OLD if index < 2 else NEW
+        for index in range(OLD_COUNT + NEW_COUNT):
+            service = OLD if index < OLD_COUNT else NEW
             executor = Executor(
                 f"i-{index:04d}", world.store, record, service, "abc"[index % 3], f"r{index % 3}"
             )
+            executor.kind = KIND if index == 0 or service == NEW else "k"
             executor.work_ms = lambda task, run: (
                 FIRST_STEP_MS if task.split(".")[2] == "0" else SECOND_STEP_MS
             )
@@ -68,21 +69,19 @@
 
 
 async def move(world: World) -> None:
-    """Moves the queue to the new service, then empties and takes away the old executors."""
+    """Moves the queue to the new service, then empties and takes away one old executor."""
     world.configure([route("scan", NEW)], [OLD, NEW])
     world.record.line(f"operator: a configuration sends the queue to {NEW}")
     await asyncio.sleep(3)
-    old = [executor for executor in world.executors if executor.service == OLD]
-    for executor in old:
-        executor.state = "draining"
-        executor.publish()
-    world.record.line("2 of 14 executors, those of the old service, say that they are draining")
-    while any(executor.runs for executor in old):
+    leaving = world.executors[0]
+    leaving.state = "draining"
+    leaving.publish()
+    world.record.line(f"1 of the old service's {OLD_COUNT} executors says that it is draining")
+    while leaving.runs:
         await asyncio.sleep(0.1)
     await asyncio.sleep(3)
-    for executor in old:
-        executor.leave()
-    world.record.line("they have left; nothing ran there")
+    leaving.leave()
+    world.record.line("it has left; nothing ran there")
 
 
 async def judge(world: World, ports: list[int]) -> int:
@@ -98,8 +97,8 @@
         status, value = await call(ports[2], "GET", f"/scan/{job}")
         states[job] = (value or {}).get("state", status)
         record.line(f"client: state of {job}: {status} {value}")
-    free = [executor.name for executor in world.executors if executor.is_up]
-    record.line(f"nothing has run for {IDLE_S} s; {len(free)} executors are up and empty")
+    free = [each for each in world.executors if each.is_up and each.service == NEW]
+    record.line(f"nothing has run for {IDLE_S} s; {len(free)} executors of {NEW} are up and empty")
     if states[LATER_JOB] != "completed":
         record.line("the later job is not done either: the world is not sound")
         return 2
--- a/review/common-3/standins_3.py
+++ b/review/common-3/standins_3.py
@@ -351,6 +351,7 @@
         )
         self.on_start: Callable[[Executor, str, int], None] = lambda executor, task, run: None
         self.is_logged = True
+        self.kind = "k"
         self.state = "ready"
         self.is_up = False
         self.is_cut = False
@@ -439,7 +440,7 @@
             "seq": self._seq,
             "born": self.born,
             "capacity": self.capacity,
-            "labels": ["k", self.rack],
+            "labels": [self.kind, self.rack],
         }
         if self.state == "draining":
             entry["remaining_ms"] = 2_000
